Lay the workspace: settings, protocol, policy, wire, platform, endpoint, telemetry, stand-ins

Cause: an empty project. The crates below the daemon come first, each with one job, so that the daemon and the model checker can share the protocol's pure transitions. Ruled out: one crate for everything, which would let the transitions read clocks. Measured: nothing yet; it builds.

--- /dev/null
+++ b/components/call/src/lib.rs
@@ -0,0 +1,107 @@
+//! One JSON call over HTTP, with what is known of its effect when it fails.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, Response, body::Incoming, header};
+use hyper_util::{
+    client::legacy::{self, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Why a call gave no answer.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Error {
+    /// No byte left this process.
+    #[display("not sent")]
+    NotSent,
+    /// The service refused with this status; it had no effect.
+    #[display("refused with status {_0}")]
+    Status(#[error(not(source))] u16),
+    /// No whole answer came; there may have been an effect.
+    #[display("the answer was lost")]
+    Lost,
+    /// The answer could not be read; there may have been an effect.
+    #[display("the answer could not be read")]
+    Garbage,
+}
+
+/// The largest answer that is read, in bytes.
+const ANSWER_BYTES: usize = 64 << 20;
+
+/// A client for JSON calls, with its pool of connections.
+#[derive(Clone, Debug)]
+pub struct Client(legacy::Client<HttpConnector, Full<Bytes>>);
+
+impl Default for Client {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self(legacy::Client::builder(TokioExecutor::new()).build(connector))
+    }
+}
+
+impl Client {
+    /// Sends a request and gives the answer's head, whatever its status.
+    ///
+    /// A pooled connection that closed before the request was written is tried anew by the library,
+    /// which does so only while no byte has left.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] when no connection was made, [`Error::Lost`] otherwise.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+        self.0.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                Error::NotSent
+            } else {
+                Error::Lost
+            }
+        })
+    }
+
+    /// Posts a JSON body and reads a JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] says whether the call may have had an effect.
+    pub async fn post<B: Serialize + Sync, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &B,
+    ) -> Result<A, Error> {
+        let body = serde_json::to_vec(body).map_err(|_| Error::NotSent)?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}{path}"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| Error::NotSent)?;
+        let response = self.send(request).await?;
+        let status = response.status();
+        if !status.is_success() {
+            return Err(Error::Status(status.as_u16()));
+        }
+        let whole = Limited::new(response.into_body(), ANSWER_BYTES).collect();
+        let bytes = whole.await.map_err(|_| Error::Lost)?.to_bytes();
+        serde_json::from_slice(&bytes).map_err(|_| Error::Garbage)
+    }
+}
+
+/// Bounds a call in time; a call cut off may have had an effect.
+///
+/// # Errors
+///
+/// The call's own [`Error`], or [`Error::Lost`] when the time is over.
+pub async fn within<A>(
+    timeout: Duration,
+    call: impl Future<Output = Result<A, Error>>,
+) -> Result<A, Error> {
+    tokio::time::timeout(timeout, call)
+        .await
+        .unwrap_or(Err(Error::Lost))
+}
--- /dev/null
+++ b/components/endpoint/src/service/mod.rs
@@ -0,0 +1,75 @@
+//! A plain service: any method, passed through whole.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Method, Request, Response, Uri,
+    body::Incoming,
+    header::{self, HeaderName},
+};
+
+use crate::Failure;
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_BY_HOP: &[HeaderName] = &[
+    header::CONNECTION,
+    header::HOST,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    header::AUTHORIZATION,
+];
+
+/// Plain services reached over HTTP; one adapter serves all of them.
+#[derive(Clone, Debug, Default)]
+pub struct Service {
+    client: call::Client,
+}
+
+impl Service {
+    /// Sends a request and gives the answer's head; its body streams.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] says whether the request may have run.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, Failure> {
+        let uri: Uri = format!("http://{address}{path}")
+            .parse()
+            .map_err(|_| Failure::NotSent)?;
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method.clone();
+        *request.uri_mut() = uri;
+        *request.headers_mut() = end_to_end(headers);
+        Ok(self.client.send(request).await?)
+    }
+}
+
+/// The headers that are passed on: those of the message, not of the connection.
+#[must_use]
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    headers
+        .iter()
+        .filter(|(name, _)| !HOP_BY_HOP.contains(name) && !named.iter().any(|n| n == name.as_str()))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
--- /dev/null
+++ b/components/platform/src/table/adapter.rs
@@ -0,0 +1,55 @@
+//! The adapter that speaks HTTP with JSON bodies.
+
+use std::{net::SocketAddr, time::Duration};
+
+use futures::{FutureExt, future::BoxFuture};
+
+use super::{Error, Outcome, Read, Row, Table, Transaction};
+use call::Client;
+
+/// A table service reached over HTTP.
+#[derive(Clone, Debug)]
+pub struct Http {
+    client: Client,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl Http {
+    /// An adapter to a service; each call waits at most `timeout`.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            client: Client::default(),
+            address,
+            timeout,
+        }
+    }
+}
+
+impl From<call::Error> for Error {
+    fn from(error: call::Error) -> Self {
+        match error {
+            call::Error::NotSent | call::Error::Status(_) => Self::Refused,
+            call::Error::Lost | call::Error::Garbage => Self::Unclear,
+        }
+    }
+}
+
+impl Table for Http {
+    fn read(&self, read: Read) -> BoxFuture<'_, Result<Vec<Row>, Error>> {
+        async move {
+            let call = self.client.post(self.address, "/table/read", &read);
+            Ok(call::within(self.timeout, call).await?)
+        }
+        .boxed()
+    }
+
+    fn commit(&self, transaction: Transaction) -> BoxFuture<'_, Result<Outcome, Error>> {
+        async move {
+            let call = self.client.post(self.address, "/table/commit", &transaction);
+            Ok(call::within(self.timeout, call).await?)
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/components/policy/src/fair.rs
@@ -0,0 +1,248 @@
+//! Fair share over the tree of groups: who goes next, and who can't make its deadline.
+//!
+//! Each group has a virtual time that advances by the work it was given, divided by its share. Of
+//! the groups with waiting requests the one that is furthest behind goes first, level by level. A
+//! share that is not used is lent at once and never saved up. See `docs/DESIGN.md#fair-share`.
+
+use crate::{Micros, count, real};
+
+/// A group as the queue needs it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Group {
+    /// Index of the parent; none at the top. Parents come before their children.
+    pub parent: Option<usize>,
+    /// Share against its siblings.
+    pub share: u32,
+}
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    /// Its number.
+    pub id: u64,
+    /// 9 goes first within its group.
+    pub priority: u8,
+    /// The work that it will likely take, in microseconds of an engine.
+    pub work: Micros,
+    /// When it must be done.
+    pub deadline: Micros,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Node {
+    parent: usize,
+    share: f64,
+    time: f64,
+    /// The lowest time of a child that went, so that a child that wakes starts from there.
+    floor: f64,
+    /// Children with something to do, sorted by virtual time.
+    active: Vec<(f64, usize)>,
+    /// Own waiting requests, the highest priority first.
+    waiting: Vec<Waiting>,
+    /// Work of the own waiting requests and those below.
+    queued: Micros,
+}
+
+/// The queue of a service.
+#[derive(Clone, Debug)]
+pub struct Queue {
+    /// The root comes first, then the groups.
+    nodes: Vec<Node>,
+    length: usize,
+}
+
+const ROOT: usize = 0;
+
+impl Queue {
+    /// A queue for these groups.
+    #[must_use]
+    pub fn new(groups: &[Group]) -> Self {
+        let mut queue = Self {
+            nodes: vec![Node::default()],
+            length: 0,
+        };
+        queue.nodes.extend(groups.iter().map(node));
+        queue
+    }
+
+    /// How many requests wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Whether none waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Work that waits, over all groups.
+    #[must_use]
+    pub fn queued(&self) -> Micros {
+        self.nodes[ROOT].queued
+    }
+
+    /// Adds a request of a group.
+    pub fn push(&mut self, group: usize, request: Waiting) {
+        let at = group + 1;
+        let waiting = &mut self.nodes[at].waiting;
+        let place = waiting.partition_point(|other| other.priority >= request.priority);
+        waiting.insert(place, request);
+        self.length += 1;
+        self.add(at, request.work);
+        self.activate(at);
+    }
+
+    /// Takes a request away that has hung up or run out of time.
+    pub fn remove(&mut self, group: usize, id: u64) -> bool {
+        let at = group + 1;
+        let Some(place) = self.nodes[at].waiting.iter().position(|r| r.id == id) else {
+            return false;
+        };
+        let request = self.nodes[at].waiting.remove(place);
+        self.took(at, &request);
+        true
+    }
+
+    /// The group and request that go next.
+    #[must_use]
+    pub fn peek(&self) -> Option<(usize, Waiting)> {
+        let mut at = ROOT;
+        loop {
+            let node = &self.nodes[at];
+            match (node.waiting.first(), node.active.first()) {
+                // a group's own requests and its children take turns by time; its own come first
+                (Some(request), _) => return Some((at - 1, *request)),
+                (None, Some((_, child))) => at = *child,
+                (None, None) => return None,
+            }
+        }
+    }
+
+    /// Takes the request that goes next and charges its group.
+    pub fn pop(&mut self) -> Option<(usize, Waiting)> {
+        let (group, request) = self.peek()?;
+        let at = group + 1;
+        self.nodes[at].waiting.remove(0);
+        self.charge(group, request.work);
+        self.took(at, &request);
+        Some((group, request))
+    }
+
+    /// Charges a group for work: here, at a peer, or found on completion to be more than thought.
+    pub fn charge(&mut self, group: usize, work: Micros) {
+        let mut at = group + 1;
+        while at != ROOT {
+            let parent = self.nodes[at].parent;
+            let before = self.nodes[at].time;
+            self.nodes[at].time = before + real(work) / self.nodes[at].share;
+            self.reorder(parent, at, before);
+            at = parent;
+        }
+    }
+
+    /// How long a request of a group would wait: behind its group's own work at the share that the
+    /// group has now, and never longer than behind everything.
+    #[must_use]
+    pub fn wait(&self, group: usize, engines: u64) -> Micros {
+        let engines = real(engines.max(1));
+        let mut part = 1.0;
+        let mut at = group + 1;
+        let own = real(self.nodes[at].queued);
+        while at != ROOT {
+            let parent = self.nodes[at].parent;
+            part *= self.part(parent, at);
+            at = parent;
+        }
+        let alone = own / (engines * part);
+        count(alone.min(real(self.queued()) / engines))
+    }
+
+    fn part(&self, parent: usize, child: usize) -> f64 {
+        let own = self.nodes[child].share;
+        let others: f64 = self.nodes[parent]
+            .active
+            .iter()
+            .filter(|(_, other)| *other != child)
+            .map(|(_, other)| self.nodes[*other].share)
+            .sum();
+        own / (own + others)
+    }
+
+    fn add(&mut self, mut at: usize, work: Micros) {
+        loop {
+            self.nodes[at].queued += work;
+            if at == ROOT {
+                return;
+            }
+            at = self.nodes[at].parent;
+        }
+    }
+
+    fn took(&mut self, mut at: usize, request: &Waiting) {
+        self.length -= 1;
+        let leaf = at;
+        loop {
+            let queued = &mut self.nodes[at].queued;
+            *queued = queued.saturating_sub(request.work);
+            if at == ROOT {
+                break;
+            }
+            at = self.nodes[at].parent;
+        }
+        self.rest(leaf);
+    }
+
+    /// Puts a group and its parents among the active ones.
+    fn activate(&mut self, mut at: usize) {
+        while at != ROOT {
+            let parent = self.nodes[at].parent;
+            if self.nodes[parent].active.iter().any(|(_, child)| *child == at) {
+                return;
+            }
+            // who was idle starts level with those that go now: nothing is saved up
+            let floor = self.nodes[parent].floor;
+            let time = self.nodes[at].time.max(floor);
+            self.nodes[at].time = time;
+            insert(&mut self.nodes[parent].active, time, at);
+            at = parent;
+        }
+    }
+
+    /// Takes groups with nothing to do from among the active ones.
+    fn rest(&mut self, mut at: usize) {
+        while at != ROOT {
+            let node = &self.nodes[at];
+            if !node.waiting.is_empty() || !node.active.is_empty() {
+                return;
+            }
+            let parent = node.parent;
+            self.nodes[parent].active.retain(|(_, child)| *child != at);
+            at = parent;
+        }
+    }
+
+    fn reorder(&mut self, parent: usize, child: usize, before: f64) {
+        let time = self.nodes[child].time;
+        let siblings = &mut self.nodes[parent];
+        if let Some(place) = siblings.active.iter().position(|(_, other)| *other == child) {
+            siblings.active.remove(place);
+            insert(&mut siblings.active, time, child);
+            siblings.floor = siblings.floor.max(before);
+        }
+    }
+}
+
+fn node(group: &Group) -> Node {
+    Node {
+        parent: group.parent.map_or(ROOT, |parent| parent + 1),
+        share: f64::from(group.share.max(1)),
+        ..Node::default()
+    }
+}
+
+fn insert(active: &mut Vec<(f64, usize)>, time: f64, child: usize) {
+    let place = active.partition_point(|(other, _)| *other <= time);
+    active.insert(place, (time, child));
+}
--- /dev/null
+++ b/components/protocol/src/lib.rs
@@ -0,0 +1,33 @@
+//! Pure transitions of the core protocol.
+//!
+//! The daemon runs them and the `spec` crate explores them, so that the two can't drift apart.
+//! Nothing here reads a clock, sends a message or takes a lock. See `docs/DESIGN.md`.
+
+pub mod claim;
+pub mod gate;
+pub mod lease;
+pub mod order;
+pub mod stream;
+
+use derive_more::{Display, From, Into};
+use serde::{Deserialize, Serialize};
+
+/// One life of one process: random at start, never reused.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    From,
+    Into,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0:016x}")]
+pub struct Incarnation(pub u64);
--- /dev/null
+++ b/components/protocol/src/stream.rs
@@ -0,0 +1,110 @@
+//! Assembles the frames of one attempt into a whole answer.
+//!
+//! Engines, and the network before them, deliver frames late, twice or to the wrong stream. Each
+//! frame names its attempt and its offset; what does not fit is dropped and counted, and a gap is
+//! never papered over. See `docs/DESIGN.md#whole-answers`.
+
+use derive_more::{Display, Error};
+
+/// A number of an attempt, unique over all daemons.
+pub type Attempt = u64;
+
+/// What to do with a frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It continues the answer.
+    Deliver,
+    /// It belongs to another attempt: drop it.
+    Foreign,
+    /// Its part was delivered before: drop it.
+    Duplicate,
+}
+
+/// Why a stream can't go on.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Broken {
+    /// A part between was lost.
+    #[display("tokens {expected} to {got} are missing")]
+    Gap {
+        /// The offset that had to come.
+        expected: u64,
+        /// The offset that came.
+        got: u64,
+    },
+    /// A frame came after the final one.
+    #[display("the answer goes on after its end")]
+    AfterEnd,
+}
+
+/// Where an answer stands: what was delivered, over all attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Assembler {
+    attempt: Attempt,
+    offset: u64,
+    ended: bool,
+}
+
+impl Assembler {
+    /// Starts an answer.
+    #[must_use]
+    pub fn new(attempt: Attempt) -> Self {
+        Self {
+            attempt,
+            offset: 0,
+            ended: false,
+        }
+    }
+
+    /// Goes on with another attempt from what was delivered.
+    pub fn resume(&mut self, attempt: Attempt) {
+        self.attempt = attempt;
+    }
+
+    /// The attempt whose frames are taken.
+    #[must_use]
+    pub fn attempt(&self) -> Attempt {
+        self.attempt
+    }
+
+    /// Tokens delivered so far.
+    #[must_use]
+    pub fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Whether the final frame was delivered.
+    #[must_use]
+    pub fn ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Takes a frame of so many tokens.
+    ///
+    /// # Errors
+    ///
+    /// [`Broken`] when the frame shows that a part was lost; the attempt must be given up.
+    pub fn take(
+        &mut self,
+        attempt: Attempt,
+        offset: u64,
+        tokens: u64,
+        last: bool,
+    ) -> Result<Verdict, Broken> {
+        match () {
+            () if attempt != self.attempt => Ok(Verdict::Foreign),
+            () if offset < self.offset || (self.ended && offset == self.offset && tokens == 0) => {
+                Ok(Verdict::Duplicate)
+            }
+            () if self.ended => Err(Broken::AfterEnd),
+            () if offset > self.offset => Err(Broken::Gap {
+                expected: self.offset,
+                got: offset,
+            }),
+            () => {
+                self.offset += tokens;
+                self.ended = last;
+                Ok(Verdict::Deliver)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/settings/src/tree/check.rs
@@ -0,0 +1,98 @@
+//! Checks of a whole tree, made before a change is committed.
+
+use super::{
+    Node, Problem, Tree,
+    schema::{self, Kind},
+};
+
+/// All problems of a tree; none when it may be committed.
+#[must_use]
+pub fn problems(tree: &Tree) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    for node in &tree.nodes {
+        match schema::kind_of(&node.path) {
+            Some(kind) => {
+                values(node, kind, &mut problems);
+                references(tree, node, kind, &mut problems);
+            }
+            None => problems.push(Problem::Kind {
+                path: node.path.clone(),
+            }),
+        }
+    }
+    shared_keys(tree, &mut problems);
+    problems
+}
+
+fn values(node: &Node, kind: &Kind, problems: &mut Vec<Problem>) {
+    for (name, value) in &node.values {
+        match kind.key(name) {
+            Some(key) if key.of.takes(value) => {}
+            Some(key) => problems.push(Problem::Value {
+                path: node.path.clone(),
+                key: name.clone(),
+                value: value.clone(),
+                wanted: key.of.to_string(),
+            }),
+            None => problems.push(Problem::Key {
+                path: node.path.clone(),
+                key: name.clone(),
+            }),
+        }
+    }
+    for key in kind.keys {
+        if key.required && node.value(key.name).is_none() {
+            problems.push(Problem::Missing {
+                path: node.path.clone(),
+                key: key.name.to_owned(),
+            });
+        }
+    }
+}
+
+fn references(tree: &Tree, node: &Node, kind: &Kind, problems: &mut Vec<Problem>) {
+    let mut dangling = |key: &str, target: String| {
+        if tree.node(&target).is_none() {
+            problems.push(Problem::Dangling {
+                path: node.path.clone(),
+                key: key.to_owned(),
+                target,
+            });
+        }
+    };
+    match kind.name {
+        "endpoint" | "model" => {
+            if let Some(service) = node.value("service") {
+                dangling("service", format!("service/{service}"));
+            }
+        }
+        "group" => {
+            for model in node.value("models").iter().flat_map(|names| names.split(',')) {
+                dangling("models", format!("model/{}", model.trim()));
+            }
+            // a group without its parent would inherit from nobody
+            if let Some((parent, _)) = node.path.rsplit_once('/')
+                && parent.contains('/')
+            {
+                dangling("parent", parent.to_owned());
+            }
+        }
+        _ => {}
+    }
+}
+
+fn shared_keys(tree: &Tree, problems: &mut Vec<Problem>) {
+    let mut seen: Vec<(&str, &str)> = Vec::new();
+    for (_, node) in tree.kind("group") {
+        for digest in node.value("keys").iter().flat_map(|keys| keys.split(',')) {
+            match seen.binary_search_by(|(other, _)| (*other).cmp(digest)) {
+                Ok(at) => problems.push(Problem::Taken {
+                    path: node.path.clone(),
+                    what: "a caller's key".to_owned(),
+                    other: seen[at].1.to_owned(),
+                }),
+                Err(at) => seen.insert(at, (digest, &node.path)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/settings/src/tree/mod.rs
@@ -0,0 +1,254 @@
+//! The settings tree: nodes with values, groups that inherit, checks of a whole change.
+//!
+//! See `docs/SETTINGS.md#the-tree`. A node's path starts with its kind (`group/soils/field`); the
+//! text of each value is typed by [`schema`].
+
+pub mod check;
+pub mod resolve;
+pub mod schema;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// One node with its own values, sorted by key.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Node {
+    /// Kind and name, joined by `/`.
+    pub path: String,
+    /// The values set on this node itself.
+    pub values: Vec<(String, String)>,
+}
+
+impl Node {
+    /// The value set on this node itself.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<&str> {
+        self.values
+            .binary_search_by(|(k, _)| k.as_str().cmp(key))
+            .ok()
+            .map(|at| self.values[at].1.as_str())
+    }
+}
+
+/// One step of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Edit {
+    /// Sets a value; makes the node when there is none.
+    Set {
+        /// Path of the node.
+        path: String,
+        /// Key of the value.
+        key: String,
+        /// The new value.
+        value: String,
+    },
+    /// Takes a value away, so that the inherited one or the default holds.
+    Unset {
+        /// Path of the node.
+        path: String,
+        /// Key of the value.
+        key: String,
+    },
+    /// Takes a node away with its values.
+    Remove {
+        /// Path of the node.
+        path: String,
+    },
+}
+
+impl Edit {
+    /// The node that the step touches.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        match self {
+            Self::Set { path, .. } | Self::Unset { path, .. } | Self::Remove { path } => path,
+        }
+    }
+}
+
+/// An accepted change, as the table keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The version that this change made.
+    pub version: u64,
+    /// Who made it, as the operator's client said.
+    pub operator: String,
+    /// The steps.
+    pub edits: Vec<Edit>,
+    /// The write's own token, to tell after a lost answer whether it took effect.
+    pub token: u64,
+}
+
+/// Why a change is refused. Nothing was committed.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Problem {
+    /// The path does not start with a known kind, or has the wrong number of parts.
+    #[display("{path}: no such kind of node; known are group, model, service, endpoint, fleet")]
+    Kind {
+        /// Path of the node.
+        path: String,
+    },
+    /// The node's kind has no such key.
+    #[display("{path}: {key} is not a key of this kind of node")]
+    Key {
+        /// Path of the node.
+        path: String,
+        /// The key.
+        key: String,
+    },
+    /// The value is not of the key's type or out of its range.
+    #[display("{path}: {key} = {value:?} is not {wanted}")]
+    Value {
+        /// Path of the node.
+        path: String,
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+        /// The type, unit and range.
+        wanted: String,
+    },
+    /// A required value is missing.
+    #[display("{path}: {key} must be set")]
+    Missing {
+        /// Path of the node.
+        path: String,
+        /// The key.
+        key: String,
+    },
+    /// A value names a node that does not exist.
+    #[display("{path}: {key} names {target}, which does not exist")]
+    Dangling {
+        /// Path of the node.
+        path: String,
+        /// The key.
+        key: String,
+        /// The node that is named.
+        target: String,
+    },
+    /// The node to change does not exist.
+    #[display("{path} does not exist")]
+    Absent {
+        /// Path of the node.
+        path: String,
+    },
+    /// Two nodes claim what only one may have.
+    #[display("{path}: {what} is already that of {other}")]
+    Taken {
+        /// Path of the node.
+        path: String,
+        /// What is claimed.
+        what: String,
+        /// Who has it.
+        other: String,
+    },
+}
+
+/// One version of the tree, sorted by path.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tree {
+    /// The version; each accepted change adds one.
+    pub version: u64,
+    /// The nodes, sorted by path.
+    pub nodes: Vec<Node>,
+}
+
+impl Tree {
+    /// A tree from nodes in any order.
+    #[must_use]
+    pub fn new(version: u64, mut nodes: Vec<Node>) -> Self {
+        for node in &mut nodes {
+            node.values.sort();
+        }
+        nodes.sort_by(|a, b| a.path.cmp(&b.path));
+        Self { version, nodes }
+    }
+
+    /// The node at a path.
+    #[must_use]
+    pub fn node(&self, path: &str) -> Option<&Node> {
+        self.find(path).ok().map(|at| &self.nodes[at])
+    }
+
+    /// All nodes of a kind, with the path after the kind.
+    pub fn kind<'a>(&'a self, kind: &'a str) -> impl Iterator<Item = (&'a str, &'a Node)> {
+        self.nodes.iter().filter_map(move |node| {
+            let rest = node.path.strip_prefix(kind)?.strip_prefix('/')?;
+            Some((rest, node))
+        })
+    }
+
+    /// The value at a path, or the one inherited from a parent group.
+    #[must_use]
+    pub fn inherited(&self, path: &str, key: &str) -> Option<&str> {
+        let mut at = path;
+        loop {
+            if let Some(value) = self.node(at).and_then(|node| node.value(key)) {
+                return Some(value);
+            }
+            // the kind itself is no node
+            at = match at.rsplit_once('/') {
+                Some((parent, _)) if parent.contains('/') && path.starts_with("group/") => parent,
+                _ => return None,
+            };
+        }
+    }
+
+    /// The tree after a change, one version on; the whole of it is checked.
+    ///
+    /// # Errors
+    ///
+    /// All [`Problem`]s of the change; the tree stays as it is.
+    pub fn apply(&self, edits: &[Edit]) -> Result<Self, Vec<Problem>> {
+        let mut next = self.clone();
+        next.version += 1;
+        for edit in edits {
+            next.step(edit).map_err(|problem| vec![problem])?;
+        }
+        match check::problems(&next) {
+            problems if problems.is_empty() => Ok(next),
+            problems => Err(problems),
+        }
+    }
+
+    fn find(&self, path: &str) -> Result<usize, usize> {
+        self.nodes
+            .binary_search_by(|node| node.path.as_str().cmp(path))
+    }
+
+    fn step(&mut self, edit: &Edit) -> Result<(), Problem> {
+        let found = self.find(edit.path());
+        match (edit, found) {
+            (Edit::Set { key, value, .. }, Ok(at)) => {
+                set(&mut self.nodes[at].values, key, value);
+                Ok(())
+            }
+            (Edit::Set { path, key, value }, Err(at)) => {
+                let node = Node {
+                    path: path.clone(),
+                    values: vec![(key.clone(), value.clone())],
+                };
+                self.nodes.insert(at, node);
+                Ok(())
+            }
+            (Edit::Unset { key, .. }, Ok(at)) => {
+                self.nodes[at].values.retain(|(k, _)| k != key);
+                Ok(())
+            }
+            (Edit::Remove { .. }, Ok(at)) => {
+                self.nodes.remove(at);
+                Ok(())
+            }
+            (Edit::Unset { path, .. } | Edit::Remove { path }, Err(_)) => {
+                Err(Problem::Absent { path: path.clone() })
+            }
+        }
+    }
+}
+
+fn set(values: &mut Vec<(String, String)>, key: &str, value: &str) {
+    match values.binary_search_by(|(k, _)| k.as_str().cmp(key)) {
+        Ok(at) => value.clone_into(&mut values[at].1),
+        Err(at) => values.insert(at, (key.to_owned(), value.to_owned())),
+    }
+}
--- /dev/null
+++ b/components/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model checker of the core protocol.
--- /dev/null
+++ b/components/standin/src/engine/mod.rs
@@ -0,0 +1,189 @@
+//! A stand-in of a language-model engine.
+//!
+//! Its answers can be checked: each token names the prompt it answers and its own offset, see
+//! [`expected`].
+
+mod state;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use endpoint::engine::{Generate, Order, Report};
+use futures::channel::mpsc;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use protocol::order::Wanted;
+use tokio::{sync::Notify, task::JoinHandle};
+
+pub use state::{Counts, Faults};
+use state::State;
+
+use crate::{
+    batch::Speed,
+    server::{self, Body, Server},
+};
+
+/// The text that an engine writes for a prompt, from one offset up to another.
+#[must_use]
+pub fn expected(prompt: &str, from: u64, until: u64) -> String {
+    (from..until).map(|at| word(prompt, at)).collect()
+}
+
+fn word(prompt: &str, offset: u64) -> String {
+    let sum = prompt
+        .bytes()
+        .fold(0_u16, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    format!("{sum:04x}.{offset} ")
+}
+
+/// How an engine is set up.
+#[derive(Clone, Debug, Default)]
+pub struct Setup {
+    /// How fast it is.
+    pub speed: Speed,
+    /// Whether it refuses orders with an old fencing number.
+    pub fences: bool,
+    /// What it holds at start.
+    pub holds: Wanted,
+}
+
+/// A running engine; dropping it is a crash.
+#[derive(Debug)]
+pub struct Engine {
+    server: Server,
+    shared: Arc<Shared>,
+    driver: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    work: Notify,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Engine {
+    /// Starts an engine on an address (port 0 takes any).
+    ///
+    /// # Errors
+    ///
+    /// The system's error when the address can't be bound.
+    pub async fn start(address: SocketAddr, setup: Setup) -> std::io::Result<Self> {
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State::new(setup)),
+            work: Notify::new(),
+        });
+        let serving = Arc::clone(&shared);
+        let server = Server::start(address, move |request| {
+            handle(Arc::clone(&serving), request)
+        })
+        .await?;
+        let driving = Arc::clone(&shared);
+        let driver = tokio::spawn(async move { drive(&driving).await });
+        Ok(Self {
+            server,
+            shared,
+            driver,
+        })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes the ways in which it fails.
+    pub fn fail(&self, faults: Faults) {
+        self.shared.lock().faults = faults;
+    }
+
+    /// What it has counted.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.shared.lock().counts
+    }
+
+    /// What it holds now.
+    #[must_use]
+    pub fn holds(&self) -> Wanted {
+        self.shared.lock().holds.clone()
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+async fn drive(shared: &Shared) {
+    loop {
+        let step = shared.lock().step();
+        match step {
+            Some(step) => {
+                tokio::time::sleep(Duration::from_micros(step.us)).await;
+                shared.lock().deliver(&step.tokens);
+            }
+            None => shared.work.notified().await,
+        }
+    }
+}
+
+async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> std::io::Result<Response<Body>> {
+    match request.uri().path() {
+        "/generate" => {
+            let generate: Generate = server::json(request).await?;
+            Ok(start(&shared, generate))
+        }
+        "/cancel" => {
+            let attempt: u64 = server::json(request).await?;
+            shared.lock().cancel(attempt);
+            server::answer(&())
+        }
+        "/order" => order(&shared, server::json(request).await?).await,
+        "/report" => {
+            let report: Report = shared.lock().report();
+            server::answer(&report)
+        }
+        "/cache" => {
+            let after: u64 = server::json(request).await?;
+            let events = shared.lock().events_after(after);
+            server::answer(&events)
+        }
+        _ => Ok(server::whole(StatusCode::NOT_FOUND, Bytes::new())),
+    }
+}
+
+fn start(shared: &Shared, generate: Generate) -> Response<Body> {
+    let (sender, receiver) = mpsc::unbounded();
+    let taken = shared.lock().start(generate, sender);
+    shared.work.notify_one();
+    if taken {
+        server::streamed(receiver)
+    } else {
+        server::whole(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
+    }
+}
+
+async fn order(shared: &Shared, order: Order) -> std::io::Result<Response<Body>> {
+    let begun = shared.lock().begin(&order);
+    match begun {
+        state::Begun::Stale => Ok(server::whole(StatusCode::CONFLICT, Bytes::new())),
+        state::Begun::Reached => server::answer(&()),
+        state::Begun::Changing(away) => {
+            tokio::time::sleep(away).await;
+            shared.lock().finish(&order);
+            shared.work.notify_one();
+            server::answer(&())
+        }
+    }
+}
--- /dev/null
+++ b/components/standin/src/main.rs
@@ -0,0 +1,76 @@
+//! Runs one stand-in as a process of its own.
+
+use std::net::SocketAddr;
+
+use bpaf::Bpaf;
+use protocol::order::{Role, Wanted};
+use standin::{batch::Speed, engine, platform, service};
+
+/// Small stand-ins of what wrenramp meets, for trying it out.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// A language-model engine.
+    #[bpaf(command)]
+    Engine {
+        /// Where to listen.
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Its role at start: prefill, decode or mixed.
+        #[bpaf(argument("ROLE"), fallback(Role::Mixed))]
+        role: Role,
+        /// Refuse orders with an old fencing number.
+        fences: bool,
+    },
+    /// A plain service.
+    #[bpaf(command)]
+    Service {
+        /// Where to listen.
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+    },
+    /// The platform: table and VM list.
+    #[bpaf(command)]
+    Platform {
+        /// Where to listen.
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+    },
+}
+
+/// Serves until it is killed.
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    match command().run() {
+        Command::Engine {
+            listen,
+            role,
+            fences,
+        } => {
+            let holds = Wanted {
+                role,
+                ..Wanted::default()
+            };
+            let setup = engine::Setup {
+                speed: Speed::default(),
+                fences,
+                holds,
+            };
+            let running = engine::Engine::start(listen, setup).await?;
+            forever(running.address()).await
+        }
+        Command::Service { listen } => {
+            let running = service::Service::start(listen).await?;
+            forever(running.address()).await
+        }
+        Command::Platform { listen } => {
+            let running = platform::Platform::start(listen).await?;
+            forever(running.address()).await
+        }
+    }
+}
+
+async fn forever(address: SocketAddr) -> std::io::Result<()> {
+    println!("listening on {address}");
+    std::future::pending().await
+}
--- /dev/null
+++ b/components/standin/src/platform/store.rs
@@ -0,0 +1,80 @@
+//! The rows of the table stand-in.
+
+use platform::table::{Outcome, Read, Row, Transaction};
+
+/// Rows sorted by key, and the count from which versions are taken.
+#[derive(Debug, Default)]
+pub(super) struct Store {
+    rows: Vec<Row>,
+    version: u64,
+}
+
+impl Store {
+    pub(super) fn read(&self, read: &Read) -> Vec<Row> {
+        let mut rows: Vec<Row> = read
+            .keys
+            .iter()
+            .filter_map(|key| Some(self.rows[self.find(key).ok()?].clone()))
+            .collect();
+        for prefix in &read.prefixes {
+            let from = self.rows.partition_point(|row| row.key.as_str() < prefix.as_str());
+            let under = self.rows[from..]
+                .iter()
+                .take_while(|row| row.key.starts_with(prefix.as_str()));
+            rows.extend(under.cloned());
+        }
+        rows.sort_by(|a, b| a.key.cmp(&b.key));
+        rows.dedup();
+        rows
+    }
+
+    pub(super) fn commit(&mut self, transaction: &Transaction) -> Outcome {
+        let failed: Vec<Row> = transaction
+            .checks
+            .iter()
+            .filter_map(|check| {
+                let now = self.now(&check.key);
+                (now.version != check.version).then_some(now)
+            })
+            .collect();
+        if !failed.is_empty() {
+            return Outcome::Conflict(failed);
+        }
+        self.version += 1;
+        for write in &transaction.writes {
+            self.write(&write.key, write.value.as_deref());
+        }
+        Outcome::Committed(self.version)
+    }
+
+    fn now(&self, key: &str) -> Row {
+        match self.find(key) {
+            Ok(at) => self.rows[at].clone(),
+            Err(_) => Row {
+                key: key.to_owned(),
+                version: 0,
+                value: String::new(),
+            },
+        }
+    }
+
+    fn write(&mut self, key: &str, value: Option<&str>) {
+        let row = value.map(|value| Row {
+            key: key.to_owned(),
+            version: self.version,
+            value: value.to_owned(),
+        });
+        match (self.find(key), row) {
+            (Ok(at), Some(row)) => self.rows[at] = row,
+            (Ok(at), None) => {
+                self.rows.remove(at);
+            }
+            (Err(at), Some(row)) => self.rows.insert(at, row),
+            (Err(_), None) => {}
+        }
+    }
+
+    fn find(&self, key: &str) -> Result<usize, usize> {
+        self.rows.binary_search_by(|row| row.key.as_str().cmp(key))
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/metrics/mod.rs
@@ -0,0 +1,122 @@
+//! Metrics of one daemon. Label sets are bounded: services and groups come from the settings.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS: &[f64] = &[
+    0.001, 0.005, 0.01, 0.026, 0.05, 0.1, 0.25, 0.5, 1.3, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0,
+];
+
+/// All metrics of a daemon.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by service, group and outcome.
+    pub requests: IntCounterVec,
+    /// Refusals by reason.
+    pub refusals: IntCounterVec,
+    /// Tokens of answers that were whole and in time, by service and group.
+    pub goodput: IntCounterVec,
+    /// Time in the queue, by service.
+    pub queue: HistogramVec,
+    /// Time to the first token, by service.
+    pub first: HistogramVec,
+    /// Time to the end, by service.
+    pub whole: HistogramVec,
+    /// Attempts after the first, by reason.
+    pub retries: IntCounterVec,
+    /// Frames that belonged to no answer here, by verdict.
+    pub dropped: IntCounterVec,
+    /// Orders by outcome.
+    pub orders: IntCounterVec,
+    /// Requests in flight by service.
+    pub in_flight: IntGaugeVec,
+    /// The settings version in force.
+    pub settings: IntGauge,
+    /// Calls to the table by outcome.
+    pub table: IntCounterVec,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+    /// Streams cut by a hard stop.
+    pub cut: IntCounter,
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// The library's error when two metrics share a name.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let metrics = Self {
+            requests: counters("requests_total", "Requests.", &["service", "group", "outcome"])?,
+            refusals: counters("refusals_total", "Refusals.", &["reason"])?,
+            goodput: counters(
+                "goodput_tokens_total",
+                "Tokens of whole answers in time.",
+                &["service", "group"],
+            )?,
+            queue: histogram("queue_seconds", "Time in the queue.")?,
+            first: histogram("first_token_seconds", "Time to the first token.")?,
+            whole: histogram("request_seconds", "Time to the end of the answer.")?,
+            retries: counters("retries_total", "Attempts after the first.", &["reason"])?,
+            dropped: counters("dropped_frames_total", "Frames dropped.", &["verdict"])?,
+            orders: counters("orders_total", "Orders to engines.", &["outcome"])?,
+            in_flight: IntGaugeVec::new(
+                Opts::new("wrenramp_in_flight", "Requests in flight."),
+                &["service"],
+            )?,
+            settings: IntGauge::new("wrenramp_settings_version", "Settings version in force.")?,
+            table: counters("table_calls_total", "Calls to the table.", &["outcome"])?,
+            connections: IntGauge::new("wrenramp_connections", "Open connections of callers.")?,
+            cut: IntCounter::new("wrenramp_cut_streams_total", "Streams cut by a hard stop.")?,
+            registry,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    /// The metrics in the text form that Prometheus reads.
+    #[must_use]
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // writing into memory does not fail
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+
+    fn register(&self) -> prometheus::Result<()> {
+        let register = |c: Box<dyn prometheus::core::Collector>| self.registry.register(c);
+        for counters in [
+            &self.requests,
+            &self.refusals,
+            &self.goodput,
+            &self.retries,
+            &self.dropped,
+            &self.orders,
+            &self.table,
+        ] {
+            register(Box::new(counters.clone()))?;
+        }
+        for histogram in [&self.queue, &self.first, &self.whole] {
+            register(Box::new(histogram.clone()))?;
+        }
+        register(Box::new(self.in_flight.clone()))?;
+        register(Box::new(self.settings.clone()))?;
+        register(Box::new(self.connections.clone()))?;
+        register(Box::new(self.cut.clone()))
+    }
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> prometheus::Result<IntCounterVec> {
+    IntCounterVec::new(Opts::new(format!("wrenramp_{name}"), help), labels)
+}
+
+fn histogram(name: &str, help: &str) -> prometheus::Result<HistogramVec> {
+    let options = HistogramOpts::new(format!("wrenramp_{name}"), help);
+    HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["service"])
+}
--- /dev/null
+++ b/src/bin/wrenramp.rs
@@ -0,0 +1,2 @@
+//! Stub.
+fn main() {}
