--- /dev/null
+++ b/components/cli/src/cmd/change.rs
@@ -0,0 +1,137 @@
+//! Commands that change the tree.
+
+use std::{
+    process::ExitCode,
+    time::{Duration, Instant},
+};
+
+use wire::Edit;
+
+use super::engine;
+use crate::{
+    client::Client,
+    console::{self, PARTLY, REFUSED},
+    error::Error,
+};
+
+/// Whether to wait until a version is in force everywhere.
+#[derive(Clone, Copy, Debug)]
+pub struct Wait(pub bool);
+
+/// The target for a settings change.
+const IN_FORCE: Duration = Duration::from_secs(7);
+const LOOK: Duration = Duration::from_millis(100);
+
+/// `set`: one or more values of a node.
+pub async fn set(
+    client: &mut Client,
+    path: &str,
+    values: &[String],
+    base: u64,
+    wait: Wait,
+) -> Result<ExitCode, Error> {
+    let mut edits = Vec::new();
+    for value in values {
+        let Some((key, value)) = value.split_once('=') else {
+            console::line(format!("{value} is not KEY=VALUE"));
+            return Ok(ExitCode::from(REFUSED));
+        };
+        edits.push(edit(path, key, Some(value)));
+    }
+    commit(client, base, edits, false, wait).await
+}
+
+/// `unset`: takes a value away.
+pub async fn unset(client: &mut Client, path: &str, key: &str) -> Result<ExitCode, Error> {
+    commit(client, 0, vec![edit(path, key, None)], false, Wait(false)).await
+}
+
+/// `group add`.
+pub async fn add_group(client: &mut Client, group: &str, share: u32) -> Result<ExitCode, Error> {
+    let path = format!("group/{group}");
+    let edits = vec![edit(&path, "share", Some(&share.to_string()))];
+    commit(client, 0, edits, false, Wait(false)).await
+}
+
+/// `group remove`.
+pub async fn remove_group(client: &mut Client, group: &str) -> Result<ExitCode, Error> {
+    let edits = vec![removal(&format!("group/{group}"))];
+    commit(client, 0, edits, false, Wait(false)).await
+}
+
+/// `drain` and `undrain`.
+pub async fn drain(client: &mut Client, endpoint: &str, drain: bool) -> Result<ExitCode, Error> {
+    let (data_centre, number) = engine::parts(endpoint)?;
+    let path = format!("endpoint/{data_centre}/{number}");
+    if !client
+        .read()
+        .await?
+        .nodes
+        .iter()
+        .any(|node| node.path == path)
+    {
+        return Err(Error::NotSet(path));
+    }
+    let edits = vec![edit(&path, "drain", Some(&drain.to_string()))];
+    commit(client, 0, edits, false, Wait(true)).await
+}
+
+/// A step that sets or takes away a value.
+pub fn edit(path: &str, key: &str, value: Option<&str>) -> Edit {
+    Edit {
+        path: path.to_owned(),
+        key: key.to_owned(),
+        value: value.map(ToOwned::to_owned),
+        remove_node: false,
+    }
+}
+
+/// A step that takes a node away.
+pub fn removal(path: &str) -> Edit {
+    Edit {
+        path: path.to_owned(),
+        remove_node: true,
+        ..Edit::default()
+    }
+}
+
+/// Commits a change and waits, if asked, until it is in force.
+pub async fn commit(
+    client: &mut Client,
+    base: u64,
+    edits: Vec<Edit>,
+    dry_run: bool,
+    wait: Wait,
+) -> Result<ExitCode, Error> {
+    let reply = client.commit(base, edits, dry_run).await?;
+    let code = console::committed(&reply, dry_run);
+    match wait {
+        Wait(true) if reply.version > 0 => in_force(client, reply.version).await,
+        _ => Ok(code),
+    }
+}
+
+/// Says where a version is in force and who lags.
+async fn in_force(client: &mut Client, version: u64) -> Result<ExitCode, Error> {
+    let until = Instant::now() + IN_FORCE;
+    loop {
+        let daemons = client.status().await?.daemons;
+        let (there, lag): (Vec<_>, Vec<_>) = daemons
+            .iter()
+            .partition(|daemon| daemon.answered && daemon.settings_version >= version);
+        if lag.is_empty() {
+            console::line(format!("in force in all {} daemons", there.len()));
+            return Ok(ExitCode::SUCCESS);
+        }
+        if Instant::now() > until {
+            console::line(format!("in force in {} daemons; not in:", there.len()));
+            for daemon in lag {
+                let member = daemon.member.clone().unwrap_or_default();
+                let state = if daemon.answered { "lags" } else { "silent" };
+                console::line(format!("  {} {state}", member.address));
+            }
+            return Ok(ExitCode::from(PARTLY));
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/components/cli/src/cmd/file.rs
@@ -0,0 +1,123 @@
+//! Commands that read a tree file.
+//!
+//! A tree file is TOML: a table a node, named by its path, `["group/soils"]`.
+
+use std::{path::Path, process::ExitCode};
+
+use settings::tree::{Node, Tree, check as checks};
+use wire::Edit;
+
+use super::change::{self, Wait};
+use crate::{
+    client::Client,
+    console::{self, REFUSED},
+    error::Error,
+};
+
+/// `check`: checks a file by itself.
+pub fn check(path: &Path) -> Result<ExitCode, Error> {
+    let tree = Tree::new(0, load(path)?);
+    let problems = checks::problems(&tree);
+    if problems.is_empty() {
+        console::line(format!("{} nodes, no problem", tree.nodes.len()));
+        return Ok(ExitCode::SUCCESS);
+    }
+    problems.iter().for_each(console::line);
+    Ok(ExitCode::from(REFUSED))
+}
+
+/// `diff`: what a file would change.
+pub async fn diff(client: &mut Client, path: &Path) -> Result<ExitCode, Error> {
+    let (_, edits) = edits(client, path).await?;
+    edits.iter().map(console::step).for_each(console::line);
+    Ok(ExitCode::SUCCESS)
+}
+
+/// `apply`: makes the tree as a file says, in one change on the version that was read.
+pub async fn apply(
+    client: &mut Client,
+    path: &Path,
+    dry_run: bool,
+    wait: Wait,
+) -> Result<ExitCode, Error> {
+    let (version, edits) = edits(client, path).await?;
+    if edits.is_empty() {
+        console::line("nothing to change");
+        return Ok(ExitCode::SUCCESS);
+    }
+    change::commit(client, version, edits, dry_run, wait).await
+}
+
+async fn edits(client: &mut Client, path: &Path) -> Result<(u64, Vec<Edit>), Error> {
+    let wanted = Tree::new(0, load(path)?);
+    let current = client.read().await?;
+    let nodes = current.nodes.iter().map(|node| Node {
+        path: node.path.clone(),
+        values: node.values.clone().into_iter().collect(),
+    });
+    let now = Tree::new(current.version, nodes.collect());
+    Ok((now.version, difference(&now, &wanted)))
+}
+
+fn difference(now: &Tree, wanted: &Tree) -> Vec<Edit> {
+    let gone = now
+        .nodes
+        .iter()
+        .filter(|node| wanted.node(&node.path).is_none())
+        .map(|node| change::removal(&node.path));
+    let mut edits: Vec<Edit> = gone.collect();
+    for node in &wanted.nodes {
+        let old = now.node(&node.path);
+        for (key, value) in &node.values {
+            if old.and_then(|old| old.value(key)) != Some(value) {
+                edits.push(change::edit(&node.path, key, Some(value)));
+            }
+        }
+        for (key, _) in old.iter().flat_map(|old| &old.values) {
+            if node.value(key).is_none() {
+                edits.push(change::edit(&node.path, key, None));
+            }
+        }
+    }
+    edits
+}
+
+fn load(path: &Path) -> Result<Vec<Node>, Error> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|source| Error::File {
+        path: name.clone(),
+        source,
+    })?;
+    let tables: toml::Table = toml::from_str(&text).map_err(|source| Error::Toml {
+        path: name.clone(),
+        source: Box::new(source),
+    })?;
+    tables
+        .into_iter()
+        .map(|(path, values)| node(&name, path, values))
+        .collect()
+}
+
+fn node(file: &str, path: String, values: toml::Value) -> Result<Node, Error> {
+    let shape = |key: String| Error::Shape {
+        path: file.to_owned(),
+        key,
+    };
+    let toml::Value::Table(table) = values else {
+        return Err(shape(path));
+    };
+    let mut texts = Vec::new();
+    for (key, value) in table {
+        let text = match value {
+            toml::Value::String(text) => text,
+            toml::Value::Integer(number) => number.to_string(),
+            toml::Value::Boolean(switch) => switch.to_string(),
+            _ => return Err(shape(key)),
+        };
+        texts.push((key, text));
+    }
+    Ok(Node {
+        path,
+        values: texts,
+    })
+}
--- /dev/null
+++ b/components/cli/src/cmd/show.rs
@@ -0,0 +1,241 @@
+//! Commands that only show.
+
+use std::{
+    collections::BTreeMap,
+    process::ExitCode,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use serde::Serialize;
+
+use super::engine;
+use crate::{
+    client::Client,
+    console::{self, PARTLY},
+    error::Error,
+};
+
+/// `get`: one value, or all of a node.
+pub async fn get(
+    client: &mut Client,
+    path: &str,
+    key: Option<&str>,
+    json: bool,
+) -> Result<ExitCode, Error> {
+    let tree = client.read().await?;
+    let node = tree
+        .nodes
+        .iter()
+        .find(|node| node.path == path)
+        .ok_or_else(|| Error::NotSet(path.to_owned()))?;
+    let values: BTreeMap<&str, &str> = node
+        .values
+        .iter()
+        .filter(|(name, _)| key.is_none_or(|key| key == name.as_str()))
+        .map(|(name, value)| (name.as_str(), value.as_str()))
+        .collect();
+    match key {
+        Some(key) if values.is_empty() => Err(Error::NotSet(format!("{path} {key}"))),
+        _ if json => {
+            console::json(&values);
+            Ok(ExitCode::SUCCESS)
+        }
+        Some(_) => {
+            values.values().for_each(console::line);
+            Ok(ExitCode::SUCCESS)
+        }
+        None => {
+            for (name, value) in values {
+                console::line(format!("{name}={value}"));
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+/// `tree`: all nodes.
+pub async fn tree(client: &mut Client, json: bool) -> Result<ExitCode, Error> {
+    let tree = client.read().await?;
+    let nodes: BTreeMap<&str, BTreeMap<&str, &str>> = tree
+        .nodes
+        .iter()
+        .map(|node| {
+            let values = node.values.iter();
+            let values = values.map(|(name, value)| (name.as_str(), value.as_str()));
+            (node.path.as_str(), values.collect())
+        })
+        .collect();
+    if json {
+        console::json(&nodes);
+        return Ok(ExitCode::SUCCESS);
+    }
+    console::line(format!("# version {}", tree.version));
+    for (path, values) in nodes {
+        console::line(format!("[\"{path}\"]"));
+        for (name, value) in values {
+            console::line(format!("{name} = {value:?}"));
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+#[derive(Serialize)]
+struct Change {
+    version: u64,
+    operator: String,
+    steps: Vec<String>,
+}
+
+/// `history`: accepted changes.
+pub async fn history(client: &mut Client, from: u64, json: bool) -> Result<ExitCode, Error> {
+    let log = client.log(from).await?;
+    if json {
+        let changes: Vec<Change> = log
+            .changes
+            .iter()
+            .map(|change| Change {
+                version: change.version,
+                operator: change.operator.clone(),
+                steps: change.edits.iter().map(console::step).collect(),
+            })
+            .collect();
+        console::json(&changes);
+    } else {
+        log.changes
+            .iter()
+            .map(console::change)
+            .for_each(console::line);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+#[derive(Serialize)]
+struct Fleet {
+    settings_version: u64,
+    store_up: bool,
+    daemons: Vec<Daemon>,
+    endpoints: Vec<Endpoint>,
+    stewards: Vec<Steward>,
+}
+
+#[derive(Serialize)]
+struct Daemon {
+    incarnation: String,
+    address: String,
+    data_centre: String,
+    settings_version: u64,
+    answers: bool,
+    leaving: bool,
+}
+
+#[derive(Serialize)]
+struct Endpoint {
+    endpoint: String,
+    service: String,
+    role: String,
+    state: String,
+    in_flight: u32,
+}
+
+#[derive(Serialize)]
+struct Steward {
+    service: String,
+    data_centre: String,
+    epoch: u64,
+    holder: String,
+}
+
+/// `status`: daemons, endpoints, stewards, versions in force.
+pub async fn status(client: &mut Client, json: bool) -> Result<ExitCode, Error> {
+    let status = client.status().await?;
+    if json {
+        console::json(&fleet(&status));
+    } else {
+        console::status(&status);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn fleet(status: &wire::StatusReply) -> Fleet {
+    let daemons = status.daemons.iter().map(|daemon| {
+        let member = daemon.member.clone().unwrap_or_default();
+        Daemon {
+            incarnation: format!("{:016x}", member.incarnation),
+            address: member.address,
+            data_centre: member.data_centre,
+            settings_version: daemon.settings_version,
+            answers: daemon.answered,
+            leaving: daemon.leaving,
+        }
+    });
+    let endpoints = status.endpoints.iter().map(|one| Endpoint {
+        endpoint: format!("{}/{}", one.data_centre, one.endpoint),
+        service: one.service.clone(),
+        role: one.role.clone(),
+        state: one.state.clone(),
+        in_flight: one.in_flight,
+    });
+    let stewards = status.stewards.iter().map(|one| Steward {
+        service: one.service.clone(),
+        data_centre: one.data_centre.clone(),
+        epoch: one.epoch,
+        holder: format!("{:016x}", one.holder),
+    });
+    Fleet {
+        settings_version: status.settings_version,
+        store_up: status.store_up,
+        daemons: daemons.collect(),
+        endpoints: endpoints.collect(),
+        stewards: stewards.collect(),
+    }
+}
+
+#[derive(Serialize)]
+struct Timeline {
+    events: Vec<String>,
+    silent: Vec<String>,
+}
+
+/// `timeline`: events of all daemons.
+pub async fn timeline(
+    client: &mut Client,
+    request: Option<&str>,
+    endpoint: Option<&str>,
+    since: Option<u64>,
+    json: bool,
+) -> Result<ExitCode, Error> {
+    let subject = match (request, endpoint) {
+        (Some(request), _) => format!("request/{request}"),
+        (None, Some(endpoint)) => {
+            let (data_centre, number) = engine::parts(endpoint)?;
+            format!("endpoint/{data_centre}/{number}")
+        }
+        (None, None) => String::new(),
+    };
+    let since_ms = since.map_or(0, |seconds| now_ms().saturating_sub(seconds * 1_000));
+    let reply = client.timeline(subject, since_ms).await?;
+    let events: Vec<String> = reply.events.iter().map(console::event).collect();
+    let silent = reply.silent;
+    let code = if silent.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(PARTLY)
+    };
+    if json {
+        console::json(&Timeline { events, silent });
+    } else {
+        events.iter().for_each(console::line);
+        for address in silent {
+            console::line(format!("# no answer from {address}"));
+        }
+    }
+    Ok(code)
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .ok()
+        .and_then(|since| u64::try_from(since.as_millis()).ok())
+        .unwrap_or(0)
+}
--- /dev/null
+++ b/components/cli/src/console.rs
@@ -0,0 +1,149 @@
+//! Everything that an operator reads.
+
+use std::process::ExitCode;
+
+use serde::Serialize;
+use wire::{CommitReply, Conflict, Edit, Event, StatusReply};
+
+use crate::error::Error;
+
+/// The code for a command that was refused or failed.
+pub const REFUSED: u8 = 1;
+/// The code for a command that is done in part.
+pub const PARTLY: u8 = 3;
+
+/// Tells why a command failed.
+pub fn failed(error: &Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(REFUSED)
+}
+
+/// Prints a value as JSON.
+pub fn json<T: Serialize>(value: &T) {
+    // plain values always have a JSON form
+    println!(
+        "{}",
+        serde_json::to_string_pretty(value).unwrap_or_default()
+    );
+}
+
+/// Prints one line.
+pub fn line(text: impl std::fmt::Display) {
+    println!("{text}");
+}
+
+/// Tells how a change was taken.
+pub fn committed(reply: &CommitReply, dry_run: bool) -> ExitCode {
+    match reply {
+        CommitReply { unknown: true, .. } => {
+            eprintln!("it is not known whether the change was accepted");
+            problems(reply);
+            ExitCode::from(PARTLY)
+        }
+        CommitReply {
+            conflict: Some(winner),
+            ..
+        } => {
+            eprintln!("not accepted: another change was first");
+            eprintln!("{}", change(winner));
+            ExitCode::from(REFUSED)
+        }
+        reply if !reply.problems.is_empty() => {
+            eprintln!("not accepted:");
+            problems(reply);
+            ExitCode::from(REFUSED)
+        }
+        _ if dry_run => {
+            println!("the change would be accepted");
+            ExitCode::SUCCESS
+        }
+        reply => {
+            println!("accepted as version {}", reply.version);
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn problems(reply: &CommitReply) {
+    for problem in &reply.problems {
+        eprintln!("  {problem}");
+    }
+}
+
+/// An accepted change in a few lines.
+pub fn change(change: &Conflict) -> String {
+    let steps: Vec<String> = change.edits.iter().map(step).collect();
+    format!(
+        "version {} by {}\n{}",
+        change.version,
+        change.operator,
+        steps.join("\n")
+    )
+}
+
+/// One step of a change.
+pub fn step(edit: &Edit) -> String {
+    match &edit.value {
+        _ if edit.remove_node => format!("  remove {}", edit.path),
+        Some(value) => format!("  set {} {}={value}", edit.path, edit.key),
+        None => format!("  unset {} {}", edit.path, edit.key),
+    }
+}
+
+/// The state of the fleet as one daemon sees it.
+pub fn status(status: &StatusReply) {
+    let store = if status.store_up {
+        "answers"
+    } else {
+        "does not answer"
+    };
+    println!("table service: {store}");
+    println!("settings: version {}", status.settings_version);
+    println!("\ndaemons:");
+    for daemon in &status.daemons {
+        let member = daemon.member.clone().unwrap_or_default();
+        let state = match (daemon.answered, daemon.leaving) {
+            (false, _) => "silent",
+            (true, true) => "leaving",
+            (true, false) => "serving",
+        };
+        println!(
+            "  {:016x} {} {} version {} {state}",
+            member.incarnation, member.data_centre, member.address, daemon.settings_version
+        );
+    }
+    println!("\nendpoints:");
+    for one in &status.endpoints {
+        println!(
+            "  {}/{} {} {} {} in flight {} report {} ms old",
+            one.data_centre,
+            one.endpoint,
+            one.service,
+            one.role,
+            one.state,
+            one.in_flight,
+            one.report_age_ms
+        );
+    }
+    println!("\nstewards:");
+    for one in &status.stewards {
+        println!(
+            "  {} in {}: {:016x}, epoch {}",
+            one.service, one.data_centre, one.holder, one.epoch
+        );
+    }
+}
+
+/// One event.
+pub fn event(event: &Event) -> String {
+    format!(
+        "{}.{:03} {:016x} {} {} {} {}",
+        event.physical_ms,
+        event.logical,
+        event.incarnation,
+        event.process,
+        event.kind,
+        event.subject,
+        event.detail
+    )
+}
--- a/components/cli/src/lib.rs
+++ b/components/cli/src/lib.rs
@@ -1,1 +1,27 @@
-//! The operators' command-line client.
+//! The operators' command-line client `wrenramp`.
+
+mod cli;
+mod client;
+mod cmd;
+mod console;
+mod error;
+
+use std::process::ExitCode;
+
+/// Parses the arguments, runs the command and gives its exit code: 0 done, 1 refused or failed,
+/// 2 wrong arguments, 3 done in part (some daemons lag or are silent).
+#[must_use]
+pub fn main() -> ExitCode {
+    let options = cli::options().run();
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => return console::failed(&error::Error::Runtime(error)),
+    };
+    match runtime.block_on(cmd::run(&options)) {
+        Ok(code) => code,
+        Err(error) => console::failed(&error),
+    }
+}
--- /dev/null
+++ b/components/daemon/src/connection/mod.rs
@@ -0,0 +1,97 @@
+//! What lives as long as a caller's connection: its bounds and its end in a planned stop.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
+};
+
+use crate::{
+    process::{Phase, Process},
+    request,
+};
+
+/// What a connection over the bound is told; it is not worth a parser.
+const BUSY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nx-wrenramp-run: not-run\r\n\
+retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+const BUSY_WAIT: Duration = Duration::from_secs(1);
+/// A failing accept, as when descriptors run out, is tried again after this.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts callers as long as the process lives.
+pub async fn accept(process: Arc<Process>, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        while connections.try_join_next().is_some() {}
+        if connections.len() >= process.settings.limits.connections {
+            connections.spawn(turn_away(stream));
+        } else {
+            let open = Counted::new(&process.connections);
+            connections.spawn(serve(Arc::clone(&process), stream, open));
+        }
+    }
+}
+
+async fn turn_away(mut stream: TcpStream) {
+    // a caller that does not read its answer loses it
+    let _ = tokio::time::timeout(BUSY_WAIT, stream.write_all(BUSY)).await;
+}
+
+async fn serve(process: Arc<Process>, stream: TcpStream, open: Counted) {
+    // a socket that is gone already needs no option
+    let _ = stream.set_nodelay(true);
+    let limits = &process.settings.limits;
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Some(limits.header_time.into()))
+        .max_buf_size(limits.header_bytes);
+    let service = service_fn(|request| {
+        let process = Arc::clone(&process);
+        async move { Ok::<_, Infallible>(request::answer(process, request).await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut phase = process.phase.subscribe();
+    tokio::select! {
+        // a broken connection is the caller's business
+        _ = &mut connection => {}
+        () = draining(&mut phase) => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+    drop(open);
+}
+
+async fn draining(phase: &mut watch::Receiver<Phase>) {
+    // the sender lives as long as the process
+    let _ = phase.wait_for(|phase| *phase >= Phase::Draining).await;
+}
+
+/// Counts one more as long as it lives.
+#[derive(Debug)]
+pub struct Counted(watch::Sender<usize>);
+
+impl Counted {
+    /// Counts one more.
+    pub fn new(count: &watch::Sender<usize>) -> Self {
+        count.send_modify(|count| *count += 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
+    }
+}
--- /dev/null
+++ b/components/daemon/src/process/operators.rs
@@ -0,0 +1,440 @@
+//! What this daemon answers operators.
+
+use std::sync::Arc;
+
+use platform::table::{Outcome, Read, Transaction};
+use protocol::order::{Role, Wanted};
+use settings::tree::{Change, Edit, Problem, Tree, resolve};
+use telemetry::timeline::Kind;
+use tonic::{Request, Response, Status};
+use wire::{
+    CommitReply, CommitRequest, Conflict, LogReply, LogRequest, OrderReply, OrderRequest,
+    ReadRequest, StatusReply, StatusRequest, TimelineReply, TimelineRequest,
+    operator_server::Operator,
+};
+
+use super::{
+    Phase, Process, orders,
+    store::{self, rows},
+    sync::{self, HEAD, Head, NODES},
+};
+
+/// The operators' service.
+pub struct Operators(pub Arc<Process>);
+
+/// How often a change without a base is tried against others.
+const RACES: u32 = 8;
+/// The longest log that is given in one answer.
+const LOG_ROWS: u64 = 200;
+const PEER_WAIT: std::time::Duration = std::time::Duration::from_secs(2);
+
+impl Operators {
+    fn admit(&self, token: &str) -> Result<(), Status> {
+        let digest = &self.0.settings.daemon.operator_token_sha256;
+        if resolve::secret_matches(token, digest) {
+            Ok(())
+        } else {
+            Err(Status::unauthenticated("the operator's token is wrong"))
+        }
+    }
+
+    fn tree(&self) -> Result<Arc<crate::version::Snapshot>, Status> {
+        self.0
+            .current
+            .get()
+            .ok_or_else(|| Status::unavailable("this daemon has no settings yet"))
+    }
+}
+
+#[tonic::async_trait]
+impl Operator for Operators {
+    async fn read(&self, request: Request<ReadRequest>) -> Result<Response<wire::Tree>, Status> {
+        self.admit(&request.get_ref().token)?;
+        Ok(Response::new(sync::to_wire(&self.tree()?.tree)))
+    }
+
+    async fn commit(
+        &self,
+        request: Request<CommitRequest>,
+    ) -> Result<Response<CommitReply>, Status> {
+        self.admit(&request.get_ref().token)?;
+        let request = request.into_inner();
+        let edits: Vec<Edit> = request.edits.iter().map(from_wire).collect();
+        if !sync::from_table(&self.0).await {
+            return Err(Status::unavailable(
+                "the table service does not answer; nothing was changed, try again later",
+            ));
+        }
+        for _ in 0..RACES {
+            let current = self.tree()?;
+            if request.base != 0 && request.base != current.tree.version {
+                return Ok(Response::new(conflict(&self.0, request.base + 1).await));
+            }
+            match current.tree.apply(&edits) {
+                Err(problems) => return Ok(Response::new(refused(&problems))),
+                Ok(_) if request.dry_run => return Ok(Response::new(CommitReply::default())),
+                Ok(next) => {
+                    if let Some(reply) = commit(&self.0, next, &edits, &request.operator).await {
+                        return Ok(Response::new(reply));
+                    }
+                }
+            }
+            sync::from_table(&self.0).await;
+        }
+        let newest = self.0.current.number();
+        Ok(Response::new(conflict(&self.0, newest).await))
+    }
+
+    async fn log(&self, request: Request<LogRequest>) -> Result<Response<LogReply>, Status> {
+        self.admit(&request.get_ref().token)?;
+        let request = request.into_inner();
+        let newest = self.0.current.number();
+        let to = if request.to == 0 {
+            newest
+        } else {
+            request.to.min(newest)
+        };
+        let from = request.from.max((to + 1).saturating_sub(LOG_ROWS)).max(1);
+        let read = Read {
+            keys: (from..=to).map(sync::log_key).collect(),
+            prefixes: Vec::new(),
+        };
+        let rows = self
+            .0
+            .store
+            .read(read)
+            .await
+            .map_err(|error| Status::unavailable(error.to_string()))?;
+        let changes = rows
+            .iter()
+            .filter_map(|row| store::value::<Change>(Some(row)))
+            .map(|change| told(&change));
+        Ok(Response::new(LogReply {
+            changes: changes.collect(),
+        }))
+    }
+
+    async fn status(
+        &self,
+        request: Request<StatusRequest>,
+    ) -> Result<Response<StatusReply>, Status> {
+        self.admit(&request.get_ref().token)?;
+        Ok(Response::new(status(&self.0)))
+    }
+
+    async fn order(&self, request: Request<OrderRequest>) -> Result<Response<OrderReply>, Status> {
+        self.admit(&request.get_ref().token)?;
+        let request = request.into_inner();
+        let role: Role = request
+            .role
+            .parse()
+            .map_err(|error| Status::invalid_argument(format!("{}: {error}", request.role)))?;
+        let current = self.tree()?;
+        if current
+            .typed
+            .endpoint(&request.data_centre, request.endpoint)
+            .is_none()
+        {
+            return Err(Status::not_found("there is no such endpoint"));
+        }
+        let wanted = Wanted {
+            role,
+            model: request.model,
+            adapter: request.adapter,
+            version: request.version,
+        };
+        let key = format!(
+            "{}{}/{}",
+            orders::REQUESTS,
+            request.data_centre,
+            request.endpoint
+        );
+        let transaction = Transaction::default().write(&key, store::text(&wanted));
+        match self.0.store.commit(transaction).await {
+            Ok(_) => Ok(Response::new(OrderReply {
+                accepted: true,
+                reason: "the steward will carry it out".to_owned(),
+            })),
+            Err(error) => Err(Status::unavailable(error.to_string())),
+        }
+    }
+
+    async fn timeline(
+        &self,
+        request: Request<TimelineRequest>,
+    ) -> Result<Response<TimelineReply>, Status> {
+        self.admit(&request.get_ref().token)?;
+        let request = request.into_inner();
+        Ok(Response::new(timeline(&self.0, request).await))
+    }
+}
+
+/// Commits a checked tree; none when another change was first.
+async fn commit(
+    process: &Arc<Process>,
+    next: Tree,
+    edits: &[Edit],
+    operator: &str,
+) -> Option<CommitReply> {
+    let version = next.version;
+    let change = Change {
+        version,
+        operator: operator.to_owned(),
+        edits: edits.to_vec(),
+        token: rand::random(),
+    };
+    let Ok(head_rows) = process.store.read(rows(&[HEAD])).await else {
+        return Some(unavailable());
+    };
+    let head_row = store::find(&head_rows, HEAD);
+    let head: Head = store::value(head_row).unwrap_or_default();
+    if head.version + 1 != version {
+        return None;
+    }
+    let log_key = sync::log_key(version);
+    let log_text = store::text(&change);
+    let mut transaction = Transaction::default()
+        .check(HEAD, store::version(head_row))
+        .write(
+            HEAD,
+            store::text(&Head {
+                version,
+                token: change.token,
+            }),
+        )
+        .write(&log_key, log_text.clone());
+    let mut paths: Vec<&str> = edits.iter().map(Edit::path).collect();
+    paths.sort_unstable();
+    paths.dedup();
+    for path in paths {
+        let key = format!("{NODES}{path}");
+        transaction = match next.node(path) {
+            Some(node) => transaction.write(&key, store::text(node)),
+            None => transaction.remove(&key),
+        };
+    }
+    let outcome = process
+        .store
+        .commit_sure(transaction, &log_key, &log_text)
+        .await;
+    match outcome {
+        Ok(Outcome::Committed(_)) => {
+            let subject = format!("settings/{version}");
+            process
+                .timeline
+                .note(Kind::SettingsAccepted, subject, operator);
+            sync::apply(process, next);
+            process.beat_now.notify_one();
+            Some(CommitReply {
+                version,
+                ..CommitReply::default()
+            })
+        }
+        Ok(Outcome::Conflict(_)) => None,
+        Err(platform::table::Error::Refused) => Some(unavailable()),
+        Err(platform::table::Error::Unclear) => Some(CommitReply {
+            unknown: true,
+            problems: vec![format!(
+                "the table service did not answer; look at version {version} in the history"
+            )],
+            ..CommitReply::default()
+        }),
+    }
+}
+
+fn unavailable() -> CommitReply {
+    CommitReply {
+        problems: vec!["the table service does not answer; nothing was changed".to_owned()],
+        ..CommitReply::default()
+    }
+}
+
+fn refused(problems: &[Problem]) -> CommitReply {
+    CommitReply {
+        problems: problems.iter().map(ToString::to_string).collect(),
+        ..CommitReply::default()
+    }
+}
+
+/// Names the change that was first.
+async fn conflict(process: &Process, version: u64) -> CommitReply {
+    let key = sync::log_key(version);
+    let rows = process.store.read(rows(&[&key])).await.unwrap_or_default();
+    let change: Option<Change> = store::value(store::find(&rows, &key));
+    CommitReply {
+        conflict: Some(change.as_ref().map_or(
+            Conflict {
+                version,
+                ..Conflict::default()
+            },
+            told,
+        )),
+        ..CommitReply::default()
+    }
+}
+
+fn told(change: &Change) -> Conflict {
+    Conflict {
+        version: change.version,
+        operator: change.operator.clone(),
+        edits: change.edits.iter().map(to_wire).collect(),
+    }
+}
+
+fn from_wire(edit: &wire::Edit) -> Edit {
+    let path = edit.path.clone();
+    let key = edit.key.clone();
+    match &edit.value {
+        _ if edit.remove_node => Edit::Remove { path },
+        Some(value) => Edit::Set {
+            path,
+            key,
+            value: value.clone(),
+        },
+        None => Edit::Unset { path, key },
+    }
+}
+
+fn to_wire(edit: &Edit) -> wire::Edit {
+    let (key, value) = match edit {
+        Edit::Set { key, value, .. } => (key.clone(), Some(value.clone())),
+        Edit::Unset { key, .. } => (key.clone(), None),
+        Edit::Remove { .. } => (String::new(), None),
+    };
+    wire::Edit {
+        path: edit.path().to_owned(),
+        key,
+        value,
+        remove_node: matches!(edit, Edit::Remove { .. }),
+    }
+}
+
+fn status(process: &Process) -> StatusReply {
+    let own = wire::DaemonStatus {
+        member: Some(process.member()),
+        settings_version: process.current.number(),
+        answered: true,
+        leaving: *process.phase.borrow() != Phase::Serving,
+    };
+    let members = process.members.all();
+    let others = members.iter().map(|member| wire::DaemonStatus {
+        member: Some(super::peers::to_wire(member)),
+        settings_version: member.version,
+        answered: process.members.is_live(member),
+        leaving: member.leaving,
+    });
+    let pools = process.all_pools();
+    let endpoints = pools.iter().flat_map(|pool| {
+        let service = pool.service.clone();
+        let entries = pool.snapshot();
+        entries
+            .into_iter()
+            .map(move |entry| endpoint(process, &service, &entry))
+    });
+    let here = &process.settings.daemon.data_centre;
+    let stewards = process.stewardships.told().into_iter();
+    StatusReply {
+        daemons: std::iter::once(own).chain(others).collect(),
+        endpoints: endpoints.collect(),
+        stewards: stewards
+            .map(|told| wire::StewardStatus {
+                service: told.service,
+                data_centre: here.clone(),
+                epoch: told.lease.map_or(0, |lease| lease.epoch),
+                holder: told
+                    .lease
+                    .and_then(|lease| lease.holder)
+                    .map_or(0, |holder| holder.0),
+            })
+            .collect(),
+        store_up: process.store.is_up(),
+        settings_version: process.current.number(),
+    }
+}
+
+fn endpoint(process: &Process, service: &str, entry: &super::pool::Entry) -> wire::EndpointStatus {
+    let state = match () {
+        () if entry.endpoint.drain => "drained",
+        () if entry.leaving => "leaving",
+        () if !process.gates.is_open(&entry.id) => "closed",
+        () if entry
+            .report
+            .as_ref()
+            .is_some_and(|(report, _)| report.changing) =>
+        {
+            "changing"
+        }
+        () if entry.takes() => "open",
+        () => "silent",
+    };
+    let age = entry
+        .report
+        .as_ref()
+        .map(|(_, at)| at.elapsed().as_millis());
+    wire::EndpointStatus {
+        endpoint: entry.id.number,
+        data_centre: entry.id.data_centre.to_string(),
+        service: service.to_owned(),
+        state: state.to_owned(),
+        role: entry.role().to_string(),
+        in_flight: process.gates.in_flight(&entry.id),
+        report_age_ms: age.and_then(|age| u64::try_from(age).ok()).unwrap_or(0),
+    }
+}
+
+async fn timeline(process: &Process, request: TimelineRequest) -> TimelineReply {
+    let subject = match () {
+        () if !request.request.is_empty() => Some(request.request.clone()),
+        () => None,
+    };
+    let own = process
+        .timeline
+        .events(request.since_ms, subject.as_deref())
+        .into_iter()
+        .map(|event| wire::Event {
+            physical_ms: event.time.physical_ms,
+            logical: event.time.logical,
+            incarnation: process.me.0,
+            process: process.settings.daemon.name.clone(),
+            kind: event.kind.to_string(),
+            subject: event.subject,
+            detail: event.detail,
+        });
+    let mut reply = TimelineReply {
+        events: own.collect(),
+        silent: Vec::new(),
+    };
+    if request.local {
+        return reply;
+    }
+    let addresses = process.members.addresses(process.addresses.peers);
+    let asked = addresses.into_iter().map(|address| {
+        let request = TimelineRequest {
+            local: true,
+            ..request.clone()
+        };
+        async move { (address, ask(address, request).await) }
+    });
+    for (address, answer) in futures::future::join_all(asked).await {
+        match answer {
+            Some(events) => reply.events.extend(events),
+            None => reply.silent.push(address.to_string()),
+        }
+    }
+    reply
+        .events
+        .sort_by_key(|event| (event.physical_ms, event.logical, event.incarnation));
+    reply
+}
+
+async fn ask(address: std::net::SocketAddr, request: TimelineRequest) -> Option<Vec<wire::Event>> {
+    let call = async {
+        let mut client =
+            wire::operator_client::OperatorClient::connect(format!("http://{address}"))
+                .await
+                .ok()?;
+        let reply = client.timeline(request).await.ok()?;
+        Some(reply.into_inner().events)
+    };
+    tokio::time::timeout(PEER_WAIT, call).await.ok()?
+}
--- /dev/null
+++ b/components/daemon/src/process/peers.rs
@@ -0,0 +1,104 @@
+//! What this daemon answers its peers.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status, transport::Server};
+use wire::{
+    CloseReply, CloseRequest, FetchRequest, Heartbeat, OpenReply, OpenRequest, Tree,
+    operator_server::OperatorServer,
+    peer_server::{Peer, PeerServer},
+};
+
+use super::{Process, beat, gates::Id, operators::Operators, sync};
+use telemetry::timeline::Kind;
+
+struct Peers(Arc<Process>);
+
+/// Serves peers and operators as long as the process lives.
+pub async fn serve(process: Arc<Process>, listener: TcpListener) {
+    let served = Server::builder()
+        .add_service(PeerServer::new(Peers(Arc::clone(&process))))
+        .add_service(OperatorServer::new(Operators(process)))
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await;
+    if let Err(error) = served {
+        log::error!("peers are not served any more: {error}");
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for Peers {
+    async fn beat(&self, request: Request<Heartbeat>) -> Result<Response<Heartbeat>, Status> {
+        beat::hear(&self.0, request.get_ref());
+        Ok(Response::new(beat::compose(&self.0)))
+    }
+
+    async fn fetch(&self, _: Request<FetchRequest>) -> Result<Response<Tree>, Status> {
+        // what is closed is read first: a close that comes between is then asked of the fetcher
+        let closed = self.0.gates.closed();
+        let mut tree = self
+            .0
+            .current
+            .get()
+            .map(|current| sync::to_wire(&current.tree))
+            .unwrap_or_default();
+        tree.closed = closed
+            .into_iter()
+            .map(|(id, number)| wire::Closed {
+                endpoint: id.number,
+                data_centre: id.data_centre.to_string(),
+                number,
+            })
+            .collect();
+        Ok(Response::new(tree))
+    }
+
+    async fn close(&self, request: Request<CloseRequest>) -> Result<Response<CloseReply>, Status> {
+        let close = request.into_inner();
+        let id = id(&close.data_centre, close.endpoint);
+        let wait = Duration::from_millis(close.wait_ms);
+        let closed = self.0.gates.drain(&id, close.number, wait).await;
+        let detail = format!(
+            "order {}, {}",
+            close.number,
+            if closed { "empty" } else { "busy" }
+        );
+        self.0.timeline.note(Kind::Closed, id.to_string(), detail);
+        let members = self.0.members.all();
+        Ok(Response::new(CloseReply {
+            incarnation: self.0.me.0,
+            closed,
+            known: members.iter().map(to_wire).collect(),
+        }))
+    }
+
+    async fn open(&self, request: Request<OpenRequest>) -> Result<Response<OpenReply>, Status> {
+        let open = request.into_inner();
+        let id = id(&open.data_centre, open.endpoint);
+        self.0.gates.open(&id, open.number);
+        let detail = format!("order {}", open.number);
+        self.0.timeline.note(Kind::Opened, id.to_string(), detail);
+        for pool in self.0.all_pools() {
+            pool.wake();
+        }
+        Ok(Response::new(OpenReply {}))
+    }
+}
+
+fn id(data_centre: &str, number: u32) -> Id {
+    Id {
+        data_centre: data_centre.into(),
+        number,
+    }
+}
+
+/// A member as it is sent.
+pub fn to_wire(member: &super::members::Member) -> wire::Member {
+    wire::Member {
+        incarnation: member.incarnation.0,
+        address: member.address.to_string(),
+        data_centre: member.data_centre.clone(),
+    }
+}
--- /dev/null
+++ b/components/daemon/src/process/stop.rs
@@ -0,0 +1,48 @@
+//! A planned stop: not ready at once, served for the balancer's lag, then drained, then ended.
+
+use std::{sync::Arc, time::Duration};
+
+use telemetry::timeline::Kind;
+
+use super::{Phase, Process, registration, steward};
+
+/// Begins a planned stop; a second call changes nothing.
+pub fn begin(process: &Process) {
+    process.phase.send_if_modified(|phase| {
+        let begins = *phase == Phase::Serving;
+        if begins {
+            *phase = Phase::Lag;
+        }
+        begins
+    });
+}
+
+/// Waits for a planned stop to begin and carries it out.
+pub async fn carry_out(process: Arc<Process>) {
+    let mut phase = process.phase.subscribe();
+    // the sender lives as long as the process
+    let _ = phase.wait_for(|phase| *phase != Phase::Serving).await;
+    process
+        .timeline
+        .note(Kind::Stopping, "process", "planned stop");
+    log::info!("planned stop begins");
+    steward::release_all(&process).await;
+    tokio::time::sleep(process.settings.control.stop_lag.into()).await;
+    process.phase.send_replace(Phase::Draining);
+    let grace: Duration = process.settings.control.stop_grace.into();
+    let mut under_way = process.under_way.subscribe();
+    let mut connections = process.connections.subscribe();
+    let empty = async {
+        // a connection ends only after its last answer is written out
+        let _ = under_way.wait_for(|count| *count == 0).await;
+        let _ = connections.wait_for(|count| *count == 0).await;
+    };
+    if tokio::time::timeout(grace, empty).await.is_err() {
+        let cut = *process.under_way.borrow();
+        process.metrics.cut.inc_by(u64::try_from(cut).unwrap_or(0));
+        log::warn!("planned stop: grace is over, {cut} requests are cut");
+    }
+    registration::leave(&process).await;
+    process.phase.send_replace(Phase::Ended);
+    log::info!("planned stop ends");
+}
--- /dev/null
+++ b/components/daemon/src/process/store.rs
@@ -0,0 +1,117 @@
+//! The table, with its health noted and its rows typed.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use platform::table::{self, Outcome, Read, Row, Table, Transaction};
+use serde::{Serialize, de::DeserializeOwned};
+use telemetry::{
+    metrics::Metrics,
+    timeline::{Kind, Timeline},
+};
+
+/// The table as the parts of a daemon use it.
+pub struct Store {
+    table: Box<dyn Table>,
+    up: AtomicBool,
+    timeline: Timeline,
+    metrics: Metrics,
+}
+
+impl Store {
+    /// A store over an adapter.
+    pub fn new(table: Box<dyn Table>, timeline: Timeline, metrics: Metrics) -> Self {
+        Self {
+            table,
+            up: AtomicBool::new(true),
+            timeline,
+            metrics,
+        }
+    }
+
+    /// Whether the last call was answered.
+    pub fn is_up(&self) -> bool {
+        self.up.load(Ordering::Relaxed)
+    }
+
+    /// Reads rows, sorted by key.
+    pub async fn read(&self, read: Read) -> Result<Vec<Row>, table::Error> {
+        let result = self.table.read(read).await;
+        self.note(result.is_ok());
+        result
+    }
+
+    /// Commits a transaction.
+    pub async fn commit(&self, transaction: Transaction) -> Result<Outcome, table::Error> {
+        let result = self.table.commit(transaction).await;
+        self.note(result.is_ok());
+        result
+    }
+
+    /// Commits a transaction; after a lost answer reads back whether `key` now has `value`. The
+    /// value must be one that no other write could have made.
+    pub async fn commit_sure(
+        &self,
+        transaction: Transaction,
+        key: &str,
+        value: &str,
+    ) -> Result<Outcome, table::Error> {
+        match self.commit(transaction).await {
+            Err(table::Error::Unclear) => {
+                let rows = self.read(rows(&[key])).await;
+                match rows.as_deref() {
+                    Ok([row]) if row.value == value => Ok(Outcome::Committed(row.version)),
+                    // absent or older now does not mean that it won't come yet
+                    _ => Err(table::Error::Unclear),
+                }
+            }
+            other => other,
+        }
+    }
+
+    fn note(&self, up: bool) {
+        let outcome = if up { "answered" } else { "failed" };
+        self.metrics.table.with_label_values(&[outcome]).inc();
+        if self.up.swap(up, Ordering::Relaxed) != up {
+            let kind = if up { Kind::StoreUp } else { Kind::StoreDown };
+            log::warn!("table service: {outcome}");
+            self.timeline.note(kind, "store", "");
+        }
+    }
+}
+
+/// A read of single rows.
+pub fn rows(keys: &[&str]) -> Read {
+    Read {
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        prefixes: Vec::new(),
+    }
+}
+
+/// A read of all rows under a prefix.
+pub fn under(prefix: &str) -> Read {
+    Read {
+        keys: Vec::new(),
+        prefixes: vec![prefix.to_owned()],
+    }
+}
+
+/// The row with a key.
+pub fn find<'a>(rows: &'a [Row], key: &str) -> Option<&'a Row> {
+    rows.iter().find(|row| row.key == key)
+}
+
+/// The version of a row, 0 when it is absent.
+pub fn version(row: Option<&Row>) -> u64 {
+    row.map_or(0, |row| row.version)
+}
+
+/// The typed value of a row; none when it is absent or can't be read.
+pub fn value<T: DeserializeOwned>(row: Option<&Row>) -> Option<T> {
+    serde_json::from_str(&row?.value).ok()
+}
+
+/// The text of a typed value.
+pub fn text<T: Serialize>(value: &T) -> String {
+    // rows are plain structs, which always have a JSON form
+    serde_json::to_string(value).unwrap_or_default()
+}
--- /dev/null
+++ b/components/daemon/src/request/caller.rs
@@ -0,0 +1,59 @@
+//! Who calls: its group by its key, its deadline and priority within the group's bounds.
+
+use std::time::{Duration, Instant};
+
+use hyper::{HeaderMap, header};
+use settings::tree::resolve;
+
+use super::refusal::{Reason, Refusal};
+
+/// Names a shorter or longer deadline, in milliseconds.
+const DEADLINE: &str = "x-wrenramp-deadline-ms";
+/// Names a priority, 0 to 9.
+const PRIORITY: &str = "x-wrenramp-priority";
+
+/// A caller whose key belongs to a group.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Index and name of its group.
+    pub group: (usize, String),
+    /// When its request must be done.
+    pub deadline: Instant,
+    /// 9 goes first.
+    pub priority: u8,
+}
+
+impl Caller {
+    /// Tells who calls by the key alone; no other header is believed.
+    pub fn identify(version: &resolve::Version, headers: &HeaderMap) -> Result<Self, Refusal> {
+        let key = headers
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .ok_or(Reason::WrongKey)?;
+        let at = version.caller(key.trim()).ok_or(Reason::WrongKey)?;
+        let group = &version.groups[at];
+        let asked: Option<u64> = number(headers, DEADLINE)?;
+        let time = asked.map_or(group.deadline.0, Duration::from_millis);
+        let asked: Option<u8> = number(headers, PRIORITY)?;
+        Ok(Self {
+            group: (at, group.name.clone()),
+            deadline: Instant::now() + time.min(group.deadline.1),
+            priority: asked.unwrap_or(group.priority.0).min(group.priority.1),
+        })
+    }
+}
+
+fn number<T: std::str::FromStr>(
+    headers: &HeaderMap,
+    name: &'static str,
+) -> Result<Option<T>, Refusal> {
+    headers
+        .get(name)
+        .map(|value| {
+            let text = value.to_str().ok();
+            text.and_then(|text| text.parse().ok())
+                .ok_or_else(|| Reason::BadHeader(name).into())
+        })
+        .transpose()
+}
--- /dev/null
+++ b/components/daemon/src/request/generate.rs
@@ -0,0 +1,478 @@
+//! One answer of engines: attempts, retries, resumption, and a truthful end.
+//!
+//! See `docs/DESIGN.md#whole-answers`.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use derive_more::{Display, Error};
+use endpoint::{
+    Failure,
+    engine::{Done, Engine, Frame, Frames, Generate, Kv, Reason as End},
+};
+use policy::retry::{self, Class};
+use protocol::stream::{Assembler, Verdict};
+use settings::tree::resolve::Repeat;
+use telemetry::timeline::Kind;
+
+use super::{
+    Context,
+    refusal::{Reason, Refusal},
+};
+use crate::process::{
+    gates::Id,
+    lock,
+    pool::{self, Grant, Need, Pool},
+};
+
+/// How long a cancellation is tried.
+const CANCEL: Duration = Duration::from_secs(2);
+/// One in so many gaps between tokens is learnt from, so that a token costs no lock.
+const SAMPLE: u64 = 8;
+
+/// An answer that can't be finished.
+#[derive(Clone, Debug, Display, Error)]
+#[display("request {request}: {reason}")]
+pub struct Broken {
+    /// The request's number.
+    pub request: String,
+    /// Why.
+    pub reason: Reason,
+}
+
+impl Broken {
+    /// What the caller is told.
+    pub fn refusal(&self) -> Refusal {
+        self.reason.into()
+    }
+}
+
+/// A part of an answer.
+#[derive(Clone, Debug)]
+pub struct Piece {
+    /// Its text.
+    pub text: String,
+    /// Set on the last part.
+    pub done: Option<Done>,
+}
+
+/// What is to be answered.
+pub struct Job {
+    /// The request.
+    pub context: Context,
+    /// The endpoints.
+    pub pool: Arc<Pool>,
+    /// What it needs of an engine.
+    pub need: Need,
+    /// Its prompt.
+    pub prompt: String,
+    /// Whether it may run twice.
+    pub repeat: Repeat,
+}
+
+/// An attempt that is running.
+struct Live {
+    grant: Grant,
+    frames: Frames,
+    at: (Id, SocketAddr),
+    sent: Instant,
+    last: Instant,
+    cancel: Cancel,
+}
+
+/// Cancels an attempt at its engine when it is dropped before the attempt has ended.
+struct Cancel {
+    engine: Engine,
+    address: SocketAddr,
+    attempt: u64,
+    ended: bool,
+}
+
+impl Drop for Cancel {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let engine = self.engine.clone();
+        let (address, attempt) = (self.address, self.attempt);
+        tokio::spawn(async move {
+            // an engine that can't be reached ends the attempt by its broken stream
+            let _ = tokio::time::timeout(CANCEL, engine.cancel(address, attempt)).await;
+        });
+    }
+}
+
+/// An answer as it comes.
+pub struct Stream {
+    job: Job,
+    assembler: Assembler,
+    live: Option<Live>,
+    attempts: u32,
+    /// What was delivered; kept only while another engine might have to go on from it.
+    text: String,
+    began: Instant,
+    /// Whether an attempt may have run that gave no answer.
+    may_have_run: bool,
+    whole: bool,
+}
+
+impl Stream {
+    /// An answer of which nothing has been asked yet.
+    pub fn new(job: Job) -> Self {
+        Self {
+            job,
+            assembler: Assembler::new(0),
+            live: None,
+            attempts: 0,
+            text: String::new(),
+            began: Instant::now(),
+            may_have_run: false,
+            whole: false,
+        }
+    }
+
+    /// Tokens delivered so far.
+    pub fn written(&self) -> u64 {
+        self.assembler.offset()
+    }
+
+    /// The next part. After the last part, the one with `done`, it isn't called again.
+    pub async fn next(&mut self) -> Result<Piece, Broken> {
+        loop {
+            let Some(live) = self.live.as_mut() else {
+                self.start().await?;
+                continue;
+            };
+            let deadline = self.job.need.deadline;
+            let frame = tokio::time::timeout_at(deadline.into(), live.frames.next()).await;
+            match frame {
+                Ok(Ok(Some(frame))) => {
+                    if let Some(piece) = self.take(frame).await? {
+                        return Ok(piece);
+                    }
+                }
+                // an orderly close before the final frame is a loss all the same
+                Ok(Ok(None)) => self.fail(Failure::Lost)?,
+                Ok(Err(failure)) => self.fail(failure)?,
+                Err(_) => {
+                    self.live = None;
+                    self.may_have_run = true;
+                    return Err(self.broken(Reason::DeadlinePassed));
+                }
+            }
+        }
+    }
+
+    /// Finds engines and sends the attempt.
+    async fn start(&mut self) -> Result<(), Broken> {
+        self.attempts += 1;
+        let waiting = Instant::now();
+        let placed = self.job.pool.place(self.job.need.clone()).await;
+        let metrics = &self.job.context.process.metrics;
+        metrics
+            .queue
+            .with_label_values(&[&self.job.pool.service])
+            .observe(waiting.elapsed().as_secs_f64());
+        let grant = placed.map_err(|unplaced| {
+            // what has run in part and can't go on isn't "not run"
+            let reason = if self.may_have_run {
+                Reason::AnswerLost
+            } else {
+                unplaced.into()
+            };
+            self.broken(reason)
+        })?;
+        let export = grant.second().is_some();
+        let first = grant.first();
+        match first {
+            Some(at) => self.send(grant, at, None, export).await,
+            None => Err(self.broken(Reason::NotTaken)),
+        }
+    }
+
+    async fn send(
+        &mut self,
+        grant: Grant,
+        at: (Id, SocketAddr),
+        import: Option<Kv>,
+        export: bool,
+    ) -> Result<(), Broken> {
+        let attempt: u64 = rand::random();
+        let need = &self.job.need;
+        let (model, adapter, version) = need.weights.clone();
+        let generate = Generate {
+            attempt,
+            model,
+            adapter,
+            version,
+            prompt: self.job.prompt.clone(),
+            max_tokens: need.most_output,
+            priority: need.priority,
+            resume_from: self.assembler.offset(),
+            resume_text: self.text.clone(),
+            import,
+            export,
+        };
+        let engine = self.job.context.process.engine.clone();
+        self.assembler.resume(attempt);
+        self.job.context.note(
+            Kind::Dispatched,
+            format!("attempt {attempt:016x} to {}", at.0),
+        );
+        let sent = Instant::now();
+        let deadline = self.job.need.deadline;
+        let answer = engine.generate(at.1, &generate);
+        match tokio::time::timeout_at(deadline.into(), answer).await {
+            Ok(Ok(frames)) => {
+                self.live = Some(Live {
+                    grant,
+                    frames,
+                    sent,
+                    last: sent,
+                    cancel: Cancel {
+                        engine,
+                        address: at.1,
+                        attempt,
+                        ended: false,
+                    },
+                    at,
+                });
+                Ok(())
+            }
+            Ok(Err(failure)) => {
+                drop(grant);
+                self.again(&at.0, failure)
+            }
+            Err(_) => Err(self.broken(Reason::DeadlinePassed)),
+        }
+    }
+
+    /// Takes a frame; none when it brings nothing for the caller.
+    async fn take(&mut self, frame: Frame) -> Result<Option<Piece>, Broken> {
+        let exported = frame.done.is_some_and(|done| done.reason == End::Exported);
+        let enough = self.assembler.offset() + frame.tokens >= self.job.need.most_output;
+        let last = frame.done.is_some() && (!exported || enough);
+        let verdict = self
+            .assembler
+            .take(frame.attempt, frame.offset, frame.tokens, last);
+        match verdict {
+            Ok(Verdict::Deliver) => {}
+            Ok(verdict) => {
+                self.drop_frame(verdict);
+                return Ok(None);
+            }
+            Err(broken) => {
+                log::warn!("request {}: {broken}", self.job.context.id);
+                self.fail(Failure::Lost)?;
+                return Ok(None);
+            }
+        }
+        self.learn(&frame);
+        self.may_have_run = true;
+        if self.job.repeat == Repeat::Allowed {
+            self.text.push_str(&frame.text);
+        }
+        let done = frame.done.filter(|_| last);
+        match () {
+            () if last => self.finish(),
+            () if exported => self.hand_over().await?,
+            () => {}
+        }
+        Ok(Some(Piece {
+            text: frame.text,
+            done,
+        }))
+    }
+
+    fn drop_frame(&self, verdict: Verdict) {
+        let label = match verdict {
+            Verdict::Foreign => "foreign",
+            Verdict::Duplicate | Verdict::Deliver => "duplicate",
+        };
+        let metrics = &self.job.context.process.metrics;
+        metrics.dropped.with_label_values(&[label]).inc();
+    }
+
+    /// Goes on at the engine that writes, after another one has read.
+    async fn hand_over(&mut self) -> Result<(), Broken> {
+        let Some(mut live) = self.live.take() else {
+            return Ok(());
+        };
+        live.cancel.ended = true;
+        let kv = Kv {
+            address: live.at.1,
+            attempt: live.cancel.attempt,
+            tokens: self.job.need.prompt,
+        };
+        let Some(second) = live.grant.second() else {
+            return Ok(());
+        };
+        self.send(live.grant, second, Some(kv), false).await?;
+        if let Some(live) = self.live.as_mut() {
+            live.grant.hand_over();
+        }
+        Ok(())
+    }
+
+    fn learn(&mut self, frame: &Frame) {
+        let Some(live) = self.live.as_mut() else {
+            return;
+        };
+        let now = Instant::now();
+        let first = live.last == live.sent;
+        let gap = micros(now - live.last);
+        let since = micros(now - live.sent);
+        live.last = now;
+        if first {
+            live.grant.read();
+            let prompt = self.job.need.prompt;
+            let blocks = &self.job.need.blocks;
+            self.job.pool.with(&live.at.0, |entry| {
+                // with others in between the time is not this prompt's alone
+                if entry.reading == 0 {
+                    let cached = frame.done.map_or(0, |done| done.cached_tokens);
+                    entry.rates.first(prompt - cached.min(prompt), since);
+                }
+                entry.read(blocks);
+            });
+            if frame.offset == 0 {
+                let metrics = &self.job.context.process.metrics;
+                metrics
+                    .first
+                    .with_label_values(&[&self.job.pool.service])
+                    .observe(self.began.elapsed().as_secs_f64());
+            }
+        } else if frame.offset % SAMPLE == 0 {
+            self.job.pool.with(&live.at.0, |entry| {
+                entry.written += SAMPLE;
+                let seen = entry.bare();
+                if seen.reading == 0 {
+                    entry.rates.between(seen.writing, gap);
+                }
+            });
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(live) = self.live.as_mut() {
+            live.cancel.ended = true;
+        }
+        self.live = None;
+        self.whole = true;
+        let context = &self.job.context;
+        let written = self.assembler.offset();
+        let service = &self.job.pool.service;
+        let group = &self.job.need.group.1;
+        context.note(Kind::Finished, format!("{written} tokens"));
+        self.job.pool.finished(group, written);
+        let process = &context.process;
+        process.used(group, pool::work(self.job.need.prompt, written));
+        lock(&process.budget).succeed();
+        let metrics = &process.metrics;
+        let labels = [service.as_str(), group.as_str()];
+        metrics
+            .requests
+            .with_label_values(&[service, group, "whole"])
+            .inc();
+        metrics.goodput.with_label_values(&labels).inc_by(written);
+        metrics
+            .whole
+            .with_label_values(&[service])
+            .observe(self.began.elapsed().as_secs_f64());
+    }
+
+    /// Ends the running attempt after a failure; another one follows if it may.
+    fn fail(&mut self, failure: Failure) -> Result<(), Broken> {
+        let Some(live) = self.live.take() else {
+            return Ok(());
+        };
+        let id = live.at.0.clone();
+        drop(live);
+        self.may_have_run = true;
+        self.again(&id, failure)
+    }
+
+    fn again(&mut self, failed: &Id, failure: Failure) -> Result<(), Broken> {
+        let class = if failure.not_run() {
+            Class::NotRun
+        } else {
+            self.may_have_run = true;
+            Class::Unknown
+        };
+        self.job.pool.with(failed, pool::Entry::failed);
+        self.job.need.avoid.push(failed.clone());
+        let left = self
+            .job
+            .need
+            .deadline
+            .saturating_duration_since(Instant::now());
+        let process = &self.job.context.process;
+        // an attempt that may have run is the only one of a request that may not be repeated
+        let repeatable = self.job.repeat == Repeat::Allowed;
+        let class = if self.may_have_run && !repeatable {
+            Class::Unknown
+        } else {
+            class
+        };
+        let more = retry::again(
+            class,
+            repeatable,
+            self.attempts,
+            micros(left),
+            0,
+            &mut lock(&process.budget),
+        );
+        if !more {
+            let reason = if self.may_have_run {
+                Reason::AnswerLost
+            } else {
+                Reason::NotTaken
+            };
+            return Err(self.broken(reason));
+        }
+        let kind = if self.assembler.offset() > 0 {
+            Kind::Resumed
+        } else {
+            Kind::Retried
+        };
+        self.job.context.note(kind, format!("{failed}: {failure}"));
+        let reason = if failure.not_run() {
+            "not-run"
+        } else {
+            "unknown"
+        };
+        process.metrics.retries.with_label_values(&[reason]).inc();
+        Ok(())
+    }
+
+    fn broken(&self, reason: Reason) -> Broken {
+        let context = &self.job.context;
+        context.note(Kind::Broken, reason.to_string());
+        let labels = [
+            self.job.pool.service.as_str(),
+            self.job.need.group.1.as_str(),
+            "broken",
+        ];
+        let metrics = &context.process.metrics;
+        metrics.requests.with_label_values(&labels).inc();
+        Broken {
+            request: context.id.clone(),
+            reason,
+        }
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        if !self.whole && self.live.is_some() {
+            self.job.context.note(Kind::Cancelled, "the caller hung up");
+        }
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/components/daemon/src/request/keyed.rs
@@ -0,0 +1,182 @@
+//! Requests that may not be repeated and carry a key: claimed in the table before dispatch.
+//!
+//! See `docs/DESIGN.md#requests-that-may-not-be-repeated`.
+
+use std::{fmt::Write as _, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    Response, StatusCode,
+    header::{self, HeaderValue},
+};
+use protocol::claim::{self, Decision, Recorded, Row, Stage, Write};
+use telemetry::timeline::Kind;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
+
+use super::{
+    Body,
+    plain::{Answered, Call},
+    refusal::{Reason, Refusal},
+    whole,
+};
+use crate::process::claims::{self, Claim};
+
+/// The largest answer that is kept with a claim, in bytes; of a larger one only the status is.
+const KEPT_BYTES: usize = 8 << 10;
+/// Says that an answer was given before.
+const REPLAYED: &str = "x-wrenramp-replayed";
+
+/// Serves a request with a key. It goes on to its end even if the caller hangs up, so that the
+/// outcome is recorded.
+pub async fn serve(call: Call, key: &str) -> Result<Response<Body>, Refusal> {
+    let row_key = row_key(&call, key);
+    let digest = digest(&call);
+    let process = Arc::clone(&call.context.process);
+    let found = process
+        .claims
+        .find(&process, &row_key)
+        .await
+        .map_err(|_| Reason::KeyUnread)?;
+    match claims::decide(&process, &found, digest) {
+        Decision::Claim => {}
+        Decision::Replay(recorded) => return Ok(replay(recorded.as_ref())),
+        Decision::InProgress => return Err(Reason::InProgress.into()),
+        Decision::Unknown => return Err(Reason::OutcomeUnknown.into()),
+        Decision::Mismatch => return Err(Reason::KeyReused.into()),
+    }
+    let row = Row {
+        digest,
+        claimant: process.me,
+        token: rand::random(),
+        at_ms: telemetry::logs::wall_ms(),
+        stage: Stage::Claimed,
+    };
+    let run = tokio::spawn(claim_and_run(call, row_key, row, found.version));
+    run.await.unwrap_or_else(|_| Err(Reason::AnswerLost.into()))
+}
+
+async fn claim_and_run(
+    call: Call,
+    key: String,
+    row: Row,
+    over: u64,
+) -> Result<Response<Body>, Refusal> {
+    let process = Arc::clone(&call.context.process);
+    let (write, version) = process.claims.write(key.clone(), row.clone(), over).await;
+    let known = (write == Write::Written).then_some(version);
+    match write {
+        Write::Taken => return Err(Reason::InProgress.into()),
+        // another's claim of this key may stand by now
+        Write::Refused => return Err(Reason::KeyUnread.into()),
+        Write::Unclear => {
+            // it is not sent, and the table is told so when it is back; until then nobody knows
+            // whether another's claim of this key was first
+            Claim::new(Arc::clone(&process), key, row, None).not_run();
+            return Err(Reason::KeyUnread.into());
+        }
+        Write::Written => {}
+    }
+    let claim = Claim::new(Arc::clone(&process), key, row, known);
+    if !claim::may_dispatch(write) {
+        claim.not_run();
+        return Err(Reason::KeyUnread.into());
+    }
+    call.context.note(Kind::Claimed, "written");
+    match call.send().await {
+        Ok(answered) => finish(&call, claim, answered).await,
+        Err(refusal) => {
+            match refusal.reason.run() {
+                super::refusal::Run::NotRun => claim.not_run(),
+                super::refusal::Run::Unknown => drop(claim),
+            }
+            Err(refusal)
+        }
+    }
+}
+
+/// Takes the whole answer, records it and passes it on.
+async fn finish(call: &Call, claim: Claim, answered: Answered) -> Result<Response<Body>, Refusal> {
+    let Answered { response, hold } = answered;
+    let (head, incoming) = response.into_parts();
+    let collected = tokio::time::timeout_at(call.caller.deadline.into(), incoming.collect()).await;
+    drop(hold);
+    // without its whole answer the claim's end is unknown
+    let Ok(Ok(collected)) = collected else {
+        return Err(Reason::AnswerLost.into());
+    };
+    let bytes = collected.to_bytes();
+    claim.done(record(head.status, &head.headers, &bytes));
+    call.count("answered");
+    let mut response = Response::new(whole(bytes));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = endpoint::service::end_to_end(&head.headers);
+    Ok(response)
+}
+
+fn record(status: StatusCode, headers: &hyper::HeaderMap, bytes: &Bytes) -> Option<Recorded> {
+    if bytes.len() > KEPT_BYTES {
+        return None;
+    }
+    let content_type = headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    let mut body_hex = String::with_capacity(2 * bytes.len());
+    for byte in bytes {
+        // writing into memory does not fail
+        let _ = write!(body_hex, "{byte:02x}");
+    }
+    Some(Recorded {
+        status: status.as_u16(),
+        content_type: content_type.to_owned(),
+        body_hex,
+    })
+}
+
+/// Gives a recorded answer again. Where it was too large to keep, the caller learns at least that
+/// the request ran.
+fn replay(recorded: Option<&Recorded>) -> Response<Body> {
+    let bytes: Vec<u8> = recorded
+        .map(|recorded| from_hex(&recorded.body_hex))
+        .unwrap_or_default();
+    let mut response = Response::new(whole(bytes));
+    let word = match recorded {
+        Some(recorded) => {
+            *response.status_mut() =
+                StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
+            if let Ok(kind) = HeaderValue::from_str(&recorded.content_type)
+                && !kind.is_empty()
+            {
+                response.headers_mut().insert(header::CONTENT_TYPE, kind);
+            }
+            "whole"
+        }
+        None => "answer-not-kept",
+    };
+    let word = HeaderValue::from_static(word);
+    response.headers_mut().insert(REPLAYED, word);
+    response
+}
+
+fn from_hex(hex: &str) -> Vec<u8> {
+    (0..hex.len() / 2)
+        .filter_map(|at| u8::from_str_radix(hex.get(2 * at..2 * at + 2)?, 16).ok())
+        .collect()
+}
+
+fn row_key(call: &Call, key: &str) -> String {
+    let group = xxh3_64(call.caller.group.1.as_bytes());
+    let digest = xxh3_128(key.as_bytes());
+    format!(
+        "{}{}/{group:016x}/{digest:032x}",
+        claims::PREFIX,
+        call.service
+    )
+}
+
+fn digest(call: &Call) -> u64 {
+    let mut bytes = format!("{} {}\n", call.method, call.path).into_bytes();
+    bytes.extend_from_slice(&call.body);
+    xxh3_64(&bytes)
+}
--- /dev/null
+++ b/components/daemon/src/request/mod.rs
@@ -0,0 +1,126 @@
+//! What lives as long as a request.
+
+mod body;
+mod caller;
+mod chat;
+mod generate;
+mod keyed;
+mod plain;
+mod refusal;
+mod reply;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::{Stream, TryStreamExt};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{
+    Method, Request, Response,
+    body::{Frame, Incoming},
+    header::HeaderValue,
+};
+use telemetry::timeline::Kind;
+
+use crate::{
+    connection::Counted,
+    process::{Phase, Process},
+    version::Snapshot,
+};
+use caller::Caller;
+use refusal::{Reason, Refusal};
+
+/// A body towards a caller. Its error breaks the transfer, so that a part never looks whole.
+pub type Body = UnsyncBoxBody<Bytes, generate::Broken>;
+
+/// What belongs to one request.
+pub struct Context {
+    /// The process.
+    pub process: Arc<Process>,
+    /// The settings version that the request is served under.
+    pub version: Arc<Snapshot>,
+    /// Its number, in hexadecimal.
+    pub id: String,
+    /// Counts it as under way.
+    _under_way: Counted,
+}
+
+impl Context {
+    /// Notes an event of this request.
+    pub fn note(&self, kind: Kind, detail: impl Into<String>) {
+        let subject = format!("request/{}", self.id);
+        self.process.timeline.note(kind, subject, detail);
+    }
+}
+
+/// Answers a request. A refusal is sent at once.
+pub async fn answer(process: Arc<Process>, request: Request<Incoming>) -> Response<Body> {
+    let id = format!("{:016x}", rand::random::<u64>());
+    let mut response = match route(&process, &id, request).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            let reason = refusal.reason.code();
+            process.metrics.refusals.with_label_values(&[reason]).inc();
+            let detail = format!("{reason}, {}", refusal.reason.run());
+            process
+                .timeline
+                .note(Kind::Refused, format!("request/{id}"), detail);
+            refusal.response(&id)
+        }
+    };
+    if let Ok(id) = HeaderValue::from_str(&id) {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    if *process.phase.borrow() >= Phase::Lag {
+        // the balancer and the caller should look for another daemon
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert("connection", close);
+    }
+    response
+}
+
+async fn route(
+    process: &Arc<Process>,
+    id: &str,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    if *process.phase.borrow() >= Phase::Draining {
+        return Err(Reason::Stopping.into());
+    }
+    let version = process.current.get().ok_or(Reason::NotReady)?;
+    let context = Context {
+        process: Arc::clone(process),
+        version,
+        id: id.to_owned(),
+        _under_way: Counted::new(&process.under_way),
+    };
+    let path = request.uri().path().to_owned();
+    let caller = Caller::identify(&context.version.typed, request.headers())?;
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/v1/models") => Ok(reply::models(&context.version.typed, &caller)),
+        (&Method::POST, "/v1/chat/completions") => {
+            chat::serve(context, caller, chat::Form::Chat, request).await
+        }
+        (&Method::POST, "/v1/completions") => {
+            chat::serve(context, caller, chat::Form::Text, request).await
+        }
+        (_, path) if path.starts_with(plain::PREFIX) => {
+            plain::serve(context, caller, request).await
+        }
+        _ => Err(Reason::NoSuchRoute.into()),
+    }
+}
+
+/// A body that is whole.
+pub fn whole(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A body that comes in parts; an error breaks the transfer.
+pub fn streamed<S>(parts: S) -> Body
+where
+    S: Stream<Item = Result<Bytes, generate::Broken>> + Send + 'static,
+{
+    StreamBody::new(parts.map_ok(Frame::data)).boxed_unsync()
+}
--- a/components/platform/src/table/adapter.rs
+++ b/components/platform/src/table/adapter.rs
@@ -47,7 +47,9 @@
 
     fn commit(&self, transaction: Transaction) -> BoxFuture<'_, Result<Outcome, Error>> {
         async move {
-            let call = self.client.post(self.address, "/table/commit", &transaction);
+            let call = self
+                .client
+                .post(self.address, "/table/commit", &transaction);
             Ok(call::within(self.timeout, call).await?)
         }
         .boxed()
--- a/components/policy/src/fair.rs
+++ b/components/policy/src/fair.rs
@@ -198,7 +198,11 @@
     fn activate(&mut self, mut at: usize) {
         while at != ROOT {
             let parent = self.nodes[at].parent;
-            if self.nodes[parent].active.iter().any(|(_, child)| *child == at) {
+            if self.nodes[parent]
+                .active
+                .iter()
+                .any(|(_, child)| *child == at)
+            {
                 return;
             }
             // who was idle starts level with those that go now: nothing is saved up
@@ -226,7 +230,11 @@
     fn reorder(&mut self, parent: usize, child: usize, before: f64) {
         let time = self.nodes[child].time;
         let siblings = &mut self.nodes[parent];
-        if let Some(place) = siblings.active.iter().position(|(_, other)| *other == child) {
+        if let Some(place) = siblings
+            .active
+            .iter()
+            .position(|(_, other)| *other == child)
+        {
             siblings.active.remove(place);
             insert(&mut siblings.active, time, child);
             siblings.floor = siblings.floor.max(before);
--- a/components/policy/src/route.rs
+++ b/components/policy/src/route.rs
@@ -154,7 +154,11 @@
 }
 
 fn wait(engine: &Engine, ask: &Ask) -> f64 {
-    let ahead = if ask.urgent { 0.0 } else { reading_time(engine) };
+    let ahead = if ask.urgent {
+        0.0
+    } else {
+        reading_time(engine)
+    };
     real(engine.distance) + ahead
 }
 
--- a/components/protocol/src/claim.rs
+++ b/components/protocol/src/claim.rs
@@ -84,6 +84,8 @@
 pub enum Write {
     /// The table said that it took effect, or a read showed its token.
     Written,
+    /// Another claim of the key was first.
+    Taken,
     /// The table said that it did not and never will.
     Refused,
     /// No answer came: it may have taken effect, or may yet.
--- a/components/protocol/src/order.rs
+++ b/components/protocol/src/order.rs
@@ -8,7 +8,18 @@
 
 /// What an engine is for.
 #[derive(
-    Clone, Copy, Debug, Display, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
 )]
 #[serde(rename_all = "kebab-case")]
 pub enum Role {
@@ -184,7 +195,7 @@
         .iter()
         .copied()
         .chain((row.sender != me && row.stage == Stage::Intent).then_some(row.sender))
-        .filter(|other| *other != me && !gone(*other))
+        .filter(|other| !gone(*other))
         .collect();
     earlier.sort_unstable();
     earlier.dedup();
@@ -206,13 +217,32 @@
     }
 }
 
-/// The row that commits an outcome, after the sender's call has ended for certain.
+/// How a sender's call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The engine has what was wanted.
+    Reached,
+    /// The engine refused, or the order never left; it can't strike later.
+    NotReached,
+    /// The call was lost: the order may still strike.
+    Lost,
+}
+
+/// The row that commits an outcome, after the sender's call has ended.
 #[must_use]
-pub fn finish(row: &Row, reached: bool) -> Row {
-    Row {
-        stage: if reached { Stage::Done } else { Stage::Failed },
-        ..row.clone()
+pub fn finish(row: &Row, ended: Ended) -> Row {
+    let mut next = row.clone();
+    match ended {
+        Ended::Reached => next.stage = Stage::Done,
+        Ended::NotReached => next.stage = Stage::Failed,
+        Ended::Lost => {
+            next.stage = Stage::Failed;
+            next.earlier.push(row.sender);
+            next.earlier.sort_unstable();
+            next.earlier.dedup();
+        }
     }
+    next
 }
 
 /// Whether an engine that checks fencing numbers takes an order.
--- a/components/settings/src/process/mod.rs
+++ b/components/settings/src/process/mod.rs
@@ -135,6 +135,9 @@
     /// Between two reads of the VM list.
     #[serde_as(as = "DisplayFromStr")]
     pub vm_poll: humantime::Duration,
+    /// How far the VM list may lag behind what happens.
+    #[serde_as(as = "DisplayFromStr")]
+    pub vm_lag: humantime::Duration,
     /// Between two load reports of an endpoint.
     #[serde_as(as = "DisplayFromStr")]
     pub report_poll: humantime::Duration,
@@ -164,6 +167,7 @@
             heartbeat: Duration::from_millis(500).into(),
             settings_poll: Duration::from_secs(1).into(),
             vm_poll: Duration::from_secs(1).into(),
+            vm_lag: Duration::from_secs(120).into(),
             report_poll: Duration::from_millis(250).into(),
             lease_term: Duration::from_secs(4).into(),
             table_timeout: Duration::from_secs(1).into(),
@@ -240,11 +244,7 @@
                 "limits.header_bytes",
                 "8 KiB to 1 MiB",
             ),
-            (
-                limits.connections > 0,
-                "limits.connections",
-                "at least 1",
-            ),
+            (limits.connections > 0, "limits.connections", "at least 1"),
             (
                 control.heartbeat >= Duration::from_millis(10).into(),
                 "control.heartbeat",
--- a/components/settings/src/tree/check.rs
+++ b/components/settings/src/tree/check.rs
@@ -67,7 +67,11 @@
             }
         }
         "group" => {
-            for model in node.value("models").iter().flat_map(|names| names.split(',')) {
+            for model in node
+                .value("models")
+                .iter()
+                .flat_map(|names| names.split(','))
+            {
                 dangling("models", format!("model/{}", model.trim()));
             }
             // a group without its parent would inherit from nobody
--- a/components/settings/src/tree/resolve.rs
+++ b/components/settings/src/tree/resolve.rs
@@ -62,7 +62,12 @@
     #[must_use]
     pub fn repeat_of(&self, path: &str) -> Repeat {
         match self.repeat {
-            Repeat::Allowed if !self.never.iter().any(|prefix| path.starts_with(prefix.as_str())) => {
+            Repeat::Allowed
+                if !self
+                    .never
+                    .iter()
+                    .any(|prefix| path.starts_with(prefix.as_str())) =>
+            {
                 Repeat::Allowed
             }
             _ => Repeat::Never,
@@ -182,7 +187,9 @@
     /// The service with a name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
-        let at = self.services.binary_search_by(|s| s.name.as_str().cmp(name));
+        let at = self
+            .services
+            .binary_search_by(|s| s.name.as_str().cmp(name));
         at.ok().map(|at| &self.services[at])
     }
 
@@ -239,7 +246,10 @@
                     .rsplit_once('/')
                     .and_then(|(parent, _)| paths.binary_search(&parent).ok()),
                 // a share is a group's own: a child does not weigh as its parent does
-                share: node.value("share").and_then(|v| v.parse().ok()).unwrap_or(1),
+                share: node
+                    .value("share")
+                    .and_then(|v| v.parse().ok())
+                    .unwrap_or(1),
                 priority: (priority(path, "priority"), priority(path, "priority_max")),
                 deadline: (
                     time(tree, path, "deadline"),
--- a/components/settings/src/tree/schema.rs
+++ b/components/settings/src/tree/schema.rs
@@ -71,7 +71,12 @@
     }
 }
 
-const fn defaulted(name: &'static str, of: Type, default: &'static str, about: &'static str) -> Key {
+const fn defaulted(
+    name: &'static str,
+    of: Type,
+    default: &'static str,
+    about: &'static str,
+) -> Key {
     Key {
         name,
         of,
@@ -88,40 +93,116 @@
         depth: (2, 2),
         keys: &[
             required("address", Type::Address, "Where the endpoint listens."),
-            defaulted("drain", Type::Switch, "false", "Whether the endpoint takes no new work."),
-            defaulted("fences", Type::Switch, "false", "Whether the engine refuses orders with an old fencing number."),
-            required("service", Type::Text, "The service that the endpoint belongs to."),
+            defaulted(
+                "drain",
+                Type::Switch,
+                "false",
+                "Whether the endpoint takes no new work.",
+            ),
+            defaulted(
+                "fences",
+                Type::Switch,
+                "false",
+                "Whether the engine refuses orders with an old fencing number.",
+            ),
+            required(
+                "service",
+                Type::Text,
+                "The service that the endpoint belongs to.",
+            ),
         ],
     },
     Kind {
         name: "fleet",
         depth: (1, 1),
         keys: &[
-            defaulted("role_changes_per_hour", Type::Number(0, 3600), "12", "Most role changes an hour in a service and data centre."),
-            defaulted("role_horizon", Type::Time(1000, HOUR_MS), "120s", "How far ahead the gain of a role change is counted."),
-            defaulted("role_reserve", Type::Number(0, 1000), "1", "Engines of each phase that stay whatever the mix."),
-            defaulted("roles", Type::Word(&["adaptive", "fixed"]), "adaptive", "Whether the stewards change roles by themselves."),
+            defaulted(
+                "role_changes_per_hour",
+                Type::Number(0, 3600),
+                "12",
+                "Most role changes an hour in a service and data centre.",
+            ),
+            defaulted(
+                "role_horizon",
+                Type::Time(1000, HOUR_MS),
+                "120s",
+                "How far ahead the gain of a role change is counted.",
+            ),
+            defaulted(
+                "role_reserve",
+                Type::Number(0, 1000),
+                "1",
+                "Engines of each phase that stay whatever the mix.",
+            ),
+            defaulted(
+                "roles",
+                Type::Word(&["adaptive", "fixed"]),
+                "adaptive",
+                "Whether the stewards change roles by themselves.",
+            ),
         ],
     },
     Kind {
         name: "group",
         depth: (1, 8),
         keys: &[
-            defaulted("deadline", Type::Time(10, HOUR_MS), "30s", "Deadline of a request that names none."),
-            defaulted("deadline_max", Type::Time(10, HOUR_MS), "10m", "Longest deadline a request may name."),
-            optional("keys", Type::Digests, "SHA-256 digests of the callers' keys."),
-            optional("models", Type::Names, "Models the group may use; all when absent."),
-            defaulted("priority", Type::Number(0, 9), "4", "Priority of a request that names none; 9 goes first."),
-            defaulted("priority_max", Type::Number(0, 9), "7", "Highest priority a request may name."),
-            defaulted("share", Type::Number(1, 1_000_000), "1", "Share against the group's siblings."),
+            defaulted(
+                "deadline",
+                Type::Time(10, HOUR_MS),
+                "30s",
+                "Deadline of a request that names none.",
+            ),
+            defaulted(
+                "deadline_max",
+                Type::Time(10, HOUR_MS),
+                "10m",
+                "Longest deadline a request may name.",
+            ),
+            optional(
+                "keys",
+                Type::Digests,
+                "SHA-256 digests of the callers' keys.",
+            ),
+            optional(
+                "models",
+                Type::Names,
+                "Models the group may use; all when absent.",
+            ),
+            defaulted(
+                "priority",
+                Type::Number(0, 9),
+                "4",
+                "Priority of a request that names none; 9 goes first.",
+            ),
+            defaulted(
+                "priority_max",
+                Type::Number(0, 9),
+                "7",
+                "Highest priority a request may name.",
+            ),
+            defaulted(
+                "share",
+                Type::Number(1, 1_000_000),
+                "1",
+                "Share against the group's siblings.",
+            ),
         ],
     },
     Kind {
         name: "model",
         depth: (1, 1),
         keys: &[
-            defaulted("adapter", Type::Text, "none", "The adapter that requests get."),
-            required("service", Type::Text, "The service whose engines run the model."),
+            defaulted(
+                "adapter",
+                Type::Text,
+                "none",
+                "The adapter that requests get.",
+            ),
+            required(
+                "service",
+                Type::Text,
+                "The service whose engines run the model.",
+            ),
             required("version", Type::Text, "The version that requests get."),
         ],
     },
@@ -129,10 +210,28 @@
         name: "service",
         depth: (1, 1),
         keys: &[
-            required("kind", Type::Word(&["engines", "plain"]), "What stands behind the service."),
-            defaulted("repeat", Type::Word(&["allowed", "never"]), "allowed", "Whether a request may run twice."),
-            optional("repeat_never_routes", Type::Names, "Path prefixes whose requests may not be repeated."),
-            defaulted("retention", Type::Time(1000, 720 * HOUR_MS), "24h", "How long a claim of an idempotency key is kept."),
+            required(
+                "kind",
+                Type::Word(&["engines", "plain"]),
+                "What stands behind the service.",
+            ),
+            defaulted(
+                "repeat",
+                Type::Word(&["allowed", "never"]),
+                "allowed",
+                "Whether a request may run twice.",
+            ),
+            optional(
+                "repeat_never_routes",
+                Type::Names,
+                "Path prefixes whose requests may not be repeated.",
+            ),
+            defaulted(
+                "retention",
+                Type::Time(1000, 720 * HOUR_MS),
+                "24h",
+                "How long a claim of an idempotency key is kept.",
+            ),
         ],
     },
 ];
@@ -151,7 +250,9 @@
         }
         depth += 1;
     }
-    (kind.depth.0..=kind.depth.1).contains(&depth).then_some(kind)
+    (kind.depth.0..=kind.depth.1)
+        .contains(&depth)
+        .then_some(kind)
 }
 
 impl Kind {
--- a/components/standin/src/batch/cache.rs
+++ b/components/standin/src/batch/cache.rs
@@ -64,12 +64,15 @@
     /// The events after a sequence number, as far as they are kept.
     #[must_use]
     pub fn events_after(&self, sequence: u64) -> &[CacheEvent] {
-        let at = self.events.partition_point(|event| event.sequence <= sequence);
+        let at = self
+            .events
+            .partition_point(|event| event.sequence <= sequence);
         &self.events[at..]
     }
 
     fn find(&self, block: u64) -> Result<usize, usize> {
-        self.blocks.binary_search_by_key(&block, |(block, _)| *block)
+        self.blocks
+            .binary_search_by_key(&block, |(block, _)| *block)
     }
 
     /// Drops an eighth at once, so that the sort pays.
--- a/components/standin/src/batch/mod.rs
+++ b/components/standin/src/batch/mod.rs
@@ -172,7 +172,10 @@
     /// Requests writing tokens.
     #[must_use]
     pub fn writing(&self) -> usize {
-        self.running.iter().filter(|running| running.writes()).count()
+        self.running
+            .iter()
+            .filter(|running| running.writes())
+            .count()
     }
 
     /// The prefix cache.
@@ -191,7 +194,12 @@
         let fetching = self.running.iter().map(|running| running.to_fetch_us).max();
         if writers == 0 && self.running.iter().all(|running| running.to_read == 0) {
             // nothing but fetches: the step lasts until the first of them is through
-            let least = self.running.iter().map(|r| r.to_fetch_us).min().unwrap_or(0);
+            let least = self
+                .running
+                .iter()
+                .map(|r| r.to_fetch_us)
+                .min()
+                .unwrap_or(0);
             self.fetch(least);
             return Some(Step {
                 us: least,
@@ -249,7 +257,8 @@
             self.speed.chunk_tokens * CHUNKS_ALONE
         };
         let mut left = most;
-        self.running.sort_by_key(|running| std::cmp::Reverse(running.job.priority));
+        self.running
+            .sort_by_key(|running| std::cmp::Reverse(running.job.priority));
         for running in &mut self.running {
             if running.to_read > 0 {
                 let take = running.to_read.min(left);
--- a/components/standin/src/engine/mod.rs
+++ b/components/standin/src/engine/mod.rs
@@ -18,8 +18,8 @@
 use protocol::order::Wanted;
 use tokio::{sync::Notify, task::JoinHandle};
 
-pub use state::{Counts, Faults};
 use state::State;
+pub use state::{Counts, Faults};
 
 use crate::{
     batch::Speed,
@@ -33,9 +33,9 @@
 }
 
 fn word(prompt: &str, offset: u64) -> String {
-    let sum = prompt
-        .bytes()
-        .fold(0_u16, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    let sum = prompt.bytes().fold(0_u16, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(byte.into())
+    });
     format!("{sum:04x}.{offset} ")
 }
 
@@ -138,7 +138,10 @@
     }
 }
 
-async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> std::io::Result<Response<Body>> {
+async fn handle(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> std::io::Result<Response<Body>> {
     match request.uri().path() {
         "/generate" => {
             let generate: Generate = server::json(request).await?;
--- a/components/standin/src/engine/state.rs
+++ b/components/standin/src/engine/state.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use endpoint::engine::{
-    CacheEvent, Done, Frame, Generate, Order, Reason, Report, prefix,
-};
+use endpoint::engine::{CacheEvent, Done, Frame, Generate, Order, Reason, Report, prefix};
 use futures::channel::mpsc::UnboundedSender;
 use protocol::order::{self, Wanted};
 
@@ -114,7 +112,10 @@
             return false;
         };
         self.counts.attempts += 1;
-        let weights = format!("{}/{}/{}", generate.model, generate.adapter, generate.version);
+        let weights = format!(
+            "{}/{}/{}",
+            generate.model, generate.adapter, generate.version
+        );
         let prompt_tokens = prefix::tokens(&generate.prompt) + generate.resume_from;
         let until = if generate.export {
             generate.resume_from + 1
--- a/components/standin/src/platform/mod.rs
+++ b/components/standin/src/platform/mod.rs
@@ -73,8 +73,10 @@
     pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
         let state = Arc::new(Mutex::new(State::default()));
         let serving = Arc::clone(&state);
-        let server =
-            Server::start(address, move |request| handle(Arc::clone(&serving), request)).await?;
+        let server = Server::start(address, move |request| {
+            handle(Arc::clone(&serving), request)
+        })
+        .await?;
         Ok(Self { server, state })
     }
 
--- a/components/standin/src/platform/store.rs
+++ b/components/standin/src/platform/store.rs
@@ -17,7 +17,9 @@
             .filter_map(|key| Some(self.rows[self.find(key).ok()?].clone()))
             .collect();
         for prefix in &read.prefixes {
-            let from = self.rows.partition_point(|row| row.key.as_str() < prefix.as_str());
+            let from = self
+                .rows
+                .partition_point(|row| row.key.as_str() < prefix.as_str());
             let under = self.rows[from..]
                 .iter()
                 .take_while(|row| row.key.starts_with(prefix.as_str()));
--- a/components/standin/src/service/mod.rs
+++ b/components/standin/src/service/mod.rs
@@ -55,8 +55,10 @@
     pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
         let state = Arc::new(Mutex::new(State::default()));
         let serving = Arc::clone(&state);
-        let server =
-            Server::start(address, move |request| handle(Arc::clone(&serving), request)).await?;
+        let server = Server::start(address, move |request| {
+            handle(Arc::clone(&serving), request)
+        })
+        .await?;
         Ok(Self { server, state })
     }
 
--- a/components/telemetry/src/metrics/mod.rs
+++ b/components/telemetry/src/metrics/mod.rs
@@ -53,7 +53,11 @@
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
         let metrics = Self {
-            requests: counters("requests_total", "Requests.", &["service", "group", "outcome"])?,
+            requests: counters(
+                "requests_total",
+                "Requests.",
+                &["service", "group", "outcome"],
+            )?,
             refusals: counters("refusals_total", "Refusals.", &["reason"])?,
             goodput: counters(
                 "goodput_tokens_total",
--- a/src/bin/wrenramp.rs
+++ b/src/bin/wrenramp.rs
@@ -1,2 +1,7 @@
-//! Stub.
-fn main() {}
+//! The operators' client.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::main()
+}
--- /dev/null
+++ b/tests/system/fleet.rs
@@ -0,0 +1,372 @@
+//! A small fleet: stand-ins in the test's process, daemons as processes of their own.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Request, StatusCode, body::Incoming};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use platform::table::Transaction;
+use protocol::order::{Role, Wanted};
+use settings::tree::{Change, Edit, Tree, resolve};
+use standin::{
+    batch::Speed,
+    engine::{Engine, Setup},
+    platform::Platform,
+    service::Service,
+};
+
+pub const TOKEN: &str = "operators-token";
+pub const KEY: &str = "field-key";
+pub const ALARM_KEY: &str = "alarm-key";
+const WAIT: Duration = Duration::from_secs(30);
+
+/// A daemon in a process of its own; dropping it kills it.
+pub struct Daemon {
+    pub child: Child,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub status: SocketAddr,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // one that has ended needs no kill
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Daemon {
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill")
+            .args(["-s", name, &self.child.id().to_string()])
+            .status();
+        assert!(sent.expect("kill runs").success());
+    }
+}
+
+pub struct Fleet {
+    pub platform: Platform,
+    pub engines: Vec<Engine>,
+    pub service: Service,
+    pub daemons: Vec<Daemon>,
+    folder: PathBuf,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub fn setup(role: Role, fences: bool) -> Setup {
+    Setup {
+        speed: Speed::quick(),
+        fences,
+        holds: Wanted {
+            role,
+            ..Wanted::default()
+        },
+    }
+}
+
+impl Fleet {
+    /// Starts stand-ins with these engines, and so many daemons, all in one data centre.
+    pub async fn start(engines: Vec<Setup>, daemons: usize) -> Self {
+        let platform = Platform::start(any()).await.expect("platform");
+        let service = Service::start(any()).await.expect("service");
+        let mut running = Vec::new();
+        for setup in engines {
+            running.push(Engine::start(any(), setup).await.expect("engine"));
+        }
+        let folder = std::env::temp_dir().join(format!("wrenramp-{:016x}", rand::random::<u64>()));
+        std::fs::create_dir_all(&folder).expect("folder");
+        let mut fleet = Self {
+            platform,
+            engines: running,
+            service,
+            daemons: Vec::new(),
+            folder,
+        };
+        fleet.write_settings();
+        for _ in 0..daemons {
+            fleet.add_daemon();
+        }
+        for daemon in &fleet.daemons {
+            ready(daemon).await;
+        }
+        fleet
+    }
+
+    /// Writes the first settings as a daemon would.
+    fn write_settings(&self) {
+        let mut edits = vec![
+            set("service/soil", "kind", "engines"),
+            set("service/readings", "kind", "plain"),
+            set("service/readings", "repeat", "never"),
+            set("model/proctor", "service", "soil"),
+            set("model/proctor", "version", "1"),
+            set("fleet/roles", "roles", "fixed"),
+            set("group/field", "keys", &resolve::secret_digest(KEY)),
+            set("group/alarm", "keys", &resolve::secret_digest(ALARM_KEY)),
+            set("group/alarm", "priority", "9"),
+            set("group/alarm", "priority_max", "9"),
+            set("endpoint/sala-a/100", "service", "readings"),
+            set(
+                "endpoint/sala-a/100",
+                "address",
+                &self.service.address().to_string(),
+            ),
+        ];
+        for (number, engine) in self.engines.iter().enumerate() {
+            let path = format!("endpoint/sala-a/{}", number + 1);
+            edits.push(set(&path, "service", "soil"));
+            edits.push(set(&path, "address", &engine.address().to_string()));
+        }
+        let tree = Tree::default().apply(&edits).expect("settings are fine");
+        let change = Change {
+            version: 1,
+            operator: "test".to_owned(),
+            edits,
+            token: 1,
+        };
+        let json = |value: &dyn erased::Json| value.text();
+        let mut transaction = Transaction::default()
+            .write("settings/head", r#"{"version":1,"token":1}"#.to_owned())
+            .write("settings/log/000000000001", json(&change));
+        for node in &tree.nodes {
+            transaction = transaction.write(&format!("settings/node/{}", node.path), json(node));
+        }
+        let _ = self.platform.commit(&transaction);
+    }
+
+    /// The settings file of a daemon.
+    fn file(&self, number: usize) -> String {
+        let seeds: Vec<String> = self
+            .daemons
+            .iter()
+            .map(|daemon| format!("\"{}\"", daemon.peers))
+            .collect();
+        let address = self.platform.address();
+        format!(
+            r#"[daemon]
+name = "entry-{number}"
+data_centre = "sala-a"
+callers = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+status = "127.0.0.1:0"
+seeds = [{}]
+operator_token_sha256 = "{}"
+
+[platform]
+table = "{address}"
+vms = "{address}"
+
+[control]
+heartbeat = "100ms"
+settings_poll = "200ms"
+vm_poll = "200ms"
+report_poll = "50ms"
+lease_term = "1s"
+table_timeout = "500ms"
+close_wait = "5s"
+role_period = "200ms"
+stop_lag = "300ms"
+"#,
+            seeds.join(", "),
+            resolve::secret_digest(TOKEN)
+        )
+    }
+
+    /// Starts one more daemon; it may not be ready yet.
+    pub fn add_daemon(&mut self) {
+        let number = self.daemons.len();
+        let path = self
+            .folder
+            .join(format!("{number}-{:x}.toml", rand::random::<u32>()));
+        std::fs::write(&path, self.file(number)).expect("settings file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_wrenrampd"))
+            .arg("-c")
+            .arg(&path)
+            .args(["--log", "debug"])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("daemon starts");
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().expect("stdout"))
+            .read_line(&mut line)
+            .expect("addresses");
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let address = |at: usize| words[at].parse().expect("an address");
+        self.daemons.push(Daemon {
+            child,
+            callers: address(1),
+            peers: address(3),
+            status: address(5),
+        });
+    }
+
+    /// Runs the operators' client against a daemon; gives its exit code and what it printed.
+    pub fn operate(&self, daemon: usize, arguments: &[&str]) -> (i32, String) {
+        let output = Command::new(env!("CARGO_BIN_EXE_wrenramp"))
+            .arg("--daemon")
+            .arg(self.daemons[daemon].peers.to_string())
+            .args(arguments)
+            .env("WRENRAMP_TOKEN", TOKEN)
+            .output()
+            .expect("client runs");
+        let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+        text.push_str(&String::from_utf8_lossy(&output.stderr));
+        (output.status.code().unwrap_or(-1), text)
+    }
+}
+
+mod erased {
+    //! A value that has a JSON form.
+
+    pub trait Json {
+        fn text(&self) -> String;
+    }
+
+    impl<T: serde::Serialize> Json for T {
+        fn text(&self) -> String {
+            serde_json::to_string(self).expect("a JSON form")
+        }
+    }
+}
+
+pub fn set(path: &str, key: &str, value: &str) -> Edit {
+    Edit::Set {
+        path: path.to_owned(),
+        key: key.to_owned(),
+        value: value.to_owned(),
+    }
+}
+
+/// A caller's client.
+#[derive(Clone)]
+pub struct Caller(Client<HttpConnector, Full<Bytes>>);
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn run(&self) -> Option<&str> {
+        self.headers.get("x-wrenramp-run")?.to_str().ok()
+    }
+}
+
+impl Caller {
+    pub fn new() -> Self {
+        Self(Client::builder(TokioExecutor::new()).build_http())
+    }
+
+    /// Sends a request and gives the answer's head.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<hyper::Response<Incoming>, hyper_util::client::legacy::Error> {
+        let mut request = Request::post(format!("http://{address}{path}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::from(body.to_owned())).expect("request");
+        self.0.request(request).await
+    }
+
+    /// Sends a request and reads the whole answer; none when it breaks.
+    pub async fn ask(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<Answer> {
+        let response = self.send(address, path, headers, body).await.ok()?;
+        let (head, body) = response.into_parts();
+        let bytes = body.collect().await.ok()?.to_bytes();
+        Some(Answer {
+            status: head.status,
+            headers: head.headers,
+            body: String::from_utf8_lossy(&bytes).into_owned(),
+        })
+    }
+
+    /// A completion with the field group's key.
+    pub async fn complete(
+        &self,
+        address: SocketAddr,
+        prompt: &str,
+        tokens: u64,
+        stream: bool,
+    ) -> Option<Answer> {
+        let bearer = format!("Bearer {KEY}");
+        let headers = [("authorization", bearer.as_str())];
+        let body = completion(prompt, tokens, stream);
+        self.ask(address, "/v1/completions", &headers, &body).await
+    }
+}
+
+pub fn completion(prompt: &str, tokens: u64, stream: bool) -> String {
+    format!(r#"{{"model":"proctor","prompt":"{prompt}","max_tokens":{tokens},"stream":{stream}}}"#)
+}
+
+/// The text of a streamed answer, and whether it ended as a whole one does.
+pub fn streamed(body: &str) -> (String, bool) {
+    let mut text = String::new();
+    let mut whole = false;
+    for line in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if line == "[DONE]" {
+            whole = true;
+        } else if let Ok(event) = serde_json::from_str::<serde_json::Value>(line) {
+            text.push_str(event["choices"][0]["text"].as_str().unwrap_or_default());
+        }
+    }
+    (text, whole)
+}
+
+/// Waits until a daemon is ready.
+pub async fn ready(daemon: &Daemon) {
+    let caller = Caller::new();
+    eventually("a daemon is ready", async || {
+        let request = Request::get(format!("http://{}/readyz", daemon.status))
+            .body(Full::default())
+            .expect("request");
+        let answer = caller.0.request(request).await;
+        answer.is_ok_and(|answer| answer.status() == StatusCode::OK)
+    })
+    .await;
+}
+
+/// Waits until something holds; the bound only ends a test that would never end.
+pub async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let until = Instant::now() + WAIT;
+    while !holds().await {
+        assert!(Instant::now() < until, "never: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/tests/system/main.rs
@@ -0,0 +1,4 @@
+//! Daemons as real processes against stand-ins: the whole path, and failures on the way.
+
+mod fleet;
+mod path;
