--- a/components/cli/src/cmd/show.rs
+++ b/components/cli/src/cmd/show.rs
@@ -130,7 +130,7 @@
 
 #[derive(Serialize)]
 struct Endpoint {
-    endpoint: String,
+    name: String,
     service: String,
     role: String,
     state: String,
@@ -169,7 +169,7 @@
         }
     });
     let endpoints = status.endpoints.iter().map(|one| Endpoint {
-        endpoint: format!("{}/{}", one.data_centre, one.endpoint),
+        name: format!("{}/{}", one.data_centre, one.endpoint),
         service: one.service.clone(),
         role: one.role.clone(),
         state: one.state.clone(),
--- a/components/daemon/src/process/pool/entry.rs
+++ b/components/daemon/src/process/pool/entry.rs
@@ -45,6 +45,8 @@
     /// Tokens ever written to this daemon's callers from there.
     pub written: u64,
     local: bool,
+    /// Whether it reports its load; a plain service doesn't.
+    reports: bool,
     since: Instant,
     quarantined: Option<Instant>,
     peers_reading: u64,
@@ -57,7 +59,7 @@
 
 impl Entry {
     /// An endpoint that nothing is known of yet.
-    pub fn new(endpoint: &resolve::Endpoint, data_centre: &str) -> Self {
+    pub fn new(endpoint: &resolve::Endpoint, data_centre: &str, reports: bool) -> Self {
         Self {
             id: Id {
                 data_centre: Arc::from(endpoint.data_centre.as_str()),
@@ -65,6 +67,7 @@
             },
             local: endpoint.data_centre == data_centre,
             endpoint: endpoint.clone(),
+            reports,
             report: None,
             leaving: false,
             rates: Rates::default(),
@@ -105,11 +108,12 @@
             holds.model.is_empty()
                 || (holds.model == *model && holds.adapter == *adapter && holds.version == *version)
         });
-        self.takes() && loaded && !need.avoid.contains(&self.id)
+        self.takes() && loaded
     }
 
     fn answers(&self) -> bool {
         match &self.report {
+            _ if !self.reports => true,
             Some((report, at)) => !report.changing && at.elapsed() < STALE,
             // not asked yet; a failed try will tell
             None => self.since.elapsed() < STALE,
@@ -183,7 +187,7 @@
             self.sequence = self.sequence.max(event.sequence);
             match (self.blocks.binary_search(&event.block), event.held) {
                 (Err(at), true) if self.blocks.len() < BLOCKS => {
-                    self.blocks.insert(at, event.block)
+                    self.blocks.insert(at, event.block);
                 }
                 (Ok(at), false) => {
                     self.blocks.remove(at);
--- a/components/daemon/src/process/pool/mod.rs
+++ b/components/daemon/src/process/pool/mod.rs
@@ -145,17 +145,20 @@
                 .filter(|endpoint| endpoint.service == self.service)
                 .is_some_and(|endpoint| entry.update(endpoint))
         });
+        let reports = version
+            .service(&self.service)
+            .is_some_and(|service| service.kind == resolve::Kind::Engines);
         for endpoint in &version.endpoints {
             if endpoint.service == self.service {
-                self.adopt(endpoint);
+                self.adopt(endpoint, reports);
             }
         }
         self.line().regroup(version);
         self.freed.notify_one();
     }
 
-    fn adopt(&self, endpoint: &resolve::Endpoint) {
-        let entry = Entry::new(endpoint, &self.data_centre);
+    fn adopt(&self, endpoint: &resolve::Endpoint, reports: bool) {
+        let entry = Entry::new(endpoint, &self.data_centre, reports);
         let mut entries = self.entries();
         if let Err(at) = entries.binary_search_by(|other| other.id.cmp(&entry.id)) {
             entries.insert(at, entry);
@@ -269,12 +272,16 @@
         Some(Grant::new(Arc::clone(self), places))
     }
 
-    /// The engines that may take a request, with their indices among the entries.
+    /// The engines that may take a request, with their indices among the entries. One that has
+    /// failed the request gets it again only where there is no other.
     fn view(&self, entries: &[Entry], need: &Need) -> (Vec<usize>, Vec<route::Engine>) {
+        let fit = |entry: &Entry| entry.serves(need) && self.gates.is_open(&entry.id);
+        let fresh = |entry: &Entry| fit(entry) && !need.avoid.contains(&entry.id);
+        let any_fresh = entries.iter().any(fresh);
         entries
             .iter()
             .enumerate()
-            .filter(|(_, entry)| entry.serves(need) && self.gates.is_open(&entry.id))
+            .filter(|(_, entry)| if any_fresh { fresh(entry) } else { fit(entry) })
             .map(|(at, entry)| (at, entry.seen(need)))
             .unzip()
     }
--- a/components/daemon/src/process/steward/mod.rs
+++ b/components/daemon/src/process/steward/mod.rs
@@ -166,7 +166,7 @@
                 lease,
                 versions,
             )
-            .await
+            .await;
         }
         (None, _) => {}
     }
--- a/components/daemon/src/request/chat.rs
+++ b/components/daemon/src/request/chat.rs
@@ -1,4 +1,4 @@
-//! `POST /v1/chat/completions` and `/v1/completions`, as OpenAI's clients send them.
+//! `POST /v1/chat/completions` and `/v1/completions`, as `OpenAI`'s clients send them.
 
 use endpoint::engine::prefix;
 use futures::StreamExt;
--- a/components/daemon/src/request/generate.rs
+++ b/components/daemon/src/request/generate.rs
@@ -345,7 +345,7 @@
                     .with_label_values(&[&self.job.pool.service])
                     .observe(self.began.elapsed().as_secs_f64());
             }
-        } else if frame.offset % SAMPLE == 0 {
+        } else if frame.offset.is_multiple_of(SAMPLE) {
             self.job.pool.with(&live.at.0, |entry| {
                 entry.written += SAMPLE;
                 let seen = entry.bare();
--- a/components/daemon/src/request/plain.rs
+++ b/components/daemon/src/request/plain.rs
@@ -202,9 +202,9 @@
             reason: Reason::AnswerLost,
         };
         // the request is under way, and the endpoint held, until the last part has gone
-        let held = (self, hold);
+        let kept = (self, hold);
         let parts = BodyDataStream::new(body).map(move |part| {
-            let _ = &held;
+            let _ = &kept;
             part.map_err(|_| lost.clone())
         });
         let mut response = Response::new(super::streamed(parts));
--- a/components/daemon/src/request/refusal.rs
+++ b/components/daemon/src/request/refusal.rs
@@ -162,8 +162,12 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Late(after) | Self::Full(after) | Self::NoEndpoint(after) => Some(after),
-            Self::NotReady | Self::Stopping | Self::NotTaken | Self::InProgress => Some(SOON),
-            Self::AnswerLost | Self::DeadlinePassed => Some(SOON),
+            Self::NotReady
+            | Self::Stopping
+            | Self::NotTaken
+            | Self::InProgress
+            | Self::AnswerLost
+            | Self::DeadlinePassed => Some(SOON),
             Self::KeyUnread => Some(AFTER_OUTAGE),
             _ => None,
         }
--- a/components/daemon/src/request/reply.rs
+++ b/components/daemon/src/request/reply.rs
@@ -1,4 +1,4 @@
-//! Answers in the shape that OpenAI's clients read.
+//! Answers in the shape that `OpenAI`'s clients read.
 
 use bytes::Bytes;
 use endpoint::engine::{Done, Reason};
--- a/components/protocol/src/gate.rs
+++ b/components/protocol/src/gate.rs
@@ -16,13 +16,9 @@
     /// Takes a hold for one request, if the gate is open.
     #[must_use]
     pub fn hold(&mut self) -> bool {
-        match self.closed {
-            Some(_) => false,
-            None => {
-                self.in_flight += 1;
-                true
-            }
-        }
+        let open = self.closed.is_none();
+        self.in_flight += u32::from(open);
+        open
     }
 
     /// Gives a hold back.
--- a/components/settings/src/tree/resolve.rs
+++ b/components/settings/src/tree/resolve.rs
@@ -1,6 +1,6 @@
 //! One version of the tree in typed form, with what groups inherit worked out.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt::Write as _, net::SocketAddr, time::Duration};
 
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
@@ -299,7 +299,11 @@
 #[must_use]
 pub fn secret_digest(secret: &str) -> String {
     let digest: [u8; 32] = Sha256::digest(secret.as_bytes()).into();
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+    digest.iter().fold(String::new(), |mut hex, byte| {
+        // writing into memory does not fail
+        let _ = write!(hex, "{byte:02x}");
+        hex
+    })
 }
 
 fn service(tree: &Tree, name: &str, path: &str) -> Service {
--- a/components/standin/src/platform/mod.rs
+++ b/components/standin/src/platform/mod.rs
@@ -118,6 +118,7 @@
     }
 
     /// Commits a transaction as another client would, past the faults.
+    #[must_use]
     pub fn commit(&self, transaction: &Transaction) -> platform::table::Outcome {
         lock(&self.state).store.commit(transaction)
     }
--- /dev/null
+++ b/tests/system/settings.rs
@@ -0,0 +1,126 @@
+//! Settings: accepted changes hold everywhere and never go back, whatever fails.
+
+use standin::platform::Faults;
+
+use crate::fleet::{Caller, Fleet, eventually, ready, setup, streamed};
+use protocol::order::Role;
+
+fn version(fleet: &Fleet, daemon: usize) -> u64 {
+    let (_, text) = fleet.operate(daemon, &["--json", "status"]);
+    let status: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+    status["settings_version"].as_u64().unwrap_or(0)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_racing_operators_one_wins_and_the_others_are_told() {
+    let fleet = Fleet::start(Vec::new(), 3).await;
+    let outcomes: Vec<(i32, String)> = std::thread::scope(|scope| {
+        let tries: Vec<_> = (0..6)
+            .map(|nth| {
+                let fleet = &fleet;
+                scope.spawn(move || {
+                    let share = format!("share={}", nth + 10);
+                    fleet.operate(nth % 3, &["set", "--base", "1", "group/field", &share])
+                })
+            })
+            .collect();
+        tries
+            .into_iter()
+            .map(|one| one.join().expect("ran"))
+            .collect()
+    });
+    let winners = outcomes.iter().filter(|(code, _)| *code == 0).count();
+    assert_eq!(winners, 1, "{outcomes:?}");
+    let (_, share) = fleet.operate(0, &["get", "group/field", "share"]);
+    for (code, text) in &outcomes {
+        if *code != 0 {
+            let told = format!("group/field share={}", share.trim());
+            assert!(text.contains(&told), "{text} should tell {told}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_without_a_base_all_hold() {
+    let fleet = Fleet::start(Vec::new(), 3).await;
+    std::thread::scope(|scope| {
+        for nth in 0..6 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let group = format!("g{nth}");
+                let (code, text) = fleet.operate(nth % 3, &["group", "add", &group]);
+                assert_eq!(code, 0, "{text}");
+            });
+        }
+    });
+    for daemon in 0..3 {
+        eventually("all six are in force", async || {
+            version(&fleet, daemon) == 7
+        })
+        .await;
+        let (_, tree) = fleet.operate(daemon, &["tree"]);
+        for nth in 0..6 {
+            assert!(tree.contains(&format!("group/g{nth}")));
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_commit_answer_is_found_out() {
+    let fleet = Fleet::start(Vec::new(), 2).await;
+    fleet.platform.fail(Faults::LostAnswers);
+    let (code, text) = fleet.operate(0, &["set", "group/field", "share=5"]);
+    assert_eq!(code, 0, "{text}");
+    fleet.platform.fail(Faults::LostWrites);
+    let (code, text) = fleet.operate(0, &["set", "group/field", "share=6"]);
+    assert_eq!(code, 3, "{text}");
+    fleet.platform.fail(Faults::None);
+    eventually("the accepted one is in force", async || {
+        version(&fleet, 1) == 2
+    })
+    .await;
+    let (_, share) = fleet.operate(1, &["get", "group/field", "share"]);
+    assert_eq!(share.trim(), "5");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_starts_in_an_outage_takes_the_newest_version_of_its_peers() {
+    let mut fleet = Fleet::start(vec![setup(Role::Mixed, false)], 2).await;
+    let (code, text) = fleet.operate(0, &["set", "--wait", "group/field", "share=4"]);
+    assert_eq!(code, 0, "{text}");
+    fleet.platform.fail(Faults::Down);
+    fleet.add_daemon();
+    ready(&fleet.daemons[2]).await;
+    assert_eq!(version(&fleet, 2), 2);
+    let caller = Caller::new();
+    for daemon in &fleet.daemons {
+        let answer = caller.complete(daemon.callers, "outage", 5, true).await;
+        assert!(streamed(&answer.expect("an answer").body).1);
+    }
+    let (code, text) = fleet.operate(2, &["set", "group/field", "share=5"]);
+    assert_eq!(code, 1, "{text}");
+    assert!(text.contains("nothing was changed"), "{text}");
+    fleet.platform.fail(Faults::None);
+    eventually("changes are taken again", async || {
+        fleet.operate(2, &["set", "group/field", "share=6"]).0 == 0
+    })
+    .await;
+    for daemon in 0..3 {
+        eventually("it is in force", async || version(&fleet, daemon) == 3).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_peers_or_table_a_daemon_is_not_ready() {
+    let mut fleet = Fleet::start(Vec::new(), 0).await;
+    fleet.platform.fail(Faults::Down);
+    fleet.add_daemon();
+    let caller = Caller::new();
+    let answer = caller
+        .complete(fleet.daemons[0].callers, "who", 5, true)
+        .await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.run(), Some("not-run"));
+    fleet.platform.fail(Faults::None);
+    ready(&fleet.daemons[0]).await;
+}
