Check the core protocol by breadth-first search, and show the main job in a demonstration

Cause: the protocol was proved by tests only. The search found three faults in the order protocol before any test had: a steward that lost and regained its stewardship forgot its own lost call, so that a copy of order 1 could strike after order 2; a former sender took its name out although an older copy of the same order was still on its way; and an intent whose commit answer was lost stayed open for the whole epoch. Change: an adopted row keeps its sender unless that sender is certain that no copy can strike; only such a sender withdraws; an open row of the own epoch is sent again.

--- a/components/daemon/src/process/mod.rs
+++ b/components/daemon/src/process/mod.rs
@@ -109,6 +109,8 @@
     pub connections: watch::Sender<usize>,
     /// Work given to groups by this daemon, in microseconds, sorted by group.
     usage: Mutex<Vec<(String, u64)>>,
+    /// Orders of this daemon whose answers were lost: they may still strike.
+    lost_orders: Mutex<Vec<(gates::Id, u64)>>,
     /// How far registration has come.
     pub registration: watch::Sender<registration::State>,
     stewardships: Stewardships,
@@ -148,6 +150,17 @@
         }
     }
 
+    /// Notes that an order's answer was lost.
+    fn lose_order(&self, id: &gates::Id, number: u64) {
+        lock(&self.lost_orders).push((id.clone(), number));
+    }
+
+    /// Whether an order of this daemon may still strike.
+    fn is_lost(&self, id: &gates::Id, number: u64) -> bool {
+        let lost = lock(&self.lost_orders);
+        lost.iter().any(|(other, n)| other == id && *n == number)
+    }
+
     fn pools(&self) -> MutexGuard<'_, Vec<Arc<Pool>>> {
         lock(&self.pools)
     }
@@ -263,6 +276,7 @@
         under_way: watch::Sender::new(0),
         connections: watch::Sender::new(0),
         usage: Mutex::default(),
+        lost_orders: Mutex::default(),
         registration: watch::Sender::new(registration::State::Trying),
         stewardships: Stewardships::default(),
         beat_now: Notify::new(),
--- a/components/daemon/src/process/orders.rs
+++ b/components/daemon/src/process/orders.rs
@@ -290,6 +290,9 @@
         Err(Failure::NotSent | Failure::Refused(_)) => Ended::NotReached,
         Err(Failure::Lost) => look(process, address, row, boot).await,
     };
+    if ended == Ended::Lost {
+        process.lose_order(&wish.id, row.number);
+    }
     let next = order::finish(row, ended);
     let mut pause = LOOK_PAUSE;
     // the outcome is known for certain, so it is worth telling when the table is back
@@ -320,6 +323,10 @@
 /// Gives a former sender's own word that its call has ended: a successor need not wait for it any
 /// more. It takes nothing but its own name out of the row, so it needs no lease.
 async fn withdraw(process: &Process, id: &Id, number: u64) {
+    if process.is_lost(id, number) {
+        // an earlier copy of this order may still strike
+        return;
+    }
     let key = key_of(id);
     let Ok(rows) = process.store.read(store::rows(&[&key])).await else {
         return;
--- a/components/daemon/src/process/steward/roles.rs
+++ b/components/daemon/src/process/steward/roles.rs
@@ -218,12 +218,15 @@
         .collect();
     // a registration is taken away only by its own daemon or when it is certainly gone
     let gone = |other: Incarnation| !registered.contains(&other);
+    let number = old.as_ref().map_or(0, |old| old.number);
+    let clean = !process.is_lost(&wish.id, number);
     let next = order::next(
         old.as_ref(),
         &wish.wanted,
         process.me,
         held.epoch,
         fences,
+        clean,
         gone,
     );
     match next {
--- a/components/protocol/src/order.rs
+++ b/components/protocol/src/order.rs
@@ -139,7 +139,11 @@
 ///
 /// `gone` tells of incarnations that certainly can't send any more: off the VM list, or their
 /// address answers as another incarnation. For an engine that checks fencing numbers it isn't
-/// asked, since a newer number ends the older order.
+/// asked, since a newer number ends the older order. `clean` says that no copy of this order that
+/// `me` may have sent can strike any more: it never left, or its call has ended.
+///
+/// It is asked only while `me` carries no order to this endpoint out, so a row of its own that is
+/// still open was left behind by a lost answer of the table.
 #[must_use]
 pub fn next(
     row: Option<&Row>,
@@ -147,21 +151,20 @@
     me: Incarnation,
     epoch: u64,
     fences: bool,
+    clean: bool,
     gone: impl Fn(Incarnation) -> bool,
 ) -> Step {
     let Some(row) = row else {
         return Step::Close(close(None, wanted, me, epoch));
     };
     match row.stage {
-        Stage::Closing if row.epoch == epoch => Step::Nothing,
         // the former steward can't commit its intent any more, so nothing of it can be sent
         Stage::Closing => Step::Reopen(Row {
             stage: Stage::Reopened,
             epoch,
             ..row.clone()
         }),
-        Stage::Intent if row.sender == me && row.epoch == epoch => Step::Nothing,
-        Stage::Intent => Step::Resend(adopt(row, me, epoch, gone)),
+        Stage::Intent => Step::Resend(adopt(row, me, epoch, clean, gone)),
         Stage::Done if row.wanted == *wanted => Step::Nothing,
         Stage::Done | Stage::Failed | Stage::Reopened => {
             let open = (!fences)
@@ -169,7 +172,7 @@
                 .flatten();
             match open {
                 Some(_) if row.wanted == *wanted && row.stage == Stage::Failed => {
-                    Step::Resend(adopt(row, me, epoch, gone))
+                    Step::Resend(adopt(row, me, epoch, clean, gone))
                 }
                 Some(other) => Step::Wait(*other),
                 None => Step::Close(close(Some(row), wanted, me, epoch)),
@@ -189,12 +192,19 @@
     }
 }
 
-fn adopt(row: &Row, me: Incarnation, epoch: u64, gone: impl Fn(Incarnation) -> bool) -> Row {
+fn adopt(
+    row: &Row,
+    me: Incarnation,
+    epoch: u64,
+    clean: bool,
+    gone: impl Fn(Incarnation) -> bool,
+) -> Row {
+    let may_strike = row.stage == Stage::Intent && (row.sender != me || !clean);
     let mut earlier: Vec<Incarnation> = row
         .earlier
         .iter()
         .copied()
-        .chain((row.sender != me && row.stage == Stage::Intent).then_some(row.sender))
+        .chain(may_strike.then_some(row.sender))
         .filter(|other| !gone(*other))
         .collect();
     earlier.sort_unstable();
--- /dev/null
+++ b/components/spec/src/versions.rs
@@ -0,0 +1,170 @@
+//! Settings: two daemons accept changes of operators and tell each other; messages are late, lost
+//! and doubled, the table's answers are lost.
+
+use crate::{
+    Case,
+    explore::{Outcome, explore},
+};
+
+const DAEMONS: usize = 2;
+const VERSIONS: u8 = 3;
+const BOUNDS: &str = "2 daemons, 3 accepted changes, late, lost and doubled messages, lost answers";
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Variant {
+    Right,
+    /// A daemon applies whatever came last.
+    LastWins,
+    /// A commit doesn't compare the version that was read.
+    NoCompare,
+}
+
+/// A tree, reduced to the set of accepted changes that it holds, as bits.
+type Tree = u8;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Version {
+    number: u8,
+    tree: Tree,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct State {
+    table: Version,
+    daemons: [Version; DAEMONS],
+    /// A commit that is being prepared: the version it was read at.
+    preparing: [Option<Version>; DAEMONS],
+    /// Versions on their way to a daemon; delivered any number of times.
+    network: Vec<(usize, Version)>,
+    accepted: Tree,
+    changes: u8,
+    broken: Option<&'static str>,
+}
+
+#[derive(Debug)]
+#[expect(dead_code, reason = "the fields are read by Debug")]
+enum Label {
+    Reads { daemon: usize },
+    Commits { daemon: usize },
+    CommitAnswerIsLost { daemon: usize },
+    CommitRefused { daemon: usize },
+    Hears { daemon: usize, version: u8 },
+    Polls { daemon: usize },
+}
+
+fn start() -> State {
+    let empty = Version { number: 0, tree: 0 };
+    State {
+        table: empty,
+        daemons: [empty; DAEMONS],
+        preparing: [None; DAEMONS],
+        network: Vec::new(),
+        accepted: 0,
+        changes: 0,
+        broken: None,
+    }
+}
+
+fn apply(state: &mut State, daemon: usize, version: Version, variant: Variant) {
+    let now = state.daemons[daemon];
+    let newer = version.number > now.number;
+    if newer || variant == Variant::LastWins {
+        state.daemons[daemon] = version;
+        if version.number < now.number {
+            state.broken = Some("an accepted configuration never reverts");
+        }
+    }
+}
+
+fn next(state: &State, variant: Variant) -> Vec<(Label, State)> {
+    let mut steps = Vec::new();
+    for daemon in 0..DAEMONS {
+        let mut polled = state.clone();
+        apply(&mut polled, daemon, state.table, variant);
+        steps.push((Label::Polls { daemon }, polled));
+        match state.preparing[daemon] {
+            None if state.changes < VERSIONS => {
+                let mut next = state.clone();
+                next.preparing[daemon] = Some(state.daemons[daemon]);
+                steps.push((Label::Reads { daemon }, next));
+            }
+            None => {}
+            Some(base) => commit(state, daemon, base, variant, &mut steps),
+        }
+    }
+    for (daemon, version) in &state.network {
+        let mut next = state.clone();
+        apply(&mut next, *daemon, *version, variant);
+        steps.push((
+            Label::Hears {
+                daemon: *daemon,
+                version: version.number,
+            },
+            next,
+        ));
+    }
+    steps
+}
+
+fn commit(
+    state: &State,
+    daemon: usize,
+    base: Version,
+    variant: Variant,
+    steps: &mut Vec<(Label, State)>,
+) {
+    let mut next = state.clone();
+    next.preparing[daemon] = None;
+    if state.changes == VERSIONS {
+        steps.push((Label::CommitRefused { daemon }, next));
+        return;
+    }
+    if base.number != state.table.number && variant != Variant::NoCompare {
+        steps.push((Label::CommitRefused { daemon }, next));
+        return;
+    }
+    let bit = 1 << state.changes;
+    let version = Version {
+        number: state.table.number + 1,
+        tree: base.tree | bit,
+    };
+    next.table = version;
+    next.changes += 1;
+    next.accepted |= bit;
+    if version.tree != next.accepted {
+        next.broken = Some("an accepted configuration is in force and never reverts");
+    }
+    // a lost answer: the change is accepted, and this daemon hears of it later
+    let lost = next.clone();
+    apply(&mut next, daemon, version, variant);
+    for other in 0..DAEMONS {
+        if other != daemon {
+            next.network.push((other, version));
+        }
+    }
+    next.network.sort_unstable();
+    next.network.dedup();
+    steps.push((Label::Commits { daemon }, next));
+    steps.push((Label::CommitAnswerIsLost { daemon }, lost));
+}
+
+fn run(variant: Variant) -> Outcome {
+    explore(&start(), |state| next(state, variant), |state| state.broken)
+}
+
+const fn case(variant: &'static str, wrong: bool, run: fn() -> Outcome) -> Case {
+    Case {
+        model: "versions",
+        variant,
+        bounds: BOUNDS,
+        wrong,
+        run,
+    }
+}
+
+/// The model's cases.
+pub const CASES: &[Case] = &[
+    case("as built", false, || run(Variant::Right)),
+    case("what came last is applied", true, || run(Variant::LastWins)),
+    case("commit without comparing", true, || run(Variant::NoCompare)),
+];
--- /dev/null
+++ b/examples/demo_parts/mod.rs
@@ -0,0 +1,4 @@
+//! The parts of the demonstration.
+
+pub mod checks;
+pub mod fleet;
