Part reading from writing by routing, and let no group's head hold others up

Cause: a long prompt at the head of the fair queue held short questions up, and on engines that do both, long prompts slowed the writers. Change: up to eight groups' heads are tried in turn; what is ahead of a request counts by band of priority; routing counts what prompts and writers do to each other; a group may bound its wait for a turn.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,80 @@
+//! What one decision costs: routing at 12 and 64 engines, admission among 45,000 groups.
+
+use std::hint::black_box;
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use policy::{
+    fair::{Group, Queue, Waiting},
+    learn::Rates,
+    route::{Ask, Engine, Role, Weights, choose},
+};
+
+fn engines(count: u64) -> Vec<Engine> {
+    (0..count)
+        .map(|at| Engine {
+            role: Role::Mixed,
+            ahead: at * 131 % 1_000,
+            reading: at * 137 % 2_000,
+            writing: at * 7 % 40,
+            cached: at * 64 % 640,
+            distance: 0,
+            rates: Rates::default(),
+        })
+        .collect()
+}
+
+fn routing(criterion: &mut Criterion) {
+    let ask = Ask {
+        prompt: 1_000,
+        output: 100,
+        urgent: false,
+    };
+    let weights = Weights::default();
+    for count in [12, 64, 256] {
+        let engines = engines(count);
+        criterion.bench_function(&format!("route, {count} engines"), |bencher| {
+            bencher.iter(|| choose(black_box(&engines), &ask, &weights, 7));
+        });
+    }
+}
+
+fn admission(criterion: &mut Criterion) {
+    for count in [1_000, 10_000, 45_000_usize] {
+        let groups: Vec<Group> = (0..count)
+            .map(|at| Group {
+                parent: (at >= 100).then_some(at % 100),
+                share: 1,
+            })
+            .collect();
+        let mut queue = Queue::new(&groups);
+        // as many wait as a daemon lets wait, over as many groups
+        for id in 0..2_048_u64 {
+            queue.push(
+                100 + usize::try_from(id).expect("small") % (count - 100),
+                waiting(id),
+            );
+        }
+        let mut id = 10_000;
+        criterion.bench_function(&format!("admit and take, {count} groups"), |bencher| {
+            bencher.iter(|| {
+                id += 1;
+                let group = 100 + usize::try_from(id * 31).expect("small") % (count - 100);
+                queue.push(group, waiting(id));
+                let (next, _) = queue.heads(1)[0];
+                black_box(queue.take(next))
+            });
+        });
+    }
+}
+
+fn waiting(id: u64) -> Waiting {
+    Waiting {
+        id,
+        priority: 4,
+        work: 10_000 + id % 97,
+        deadline: u64::MAX,
+    }
+}
+
+criterion_group!(benches, routing, admission);
+criterion_main!(benches);
--- a/components/daemon/src/process/pool/entry.rs
+++ b/components/daemon/src/process/pool/entry.rs
@@ -7,7 +7,12 @@
 };
 
 use endpoint::engine::{CacheEvent, Report};
-use policy::{Micros, count, learn::Rates, real, route};
+use policy::{
+    Micros,
+    learn::Rates,
+    route,
+    view::{self, Reading, Sources},
+};
 use protocol::order;
 use settings::tree::resolve;
 
@@ -37,11 +42,11 @@
     /// Its speed, as learnt.
     pub rates: Rates,
     /// Prompt tokens that this daemon sent and that are not read yet.
-    pub reading: u64,
+    pub reading: Reading,
     /// This daemon's requests that write there.
     pub writing: u64,
-    /// Prompt tokens ever sent by this daemon, and ever read.
-    pub totals: (u64, u64),
+    /// Prompt tokens ever sent by this daemon.
+    pub sent: u64,
     /// Tokens ever written to this daemon's callers from there.
     pub written: u64,
     local: bool,
@@ -49,7 +54,7 @@
     reports: bool,
     since: Instant,
     quarantined: Option<Instant>,
-    peers_reading: u64,
+    peers_reading: Reading,
     peers_writing: u64,
     /// Blocks that its prefix cache likely holds, sorted.
     blocks: Vec<u64>,
@@ -71,13 +76,13 @@
             report: None,
             leaving: false,
             rates: Rates::default(),
-            reading: 0,
+            reading: Reading::default(),
             writing: 0,
-            totals: (0, 0),
+            sent: 0,
             written: 0,
             since: Instant::now(),
             quarantined: None,
-            peers_reading: 0,
+            peers_reading: Reading::default(),
             peers_writing: 0,
             blocks: Vec::new(),
             sequence: 0,
@@ -138,28 +143,35 @@
         let tokens = held * endpoint::engine::prefix::BLOCK_TOKENS;
         route::Engine {
             cached: u64::try_from(tokens).unwrap_or(0),
-            ..self.bare()
+            ..self.bare(need.priority)
         }
     }
 
-    /// It as routing sees it without a request.
-    pub fn bare(&self) -> route::Engine {
-        let told = self.report.as_ref().map_or((0, 0), |(report, at)| {
-            // what was waiting then has been read meanwhile
-            let read = count(micros(at.elapsed()) / self.rates.read_us.max(1.0));
-            let reading = report.waiting_prompt_tokens.saturating_sub(read);
-            (reading, report.writing)
+    /// It as routing sees it for any request of a priority.
+    pub fn bare(&self, priority: u8) -> route::Engine {
+        let told = self.report.as_ref().map(|(report, at)| {
+            (
+                report.waiting_prompt_tokens,
+                report.writing,
+                micros(at.elapsed()),
+            )
         });
-        let cached = 0;
+        let sources = Sources {
+            own: (self.reading, self.writing),
+            peers: (self.peers_reading, self.peers_writing),
+            told,
+        };
+        let out = view::outstanding(&sources, &self.rates, view::band(priority));
         route::Engine {
             role: match self.role() {
                 order::Role::Prefill => route::Role::Prefill,
                 order::Role::Decode => route::Role::Decode,
                 order::Role::Mixed => route::Role::Mixed,
             },
-            reading: (self.reading + self.peers_reading).max(told.0),
-            writing: (self.writing + self.peers_writing).max(told.1),
-            cached,
+            ahead: out.ahead,
+            reading: out.reading,
+            writing: out.writing,
+            cached: 0,
             distance: if self.local { 0 } else { FAR },
             rates: self.rates,
         }
@@ -224,13 +236,14 @@
         let loads = live.iter().flat_map(|member| &member.loads).filter(|load| {
             load.endpoint == self.id.number && *load.data_centre == *self.id.data_centre
         });
-        (self.peers_reading, self.peers_writing) =
-            loads.fold((0, 0), |(reading, writing), load| {
-                let ahead = load
-                    .sent_prompt_tokens
-                    .saturating_sub(load.done_prompt_tokens);
-                (reading + ahead, writing + u64::from(load.in_flight))
-            });
+        self.peers_reading = Reading::default();
+        self.peers_writing = 0;
+        for load in loads {
+            for (sum, reading) in self.peers_reading.iter_mut().zip(&load.reading) {
+                *sum += reading;
+            }
+            self.peers_writing += u64::from(load.in_flight);
+        }
     }
 
     /// What this daemon tells its peers of its dispatches to it.
@@ -238,14 +251,14 @@
         wire::Load {
             endpoint: self.id.number,
             data_centre: self.id.data_centre.to_string(),
-            sent_prompt_tokens: self.totals.0,
-            done_prompt_tokens: self.totals.1,
+            sent_prompt_tokens: self.sent,
+            reading: self.reading.to_vec(),
             in_flight: u32::try_from(self.writing).unwrap_or(u32::MAX),
             written_tokens: self.written,
         }
     }
 }
 
-fn micros(time: Duration) -> f64 {
-    real(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
+fn micros(time: Duration) -> Micros {
+    Micros::try_from(time.as_micros()).unwrap_or(Micros::MAX)
 }
--- a/components/daemon/src/process/pool/grant.rs
+++ b/components/daemon/src/process/pool/grant.rs
@@ -13,16 +13,18 @@
     /// Where it listens.
     pub address: SocketAddr,
     reading: u64,
+    band: usize,
     writes: bool,
     _hold: Hold,
 }
 
 impl Place {
-    pub(super) fn new(entry: &Entry, hold: Hold, reading: u64, writes: bool) -> Self {
+    pub(super) fn new(entry: &Entry, hold: Hold, reading: u64, band: usize, writes: bool) -> Self {
         Self {
             id: entry.id.clone(),
             address: entry.endpoint.address,
             reading,
+            band,
             writes,
             _hold: hold,
         }
@@ -31,8 +33,8 @@
     pub(super) fn count(&self, entries: &mut [Entry]) {
         if let Ok(at) = entries.binary_search_by(|entry| entry.id.cmp(&self.id)) {
             let entry = &mut entries[at];
-            entry.reading += self.reading;
-            entry.totals.0 += self.reading;
+            entry.reading[self.band] += self.reading;
+            entry.sent += self.reading;
             entry.writing += u64::from(self.writes);
         }
     }
@@ -41,8 +43,8 @@
         let reading = std::mem::take(&mut self.reading);
         if reading > 0 {
             pool.with(&self.id, |entry| {
-                entry.reading = entry.reading.saturating_sub(reading);
-                entry.totals.1 += reading;
+                let left = &mut entry.reading[self.band];
+                *left = left.saturating_sub(reading);
             });
         }
     }
--- a/components/daemon/src/process/pool/mod.rs
+++ b/components/daemon/src/process/pool/mod.rs
@@ -17,6 +17,7 @@
     learn::Rates,
     real,
     route::{self, Ask, Choice, Plan, Weights},
+    view::{self, URGENT},
 };
 use settings::tree::resolve;
 use tokio::sync::{Notify, oneshot};
@@ -26,14 +27,14 @@
 
 use super::{gates::Gates, members::Member};
 
-/// From this priority on a request goes ahead of everything that waits.
-pub const URGENT: u8 = 8;
 /// Output that is expected of a group that has not been served yet, in tokens.
 const FIRST_GUESS: f64 = 128.0;
 /// Weight of a new answer's length in a group's average.
 const OUTPUT_WEIGHT: f64 = 0.1;
 /// Longest time between two looks at the queue.
 const LOOK: Duration = Duration::from_millis(500);
+/// How many groups are tried in turn when the first one's request doesn't fit.
+const HEADS: usize = 8;
 /// How many write together when the work of an answer is estimated.
 const USUAL_BATCH: u64 = 16;
 /// When nothing is known, callers are told to come back after this long.
@@ -56,6 +57,8 @@
     pub priority: u8,
     /// When it must be done.
     pub deadline: Instant,
+    /// When its turn must have come.
+    pub start_by: Instant,
     /// Engines that have failed it.
     pub avoid: Vec<super::gates::Id>,
 }
@@ -171,8 +174,8 @@
             return Ok(grant);
         }
         let (ticket, grant) = self.enqueue(need)?;
-        let deadline = ticket.deadline;
-        let waited = tokio::time::timeout_at(deadline.into(), grant).await;
+        let start_by = ticket.start_by;
+        let waited = tokio::time::timeout_at(start_by.into(), grant).await;
         drop(ticket);
         match waited {
             Ok(Ok(grant)) => Ok(grant),
@@ -214,7 +217,8 @@
         let work = work(need.prompt, output);
         let wait = Duration::from_micros(line.queue.wait(need.group.0, engines));
         let service = Duration::from_micros(self.alone(need.prompt, output));
-        if Instant::now() + wait + service > need.deadline {
+        let now = Instant::now();
+        if now + wait + service > need.deadline || now + wait > need.start_by {
             return Err(if engines == 0 {
                 Unplaced::NoEndpoint { after: COME_BACK }
             } else {
@@ -244,19 +248,26 @@
 
     fn hand_out(self: &Arc<Self>) {
         let mut line = self.line();
-        while let Some((_, waiting)) = line.queue.peek() {
+        while self.hand_out_one(&mut line) {}
+    }
+
+    /// Gives the first request that fits its engine; says whether there was one.
+    fn hand_out_one(self: &Arc<Self>, line: &mut Line) -> bool {
+        for (group, waiting) in line.queue.heads(HEADS) {
             let Some(at) = line.find(waiting.id) else {
-                return;
+                continue;
             };
             let output = line.expected_output(&line.waiters[at].need);
             let Some(grant) = self.try_place(&line.waiters[at].need, output) else {
-                return;
+                continue;
             };
-            line.queue.pop();
+            line.queue.take(group);
             let waiter = line.waiters.remove(at);
             // one that hung up gives its grant back by dropping it
             let _ = waiter.grant.send(grant);
+            return true;
         }
+        false
     }
 
     fn try_place(self: &Arc<Self>, need: &Need, output: u64) -> Option<Grant> {
@@ -303,7 +314,13 @@
             let hold = self.gates.hold(&entry.id)?;
             let reading = if nth == 0 { need.prompt } else { 0 };
             let writes = nth + 1 == order.len();
-            places.push(Place::new(entry, hold, reading, writes));
+            places.push(Place::new(
+                entry,
+                hold,
+                reading,
+                view::band(need.priority),
+                writes,
+            ));
         }
         // counted only after all holds were had
         for place in &mut places {
@@ -327,7 +344,7 @@
         let view: Vec<route::Engine> = entries
             .iter()
             .filter(|entry| entry.takes())
-            .map(Entry::bare)
+            .map(|entry| entry.bare(0))
             .collect();
         drop(entries);
         route::soonest(&view, &self.weights).map_or(COME_BACK, |us| {
@@ -430,12 +447,12 @@
         self.next += 1;
         let id = self.next;
         let group = need.group.0;
-        let deadline = need.deadline;
+        let start_by = need.start_by;
         let waiting = Waiting {
             id,
             priority: need.priority,
             work,
-            deadline: pool.micros(deadline),
+            deadline: pool.micros(start_by),
         };
         self.queue.push(group, waiting);
         self.waiters.push(Waiter {
@@ -447,7 +464,7 @@
         Ticket {
             pool: Arc::clone(pool),
             id,
-            deadline,
+            start_by,
         }
     }
 
@@ -482,9 +499,9 @@
                 }
                 Err(_) => false,
             });
-        while let Some((group, waiting)) = old.pop() {
+        while let Some((old_group, waiting)) = old.heads(1).first().copied() {
+            old.take(old_group);
             if let Some(at) = self.find(waiting.id) {
-                let _ = group;
                 let group = self.waiters[at].need.group.0;
                 self.waiters[at].group = group;
                 self.queue.push(group, waiting);
@@ -505,7 +522,7 @@
 struct Ticket {
     pool: Arc<Pool>,
     id: u64,
-    deadline: Instant,
+    start_by: Instant,
 }
 
 impl Drop for Ticket {
--- a/components/daemon/src/process/steward/roles.rs
+++ b/components/daemon/src/process/steward/roles.rs
@@ -140,7 +140,7 @@
         let entry = entries
             .iter()
             .filter(|entry| entry.role() == from)
-            .min_by_key(|entry| entry.bare().writing + entry.bare().reading)?;
+            .min_by_key(|entry| entry.bare(0).writing + entry.bare(0).reading)?;
         let holds = entry.report.as_ref().map(|(report, _)| &report.holds)?;
         let wish = Wish {
             id: entry.id.clone(),
--- a/components/daemon/src/request/caller.rs
+++ b/components/daemon/src/request/caller.rs
@@ -19,6 +19,8 @@
     pub group: (usize, String),
     /// When its request must be done.
     pub deadline: Instant,
+    /// When its turn must have come.
+    pub start_by: Instant,
     /// 9 goes first.
     pub priority: u8,
 }
@@ -36,9 +38,12 @@
         let asked: Option<u64> = number(headers, DEADLINE)?;
         let time = asked.map_or(group.deadline.0, Duration::from_millis);
         let asked: Option<u8> = number(headers, PRIORITY)?;
+        let now = Instant::now();
+        let time = time.min(group.deadline.1);
         Ok(Self {
             group: (at, group.name.clone()),
-            deadline: Instant::now() + time.min(group.deadline.1),
+            deadline: now + time,
+            start_by: now + time.min(group.first_token),
             priority: asked.unwrap_or(group.priority.0).min(group.priority.1),
         })
     }
--- a/components/daemon/src/request/chat.rs
+++ b/components/daemon/src/request/chat.rs
@@ -158,6 +158,7 @@
         most_output: most,
         priority: caller.priority,
         deadline: caller.deadline,
+        start_by: caller.start_by,
         avoid: Vec::new(),
     };
     context.note(
--- a/components/daemon/src/request/generate.rs
+++ b/components/daemon/src/request/generate.rs
@@ -332,7 +332,7 @@
             let blocks = &self.job.need.blocks;
             self.job.pool.with(&live.at.0, |entry| {
                 // with others in between the time is not this prompt's alone
-                if entry.reading == 0 {
+                if entry.reading.iter().all(|tokens| *tokens == 0) {
                     let cached = frame.done.map_or(0, |done| done.cached_tokens);
                     entry.rates.first(prompt - cached.min(prompt), since);
                 }
@@ -348,7 +348,7 @@
         } else if frame.offset.is_multiple_of(SAMPLE) {
             self.job.pool.with(&live.at.0, |entry| {
                 entry.written += SAMPLE;
-                let seen = entry.bare();
+                let seen = entry.bare(0);
                 if seen.reading == 0 {
                     entry.rates.between(seen.writing, gap);
                 }
@@ -404,6 +404,8 @@
         };
         self.job.pool.with(failed, pool::Entry::failed);
         self.job.need.avoid.push(failed.clone());
+        // what has begun has until its deadline to go on
+        self.job.need.start_by = self.job.need.deadline;
         let left = self
             .job
             .need
--- a/components/daemon/src/request/plain.rs
+++ b/components/daemon/src/request/plain.rs
@@ -140,7 +140,7 @@
         let pool = process.pool(&self.service)?;
         let mut entries = pool.snapshot();
         entries.retain(|entry| entry.takes() && !avoid.contains(&entry.id));
-        entries.sort_by_key(|entry| (entry.bare().distance, process.gates.in_flight(&entry.id)));
+        entries.sort_by_key(|entry| (entry.bare(0).distance, process.gates.in_flight(&entry.id)));
         entries.into_iter().find_map(|entry| {
             let hold = process.gates.hold(&entry.id)?;
             Some((entry, hold))
--- a/components/policy/src/fair.rs
+++ b/components/policy/src/fair.rs
@@ -105,29 +105,40 @@
         true
     }
 
-    /// The group and request that go next.
+    /// The groups that go next, in their order, each with its first request; at most `most`.
+    ///
+    /// Several are given because the first one's request may need what is full just now, while
+    /// another's doesn't: a long prompt that waits for an engine holds nobody else up.
     #[must_use]
-    pub fn peek(&self) -> Option<(usize, Waiting)> {
-        let mut at = ROOT;
-        loop {
-            let node = &self.nodes[at];
-            match (node.waiting.first(), node.active.first()) {
-                // a group's own requests and its children take turns by time; its own come first
-                (Some(request), _) => return Some((at - 1, *request)),
-                (None, Some((_, child))) => at = *child,
-                (None, None) => return None,
+    pub fn heads(&self, most: usize) -> Vec<(usize, Waiting)> {
+        let mut heads = Vec::new();
+        self.visit(ROOT, most, &mut heads);
+        heads
+    }
+
+    fn visit(&self, at: usize, most: usize, heads: &mut Vec<(usize, Waiting)>) {
+        let node = &self.nodes[at];
+        if let Some(request) = node.waiting.first() {
+            heads.push((at - 1, *request));
+        }
+        for (_, child) in &node.active {
+            if heads.len() >= most {
+                return;
             }
+            self.visit(*child, most, heads);
         }
     }
 
-    /// Takes the request that goes next and charges its group.
-    pub fn pop(&mut self) -> Option<(usize, Waiting)> {
-        let (group, request) = self.peek()?;
+    /// Takes the first request of a group and charges the group for it.
+    pub fn take(&mut self, group: usize) -> Option<Waiting> {
         let at = group + 1;
-        self.nodes[at].waiting.remove(0);
+        if self.nodes[at].waiting.is_empty() {
+            return None;
+        }
+        let request = self.nodes[at].waiting.remove(0);
         self.charge(group, request.work);
         self.took(at, &request);
-        Some((group, request))
+        Some(request)
     }
 
     /// Charges a group for work: here, at a peer, or found on completion to be more than thought.
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod retry;
 pub mod role;
 pub mod route;
+pub mod view;
 
 /// Microseconds of the decider's own monotonic clock, or a span of them.
 pub type Micros = u64;
--- a/components/policy/src/route.rs
+++ b/components/policy/src/route.rs
@@ -22,7 +22,9 @@
 pub struct Engine {
     /// Its role.
     pub role: Role,
-    /// Prompt tokens that it still has to read: own and peers' dispatches, or its report's.
+    /// Prompt tokens that it will read before this request's: those of its priority or higher.
+    pub ahead: u64,
+    /// All prompt tokens that it still has to read.
     pub reading: u64,
     /// Requests that write there.
     pub writing: u64,
@@ -57,6 +59,10 @@
     pub transfer_per_thousand: Micros,
     /// How much of the delay that a prompt causes to those that write on a mixed engine is counted.
     pub disturbance: f64,
+    /// How much more than its time a delay between tokens counts.
+    pub held: f64,
+    /// The longest that a part of another prompt holds a token up.
+    pub chunk: Micros,
     /// Among engines this much dearer than the cheapest, chance decides: several deciders with old
     /// views would all take the same one otherwise.
     pub tie: f64,
@@ -65,10 +71,12 @@
 impl Default for Weights {
     fn default() -> Self {
         Self {
-            window: 400_000,
-            most_writing: 48,
+            window: 8_000_000,
+            most_writing: 40,
             transfer_per_thousand: 4_000,
-            disturbance: 0.5,
+            disturbance: 1.5,
+            held: 4.0,
+            chunk: 40_000,
             tie: 0.1,
         }
     }
@@ -144,8 +152,12 @@
     real(engine.reading) * engine.rates.read_us
 }
 
+fn time_ahead(engine: &Engine) -> f64 {
+    real(engine.ahead) * engine.rates.read_us
+}
+
 fn open(engine: &Engine, ask: &Ask, weights: &Weights) -> bool {
-    ask.urgent || reading_time(engine) <= real(weights.window)
+    ask.urgent || time_ahead(engine) <= real(weights.window)
 }
 
 fn has_room(engine: &Engine, ask: &Ask, weights: &Weights) -> bool {
@@ -154,11 +166,7 @@
 }
 
 fn wait(engine: &Engine, ask: &Ask) -> f64 {
-    let ahead = if ask.urgent {
-        0.0
-    } else {
-        reading_time(engine)
-    };
+    let ahead = if ask.urgent { 0.0 } else { time_ahead(engine) };
     real(engine.distance) + ahead
 }
 
@@ -167,12 +175,20 @@
 }
 
 /// Time to the first token, time to the last one, and the cost that is compared.
+///
+/// An engine that does both reads prompts between the tokens that it writes. So a request is held up
+/// by the prompts that wait there, also those behind it, and its own prompt holds up those that
+/// write. Counting both parts the engines into some that mostly read and some that mostly write, and
+/// moves that border with every request, without a change of role.
 fn mixed(engine: &Engine, ask: &Ask, weights: &Weights) -> (f64, f64, f64) {
     let own = own_reading(engine, ask);
     let first = wait(engine, ask) + own + engine.rates.step_us;
-    let whole = first + real(ask.output) * engine.rates.between_tokens(engine.writing + 1);
+    let behind = (reading_time(engine) - time_ahead(engine)).max(0.0);
+    let most_held = real(ask.output) * real(weights.chunk);
+    let held = behind.min(most_held);
+    let whole = first + real(ask.output) * engine.rates.between_tokens(engine.writing + 1) + held;
     let disturbed = own * real(engine.writing) * weights.disturbance;
-    (first, whole, whole + disturbed)
+    (first, whole, whole + held * weights.held + disturbed)
 }
 
 fn split(engines: &[Engine], ask: &Ask, weights: &Weights, draw: u64) -> Option<(Choice, f64)> {
--- /dev/null
+++ b/components/policy/src/view.rs
@@ -0,0 +1,65 @@
+//! What waits at an engine, from sources of different age.
+
+use crate::{Micros, count, learn::Rates, real};
+
+/// Bands of priority: an engine reads a higher band's prompts first.
+pub const BANDS: usize = 3;
+
+/// Prompt tokens to read, by band, the lowest first.
+pub type Reading = [u64; BANDS];
+
+/// From this priority on a request goes ahead of everything that waits.
+pub const URGENT: u8 = 8;
+/// From this priority on a request goes ahead of bulk.
+const FOREGROUND: u8 = 5;
+
+/// The band of a priority.
+#[must_use]
+pub fn band(priority: u8) -> usize {
+    usize::from(priority >= FOREGROUND) + usize::from(priority >= URGENT)
+}
+
+/// What this decider and its peers have sent, and what the engine said of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sources {
+    /// Own dispatches, exact: prompt tokens to read and requests that write.
+    pub own: (Reading, u64),
+    /// Peers' dispatches, as of their last digests.
+    pub peers: (Reading, u64),
+    /// The engine's report and its age; none when it never came.
+    pub told: Option<(u64, u64, Micros)>,
+}
+
+/// What an engine still has to do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Outstanding {
+    /// Prompt tokens of a band and those above it.
+    pub ahead: u64,
+    /// All prompt tokens.
+    pub reading: u64,
+    /// Requests that write.
+    pub writing: u64,
+}
+
+/// What the engine still has to do, as far as it concerns a request of a band.
+///
+/// Own and peers' dispatches are the newer sources. The report only adds what neither of them knows,
+/// such as the work of a peer that is cut off; what the engine has read since the report is taken
+/// off it. Its unknown part counts as ahead of nobody, since its priority isn't known.
+#[must_use]
+pub fn outstanding(sources: &Sources, rates: &Rates, band: usize) -> Outstanding {
+    let told = sources.told.map_or((0, 0), |(reading, writing, age)| {
+        let read = count(real(age) / rates.read_us.max(1.0));
+        (reading.saturating_sub(read), writing)
+    });
+    let sum = |from: usize| -> u64 {
+        let own: u64 = sources.own.0[from..].iter().sum();
+        let peers: u64 = sources.peers.0[from..].iter().sum();
+        own + peers
+    };
+    Outstanding {
+        ahead: sum(band),
+        reading: sum(0).max(told.0),
+        writing: (sources.own.1 + sources.peers.1).max(told.1),
+    }
+}
--- a/components/settings/src/tree/resolve.rs
+++ b/components/settings/src/tree/resolve.rs
@@ -20,6 +20,8 @@
     pub priority: (u8, u8),
     /// Deadline of a request that names none, and the longest it may name.
     pub deadline: (Duration, Duration),
+    /// Longest wait for a turn.
+    pub first_token: Duration,
     /// Models it may use; all when empty. Sorted.
     pub models: Vec<String>,
 }
@@ -255,6 +257,7 @@
                     time(tree, path, "deadline"),
                     time(tree, path, "deadline_max"),
                 ),
+                first_token: time(tree, path, "first_token"),
                 models: names(raw(tree, path, "models")),
             }
         })
--- a/components/settings/src/tree/schema.rs
+++ b/components/settings/src/tree/schema.rs
@@ -158,6 +158,12 @@
                 "10m",
                 "Longest deadline a request may name.",
             ),
+            defaulted(
+                "first_token",
+                Type::Time(10, HOUR_MS),
+                "1h",
+                "Longest wait for a turn; a request that would wait longer is refused at once.",
+            ),
             optional(
                 "keys",
                 Type::Digests,
--- /dev/null
+++ b/examples/mixshift_parts/run.rs
@@ -0,0 +1,560 @@
+//! One run: arrivals, steps of engines, reports, digests and role decisions in order of time.
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use policy::{
+    count,
+    learn::Rates,
+    real,
+    role::{self, Bounds, Change, Demand, Split},
+    route::{Plan, Role, Weights},
+    view::{self, Reading},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use standin::batch::{Job, Speed, Token};
+
+use super::{
+    decider::{Decider, Open},
+    fleet::{Engine, State},
+    policies::{Policy, Roles, Routing},
+    report::Results,
+    workload::{Case, LENGTH, Request, Site, requests},
+};
+
+/// Options of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Whose sizes.
+    pub site: Site,
+    /// How many deciders share the arrivals.
+    pub deciders: usize,
+    /// How late reports are.
+    pub lag_ms: u64,
+    /// The routing window.
+    pub window_ms: u64,
+    /// Weight of the delay to those that write.
+    pub disturbance: f64,
+    /// Most requests that write at an engine.
+    pub most_writing: u64,
+    /// Weight of the delay by prompts behind.
+    pub held: f64,
+    /// The horizon of role decisions.
+    pub horizon_s: u64,
+    /// The seed.
+    pub seed: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            site: Site::Association,
+            deciders: 3,
+            lag_ms: 300,
+            window_ms: Weights::default().window / 1_000,
+            disturbance: Weights::default().disturbance,
+            held: Weights::default().held,
+            most_writing: Weights::default().most_writing,
+            horizon_s: 120,
+            seed: 1,
+        }
+    }
+}
+
+const ENGINES: usize = 12;
+const DIGEST_US: u64 = 500_000;
+const REPORT_US: u64 = 250_000;
+const ROLE_US: u64 = 2_000_000;
+const SPACING_US: u64 = 3_600_000_000 / 40;
+const CRASH_AT: u64 = 120_000_000;
+const WITHDRAW_AT: u64 = 240_000_000;
+/// How many groups are tried in turn, as in the daemon.
+const HEADS: usize = 8;
+/// Share of cache events that are lost.
+const GAPS: f64 = 0.2;
+
+fn weights(policy: Policy, options: Options) -> Weights {
+    let usual = Weights {
+        window: options.window_ms * 1_000,
+        disturbance: options.disturbance,
+        held: options.held,
+        most_writing: options.most_writing,
+        ..Weights::default()
+    };
+    match policy.routing {
+        Routing::Plain => Weights {
+            disturbance: 0.0,
+            held: 0.0,
+            chunk: 0,
+            ..usual
+        },
+        _ => usual,
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival(usize),
+    StepEnd(usize),
+    Digests,
+    Reports,
+    /// A report as it was made some time ago reaches the deciders.
+    ReportArrives(usize, u64, u64, u64),
+    Roles,
+    RoleDone(usize),
+    Crash,
+    Withdraw,
+}
+
+struct Flight {
+    decider: usize,
+    plan: Plan,
+    first: Option<u64>,
+    /// Whether the second engine of a split has it.
+    writing: bool,
+}
+
+struct World {
+    now: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    order: u64,
+    requests: Vec<Request>,
+    flights: Vec<Option<Flight>>,
+    engines: Vec<Engine>,
+    deciders: Vec<Decider>,
+    demand: Demand,
+    arrived: (u64, u64),
+    changed: Option<u64>,
+    policy: Policy,
+    options: Options,
+    weights: Weights,
+    rng: StdRng,
+    results: Results,
+}
+
+/// Runs one case.
+pub fn run(case: Case, policy: Policy, options: Options) -> Results {
+    let mut world = World::new(case, policy, options);
+    while let Some(Reverse((at, _, event))) = world.events.pop() {
+        world.now = at;
+        world.handle(event);
+    }
+    world.results
+}
+
+impl World {
+    fn new(case: Case, policy: Policy, options: Options) -> Self {
+        let requests = requests(case, options.site, options.seed);
+        let (prefill, decode) = policy.split;
+        let role = |at: usize| match at {
+            at if at < prefill => Role::Prefill,
+            at if at < prefill + decode => Role::Decode,
+            _ => Role::Mixed,
+        };
+        let mut world = Self {
+            now: 0,
+            events: BinaryHeap::new(),
+            order: 0,
+            flights: requests.iter().map(|_| None).collect(),
+            engines: (0..ENGINES)
+                .map(|at| Engine::new(role(at), Speed::default()))
+                .collect(),
+            deciders: (0..options.deciders)
+                .map(|_| Decider::new(ENGINES))
+                .collect(),
+            demand: Demand::default(),
+            arrived: (0, 0),
+            changed: None,
+            policy,
+            options,
+            weights: weights(policy, options),
+            rng: StdRng::seed_from_u64(options.seed ^ 0x5eed),
+            results: Results::new(&requests),
+            requests,
+        };
+        for at in 0..world.requests.len() {
+            world.at(world.requests[at].at, Event::Arrival(at));
+        }
+        world.at(DIGEST_US, Event::Digests);
+        world.at(REPORT_US, Event::Reports);
+        world.at(ROLE_US, Event::Roles);
+        if case == Case::Crash {
+            world.at(CRASH_AT, Event::Crash);
+            world.at(WITHDRAW_AT, Event::Withdraw);
+        }
+        world
+    }
+
+    fn at(&mut self, at: u64, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((at, self.order, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival(id) => self.arrive(id),
+            Event::StepEnd(engine) => self.step_end(engine),
+            Event::Digests => self.digests(),
+            Event::Reports => self.reports(),
+            Event::ReportArrives(engine, reading, writing, made) => {
+                for decider in &mut self.deciders {
+                    decider.seen[engine].told = Some((reading, writing, made));
+                }
+            }
+            Event::Roles => self.roles(),
+            Event::RoleDone(engine) => self.role_done(engine),
+            Event::Crash => self.crash(0),
+            Event::Withdraw => {
+                let last = self.engines.len() - 1;
+                self.engines[last].state = State::Closing(Role::Mixed);
+                self.engines[last].role = Role::Mixed;
+            }
+        }
+        for decider in 0..self.deciders.len() {
+            self.pump(decider);
+        }
+    }
+
+    fn open(&self) -> Vec<Open> {
+        self.engines
+            .iter()
+            .map(|engine| (engine.role, engine.state == State::Open))
+            .collect()
+    }
+
+    fn arrive(&mut self, id: usize) {
+        let decider = id % self.deciders.len();
+        let request = &self.requests[id];
+        let work = self.deciders[decider].work(request);
+        let read = count(real(request.prompt) * Rates::default().read_us);
+        self.arrived.0 += read;
+        self.arrived.1 += work - read.min(work);
+        // baselines have no queue: they send at once and refuse nothing
+        if !matches!(self.policy.routing, Routing::Cost | Routing::Plain) {
+            let open = self.open();
+            self.try_place(decider, id, &open);
+            return;
+        }
+        let engines = self.open().iter().filter(|(_, open)| *open).count() as u64;
+        let share = (engines / self.deciders.len() as u64).max(1);
+        let request = &self.requests[id];
+        if !self.deciders[decider].admit(id, request, self.now, share) {
+            self.results.refused(request.class);
+        }
+    }
+
+    fn pump(&mut self, decider: usize) {
+        if self.deciders[decider].queue.is_empty() {
+            return;
+        }
+        let open = self.open();
+        while self.place_one(decider, &open) {}
+    }
+
+    /// Places the first request that fits; says whether there was one.
+    fn place_one(&mut self, decider: usize, open: &[Open]) -> bool {
+        for (group, waiting) in self.deciders[decider].queue.heads(HEADS) {
+            let id = usize::try_from(waiting.id).expect("an index");
+            if self.now > waiting.deadline {
+                self.deciders[decider].queue.remove(group, waiting.id);
+                self.results.refused(self.requests[id].class);
+                return true;
+            }
+            if self.try_place(decider, id, open) {
+                self.deciders[decider].queue.take(group);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn try_place(&mut self, decider: usize, id: usize, open: &[Open]) -> bool {
+        let request = &self.requests[id];
+        let choice = self.deciders[decider].choose(
+            request,
+            open,
+            self.policy.routing,
+            &self.weights,
+            self.now,
+            &mut self.rng,
+        );
+        let Some(choice) = choice else {
+            return false;
+        };
+        let first = choice.plan.first();
+        let last = match choice.plan {
+            Plan::Whole { engine } => engine,
+            Plan::Split { decode, .. } => decode,
+        };
+        let seen = &mut self.deciders[decider].seen;
+        seen[first].own.0[view::band(request.class.priority())] += request.prompt;
+        seen[last].own.1 += 1;
+        let until = if first == last { request.output } else { 1 };
+        let job = Job {
+            id: id as u64,
+            priority: request.class.priority(),
+            prompt_tokens: request.prompt,
+            blocks: request.blocks.clone(),
+            until,
+            from: 0,
+            imported: false,
+        };
+        self.flights[id] = Some(Flight {
+            decider,
+            plan: choice.plan,
+            first: None,
+            writing: first == last,
+        });
+        self.submit(first, job);
+        true
+    }
+
+    fn submit(&mut self, engine: usize, job: Job) {
+        if let Some(us) = self.engines[engine].submit(job) {
+            self.at(self.now + us, Event::StepEnd(engine));
+        }
+    }
+
+    fn step_end(&mut self, engine: usize) {
+        if matches!(self.engines[engine].state, State::Gone | State::Away(_)) {
+            return;
+        }
+        let tokens = self.engines[engine].step.take().map(|step| step.tokens);
+        for token in tokens.unwrap_or_default() {
+            self.token(engine, token);
+        }
+        if self.engines[engine].step.is_none()
+            && let Some(us) = self.engines[engine].begin()
+        {
+            self.at(self.now + us, Event::StepEnd(engine));
+        }
+        self.maybe_leave(engine);
+    }
+
+    fn token(&mut self, engine: usize, token: Token) {
+        let id = usize::try_from(token.id).expect("an index");
+        let Some(flight) = self.flights[id].as_mut() else {
+            return;
+        };
+        let decider = flight.decider;
+        let request = &self.requests[id];
+        if flight.first.is_none() {
+            flight.first = Some(self.now);
+            let band = view::band(request.class.priority());
+            self.deciders[decider].seen[engine].own.0[band] -= request.prompt;
+            self.deciders[decider].read(engine, &request.blocks);
+        }
+        if token.offset + 1 >= request.output {
+            self.finish(id);
+        } else if let (true, false, Plan::Split { decode, .. }) =
+            (token.last, flight.writing, flight.plan)
+        {
+            flight.writing = true;
+            let job = Job {
+                id: token.id,
+                priority: request.class.priority(),
+                prompt_tokens: request.prompt,
+                blocks: Vec::new(),
+                until: request.output,
+                from: 1,
+                imported: true,
+            };
+            self.submit(decode, job);
+        }
+    }
+
+    fn finish(&mut self, id: usize) {
+        let Some(flight) = self.flights[id].take() else {
+            return;
+        };
+        let request = &self.requests[id];
+        let last = match flight.plan {
+            Plan::Whole { engine } => engine,
+            Plan::Split { decode, .. } => decode,
+        };
+        self.deciders[flight.decider].seen[last].own.1 -= 1;
+        self.deciders[flight.decider].finished(request);
+        self.results.finished(request, flight.first, self.now);
+    }
+
+    fn digests(&mut self) {
+        if self.now < count(LENGTH * 1e6) {
+            self.at(self.now + DIGEST_US, Event::Digests);
+        }
+        for engine in 0..self.engines.len() {
+            let all: Vec<_> = self.deciders.iter().map(|d| d.seen[engine].own).collect();
+            for (at, decider) in self.deciders.iter_mut().enumerate() {
+                let others = all.iter().enumerate().filter(|(other, _)| *other != at);
+                let none = (Reading::default(), 0);
+                decider.seen[engine].peers = others.fold(none, |mut sum, (_, own)| {
+                    for (sum, reading) in sum.0.iter_mut().zip(own.0) {
+                        *sum += reading;
+                    }
+                    (sum.0, sum.1 + own.1)
+                });
+            }
+        }
+    }
+
+    fn reports(&mut self) {
+        if self.now < count(LENGTH * 1e6) {
+            self.at(self.now + REPORT_US, Event::Reports);
+        }
+        let late = self.now + self.options.lag_ms * 1_000;
+        for engine in 0..self.engines.len() {
+            let batch = &self.engines[engine].batch;
+            let reading = batch.waiting_prompt_tokens();
+            let writing = batch.writing() as u64;
+            let made = self.now;
+            self.at(late, Event::ReportArrives(engine, reading, writing, made));
+            let cache = self.engines[engine].batch.cache();
+            for decider in &mut self.deciders {
+                let seen = &mut decider.seen[engine];
+                for event in cache.events_after(seen.sequence) {
+                    seen.sequence = event.sequence;
+                    let held = seen.blocks.binary_search(&event.block);
+                    match held {
+                        _ if self.rng.random_bool(GAPS) => {}
+                        Err(at) if event.held => seen.blocks.insert(at, event.block),
+                        Ok(at) if !event.held => {
+                            seen.blocks.remove(at);
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn roles(&mut self) {
+        if self.now < count(LENGTH * 1e6) {
+            self.at(self.now + ROLE_US, Event::Roles);
+        }
+        let (read, write) = std::mem::take(&mut self.arrived);
+        self.demand.observe(self.now, read, write);
+        let change = match self.policy.roles {
+            Roles::Fixed => None,
+            Roles::Forecast => {
+                let bounds = Bounds {
+                    reserve: 1,
+                    horizon: self.options.horizon_s * 1_000_000,
+                    away: 10_000_000,
+                    spacing: SPACING_US,
+                };
+                let load = self.demand.forecast();
+                role::decide(self.split(), load, &bounds, self.now, self.changed)
+            }
+            Roles::Threshold => self.threshold(),
+        };
+        if let Some(change) = change {
+            self.change(change);
+        }
+    }
+
+    fn split(&self) -> Split {
+        let of = |role: Role| {
+            let engines = self.engines.iter();
+            let matching = engines.filter(|e| e.role == role && e.state == State::Open);
+            u32::try_from(matching.count()).expect("a few")
+        };
+        Split {
+            prefill: of(Role::Prefill),
+            decode: of(Role::Decode),
+            mixed: of(Role::Mixed),
+        }
+    }
+
+    /// The simple baseline: the phase with much the fuller engines gets one of the other's.
+    fn threshold(&self) -> Option<Change> {
+        let of = |role: Role| self.engines.iter().filter(move |e| e.role == role);
+        let reading: u64 = of(Role::Prefill)
+            .map(|e| e.batch.waiting_prompt_tokens())
+            .sum();
+        let writing: u64 = of(Role::Decode).map(|e| e.batch.requests() as u64).sum();
+        let readers = of(Role::Prefill).count().max(1) as u64;
+        let writers = of(Role::Decode).count().max(1) as u64;
+        let waits = reading / readers > 10_000;
+        let full = writing / writers > 40;
+        match (waits, full) {
+            (true, false) if writers > 1 => Some(Change::ToPrefill),
+            (false, true) if readers > 1 => Some(Change::ToDecode),
+            _ => None,
+        }
+    }
+
+    fn change(&mut self, change: Change) {
+        let (from, to) = match change {
+            Change::ToPrefill => (Role::Decode, Role::Prefill),
+            Change::ToDecode => (Role::Prefill, Role::Decode),
+        };
+        let candidates = (0..self.engines.len())
+            .filter(|at| self.engines[*at].role == from && self.engines[*at].state == State::Open);
+        let Some(engine) = candidates.min_by_key(|at| self.engines[*at].batch.requests()) else {
+            return;
+        };
+        self.engines[engine].state = State::Closing(to);
+        self.changed = Some(self.now);
+        self.results.changes += 1;
+        self.maybe_leave(engine);
+    }
+
+    fn maybe_leave(&mut self, engine: usize) {
+        if !matches!(self.engines[engine].state, State::Closing(_)) {
+            return;
+        }
+        // a split's second half may still be on its way to it
+        let expected = self
+            .flights
+            .iter()
+            .flatten()
+            .any(|flight| match flight.plan {
+                Plan::Whole { engine: one } => one == engine,
+                Plan::Split { prefill, decode } => prefill == engine || decode == engine,
+            });
+        if let (State::Closing(to), false) = (self.engines[engine].state, expected) {
+            self.engines[engine].state = State::Away(to);
+            let away = Speed::default().change_ms * 1_000;
+            self.at(self.now + away, Event::RoleDone(engine));
+        }
+    }
+
+    fn role_done(&mut self, engine: usize) {
+        if let State::Away(to) = self.engines[engine].state {
+            self.engines[engine] = Engine::new(to, Speed::default());
+            for decider in &mut self.deciders {
+                decider.seen[engine].blocks.clear();
+                decider.seen[engine].sequence = 0;
+            }
+        }
+    }
+
+    /// An engine is gone; its requests start anew, as their daemons would have them.
+    fn crash(&mut self, engine: usize) {
+        self.engines[engine].state = State::Gone;
+        for id in 0..self.flights.len() {
+            let Some(flight) = &self.flights[id] else {
+                continue;
+            };
+            let (first, last) = match flight.plan {
+                Plan::Whole { engine } => (engine, engine),
+                Plan::Split { prefill, decode } => (prefill, decode),
+            };
+            if first != engine && last != engine {
+                continue;
+            }
+            let decider = flight.decider;
+            let read = flight.first.is_some();
+            let request = &self.requests[id];
+            let seen = &mut self.deciders[decider].seen;
+            seen[last].own.1 -= 1;
+            if !read {
+                seen[first].own.0[view::band(request.class.priority())] -= request.prompt;
+            }
+            for other in [first, last] {
+                self.engines[other].batch.cancel(id as u64);
+            }
+            self.flights[id] = None;
+            let open = self.open();
+            self.try_place(decider, id, &open);
+        }
+    }
+}
--- /dev/null
+++ b/examples/slopes.rs
@@ -0,0 +1,248 @@
+//! Measures how state, messages and processor time grow, for `docs/CAPACITY.md`: three or more
+//! sizes each, and the line through them.
+
+use std::time::Instant;
+
+use platform::table::Transaction;
+use policy::real;
+use protocol::claim::{Row, Stage};
+use settings::tree::{Node, Tree, resolve};
+use wire::{Heartbeat, Load, Member, Usage};
+
+struct Point {
+    size: u64,
+    us: f64,
+    bytes: f64,
+}
+
+/// Least squares through the points: where it starts and how steep it is.
+fn fit(points: &[Point], of: impl Fn(&Point) -> f64) -> (f64, f64) {
+    let n = real(u64::try_from(points.len()).unwrap_or(0));
+    let mean = |f: &dyn Fn(&Point) -> f64| points.iter().map(f).sum::<f64>() / n;
+    let x = mean(&|p| real(p.size));
+    let y = mean(&|p| of(p));
+    let up: f64 = points
+        .iter()
+        .map(|p| (real(p.size) - x) * (of(p) - y))
+        .sum();
+    let down: f64 = points.iter().map(|p| (real(p.size) - x).powi(2)).sum();
+    let slope = up / down;
+    (y - slope * x, slope)
+}
+
+fn tell(what: &str, points: &[Point]) {
+    for point in points {
+        println!(
+            "{what}: {} -> {:.1} us, {:.0} bytes",
+            point.size, point.us, point.bytes
+        );
+    }
+    let (us, us_each) = fit(points, |p| p.us);
+    let (bytes, bytes_each) = fit(points, |p| p.bytes);
+    println!(
+        "{what}: fit {us:.1} us + {us_each:.4} us each, {bytes:.0} bytes + {bytes_each:.1} bytes each\n"
+    );
+}
+
+/// The median time of some runs, in microseconds.
+fn time(mut run: impl FnMut()) -> f64 {
+    let mut times: Vec<f64> = (0..15)
+        .map(|_| {
+            let began = Instant::now();
+            run();
+            began.elapsed().as_secs_f64() * 1e6
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times[times.len() / 2]
+}
+
+fn tree(groups: u64) -> Tree {
+    let nodes = (0..groups).map(|at| Node {
+        path: format!("group/g{at:05}"),
+        values: vec![
+            ("keys".to_owned(), resolve::secret_digest(&at.to_string())),
+            ("share".to_owned(), "1".to_owned()),
+        ],
+    });
+    Tree::new(1, nodes.collect())
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> f64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: u64 = statm
+        .split(' ')
+        .nth(1)
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(0);
+    real(pages * 4_096)
+}
+
+fn settings_tree() {
+    let mut whole = Vec::new();
+    let mut sent = Vec::new();
+    let mut held = Vec::new();
+    for size in [5_000, 15_000, 45_000] {
+        let tree = tree(size);
+        let text = serde_json::to_string(&tree).unwrap_or_default();
+        let us = time(|| {
+            std::hint::black_box(resolve::Version::new(&tree));
+        });
+        whole.push(Point {
+            size,
+            us,
+            bytes: real(text.len() as u64),
+        });
+        let edit = [settings::tree::Edit::Set {
+            path: "group/g00001".to_owned(),
+            key: "share".to_owned(),
+            value: "2".to_owned(),
+        }];
+        let us = time(|| {
+            std::hint::black_box(tree.apply(&edit).is_ok());
+        });
+        sent.push(Point {
+            size,
+            us,
+            bytes: real(serde_json::to_string(&edit).unwrap_or_default().len() as u64),
+        });
+        let before = resident();
+        let kept: Vec<_> = (0..4)
+            .map(|_| (tree.clone(), resolve::Version::new(&tree)))
+            .collect();
+        let bytes = (resident() - before) / 4.0;
+        held.push(Point {
+            size,
+            us: 0.0,
+            bytes,
+        });
+        drop(kept);
+    }
+    tell("typing a whole tree, by groups (bytes: as text)", &whole);
+    tell(
+        "applying and checking one change, by groups (bytes: the change)",
+        &sent,
+    );
+    tell("memory of a version in force, by groups", &held);
+}
+
+fn heartbeats() {
+    let points = [12, 64, 256].map(|size: u64| {
+        let beat = beat(size, 16, 20);
+        measure_beat(size, &beat)
+    });
+    tell("heartbeat made and read, by endpoints", &points);
+    let points = [10, 100, 1_000].map(|size: u64| {
+        let beat = beat(12, 16, size);
+        measure_beat(size, &beat)
+    });
+    tell("heartbeat made and read, by groups in use", &points);
+}
+
+fn measure_beat(size: u64, beat: &Heartbeat) -> Point {
+    use prost::Message;
+    let bytes = beat.encode_to_vec();
+    let us = time(|| {
+        for _ in 0..20 {
+            let bytes = beat.encode_to_vec();
+            std::hint::black_box(Heartbeat::decode(bytes.as_slice()).is_ok());
+        }
+    }) / 20.0;
+    Point {
+        size,
+        us,
+        bytes: real(bytes.len() as u64),
+    }
+}
+
+fn beat(endpoints: u64, members: u64, groups: u64) -> Heartbeat {
+    Heartbeat {
+        settings_version: 1 << 20,
+        loads: (0..endpoints)
+            .map(|at| Load {
+                endpoint: u32::try_from(at).unwrap_or(0),
+                data_centre: "sala-a".to_owned(),
+                sent_prompt_tokens: 1 << 40,
+                reading: vec![1 << 12; 3],
+                in_flight: 20,
+                written_tokens: 1 << 40,
+            })
+            .collect(),
+        known: (0..members)
+            .map(|at| Member {
+                incarnation: u64::MAX - at,
+                address: "10.41.1.11:8081".to_owned(),
+                data_centre: "sala-a".to_owned(),
+            })
+            .collect(),
+        usages: (0..groups)
+            .map(|at| Usage {
+                group: format!("g{at:05}"),
+                work: 1 << 40,
+            })
+            .collect(),
+        ..Heartbeat::default()
+    }
+}
+
+fn claims() {
+    let points = [1, 16, 64].map(|size: u64| {
+        let row = Row {
+            digest: u64::MAX,
+            claimant: protocol::Incarnation(u64::MAX),
+            token: u64::MAX,
+            at_ms: 1 << 40,
+            stage: Stage::Claimed,
+        };
+        let make = || {
+            (0..size).fold(Transaction::default(), |all, at| {
+                let key = format!("claim/readings/{at:016x}/{at:032x}");
+                let text = serde_json::to_string(&row).unwrap_or_default();
+                all.check(&key, 0).write(&key, text)
+            })
+        };
+        let text = serde_json::to_string(&make()).unwrap_or_default();
+        let us = time(|| {
+            std::hint::black_box(serde_json::to_string(&make()).is_ok());
+        });
+        Point {
+            size,
+            us,
+            bytes: real(text.len() as u64),
+        }
+    });
+    tell("one transaction of claims, by claims", &points);
+}
+
+fn reports() {
+    let report = endpoint::engine::Report {
+        boot: u64::MAX,
+        number: 1_000,
+        waiting_prompt_tokens: 100_000,
+        ..endpoint::engine::Report::default()
+    };
+    let text = serde_json::to_string(&report).unwrap_or_default();
+    let points = [1, 12, 64].map(|size: u64| {
+        let us = time(|| {
+            for _ in 0..size {
+                let read: Result<endpoint::engine::Report, _> = serde_json::from_str(&text);
+                std::hint::black_box(read.is_ok());
+            }
+        });
+        Point {
+            size,
+            us,
+            bytes: real(size * text.len() as u64),
+        }
+    });
+    tell("load reports read, by engines (without HTTP)", &points);
+}
+
+fn main() {
+    settings_tree();
+    heartbeats();
+    claims();
+    reports();
+    println!("resident at the end: {:.0} MB", resident() / 1e6);
+}
