Hold each interface to a contract, and callers to a table of bad input

Cause: the adapters and the edge towards callers were proved only in passing. The new rows failed first on four faults: a request whose deadline had passed was sent all the same and told 'unknown'; the bound on bytes of bodies was listed and not enforced; the table stand-in dropped a slow write when its caller gave up, so late writes were never tried; ten successes did not earn the retry that they should (a sum of tenths in floating point). Change: what can't come in time even alone on an engine is refused at once as not run; bodies are counted against queue_bytes; the stand-in commits in a task of its own; the budget counts whole numbers. Ruled out: checking the deadline only in the queue.

--- a/components/daemon/src/process/mod.rs
+++ b/components/daemon/src/process/mod.rs
@@ -105,6 +105,8 @@
     pub phase: watch::Sender<Phase>,
     /// Requests under way; a planned stop waits until there are none.
     pub under_way: watch::Sender<usize>,
+    /// Bytes of bodies held by requests under way.
+    pub held_bytes: Arc<std::sync::atomic::AtomicUsize>,
     /// Open connections of callers; a planned stop waits until there are none.
     pub connections: watch::Sender<usize>,
     /// Work given to groups by this daemon, in microseconds, sorted by group.
@@ -274,6 +276,7 @@
         service: Service::default(),
         phase: watch::Sender::new(Phase::Serving),
         under_way: watch::Sender::new(0),
+        held_bytes: Arc::default(),
         connections: watch::Sender::new(0),
         usage: Mutex::default(),
         lost_orders: Mutex::default(),
--- a/components/daemon/src/process/pool/mod.rs
+++ b/components/daemon/src/process/pool/mod.rs
@@ -170,6 +170,14 @@
 
     /// Gives a request its engines, at once or after it has waited its turn.
     pub async fn place(self: &Arc<Self>, need: Need) -> Result<Grant, Unplaced> {
+        // even alone on an engine it would come too late
+        let output = self.line().expected_output(&need);
+        let alone = Duration::from_micros(self.alone(need.prompt, output));
+        if Instant::now() + alone > need.deadline {
+            return Err(Unplaced::Late {
+                after: self.come_back(),
+            });
+        }
         if let Some(grant) = self.try_now(&need) {
             return Ok(grant);
         }
--- a/components/daemon/src/request/chat.rs
+++ b/components/daemon/src/request/chat.rs
@@ -61,13 +61,12 @@
 
 /// Serves one completion.
 pub async fn serve(
-    context: Context,
+    mut context: Context,
     caller: Caller,
     form: Form,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
-    let limits = &context.process.settings.limits;
-    let bytes = body::read(request.into_body(), limits).await?;
+    let bytes = body::read(&mut context, request.into_body()).await?;
     let asked: Asked = serde_json::from_slice(&bytes).map_err(|error| match error.classify() {
         serde_json::error::Category::Data => {
             Reason::BadBody("a field is missing or of a wrong type")
--- a/components/daemon/src/request/mod.rs
+++ b/components/daemon/src/request/mod.rs
@@ -40,6 +40,8 @@
     pub version: Arc<Snapshot>,
     /// Its number, in hexadecimal.
     pub id: String,
+    /// The bytes of its body.
+    held: Option<body::Held>,
     /// Counts it as under way.
     _under_way: Counted,
 }
@@ -91,6 +93,7 @@
         process: Arc::clone(process),
         version,
         id: id.to_owned(),
+        held: None,
         _under_way: Counted::new(&process.under_way),
     };
     let path = request.uri().path().to_owned();
--- a/components/daemon/src/request/plain.rs
+++ b/components/daemon/src/request/plain.rs
@@ -61,7 +61,7 @@
 
 /// Serves one request.
 pub async fn serve(
-    context: Context,
+    mut context: Context,
     caller: Caller,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
@@ -78,10 +78,11 @@
     let path = format!("/{path}{}", query.unwrap_or_default());
     let repeat = service.repeat_of(&path);
     let key = key(&head.headers)?;
-    let body = body::read(incoming, &context.process.settings.limits).await?;
+    let service = service.name.clone();
+    let body = body::read(&mut context, incoming).await?;
     context.note(Kind::Admitted, format!("{} {name}{path}", head.method));
     let call = Call {
-        service: service.name.clone(),
+        service,
         caller,
         method: head.method,
         path,
--- /dev/null
+++ b/components/endpoint/tests/contract.rs
@@ -0,0 +1,186 @@
+//! What the daemon relies on of engines and plain services. Any adapter and its endpoint must pass.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use endpoint::{
+    Failure,
+    engine::{Engine, Frame, Generate, Order},
+    service::Service,
+};
+use hyper::{HeaderMap, Method};
+use protocol::order::{Role, Wanted};
+use standin::{
+    batch::Speed,
+    engine::{Engine as Standin, Faults, Setup, expected},
+    service,
+};
+
+const WAIT: Duration = Duration::from_secs(5);
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn start(fences: bool) -> Standin {
+    let setup = Setup {
+        speed: Speed::quick(),
+        fences,
+        holds: Wanted::default(),
+    };
+    Standin::start(any(), setup).await.expect("engine")
+}
+
+fn ask(attempt: u64, tokens: u64) -> Generate {
+    Generate {
+        attempt,
+        prompt: "question".to_owned(),
+        max_tokens: tokens,
+        ..Generate::default()
+    }
+}
+
+async fn frames(engine: &Standin, generate: &Generate) -> Result<Vec<Frame>, Failure> {
+    let mut stream = Engine::default()
+        .generate(engine.address(), generate)
+        .await?;
+    let mut frames = Vec::new();
+    while let Some(frame) = stream.next().await? {
+        frames.push(frame);
+    }
+    Ok(frames)
+}
+
+#[tokio::test]
+async fn an_answer_names_its_attempt_and_offsets_and_ends_once() {
+    let engine = start(false).await;
+    let frames = frames(&engine, &ask(7, 5)).await.expect("whole");
+    let text: String = frames.iter().map(|frame| frame.text.as_str()).collect();
+    assert_eq!(text, expected("question", 0, 5));
+    let offsets: Vec<u64> = frames.iter().map(|frame| frame.offset).collect();
+    assert_eq!(offsets, [0, 1, 2, 3, 4]);
+    assert!(frames.iter().all(|frame| frame.attempt == 7));
+    assert!(frames[4].done.is_some() && frames[3].done.is_none());
+}
+
+#[tokio::test]
+async fn a_resumed_answer_goes_on_where_it_was() {
+    let engine = start(false).await;
+    let resumed = Generate {
+        resume_from: 3,
+        ..ask(8, 5)
+    };
+    let frames = frames(&engine, &resumed).await.expect("whole");
+    let text: String = frames.iter().map(|frame| frame.text.as_str()).collect();
+    assert_eq!(text, expected("question", 3, 5));
+}
+
+#[tokio::test]
+async fn each_failure_says_truly_whether_it_may_have_run() {
+    let cases = [
+        (Faults::Refuse, Some(Failure::Refused(503))),
+        (Faults::CutAt(2), Some(Failure::Lost)),
+        (Faults::Garbage, Some(Failure::Lost)),
+        // what ends early in an orderly way is for the assembler to find
+        (Faults::EndAt(2), None),
+    ];
+    for (fault, told) in cases {
+        let engine = start(false).await;
+        engine.fail(fault);
+        let failure = frames(&engine, &ask(9, 5)).await.err();
+        assert_eq!(failure, told, "{fault:?}");
+    }
+    let engine = start(false).await;
+    let address = engine.address();
+    drop(engine);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let failure = Engine::default().generate(address, &ask(1, 1)).await.err();
+    assert_eq!(failure, Some(Failure::NotSent));
+}
+
+#[tokio::test]
+async fn a_fencing_engine_refuses_an_old_number_and_another_takes_it() {
+    for (fences, told) in [(true, Err(Failure::Refused(409))), (false, Ok(()))] {
+        let engine = start(fences).await;
+        let adapter = Engine::default();
+        let order = |number, role| Order {
+            number,
+            wanted: Wanted {
+                role,
+                ..Wanted::default()
+            },
+        };
+        let (new, old) = (order(2, Role::Decode), order(1, Role::Prefill));
+        let answer = adapter.order(engine.address(), &new, WAIT).await;
+        assert_eq!(answer, Ok(()));
+        let answer = adapter.order(engine.address(), &old, WAIT).await;
+        assert_eq!(answer, told);
+        let report = adapter
+            .report(engine.address(), WAIT)
+            .await
+            .expect("report");
+        let role = if fences { Role::Decode } else { Role::Prefill };
+        assert_eq!((report.holds.role, report.number), (role, 2));
+    }
+}
+
+#[tokio::test]
+async fn the_same_order_twice_changes_once() {
+    let engine = start(false).await;
+    let order = Order {
+        number: 1,
+        wanted: Wanted {
+            role: Role::Decode,
+            ..Wanted::default()
+        },
+    };
+    for _ in 0..2 {
+        let adapter = Engine::default();
+        assert_eq!(adapter.order(engine.address(), &order, WAIT).await, Ok(()));
+    }
+    assert_eq!(engine.counts().changes, 1);
+}
+
+#[tokio::test]
+async fn a_cancelled_answer_stops() {
+    let engine = start(false).await;
+    let adapter = Engine::default();
+    let mut stream = adapter
+        .generate(engine.address(), &ask(3, 100_000))
+        .await
+        .expect("begun");
+    assert!(stream.next().await.expect("a frame").is_some());
+    adapter
+        .cancel(engine.address(), 3)
+        .await
+        .expect("cancelled");
+    while let Ok(Some(frame)) = stream.next().await {
+        assert!(frame.done.is_none());
+    }
+    assert_eq!(engine.counts().cancelled, 1);
+}
+
+#[tokio::test]
+async fn a_plain_service_fails_truly() {
+    let cases = [
+        (service::Faults::None, None, 1),
+        (service::Faults::CutBefore, Some(Failure::Lost), 0),
+        (service::Faults::CutAfter, Some(Failure::Lost), 1),
+    ];
+    for (fault, told, runs) in cases {
+        let standin = service::Service::start(any()).await.expect("service");
+        standin.fail(fault);
+        let body = Bytes::from_static(b"reading");
+        let answer = Service::default()
+            .send(
+                standin.address(),
+                &Method::PUT,
+                "/x?y=1",
+                &HeaderMap::new(),
+                body,
+            )
+            .await;
+        assert_eq!(answer.err(), told, "{fault:?}");
+        assert_eq!(standin.runs("reading"), runs, "{fault:?}");
+    }
+}
--- a/components/policy/src/retry.rs
+++ b/components/policy/src/retry.rs
@@ -15,35 +15,35 @@
 
 /// A budget of attempts after the first, a fraction of recent successes, so that a fleet in
 /// trouble is not flooded by its own retries.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Budget {
-    tokens: f64,
+    credit: u32,
 }
 
-/// What each success adds.
-const GAIN: f64 = 0.1;
-/// The most that is saved up, and what a new daemon starts with.
-const MOST: f64 = 20.0;
+/// What a retry takes; each success adds one.
+const COST: u32 = 10;
+/// The most that is saved up, and what a new daemon starts with: twenty retries.
+const MOST: u32 = 20 * COST;
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { tokens: MOST }
+        Self { credit: MOST }
     }
 }
 
 impl Budget {
     /// Notes a success.
     pub fn succeed(&mut self) {
-        self.tokens = (self.tokens + GAIN).min(MOST);
+        self.credit = (self.credit + 1).min(MOST);
     }
 
     /// Takes one retry out of the budget, if there is one.
     pub fn spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
-            return false;
+        let enough = self.credit >= COST;
+        if enough {
+            self.credit -= COST;
         }
-        self.tokens -= 1.0;
-        true
+        enough
     }
 }
 
--- /dev/null
+++ b/components/settings/tests/pages.rs
@@ -0,0 +1,77 @@
+//! `docs/SETTINGS.md` and the samples must be true.
+
+use std::path::{Path, PathBuf};
+
+use settings::{
+    process::Settings,
+    tree::schema::{KINDS, Key},
+};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn row(key: &Key) -> String {
+    let default = match (key.required, key.default) {
+        (true, _) => "must be set",
+        (false, Some(default)) => default,
+        (false, None) => "none",
+    };
+    format!(
+        "| `{}` | {} | {default} | {} |",
+        key.name, key.of, key.about
+    )
+}
+
+#[test]
+fn the_page_lists_each_key_of_the_tree_and_no_other() {
+    let page = std::fs::read_to_string(root().join("docs/SETTINGS.md")).expect("the page");
+    let tree = page.split("## The tree").nth(1).expect("the tree's part");
+    let listed: Vec<&str> = tree
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .collect();
+    let wanted: Vec<String> = KINDS
+        .iter()
+        .flat_map(|kind| kind.keys.iter().map(row))
+        .collect();
+    assert_eq!(listed, wanted);
+}
+
+#[test]
+fn the_page_lists_each_key_of_a_daemons_file() {
+    let page = std::fs::read_to_string(root().join("docs/SETTINGS.md")).expect("the page");
+    let code = std::fs::read_to_string(root().join("components/settings/src/process/mod.rs"));
+    let code = code.expect("the code");
+    let keys = code
+        .lines()
+        .filter_map(|line| line.strip_prefix("    pub ")?.split_once(':'))
+        .map(|(key, _)| key)
+        .filter(|key| !key.contains("fn "))
+        .filter(|key| !["daemon", "platform", "limits", "control"].contains(key));
+    for key in keys {
+        assert!(
+            page.contains(&format!("| `{key}` |")),
+            "{key} is not on the page"
+        );
+    }
+}
+
+#[test]
+fn the_samples_are_accepted() {
+    for site in ["association", "thrystivakt"] {
+        let path = root().join("examples").join(site).join("daemon.toml");
+        if let Err(error) = Settings::load(&path) {
+            panic!("{error}");
+        }
+    }
+}
+
+#[test]
+fn an_error_names_file_line_and_key() {
+    let error = Settings::parse("[daemon]\nname = \"x\"\ncolour = 1\n", "entry.toml");
+    let text = error.expect_err("refused").to_string();
+    for part in ["entry.toml", "line 3", "colour"] {
+        assert!(text.contains(part), "{text}");
+    }
+}
--- a/components/standin/src/platform/mod.rs
+++ b/components/standin/src/platform/mod.rs
@@ -152,22 +152,32 @@
         "/table/commit" => {
             let transaction: Transaction = server::json(request).await?;
             let faults = count(&state, |counts| &mut counts.writes);
-            if faults == Faults::LostWrites {
-                return Err(std::io::ErrorKind::ConnectionReset.into());
-            }
-            if let Some(answer) = failed(faults).await? {
-                return Ok(answer);
-            }
-            let outcome = lock(&state).store.commit(&transaction);
-            match faults {
-                Faults::LostAnswers => Err(std::io::ErrorKind::ConnectionReset.into()),
-                _ => server::answer(&outcome),
-            }
+            // a task of its own: a caller that gives up does not stop what has begun
+            let commit = tokio::spawn(commit(state, transaction, faults));
+            commit.await.map_err(std::io::Error::other)?
         }
         _ => Ok(server::whole(StatusCode::NOT_FOUND, Bytes::new())),
     }
 }
 
+async fn commit(
+    state: Arc<Mutex<State>>,
+    transaction: Transaction,
+    faults: Faults,
+) -> std::io::Result<Response<Body>> {
+    if faults == Faults::LostWrites {
+        return Err(std::io::ErrorKind::ConnectionReset.into());
+    }
+    if let Some(answer) = failed(faults).await? {
+        return Ok(answer);
+    }
+    let outcome = lock(&state).store.commit(&transaction);
+    match faults {
+        Faults::LostAnswers => Err(std::io::ErrorKind::ConnectionReset.into()),
+        _ => server::answer(&outcome),
+    }
+}
+
 fn count(state: &Mutex<State>, which: impl Fn(&mut Counts) -> &mut u64) -> Faults {
     let mut state = lock(state);
     *which(&mut state.counts) += 1;
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,5 +1,6 @@
 //! Daemons as real processes against stand-ins: the whole path, and failures on the way.
 
+mod callers;
 mod failure;
 mod fleet;
 mod once;
