--- /dev/null
+++ b/examples/idle.rs
@@ -0,0 +1,118 @@
+//! Measures what control costs an idle daemon, at several numbers of daemons and engines, for
+//! `docs/CAPACITY.md`. Daemons and stand-ins share this process, so the figures are too high.
+
+use std::{net::SocketAddr, time::Duration};
+
+use daemon::Running;
+use platform::table::Transaction;
+use policy::real;
+use settings::{
+    process::Settings,
+    tree::{Edit, Tree, resolve},
+};
+use standin::{
+    engine::{Engine, Setup},
+    platform::Platform,
+};
+
+const SETTLE: Duration = Duration::from_secs(3);
+const WATCH: Duration = Duration::from_secs(5);
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn set(path: &str, key: &str, value: &str) -> Edit {
+    Edit::Set {
+        path: path.to_owned(),
+        key: key.to_owned(),
+        value: value.to_owned(),
+    }
+}
+
+fn write_settings(platform: &Platform, engines: &[Engine]) {
+    let mut edits = vec![set("service/soil", "kind", "engines")];
+    for (number, engine) in engines.iter().enumerate() {
+        let path = format!("endpoint/sala-a/{}", number + 1);
+        edits.push(set(&path, "service", "soil"));
+        edits.push(set(&path, "address", &engine.address().to_string()));
+    }
+    let tree = Tree::default()
+        .apply(&edits)
+        .expect("fixed settings are fine");
+    let head = r#"{"version":1,"token":1}"#.to_owned();
+    let mut transaction = Transaction::default().write("settings/head", head);
+    for node in &tree.nodes {
+        let text = serde_json::to_string(node).expect("a JSON form");
+        transaction = transaction.write(&format!("settings/node/{}", node.path), text);
+    }
+    let _ = platform.commit(&transaction);
+}
+
+fn settings(number: usize, platform: SocketAddr, seeds: &[Running]) -> Settings {
+    let seeds: Vec<String> = seeds
+        .iter()
+        .map(|running| format!("\"{}\"", running.addresses().peers))
+        .collect();
+    let text = format!(
+        "[daemon]\nname = \"entry-{number}\"\ndata_centre = \"sala-a\"\ncallers = \"127.0.0.1:0\"\n\
+         peers = \"127.0.0.1:0\"\nstatus = \"127.0.0.1:0\"\nseeds = [{}]\n\
+         operator_token_sha256 = \"{}\"\n[platform]\ntable = \"{platform}\"\nvms = \"{platform}\"\n",
+        seeds.join(", "),
+        resolve::secret_digest("token")
+    );
+    Settings::parse(&text, "idle").expect("fixed settings are fine")
+}
+
+/// Processor time of this process in microseconds, and bytes sent over the loopback device.
+fn spent() -> (u64, u64) {
+    let stat = std::fs::read_to_string("/proc/self/stat").expect("a process has its figures");
+    let fields: Vec<&str> = stat
+        .rsplit(") ")
+        .next()
+        .unwrap_or_default()
+        .split(' ')
+        .collect();
+    // user and system time, in ticks of 10 ms
+    let ticks = |at: usize| fields[at].parse::<u64>().expect("a count");
+    let devices = std::fs::read_to_string("/proc/net/dev").expect("the device list");
+    let loopback = devices.lines().find(|line| line.trim().starts_with("lo:"));
+    let received = loopback
+        .and_then(|line| line.split_whitespace().nth(1))
+        .and_then(|bytes| bytes.parse().ok());
+    ((ticks(11) + ticks(12)) * 10_000, received.unwrap_or(0))
+}
+
+async fn measure(daemons: usize, engines: usize) {
+    let platform = Platform::start(any()).await.expect("platform");
+    let mut running_engines = Vec::new();
+    for _ in 0..engines {
+        let engine = Engine::start(any(), Setup::default()).await;
+        running_engines.push(engine.expect("engine"));
+    }
+    write_settings(&platform, &running_engines);
+    let mut running: Vec<Running> = Vec::new();
+    for number in 0..daemons {
+        let settings = settings(number, platform.address(), &running);
+        running.push(daemon::start(settings).await.expect("daemon"));
+    }
+    tokio::time::sleep(SETTLE).await;
+    let (before, table) = (spent(), platform.counts());
+    tokio::time::sleep(WATCH).await;
+    let (after, table_after) = (spent(), platform.counts());
+    let each = real(daemons as u64) * WATCH.as_secs_f64();
+    println!(
+        "{daemons} daemons, {engines} engines: {:.2} % of a core, {:.1} KB/s, {:.2} reads/s and {:.2} writes/s of the table, each daemon",
+        real(after.0 - before.0) / each / 1e4,
+        real(after.1 - before.1) / each / 1e3,
+        real(table_after.reads - table.reads) / each,
+        real(table_after.writes - table.writes) / each,
+    );
+}
+
+#[tokio::main]
+async fn main() {
+    for (daemons, engines) in [(2, 12), (4, 12), (8, 12), (8, 4), (8, 24)] {
+        measure(daemons, engines).await;
+    }
+}
