--- a/components/daemon/src/process/claims.rs
+++ b/components/daemon/src/process/claims.rs
@@ -120,7 +120,11 @@
 
 /// Writes claims and their ends as long as the process lives.
 pub async fn keep(process: Arc<Process>) {
-    tokio::join!(write_jobs(&process), write_endings(&process));
+    tokio::join!(
+        write_jobs(&process),
+        write_endings(&process),
+        expire(&process)
+    );
 }
 
 async fn write_jobs(process: &Process) {
@@ -248,6 +252,49 @@
     written
 }
 
+/// Between two looks for claims that are past their retention.
+const EXPIRY_PAUSE: Duration = Duration::from_secs(600);
+
+/// Takes away claims past their service's retention. Wall clocks may differ by seconds; retention is
+/// counted in hours.
+async fn expire(process: &Process) {
+    loop {
+        let jitter = rand::random_range(0.5..1.5);
+        tokio::time::sleep(EXPIRY_PAUSE.mul_f64(jitter)).await;
+        let Some(current) = process.current.get() else {
+            continue;
+        };
+        if super::sync::is_poller(process) {
+            for service in &current.typed.services {
+                expire_service(process, &service.name, service.retention).await;
+            }
+        }
+    }
+}
+
+async fn expire_service(process: &Process, service: &str, retention: Duration) {
+    let prefix = format!("{PREFIX}{service}/");
+    let Ok(rows) = process.store.read(store::under(&prefix)).await else {
+        return;
+    };
+    let retention = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
+    let now = telemetry::logs::wall_ms();
+    let old: Vec<&table::Row> = rows
+        .iter()
+        .filter(|row| {
+            let claim: Option<Row> = store::value(Some(row));
+            claim.is_some_and(|claim| claim.at_ms.saturating_add(retention) < now)
+        })
+        .collect();
+    for group in old.chunks(GROUP) {
+        let transaction = group.iter().fold(Transaction::default(), |all, row| {
+            all.check(&row.key, row.version).remove(&row.key)
+        });
+        // one that changed meanwhile keeps its group for the next look
+        let _ = process.store.commit(transaction).await;
+    }
+}
+
 /// A claim that stands; when it is dropped without an end, its request may have run.
 pub struct Claim {
     process: Arc<Process>,
--- a/components/daemon/src/process/sync.rs
+++ b/components/daemon/src/process/sync.rs
@@ -68,7 +68,7 @@
 }
 
 /// Whether this daemon is among the first of its data centre by incarnation.
-fn is_poller(process: &Process) -> bool {
+pub fn is_poller(process: &Process) -> bool {
     let before = process
         .members
         .live()
--- a/tests/system/failure.rs
+++ b/tests/system/failure.rs
@@ -123,25 +123,26 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_no_engine_finishes_is_never_ended_as_whole() {
-    for fault in [Faults::CutAt(5), Faults::EndAt(5), Faults::SkipAt(5)] {
-        let fleet = Fleet::start(mixed(1), 1).await;
-        fleet.engines[0].fail(fault);
-        let bearer = format!("Bearer {KEY}");
-        let headers = [("authorization", bearer.as_str())];
-        let caller = Caller::new();
-        let address = fleet.daemons[0].callers;
-        let path = "/v1/completions";
-        let streamed = caller
-            .ask(address, path, &headers, &completion("never", 12, true))
-            .await;
-        assert!(streamed.is_none(), "{fault:?}: {streamed:?}");
-        let whole = caller
-            .ask(address, path, &headers, &completion("never", 12, false))
-            .await
-            .expect("a refusal");
-        assert_ne!(whole.status, StatusCode::OK, "{fault:?}");
-        assert!(whole.headers.contains_key("retry-after"), "{whole:?}");
-    }
+    let faults = [Faults::CutAt(5), Faults::EndAt(5), Faults::SkipAt(5)];
+    futures::future::join_all(faults.map(never_whole)).await;
+}
+
+async fn never_whole(fault: Faults) {
+    let fleet = Fleet::start(mixed(1), 1).await;
+    fleet.engines[0].fail(fault);
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let caller = Caller::new();
+    let address = fleet.daemons[0].callers;
+    let path = "/v1/completions";
+    let body = completion("never", 12, true);
+    let streamed = caller.ask(address, path, &headers, &body).await;
+    assert!(streamed.is_none(), "{fault:?}: {streamed:?}");
+    let body = completion("never", 12, false);
+    let whole = caller.ask(address, path, &headers, &body).await;
+    let whole = whole.expect("a refusal");
+    assert_ne!(whole.status, StatusCode::OK, "{fault:?}");
+    assert!(whole.headers.contains_key("retry-after"), "{whole:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
