Keep answers whose pace counts away from engines where prompts would hold them up

Change: a foreground request takes an engine only if its expected time between tokens stays within 18 ms; window 20 s, disturbance 4, 48 writers. Ruled out: weights alone; some dedicated engines.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -28,6 +28,7 @@
         prompt: 1_000,
         output: 100,
         urgent: false,
+        paced: false,
     };
     let weights = Weights::default();
     for count in [12, 64, 256] {
--- a/components/daemon/src/process/pool/mod.rs
+++ b/components/daemon/src/process/pool/mod.rs
@@ -285,6 +285,7 @@
             prompt: need.prompt,
             output,
             urgent: need.priority >= URGENT,
+            paced: view::band(need.priority) > 0,
         };
         let choice = route::choose(&view, &ask, &self.weights, rand::random())?;
         let places = self.hold(&mut entries, &at, &choice, need)?;
--- a/components/policy/src/route.rs
+++ b/components/policy/src/route.rs
@@ -45,6 +45,8 @@
     pub output: u64,
     /// Whether it goes ahead of what waits at the engines.
     pub urgent: bool,
+    /// Whether somebody reads the answer as it comes, so that its pace counts.
+    pub paced: bool,
 }
 
 /// Bounds and weights of routing.
@@ -55,6 +57,8 @@
     pub window: Micros,
     /// Most requests that write at an engine, so that time between tokens stays in its target.
     pub most_writing: u64,
+    /// The longest time between tokens for an answer whose pace counts.
+    pub pace: Micros,
     /// Time to move a thousand tokens of KV cache.
     pub transfer_per_thousand: Micros,
     /// How much of the delay that a prompt causes to those that write on a mixed engine is counted.
@@ -71,10 +75,11 @@
 impl Default for Weights {
     fn default() -> Self {
         Self {
-            window: 8_000_000,
-            most_writing: 40,
+            window: 20_000_000,
+            most_writing: 48,
+            pace: 18_000,
             transfer_per_thousand: 4_000,
-            disturbance: 1.5,
+            disturbance: 4.0,
             held: 4.0,
             chunk: 40_000,
             tie: 0.1,
@@ -162,7 +167,15 @@
 
 fn has_room(engine: &Engine, ask: &Ask, weights: &Weights) -> bool {
     // the room above the bound is for what is urgent
-    ask.urgent || engine.writing < weights.most_writing
+    ask.urgent || (engine.writing < weights.most_writing && in_pace(engine, ask, weights))
+}
+
+/// Whether an answer would come at the pace of the target: not where prompts behind it would be read
+/// between its tokens for most of its length.
+fn in_pace(engine: &Engine, ask: &Ask, weights: &Weights) -> bool {
+    let behind = (reading_time(engine) - time_ahead(engine)).max(0.0);
+    let held = (behind / real(ask.output.max(1))).min(real(weights.chunk));
+    !ask.paced || engine.rates.between_tokens(engine.writing + 1) + held <= real(weights.pace)
 }
 
 fn wait(engine: &Engine, ask: &Ask) -> f64 {
--- a/components/policy/tests/decisions.rs
+++ b/components/policy/tests/decisions.rs
@@ -23,6 +23,7 @@
     prompt: 2_000,
     output: 50,
     urgent: false,
+    paced: false,
 };
 
 fn chosen(engines: &[Engine]) -> Option<Plan> {
--- a/examples/mixshift.rs
+++ b/examples/mixshift.rs
@@ -15,7 +15,7 @@
 
 const USAGE: &str = "mixshift [--policy NAME|all] [--case NAME|all] [--site association|thrystivakt] \
 [--deciders N] [--lag MS] [--seeds N] [--window MS] [--horizon S] \
-[--disturbance X] [--held X] [--writing N] [--split P,D] [--json]";
+[--disturbance X] [--held X] [--writing N] [--split P,D] [--pace MS] [--json]";
 
 struct Arguments {
     policies: Vec<Policy>,
@@ -60,6 +60,7 @@
                 let (prefill, decode) = value.split_once(',')?;
                 arguments.split = Some((prefill.parse().ok()?, decode.parse().ok()?));
             }
+            "--pace" => arguments.options.pace_ms = value.parse().ok()?,
             "--horizon" => arguments.options.horizon_s = value.parse().ok()?,
             _ => return None,
         }
--- a/examples/mixshift_parts/decider.rs
+++ b/examples/mixshift_parts/decider.rs
@@ -126,6 +126,7 @@
             prompt: request.prompt,
             output: self.expected(request),
             urgent: request.class.priority() >= URGENT,
+            paced: view::band(request.class.priority()) > 0,
         };
         let choice = route::choose(&view, &ask, weights, rng.random())?;
         let plan = match choice.plan {
--- a/examples/mixshift_parts/run.rs
+++ b/examples/mixshift_parts/run.rs
@@ -34,6 +34,8 @@
     pub window_ms: u64,
     /// Weight of the delay to those that write.
     pub disturbance: f64,
+    /// The longest time between tokens that is aimed at.
+    pub pace_ms: u64,
     /// Most requests that write at an engine.
     pub most_writing: u64,
     /// Weight of the delay by prompts behind.
@@ -54,6 +56,7 @@
             disturbance: Weights::default().disturbance,
             held: Weights::default().held,
             most_writing: Weights::default().most_writing,
+            pace_ms: Weights::default().pace / 1_000,
             horizon_s: 120,
             seed: 1,
         }
@@ -78,6 +81,7 @@
         disturbance: options.disturbance,
         held: options.held,
         most_writing: options.most_writing,
+        pace: options.pace_ms * 1_000,
         ..Weights::default()
     };
     match policy.routing {
@@ -85,6 +89,7 @@
             disturbance: 0.0,
             held: 0.0,
             chunk: 0,
+            pace: u64::MAX,
             ..usual
         },
         _ => usual,
