--- a/components/daemon/src/process/pool/mod.rs
+++ b/components/daemon/src/process/pool/mod.rs
@@ -5,6 +5,7 @@
 
 mod entry;
 mod grant;
+mod line;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
@@ -13,7 +14,6 @@
 
 use policy::{
     Micros, count,
-    fair::{self, Queue, Waiting},
     learn::Rates,
     real,
     route::{self, Ask, Choice, Plan, Weights},
@@ -24,11 +24,10 @@
 
 pub use entry::Entry;
 pub use grant::{Grant, Place};
+use line::{Line, Ticket};
 
 use super::{gates::Gates, members::Member};
 
-/// Output that is expected of a group that has not been served yet, in tokens.
-const FIRST_GUESS: f64 = 128.0;
 /// Weight of a new answer's length in a group's average.
 const OUTPUT_WEIGHT: f64 = 0.1;
 /// Longest time between two looks at the queue.
@@ -83,26 +82,6 @@
     },
 }
 
-#[derive(Debug)]
-struct Waiter {
-    id: u64,
-    group: usize,
-    need: Need,
-    grant: oneshot::Sender<Grant>,
-}
-
-#[derive(Debug)]
-struct Line {
-    queue: Queue,
-    /// Names of the groups that the queue's indices stand for.
-    groups: Vec<String>,
-    /// Average length of the groups' answers, in tokens.
-    outputs: Vec<f64>,
-    /// Sorted by number.
-    waiters: Vec<Waiter>,
-    next: u64,
-}
-
 /// The endpoints of one service.
 #[derive(Debug)]
 pub struct Pool {
@@ -128,13 +107,7 @@
             data_centre: data_centre.to_owned(),
             most_waiting,
             weights: Weights::default(),
-            line: Mutex::new(Line {
-                queue: Queue::new(&[]),
-                groups: Vec::new(),
-                outputs: Vec::new(),
-                waiters: Vec::new(),
-                next: 0,
-            }),
+            line: Mutex::new(Line::new()),
             entries: Mutex::default(),
             freed: Arc::new(Notify::new()),
         }
@@ -434,112 +407,9 @@
     }
 }
 
-impl Line {
-    fn find(&self, id: u64) -> Option<usize> {
-        self.waiters
-            .binary_search_by_key(&id, |waiter| waiter.id)
-            .ok()
-    }
-
-    fn expected_output(&self, need: &Need) -> u64 {
-        let mean = self.outputs.get(need.group.0).copied();
-        count(mean.unwrap_or(FIRST_GUESS)).clamp(1, need.most_output.max(1))
-    }
-
-    fn push(
-        &mut self,
-        pool: &Arc<Pool>,
-        need: Need,
-        work: Micros,
-        grant: oneshot::Sender<Grant>,
-    ) -> Ticket {
-        self.next += 1;
-        let id = self.next;
-        let group = need.group.0;
-        let start_by = need.start_by;
-        let waiting = Waiting {
-            id,
-            priority: need.priority,
-            work,
-            deadline: pool.micros(start_by),
-        };
-        self.queue.push(group, waiting);
-        self.waiters.push(Waiter {
-            id,
-            group,
-            need,
-            grant,
-        });
-        Ticket {
-            pool: Arc::clone(pool),
-            id,
-            start_by,
-        }
-    }
-
-    /// Moves the queue to the groups of a new version. Who waits keeps its place in its group.
-    fn regroup(&mut self, version: &resolve::Version) {
-        let names: Vec<String> = version.groups.iter().map(|g| g.name.clone()).collect();
-        let groups: Vec<fair::Group> = version
-            .groups
-            .iter()
-            .map(|group| fair::Group {
-                parent: group.parent,
-                share: group.share,
-            })
-            .collect();
-        let outputs = names
-            .iter()
-            .map(|name| match self.groups.binary_search(name) {
-                Ok(at) => self.outputs[at],
-                Err(_) => FIRST_GUESS,
-            })
-            .collect();
-        let mut old = std::mem::replace(&mut self.queue, Queue::new(&groups));
-        self.outputs = outputs;
-        self.groups = names;
-        // a group that is gone takes its waiting requests along: their grant's sender drops
-        let known = &self.groups;
-        self.waiters
-            .retain_mut(|waiter| match known.binary_search(&waiter.need.group.1) {
-                Ok(at) => {
-                    waiter.need.group.0 = at;
-                    true
-                }
-                Err(_) => false,
-            });
-        while let Some((old_group, waiting)) = old.heads(1).first().copied() {
-            old.take(old_group);
-            if let Some(at) = self.find(waiting.id) {
-                let group = self.waiters[at].need.group.0;
-                self.waiters[at].group = group;
-                self.queue.push(group, waiting);
-            }
-        }
-    }
-}
-
 /// The work of a request in microseconds of an engine.
 pub fn work(prompt: u64, output: u64) -> Micros {
     let rates = Rates::default();
     let each = rates.between_tokens(USUAL_BATCH) / real(USUAL_BATCH);
     count(real(prompt) * rates.read_us + real(output) * each)
 }
-
-/// A place in the queue, left by its `Drop`.
-#[derive(Debug)]
-struct Ticket {
-    pool: Arc<Pool>,
-    id: u64,
-    start_by: Instant,
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        let mut line = self.pool.line();
-        if let Some(at) = line.find(self.id) {
-            let waiter = line.waiters.remove(at);
-            line.queue.remove(waiter.group, self.id);
-        }
-    }
-}
--- a/tests/system/fleet.rs
+++ b/tests/system/fleet.rs
@@ -61,6 +61,8 @@
     pub engines: Vec<Engine>,
     pub service: Service,
     pub daemons: Vec<Daemon>,
+    /// Where the next daemon finds the platform; its own address when none.
+    pub through: Option<SocketAddr>,
     folder: PathBuf,
 }
 
@@ -101,6 +103,7 @@
             engines: running,
             service,
             daemons: Vec::new(),
+            through: None,
             folder,
         };
         fleet.write_settings();
@@ -162,7 +165,7 @@
             .iter()
             .map(|daemon| format!("\"{}\"", daemon.peers))
             .collect();
-        let address = self.platform.address();
+        let address = self.through.unwrap_or(self.platform.address());
         format!(
             r#"[daemon]
 name = "entry-{number}"
--- a/tests/system/settings.rs
+++ b/tests/system/settings.rs
@@ -1,6 +1,6 @@
 //! Settings: accepted changes hold everywhere and never go back, whatever fails.
 
-use standin::platform::Faults;
+use standin::{link::Link, platform::Faults};
 
 use crate::fleet::{Caller, Fleet, eventually, ready, setup, streamed};
 use protocol::order::Role;
@@ -124,3 +124,34 @@
     fleet.platform.fail(Faults::None);
     ready(&fleet.daemons[0]).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_cut_from_the_table_hears_changes_from_its_peers_and_heals() {
+    let mut fleet = Fleet::start(vec![setup(Role::Mixed, false)], 1).await;
+    let link = Link::start(fleet.platform.address()).await.expect("link");
+    fleet.through = Some(link.address());
+    fleet.add_daemon();
+    ready(&fleet.daemons[1]).await;
+    link.cut(true);
+    eventually("the cut one knows", async || {
+        let (_, text) = fleet.operate(1, &["status"]);
+        text.contains("does not answer")
+    })
+    .await;
+    let (code, text) = fleet.operate(0, &["set", "--wait", "group/field", "share=9"]);
+    assert_eq!(code, 0, "{text}");
+    let (_, share) = fleet.operate(1, &["get", "group/field", "share"]);
+    assert_eq!(share.trim(), "9");
+    let answer = Caller::new()
+        .complete(fleet.daemons[1].callers, "cut off", 5, true)
+        .await;
+    assert!(streamed(&answer.expect("an answer").body).1);
+    let (code, _) = fleet.operate(1, &["set", "group/field", "share=2"]);
+    assert_eq!(code, 1, "without the table nothing is accepted");
+    link.cut(false);
+    eventually("changes are taken here again", async || {
+        fleet.operate(1, &["set", "group/field", "share=10"]).0 == 0
+    })
+    .await;
+    eventually("and hold everywhere", async || version(&fleet, 0) == 3).await;
+}
