Give up a change while a daemon is silent, and let operators race: tests; tidy messages

Cause: giving up and reopening was proved by the model only; fields of messages were used by nothing; a planner's method used nothing of it. Ruled out: keeping spare fields for later.

--- a/components/cli/src/client.rs
+++ b/components/cli/src/client.rs
@@ -84,8 +84,7 @@
     ) -> Result<TimelineReply, Error> {
         let request = TimelineRequest {
             token: self.token.clone(),
-            request: subject,
-            endpoint: 0,
+            subject,
             since_ms,
             local: false,
         };
--- a/components/daemon/src/process/beat.rs
+++ b/components/daemon/src/process/beat.rs
@@ -73,7 +73,6 @@
                 data_centre: member.data_centre,
             })
             .collect(),
-        push: false,
         clock_ms: time.physical_ms,
         clock_logical: time.logical,
     }
--- a/components/daemon/src/process/operators.rs
+++ b/components/daemon/src/process/operators.rs
@@ -383,13 +383,10 @@
 }
 
 async fn timeline(process: &Process, request: TimelineRequest) -> TimelineReply {
-    let subject = match () {
-        () if !request.request.is_empty() => Some(request.request.clone()),
-        () => None,
-    };
+    let subject = Some(request.subject.as_str()).filter(|subject| !subject.is_empty());
     let own = process
         .timeline
-        .events(request.since_ms, subject.as_deref())
+        .events(request.since_ms, subject)
         .into_iter()
         .map(|event| wire::Event {
             physical_ms: event.time.physical_ms,
--- a/components/daemon/src/process/pool/mod.rs
+++ b/components/daemon/src/process/pool/mod.rs
@@ -184,10 +184,6 @@
         need: Need,
     ) -> Result<(Ticket, oneshot::Receiver<Grant>), Unplaced> {
         let engines = self.serving();
-        if engines == 0 && need.priority < URGENT {
-            // an engine may be back within a moment; only what can't wait is turned away
-            log::debug!("{}: no engine takes requests", self.service);
-        }
         let mut line = self.line();
         if line.waiters.len() >= self.most_waiting {
             return Err(Unplaced::Full {
--- a/components/daemon/src/process/steward/roles.rs
+++ b/components/daemon/src/process/steward/roles.rs
@@ -59,7 +59,7 @@
     pub fn plan(&mut self, process: &Process, held: &Held, rows: &[Row]) -> Option<Task> {
         self.observe(process, held);
         let wishes = wishes(rows, held);
-        let repair = self.repair(process, held, rows);
+        let repair = repair(process, held, rows);
         wishes
             .into_iter()
             .find_map(|wish| step(process, held, rows, wish))
@@ -67,24 +67,6 @@
             .or_else(|| self.mix(process, held, rows))
     }
 
-    /// Orders that a former steward left half done.
-    fn repair(&self, process: &Process, held: &Held, rows: &[Row]) -> Option<Task> {
-        let _ = self;
-        rows.iter().find_map(|row| {
-            let id = orders::id_of(&row.key)?;
-            let old: order::Row = store::value(Some(row))?;
-            let open = matches!(old.stage, order::Stage::Closing | order::Stage::Intent);
-            let wish = Wish {
-                id,
-                wanted: old.wanted.clone(),
-                row: None,
-            };
-            (open && serves(process, held, &wish.id))
-                .then(|| step(process, held, rows, wish))
-                .flatten()
-        })
-    }
-
     fn observe(&mut self, process: &Process, held: &Held) {
         let Some(pool) = process.pool(&held.service) else {
             return;
@@ -156,6 +138,23 @@
     }
 }
 
+/// Orders that a former steward left half done.
+fn repair(process: &Process, held: &Held, rows: &[Row]) -> Option<Task> {
+    rows.iter().find_map(|row| {
+        let id = orders::id_of(&row.key)?;
+        let old: order::Row = store::value(Some(row))?;
+        let open = matches!(old.stage, order::Stage::Closing | order::Stage::Intent);
+        let wish = Wish {
+            id,
+            wanted: old.wanted.clone(),
+            row: None,
+        };
+        (open && serves(process, held, &wish.id))
+            .then(|| step(process, held, rows, wish))
+            .flatten()
+    })
+}
+
 fn bounds(fleet: &settings::tree::resolve::Fleet) -> Bounds {
     Bounds {
         reserve: fleet.reserve,
--- a/components/settings/tests/tree.rs
+++ b/components/settings/tests/tree.rs
@@ -65,6 +65,22 @@
     ));
 }
 
+#[test]
+fn problems_are_told_in_the_operators_terms() {
+    let wrong = [
+        set("group/a", "deadline", "soon"),
+        set("model/m", "service", "s"),
+        set("service/s", "kind", "engine"),
+    ];
+    let problems = Tree::default().apply(&wrong).expect_err("refused");
+    let told: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(told.join("\n"), @r#"
+    group/a: deadline = "soon" is not a time from 10ms to 1h, such as 3s
+    model/m: version must be set
+    service/s: kind = "engine" is not one of engines, plain
+    "#);
+}
+
 #[test]
 fn a_callers_key_belongs_to_one_group() {
     let digest = resolve::secret_digest("k");
--- a/tests/system/failure.rs
+++ b/tests/system/failure.rs
@@ -327,3 +327,65 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_given_up_while_a_daemon_does_not_answer() {
+    let fleet = Fleet::start(mixed(2), 3).await;
+    let caller = Caller::new();
+    let first = steward(&fleet, 0).await;
+    let silent = (first + 1) % 3;
+    fleet.daemons[silent].signal("STOP");
+    let (code, text) = fleet.operate(first, &["role", "sala-a/1", "decode"]);
+    assert_eq!(code, 0, "{text}");
+    eventually("the change is given up", async || {
+        let (_, text) = fleet.operate(first, &["timeline", "--engine", "sala-a/1"]);
+        text.contains("order-reopened")
+    })
+    .await;
+    assert_eq!(fleet.engines[0].counts().changes, 0);
+    eventually("the engine serves meanwhile", async || {
+        let before = fleet.engines[0].counts().attempts;
+        let answer = caller
+            .complete(fleet.daemons[first].callers, "on", 5, true)
+            .await;
+        assert!(streamed(&answer.expect("an answer").body).1);
+        fleet.engines[0].counts().attempts > before
+    })
+    .await;
+    fleet.daemons[silent].signal("CONT");
+    eventually("the change is carried out after all", async || {
+        fleet.engines[0].holds().role == Role::Decode
+    })
+    .await;
+    assert_eq!(fleet.engines[0].counts().cut, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_that_race_for_an_engine_cut_nothing() {
+    let fleet = Fleet::start(mixed(2), 3).await;
+    let caller = Caller::new();
+    let mut streams = Vec::new();
+    for daemon in &fleet.daemons {
+        streams.extend(start_streams(&caller, daemon.callers, 3));
+    }
+    std::thread::scope(|scope| {
+        for nth in 0..6 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let role = ["decode", "prefill", "mixed"][nth % 3];
+                let (code, text) = fleet.operate(nth % 3, &["role", "sala-a/1", role]);
+                assert_eq!(code, 0, "{text}");
+            });
+        }
+    });
+    assert_eq!(count_whole(streams).await, 9);
+    // the last wish is the one that holds in the end
+    let (code, _) = fleet.operate(0, &["role", "sala-a/1", "prefill"]);
+    assert_eq!(code, 0);
+    eventually("the last wish holds", async || {
+        fleet.engines[0].holds().role == Role::Prefill
+    })
+    .await;
+    let counts = fleet.engines[0].counts();
+    assert_eq!((counts.cut, counts.conflicts), (0, 0), "{counts:?}");
+}
