Keep an operator's wish that comes while another's order is taken over

Cause: a successor that finished the former steward's order took the operator's row away although it wished for something else by then: the wish was lost. Change: a wish is fulfilled only by an order for the same end. The engine stand-in took the same order, sent again during its change, for a conflicting one and began anew; the same end is no conflict, so it now joins the change under way, and a different one still counts. Ruled out: refusing wishes while an order is open. Left: a former steward tries its outcome five times before it withdraws, some 6 s in which the engine waits.

--- a/components/daemon/src/process/orders/mod.rs
+++ b/components/daemon/src/process/orders/mod.rs
@@ -196,7 +196,8 @@
     if !next.closes(ended == Ended::Reached) {
         announce(process, &wish.id, row.number).await;
     }
-    if ended == Ended::Reached {
+    // a former steward's order is finished first; a later wish stays for the next one
+    if ended == Ended::Reached && row.wanted == wish.wanted {
         fulfilled(process, held, wish).await;
     }
 }
--- a/components/standin/src/engine/state.rs
+++ b/components/standin/src/engine/state.rs
@@ -45,7 +45,7 @@
     pub changes: u64,
     /// Orders refused for an old number.
     pub stale: u64,
-    /// Orders that struck while another was being carried out.
+    /// Orders that struck while a different one was being carried out.
     pub conflicts: u64,
     /// Streams cut by a change.
     pub cut: u64,
@@ -84,6 +84,8 @@
     boot: u64,
     number: u64,
     changing: bool,
+    /// What the change under way leads to.
+    becoming: Wanted,
     pub(super) holds: Wanted,
     pub(super) faults: Faults,
     pub(super) counts: Counts,
@@ -97,6 +99,7 @@
             boot: rand::random(),
             number: 0,
             changing: false,
+            becoming: Wanted::default(),
             holds: setup.holds.clone(),
             faults: Faults::None,
             counts: Counts::default(),
@@ -174,26 +177,35 @@
             self.counts.stale += 1;
             return Begun::Stale;
         }
+        self.number = self.number.max(order.number);
+        let away = Duration::from_millis(self.setup.speed.change_ms);
+        if self.changing && self.becoming == order.wanted {
+            // the same order again changes nothing; its answer comes when the end is reached
+            return Begun::Changing(away);
+        }
         if self.changing {
             self.counts.conflicts += 1;
         }
-        self.number = self.number.max(order.number);
         if self.holds == order.wanted && !self.changing {
             return Begun::Reached;
         }
         self.changing = true;
+        self.becoming = order.wanted.clone();
         self.counts.changes += 1;
         self.counts.cut += u64::try_from(self.streams.len()).unwrap_or(0);
         for stream in self.streams.drain(..) {
             broken(&stream);
         }
         self.batch.clear();
-        Begun::Changing(Duration::from_millis(self.setup.speed.change_ms))
+        Begun::Changing(away)
     }
 
     pub(super) fn finish(&mut self, order: &Order) {
-        self.holds = order.wanted.clone();
-        self.changing = false;
+        // a different order that struck meanwhile has its own end
+        if self.becoming == order.wanted {
+            self.holds = order.wanted.clone();
+            self.changing = false;
+        }
     }
 
     pub(super) fn report(&self) -> Report {
--- a/tests/system/failure.rs
+++ b/tests/system/failure.rs
@@ -389,3 +389,39 @@
     let counts = fleet.engines[0].counts();
     assert_eq!((counts.cut, counts.conflicts), (0, 0), "{counts:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wish_that_comes_during_a_takeover_is_not_lost() {
+    let slow = |role| {
+        let mut setup = setup(role, false);
+        setup.speed.change_ms = 3_000;
+        setup
+    };
+    let fleet = Fleet::start(vec![slow(Role::Mixed), slow(Role::Mixed)], 3).await;
+    let first = steward(&fleet, 0).await;
+    let (code, _) = fleet.operate(first, &["role", "sala-a/1", "decode"]);
+    assert_eq!(code, 0);
+    eventually("the order has struck", async || {
+        fleet.engines[0].counts().changes == 1
+    })
+    .await;
+    fleet.daemons[first].signal("STOP");
+    let other = (first + 1) % 3;
+    let (code, _) = fleet.operate(other, &["role", "sala-a/1", "prefill"]);
+    assert_eq!(code, 0);
+    eventually("another daemon is steward", async || {
+        steward(&fleet, other).await != first
+    })
+    .await;
+    eventually("the first order's outcome is known", async || {
+        let (_, text) = fleet.operate(other, &["timeline", "--engine", "sala-a/1"]);
+        text.contains("order-done")
+    })
+    .await;
+    fleet.daemons[first].signal("CONT");
+    eventually("the later wish holds", async || {
+        fleet.engines[0].holds().role == Role::Prefill
+    })
+    .await;
+    assert_eq!(fleet.engines[0].counts().conflicts, 0);
+}
