Count queue and latency by service and group, and set the gauge of connections

Cause: two gauges were listed and never set, and the histograms had no group. Change: the histograms carry the group; connections are set; the gauge of requests in flight, which status shows per endpoint, is gone. Ruled out: a label per request.

--- a/components/daemon/src/connection/mod.rs
+++ b/components/daemon/src/connection/mod.rs
@@ -32,6 +32,8 @@
             continue;
         };
         while connections.try_join_next().is_some() {}
+        let open = i64::try_from(connections.len()).unwrap_or(i64::MAX);
+        process.metrics.connections.set(open);
         if connections.len() >= process.settings.limits.connections {
             connections.spawn(turn_away(stream));
         } else {
--- a/components/daemon/src/request/generate.rs
+++ b/components/daemon/src/request/generate.rs
@@ -180,7 +180,7 @@
         let metrics = &self.job.context.process.metrics;
         metrics
             .queue
-            .with_label_values(&[&self.job.pool.service])
+            .with_label_values(&self.labels())
             .observe(waiting.elapsed().as_secs_f64());
         let grant = placed.map_err(|unplaced| {
             // what has run in part and can't go on isn't "not run"
@@ -293,6 +293,11 @@
         }))
     }
 
+    /// Service and group, the labels of this answer's metrics.
+    fn labels(&self) -> [&str; 2] {
+        [&self.job.pool.service, &self.job.need.group.1]
+    }
+
     fn drop_frame(&self, verdict: Verdict) {
         let label = match verdict {
             Verdict::Foreign => "foreign",
@@ -348,7 +353,7 @@
                 let metrics = &self.job.context.process.metrics;
                 metrics
                     .first
-                    .with_label_values(&[&self.job.pool.service])
+                    .with_label_values(&self.labels())
                     .observe(self.began.elapsed().as_secs_f64());
             }
         } else if frame.offset.is_multiple_of(SAMPLE) {
@@ -386,7 +391,7 @@
         metrics.goodput.with_label_values(&labels).inc_by(written);
         metrics
             .whole
-            .with_label_values(&[service])
+            .with_label_values(&labels)
             .observe(self.began.elapsed().as_secs_f64());
     }
 
--- a/components/telemetry/src/metrics/mod.rs
+++ b/components/telemetry/src/metrics/mod.rs
@@ -1,8 +1,8 @@
 //! Metrics of one daemon. Label sets are bounded: services and groups come from the settings.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Bounds of the latency histograms, in seconds.
@@ -20,11 +20,11 @@
     pub refusals: IntCounterVec,
     /// Tokens of answers that were whole and in time, by service and group.
     pub goodput: IntCounterVec,
-    /// Time in the queue, by service.
+    /// Time in the queue, by service and group.
     pub queue: HistogramVec,
-    /// Time to the first token, by service.
+    /// Time to the first token, by service and group.
     pub first: HistogramVec,
-    /// Time to the end, by service.
+    /// Time to the end, by service and group.
     pub whole: HistogramVec,
     /// Attempts after the first, by reason.
     pub retries: IntCounterVec,
@@ -32,8 +32,6 @@
     pub dropped: IntCounterVec,
     /// Orders by outcome.
     pub orders: IntCounterVec,
-    /// Requests in flight by service.
-    pub in_flight: IntGaugeVec,
     /// The settings version in force.
     pub settings: IntGauge,
     /// Calls to the table by outcome.
@@ -70,10 +68,6 @@
             retries: counters("retries_total", "Attempts after the first.", &["reason"])?,
             dropped: counters("dropped_frames_total", "Frames dropped.", &["verdict"])?,
             orders: counters("orders_total", "Orders to engines.", &["outcome"])?,
-            in_flight: IntGaugeVec::new(
-                Opts::new("wrenramp_in_flight", "Requests in flight."),
-                &["service"],
-            )?,
             settings: IntGauge::new("wrenramp_settings_version", "Settings version in force.")?,
             table: counters("table_calls_total", "Calls to the table.", &["outcome"])?,
             connections: IntGauge::new("wrenramp_connections", "Open connections of callers.")?,
@@ -109,7 +103,6 @@
         for histogram in [&self.queue, &self.first, &self.whole] {
             register(Box::new(histogram.clone()))?;
         }
-        register(Box::new(self.in_flight.clone()))?;
         register(Box::new(self.settings.clone()))?;
         register(Box::new(self.connections.clone()))?;
         register(Box::new(self.cut.clone()))
@@ -122,5 +115,8 @@
 
 fn histogram(name: &str, help: &str) -> prometheus::Result<HistogramVec> {
     let options = HistogramOpts::new(format!("wrenramp_{name}"), help);
-    HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["service"])
+    HistogramVec::new(
+        options.buckets(LATENCY_BUCKETS.to_vec()),
+        &["service", "group"],
+    )
 }
