Give the crate of the table service and the VM list a name of its own

Cause: the folder platform/ is to hold the adapter to the operators' platform, and two crates of one name would confuse every reader. Change: components/platform is components/cloud; nothing else. Ruled out: nesting the new adapter in the old crate, whose traits must not know any platform.

--- a/benches/daemon.rs
+++ b/benches/daemon.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::Bytes;
+use cloud::table::Transaction;
 use hdrhistogram::Histogram;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
@@ -14,7 +15,6 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use platform::table::Transaction;
 use settings::{
     process::Settings,
     tree::{Edit, Tree, resolve},
--- a/components/platform/tests/contract.rs
+++ b/components/cloud/tests/contract.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use platform::{
+use cloud::{
     table::{Error, Http, Outcome, Read, Table, Transaction},
     vms::{self, Kind, List, State, Vm},
 };
--- a/components/daemon/src/process/claims.rs
+++ b/components/daemon/src/process/claims.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use platform::table::{self, Outcome, Read, Transaction};
+use cloud::table::{self, Outcome, Read, Transaction};
 use protocol::claim::{self, Recorded, Row, Stage, Write};
 use tokio::sync::{Notify, oneshot};
 
--- a/components/daemon/src/process/health.rs
+++ b/components/daemon/src/process/health.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::vms::{Kind as VmKind, State};
+use cloud::vms::{Kind as VmKind, State};
 use settings::tree::resolve::Kind as ServiceKind;
 use telemetry::timeline::Kind;
 
--- a/components/daemon/src/process/members.rs
+++ b/components/daemon/src/process/members.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use platform::vms::Vm;
+use cloud::vms::Vm;
 use protocol::Incarnation;
 use tonic::transport::{Channel, Endpoint};
 use wire::{Heartbeat, Load, Usage, peer_client::PeerClient};
--- a/components/daemon/src/process/mod.rs
+++ b/components/daemon/src/process/mod.rs
@@ -23,8 +23,8 @@
     time::Duration,
 };
 
+use cloud::{table, vms};
 use endpoint::{engine::Engine, service::Service};
-use platform::{table, vms};
 use policy::retry::Budget;
 use protocol::Incarnation;
 use settings::process::Settings;
--- a/components/daemon/src/process/operators.rs
+++ b/components/daemon/src/process/operators.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use platform::table::{Outcome, Read, Transaction};
+use cloud::table::{Outcome, Read, Transaction};
 use protocol::order::{Role, Wanted};
 use settings::tree::{Change, Edit, Problem, Tree, resolve};
 use telemetry::timeline::Kind;
@@ -231,8 +231,8 @@
             })
         }
         Ok(Outcome::Conflict(_)) => None,
-        Err(platform::table::Error::Refused) => Some(unavailable()),
-        Err(platform::table::Error::Unclear) => Some(CommitReply {
+        Err(cloud::table::Error::Refused) => Some(unavailable()),
+        Err(cloud::table::Error::Unclear) => Some(CommitReply {
             unknown: true,
             problems: vec![format!(
                 "the table service did not answer; look at version {version} in the history"
--- a/components/daemon/src/process/orders/closing.rs
+++ b/components/daemon/src/process/orders/closing.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use platform::table::Transaction;
+use cloud::table::Transaction;
 
 use super::SLACK;
 use crate::process::{
--- a/components/daemon/src/process/orders/mod.rs
+++ b/components/daemon/src/process/orders/mod.rs
@@ -4,8 +4,8 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use cloud::table::{Outcome, Read, Transaction};
 use endpoint::{Failure, engine::Order};
-use platform::table::{Outcome, Read, Transaction};
 use protocol::order::{self, Ended, Row, Stage, Wanted};
 use telemetry::timeline::Kind;
 
--- a/components/daemon/src/process/registration.rs
+++ b/components/daemon/src/process/registration.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::table::{Row, Transaction};
+use cloud::table::{Row, Transaction};
 use protocol::{Incarnation, order};
 use serde::{Deserialize, Serialize};
 
--- a/components/daemon/src/process/steward/mod.rs
+++ b/components/daemon/src/process/steward/mod.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use platform::table::{Outcome, Read, Row, Transaction};
+use cloud::table::{Outcome, Read, Row, Transaction};
 use protocol::lease::{self, Lease, Renewal, Watch};
 use settings::tree::resolve::Kind as ServiceKind;
 use telemetry::timeline::Kind;
--- a/components/daemon/src/process/steward/roles.rs
+++ b/components/daemon/src/process/steward/roles.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform::table::Row;
+use cloud::table::Row;
 use policy::{
     count,
     learn::Rates,
--- a/components/daemon/src/process/store.rs
+++ b/components/daemon/src/process/store.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use platform::table::{self, Outcome, Read, Row, Table, Transaction};
+use cloud::table::{self, Outcome, Read, Row, Table, Transaction};
 use serde::{Serialize, de::DeserializeOwned};
 use telemetry::{
     metrics::Metrics,
--- a/components/daemon/src/process/sync.rs
+++ b/components/daemon/src/process/sync.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use platform::table::{Read, Row};
+use cloud::table::{Read, Row};
 use serde::{Deserialize, Serialize};
 use settings::tree::{Change, Node, Tree};
 use telemetry::timeline::Kind;
--- a/components/standin/src/platform/mod.rs
+++ b/components/standin/src/platform/mod.rs
@@ -9,11 +9,11 @@
 };
 
 use bytes::Bytes;
-use hyper::{Request, Response, StatusCode, body::Incoming};
-use platform::{
+use cloud::{
     table::{Read, Transaction},
     vms::{State as Life, Vm},
 };
+use hyper::{Request, Response, StatusCode, body::Incoming};
 
 use crate::server::{self, Body, Server};
 use store::Store;
@@ -119,13 +119,13 @@
 
     /// Commits a transaction as another client would, past the faults.
     #[must_use]
-    pub fn commit(&self, transaction: &Transaction) -> platform::table::Outcome {
+    pub fn commit(&self, transaction: &Transaction) -> cloud::table::Outcome {
         lock(&self.state).store.commit(transaction)
     }
 
     /// Reads as another client would, past the faults.
     #[must_use]
-    pub fn read(&self, read: &Read) -> Vec<platform::table::Row> {
+    pub fn read(&self, read: &Read) -> Vec<cloud::table::Row> {
         lock(&self.state).store.read(read)
     }
 }
--- a/components/standin/src/platform/store.rs
+++ b/components/standin/src/platform/store.rs
@@ -1,6 +1,6 @@
 //! The rows of the table stand-in.
 
-use platform::table::{Outcome, Read, Row, Transaction};
+use cloud::table::{Outcome, Read, Row, Transaction};
 
 /// Rows sorted by key, and the count from which versions are taken.
 #[derive(Debug, Default)]
--- a/examples/idle.rs
+++ b/examples/idle.rs
@@ -3,8 +3,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use cloud::table::Transaction;
 use daemon::Running;
-use platform::table::Transaction;
 use policy::real;
 use settings::{
     process::Settings,
--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -3,7 +3,7 @@
 
 use std::time::Instant;
 
-use platform::table::Transaction;
+use cloud::table::Transaction;
 use policy::real;
 use protocol::claim::{Row, Stage};
 use settings::tree::{Node, Tree, resolve};
--- a/tests/system/failure.rs
+++ b/tests/system/failure.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use cloud::vms::{Kind, State, Vm};
 use hyper::StatusCode;
-use platform::vms::{Kind, State, Vm};
 use protocol::order::Role;
 use standin::engine::{Engine, Faults, Setup, expected};
 
--- a/tests/system/fleet.rs
+++ b/tests/system/fleet.rs
@@ -9,13 +9,13 @@
 };
 
 use bytes::Bytes;
+use cloud::table::Transaction;
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, StatusCode, body::Incoming};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use platform::table::Transaction;
 use protocol::order::{Role, Wanted};
 use settings::tree::{Change, Edit, Tree, resolve};
 use standin::{
--- a/tests/system/once.rs
+++ b/tests/system/once.rs
@@ -145,7 +145,7 @@
         }
     });
     eventually("the claim is written", async || {
-        let read = platform::table::Read {
+        let read = cloud::table::Read {
             keys: Vec::new(),
             prefixes: vec!["claim/".to_owned()],
         };
@@ -173,7 +173,7 @@
     let first = report(&caller, &fleet, 0, Some("p"), "paused");
     let others = async {
         eventually("the claim is written", async || {
-            let read = platform::table::Read {
+            let read = cloud::table::Read {
                 keys: Vec::new(),
                 prefixes: vec!["claim/".to_owned()],
             };
