--- a/components/gateway/src/edge/mod.rs
+++ b/components/gateway/src/edge/mod.rs
@@ -173,6 +173,23 @@
 
     /// Reads the answer to an order.
     fn ordered(&self, status: StatusCode) -> Ordered;
+
+    /// The call that asks an engine how it is.
+    fn inquiry(&self) -> Call;
+
+    /// Reads an engine's answer to an inquiry.
+    fn report(&self, body: &[u8]) -> Option<Report>;
+}
+
+/// What an engine says of itself, some hundred milliseconds late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Its stage.
+    pub stage: Stage,
+    /// Whether an order is in progress.
+    pub busy: bool,
+    /// How many orders it has accepted since it started.
+    pub orders: u64,
 }
 
 /// A call of the gateway's own to an endpoint.
--- a/components/gateway/src/endpoint/load.rs
+++ b/components/gateway/src/endpoint/load.rs
@@ -7,12 +7,14 @@
 /// Work under way at an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
-    /// Prompt tokens that are sent and not read yet.
+    /// Work of the prompts that are sent and not read yet, see [`policy::prompt::work`].
     pub reading: u64,
     /// Prompts that are sent and not read yet.
     pub prompts: u64,
     /// Requests that are answered, or will be once their prompts are read.
     pub writing: u64,
+    /// Those of them whose answers are long.
+    pub long: u64,
 }
 
 impl Load {
@@ -23,6 +25,7 @@
             reading: self.reading + other.reading,
             prompts: self.prompts + other.prompts,
             writing: self.writing + other.writing,
+            long: self.long + other.long,
         }
     }
 }
@@ -31,34 +34,34 @@
 #[derive(Debug)]
 pub struct Reading {
     target: Arc<Target>,
-    tokens: u64,
+    work: u64,
 }
 
 impl Reading {
-    /// Counts a prompt of so many tokens to be read.
+    /// Counts a prompt of so much work.
     #[must_use]
-    pub fn new(target: &Arc<Target>, tokens: u64) -> Self {
+    pub fn new(target: &Arc<Target>, work: u64) -> Self {
         target.with(|state| {
-            state.own.reading += tokens;
+            state.own.reading += work;
             state.own.prompts += 1;
         });
         Self {
             target: Arc::clone(target),
-            tokens,
+            work,
         }
     }
 
-    /// The tokens that are counted.
+    /// The work that is counted.
     #[must_use]
-    pub fn tokens(&self) -> u64 {
-        self.tokens
+    pub fn work(&self) -> u64 {
+        self.work
     }
 }
 
 impl Drop for Reading {
     fn drop(&mut self) {
         self.target.with(|state| {
-            state.own.reading -= self.tokens;
+            state.own.reading -= self.work;
             state.own.prompts -= 1;
         });
     }
@@ -68,21 +71,29 @@
 #[derive(Debug)]
 pub struct Writing {
     target: Arc<Target>,
+    long: bool,
 }
 
 impl Writing {
-    /// Counts a request.
+    /// Counts a request, and whether its answer will be long.
     #[must_use]
-    pub fn new(target: &Arc<Target>) -> Self {
-        target.with(|state| state.own.writing += 1);
+    pub fn new(target: &Arc<Target>, long: bool) -> Self {
+        target.with(|state| {
+            state.own.writing += 1;
+            state.own.long += u64::from(long);
+        });
         Self {
             target: Arc::clone(target),
+            long,
         }
     }
 }
 
 impl Drop for Writing {
     fn drop(&mut self) {
-        self.target.with(|state| state.own.writing -= 1);
+        self.target.with(|state| {
+            state.own.writing -= 1;
+            state.own.long -= u64::from(self.long);
+        });
     }
 }
--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -29,11 +29,17 @@
     /// share one with a chance of about one in a thousand, which would only blur their loads.
     #[must_use]
     pub fn short(&self) -> u32 {
-        let hash = xxhash_rust::xxh3::xxh3_64(self.0.as_bytes());
-        u32::try_from(hash >> u32::BITS).unwrap_or_default()
+        short(&self.0)
     }
 }
 
+/// A short number for a name, the same in every process.
+#[must_use]
+pub fn short(name: &str) -> u32 {
+    let hash = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+    u32::try_from(hash >> u32::BITS).unwrap_or_default()
+}
+
 /// What an engine does: it reads prompts, or it writes answers.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 #[display(rename_all = "kebab-case")]
@@ -71,6 +77,4 @@
     pub slots: u64,
     /// What it does, if it is an engine.
     pub stage: Option<Stage>,
-    /// How many orders it has accepted since it started.
-    pub orders: u64,
 }
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -9,7 +9,7 @@
 };
 
 use parking_lot::Mutex;
-use policy::{learn::Rates, memory::Memory, prompt::Part};
+use policy::{learn::Pace, memory::Memory, prompt::Part};
 use tokio::time::Instant;
 
 use super::{
@@ -42,8 +42,8 @@
     pub peers: Load,
     /// How it does.
     pub health: Health,
-    /// How fast it reads and writes.
-    pub rates: Rates,
+    /// How fast it is in its present stage.
+    pub pace: Pace,
     /// Which prompt parts it likely holds.
     pub memory: Memory,
     /// Idle connections, the longest idle first.
@@ -61,8 +61,8 @@
     pub profile: Profile,
     /// All that is under way there.
     pub load: Load,
-    /// How fast it reads and writes.
-    pub rates: Rates,
+    /// How fast it is in its present stage.
+    pub pace: Pace,
     /// Tokens of the prompt asked about that it likely holds.
     pub held: u64,
     /// Part of its attempts that fail.
@@ -72,7 +72,7 @@
 impl Target {
     /// An endpoint that is new on the list.
     #[must_use]
-    pub fn new(profile: Profile, rates: Rates, memory_tokens: u64) -> Self {
+    pub fn new(profile: Profile, pace: Pace, memory_tokens: u64) -> Self {
         Self {
             id: profile.id.clone(),
             short: profile.id.short(),
@@ -83,7 +83,7 @@
                 own: Load::default(),
                 peers: Load::default(),
                 health: Health::default(),
-                rates,
+                pace,
                 memory: Memory::new(memory_tokens),
                 idle: Vec::new(),
                 changing: None,
@@ -108,7 +108,7 @@
             open.then(|| Seen {
                 profile: state.profile.clone(),
                 load: state.own.with(state.peers),
-                rates: state.rates,
+                pace: state.pace,
                 held: state.memory.held(parts),
                 failures: state.health.failures(),
             })
@@ -121,6 +121,17 @@
         self.with(|state| state.profile.stage)
     }
 
+    /// Takes the stage that the engine itself told.
+    pub fn take_stage(&self, stage: Stage) {
+        self.with(|state| {
+            if state.profile.stage != Some(stage) {
+                state.profile.stage = Some(stage);
+                state.pace = Pace::default();
+            }
+            state.changing = None;
+        });
+    }
+
     /// Notes how an attempt ended.
     pub fn note(&self, verdict: Verdict, request: &str) {
         let now = Instant::now();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod peer;
 mod process;
 mod request;
+mod steward;
 pub mod version;
 
 pub use error::Error;
--- a/components/gateway/src/peer/digest.rs
+++ b/components/gateway/src/peer/digest.rs
@@ -4,11 +4,11 @@
 
 use prost::Message;
 use tokio::{net::UdpSocket, time::Instant};
-use wire::{Digest, Placed};
+use wire::{Digest, Placed, ServiceDemand, StageTold};
 
 use super::{FORGOTTEN, Peer, load, own, told};
 use crate::{
-    endpoint::{Load, Target},
+    endpoint::{Load, Stage, Target},
     process::Gateway,
 };
 
@@ -17,6 +17,9 @@
 const PACE: Duration = Duration::from_millis(10);
 /// A digest is sent at least this often, so that peers know that this process lives.
 const HEARTBEAT: Duration = Duration::from_millis(150);
+/// How long an engine is left alone after the steward's last word that it is changing: a few
+/// heartbeats.
+const HEED: Duration = Duration::from_millis(600);
 /// The largest datagram that is taken.
 const DATAGRAM: usize = 64 << 10;
 /// Placements in one digest; a datagram then stays below the usual size of a packet or two.
@@ -26,12 +29,14 @@
 pub async fn send(gateway: &Gateway, socket: &UdpSocket) {
     let mut number = 0;
     let mut last: Vec<(u32, Load)> = Vec::new();
+    let mut last_changing = Vec::new();
     let mut sent = Instant::now();
     loop {
         tokio::time::sleep(PACE).await;
         let loads = loads(gateway);
         let placed = take_placed(gateway);
-        let news = loads != last || !placed.is_empty();
+        let changing = gateway.steward.changing();
+        let news = loads != last || !placed.is_empty() || changing != last_changing;
         if !news && sent.elapsed() < HEARTBEAT {
             continue;
         }
@@ -42,7 +47,9 @@
             placed,
             ..own(gateway, number)
         };
+        heed(gateway, &digest.changing, &[]);
         last = loads;
+        last_changing = changing;
         let bytes = digest.encode_to_vec();
         for address in gateway.peers.addresses() {
             if let Err(error) = socket.send_to(&bytes, address).await {
@@ -106,7 +113,8 @@
         }
     };
     let peer = &mut known[at];
-    let newer = peer.incarnation != digest.incarnation || peer.number < digest.number;
+    let restarted = peer.incarnation != digest.incarnation;
+    let newer = restarted || peer.number < digest.number;
     if !newer {
         return;
     }
@@ -120,9 +128,56 @@
     let loads = digest.loads.iter().map(load).collect();
     let before = std::mem::replace(&mut peer.loads, loads);
     let after = peer.loads.clone();
+    peer.steward = digest.steward;
+    let grown = grown(&mut peer.demands, &digest.demands, !restarted);
     drop(known);
+    for (service, tokens) in grown {
+        gateway.peers.add_demand(service, tokens);
+    }
     recount(gateway, &before, &after);
     remember(gateway, &digest.placed);
+    if digest.steward {
+        heed(gateway, &digest.changing, &digest.stages);
+    }
+}
+
+/// What was asked since the digest before; a peer that is new counts from now on.
+fn grown(known: &mut Vec<(u32, u64)>, told: &[ServiceDemand], same: bool) -> Vec<(u32, u64)> {
+    let before = std::mem::take(known);
+    *known = told
+        .iter()
+        .map(|demand| (demand.service, demand.reading))
+        .collect();
+    known.sort_unstable_by_key(|(service, _)| *service);
+    if !same {
+        return Vec::new();
+    }
+    known
+        .iter()
+        .map(|(service, tokens)| {
+            let at = before.binary_search_by_key(service, |(service, _)| *service);
+            let old = at.map_or(0, |at| before[at].1);
+            (*service, tokens.saturating_sub(old))
+        })
+        .collect()
+}
+
+/// Does as the steward says: sends nothing new to engines that are changing, and takes the stages that
+/// they told.
+pub fn heed(gateway: &Gateway, changing: &[u32], stages: &[StageTold]) {
+    let targets = gateway.registry.all();
+    let until = Instant::now() + HEED;
+    for target in targets.iter() {
+        if let Some(told) = stages.iter().find(|told| told.endpoint == target.short) {
+            target.take_stage(if told.prefill {
+                Stage::Prefill
+            } else {
+                Stage::Decode
+            });
+        } else if changing.contains(&target.short) {
+            target.with(|state| state.changing = Some(until));
+        }
+    }
 }
 
 /// Counts a peer's loads anew.
@@ -147,6 +202,7 @@
         reading: sum.reading.saturating_sub(old.reading) + new.reading,
         prompts: sum.prompts.saturating_sub(old.prompts) + new.prompts,
         writing: sum.writing.saturating_sub(old.writing) + new.writing,
+        long: sum.long.saturating_sub(old.long) + new.long,
     }
 }
 
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -9,9 +9,12 @@
 use parking_lot::Mutex;
 use policy::prompt::Part;
 use tokio::{net::UdpSocket, time::Instant};
-use wire::{Digest, EndpointLoad, Placed};
+use wire::{Digest, EndpointLoad, Placed, ServiceDemand, StageTold};
 
-use crate::{endpoint::Load, process::Gateway};
+use crate::{
+    endpoint::{Load, Stage, short},
+    process::Gateway,
+};
 
 /// A peer that was not heard for this long is taken to be away: what it had under way is no longer
 /// counted. A few of its heartbeats.
@@ -35,6 +38,10 @@
     since: Instant,
     /// What it has under way, sorted by endpoint.
     loads: Vec<(u32, Load)>,
+    /// Whether it says that it is the steward.
+    steward: bool,
+    /// What its callers asked of services since it started, sorted by service.
+    demands: Vec<(u32, u64)>,
 }
 
 /// The gateways that are known, sorted by address.
@@ -42,6 +49,8 @@
 pub struct Peers {
     known: Mutex<Vec<Peer>>,
     placed: Mutex<Vec<Placed>>,
+    /// What peers' callers asked of services since the peers were first heard, sorted by service.
+    demands: Mutex<Vec<(u32, u64)>>,
 }
 
 impl Peers {
@@ -68,6 +77,38 @@
         }
     }
 
+    /// Whether a live peer says that it is the steward.
+    pub fn steward_heard(&self) -> bool {
+        let now = Instant::now();
+        let known = self.known.lock();
+        known.iter().any(|peer| peer.steward && peer.is_live(now))
+    }
+
+    /// How many live peers come before this process, by address.
+    pub fn rank(&self, own: SocketAddr) -> usize {
+        let now = Instant::now();
+        let known = self.known.lock();
+        known
+            .iter()
+            .filter(|peer| peer.address < own && peer.is_live(now))
+            .count()
+    }
+
+    /// What peers' callers asked of a service since the peers were first heard.
+    pub fn demand(&self, service: &str) -> u64 {
+        let demands = self.demands.lock();
+        let at = demands.binary_search_by_key(&short(service), |(service, _)| *service);
+        at.map_or(0, |at| demands[at].1)
+    }
+
+    fn add_demand(&self, service: u32, tokens: u64) {
+        let mut demands = self.demands.lock();
+        match demands.binary_search_by_key(&service, |(service, _)| *service) {
+            Ok(at) => demands[at].1 += tokens,
+            Err(at) => demands.insert(at, (service, tokens)),
+        }
+    }
+
     /// Adds a peer that was heard of.
     fn learn(&self, address: SocketAddr, data_centre: &str) {
         let mut known = self.known.lock();
@@ -91,6 +132,8 @@
             heard: None,
             since: Instant::now(),
             loads: Vec::new(),
+            steward: false,
+            demands: Vec::new(),
         }
     }
 
@@ -110,20 +153,22 @@
 
 fn load(told: &EndpointLoad) -> (u32, Load) {
     let load = Load {
-        reading: u64::from(told.reading_tokens),
+        reading: u64::from(told.reading),
         prompts: u64::from(told.prompts),
         writing: u64::from(told.writing),
+        long: u64::from(told.long),
     };
     (told.endpoint, load)
 }
 
 fn told(endpoint: u32, load: Load) -> EndpointLoad {
-    let short = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
+    let narrow = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
     EndpointLoad {
         endpoint,
-        reading_tokens: short(load.reading),
-        prompts: short(load.prompts),
-        writing: short(load.writing),
+        reading: narrow(load.reading),
+        prompts: narrow(load.prompts),
+        writing: narrow(load.writing),
+        long: narrow(load.long),
     }
 }
 
@@ -141,5 +186,24 @@
             .map_or(0, |configuration| configuration.version),
         loads: Vec::new(),
         placed: Vec::new(),
+        steward: gateway.steward.holds(),
+        changing: gateway.steward.changing(),
+        stages: gateway
+            .steward
+            .stages()
+            .into_iter()
+            .map(|(endpoint, stage)| StageTold {
+                endpoint,
+                prefill: stage == Stage::Prefill,
+            })
+            .collect(),
+        demands: gateway
+            .own_demands()
+            .into_iter()
+            .map(|(service, reading)| ServiceDemand {
+                service: short(&service),
+                reading,
+            })
+            .collect(),
     }
 }
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -9,7 +9,7 @@
 
 use cloud::table::Table;
 use parking_lot::{Mutex, RwLock};
-use policy::retry::Window;
+use policy::{learn::Margin, retry::Window};
 use settings::gateway::Settings;
 use tokio::{net::TcpListener, net::UdpSocket, sync::watch, task::JoinSet, time::Instant};
 
@@ -19,6 +19,7 @@
     endpoint::Registry,
     error::Error,
     peer::{self, Peers},
+    steward::{self, Steward},
     version::{Configuration, Limits},
 };
 
@@ -45,6 +46,27 @@
     pub table: Arc<dyn Table>,
 }
 
+/// What is counted and learnt of a service.
+#[derive(Debug)]
+struct Ledger {
+    /// Repeats that were sent to it.
+    repeats: Window,
+    /// Work of prompts that callers of this process asked it to read.
+    asked: u64,
+    /// How much later than expected its answers begin.
+    margin: Margin,
+}
+
+impl Ledger {
+    fn new(window: policy::Micros) -> Self {
+        Self {
+            repeats: Window::new(window),
+            asked: 0,
+            margin: Margin::default(),
+        }
+    }
+}
+
 /// The state that the parts of a gateway share.
 pub struct Gateway {
     /// Its settings.
@@ -57,6 +79,8 @@
     pub registry: Registry,
     /// The gateways that it knows.
     pub peers: Peers,
+    /// What this process does as the steward.
+    pub steward: Steward,
     /// How far a planned stop has come.
     pub phase: watch::Sender<Phase>,
     /// Open connections of callers; a planned stop waits until there are none.
@@ -66,8 +90,8 @@
     configuration: RwLock<Option<Arc<Configuration>>>,
     /// Whether the endpoints were read once.
     endpoints_read: watch::Sender<bool>,
-    /// Repeats sent to services, sorted by service.
-    repeats: Mutex<Vec<(Arc<str>, Window)>>,
+    /// What is counted and learnt of each service, sorted by service.
+    ledgers: Mutex<Vec<(Arc<str>, Ledger)>>,
     started: Instant,
 }
 
@@ -100,7 +124,7 @@
     /// Counts a request to a service, which allows for repeats.
     pub fn count_request(&self, service: &Arc<str>) {
         let now = self.micros();
-        self.with_repeats(service, |window| window.request(now));
+        self.with_ledger(service, |ledger| ledger.repeats.request(now));
     }
 
     /// Takes one repeat out of the service's budget, if there is one.
@@ -108,20 +132,51 @@
         let now = self.micros();
         let slack = self.settings.bounds.retry_slack / policy::real(self.peers.count() + 1);
         let ratio = self.settings.bounds.retry_ratio;
-        self.with_repeats(service, |window| window.spend(now, ratio, slack))
+        self.with_ledger(service, |ledger| ledger.repeats.spend(now, ratio, slack))
+    }
+
+    /// Counts the work of prompts that a service is asked to read.
+    pub fn count_demand(&self, service: &Arc<str>, work: u64) {
+        self.with_ledger(service, |ledger| ledger.asked += work);
+    }
+
+    /// What callers of this process asked of each service so far.
+    pub fn own_demands(&self) -> Vec<(Arc<str>, u64)> {
+        let ledgers = self.ledgers.lock();
+        ledgers
+            .iter()
+            .map(|(service, ledger)| (Arc::clone(service), ledger.asked))
+            .collect()
+    }
+
+    /// The work that a service was asked to read, here and at the peers, since each was first heard;
+    /// only its growth means anything.
+    pub fn demand(&self, service: &Arc<str>) -> u64 {
+        let own = self.with_ledger(service, |ledger| ledger.asked);
+        own + self.peers.demand(service)
+    }
+
+    /// How much later than expected most answers of a service begin, in microseconds.
+    pub fn margin(&self, service: &Arc<str>) -> f64 {
+        self.with_ledger(service, |ledger| ledger.margin.us())
+    }
+
+    /// Learns from an answer that was expected to begin after one time and began after another.
+    pub fn learn_margin(&self, service: &Arc<str>, expected: f64, took: policy::Micros) {
+        self.with_ledger(service, |ledger| ledger.margin.learn(expected, took));
     }
 
-    fn with_repeats<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut Window) -> T) -> T {
-        let mut repeats = self.repeats.lock();
-        let at = match repeats.binary_search_by(|(name, _)| name.cmp(service)) {
+    fn with_ledger<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut Ledger) -> T) -> T {
+        let mut ledgers = self.ledgers.lock();
+        let at = match ledgers.binary_search_by(|(name, _)| name.cmp(service)) {
             Ok(at) => at,
             Err(at) => {
                 let window = policy::micros(self.settings.bounds.retry_window_s);
-                repeats.insert(at, (Arc::clone(service), Window::new(window)));
+                ledgers.insert(at, (Arc::clone(service), Ledger::new(window)));
                 at
             }
         };
-        f(&mut repeats[at].1)
+        f(&mut ledgers[at].1)
     }
 
     /// Time since the start, for decisions that keep their own time.
@@ -185,6 +240,7 @@
     tasks.spawn(peer::keep(Arc::clone(&gateway), peers));
     tasks.spawn(ready::serve(Arc::clone(&gateway), ready));
     tasks.spawn(connection::accept(Arc::clone(&gateway), callers));
+    tasks.spawn(steward::keep(Arc::clone(&gateway)));
     tasks.spawn(stop::carry_out(Arc::clone(&gateway)));
     Ok(Running { gateway, tasks })
 }
@@ -195,12 +251,13 @@
         edges,
         registry: Registry::default(),
         peers: Peers::default(),
+        steward: Steward::default(),
         phase: watch::Sender::new(Phase::Serving),
         connections: watch::Sender::new(0),
         under_way: watch::Sender::new(0),
         configuration: RwLock::default(),
         endpoints_read: watch::Sender::new(false),
-        repeats: Mutex::default(),
+        ledgers: Mutex::default(),
         started: Instant::now(),
         settings,
     }
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -4,13 +4,17 @@
 
 use bytes::Bytes;
 use derive_more::Display;
-use http_body_util::Full;
-use hyper::{Request, body::Incoming, http::response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Request, StatusCode,
+    body::{Body as _, Incoming},
+    http::response,
+};
 use tokio::time::Instant;
 
 use super::job::Job;
 use crate::{
-    edge::Directive,
+    edge::{Call, Directive},
     endpoint::{Link, NotOpened, Target, Verdict},
 };
 
@@ -35,6 +39,9 @@
     /// The connection had closed before anything was sent.
     #[display("the connection had closed")]
     NotSent,
+    /// A prompt was read, but no engine has room to write the answer.
+    #[display("no engine has room to write the answer")]
+    NoWriter,
     /// The endpoint said that it did not run it.
     #[display("the endpoint did not run it, status {_0}")]
     NotRun(u16),
@@ -55,12 +62,15 @@
 impl Cause {
     /// Whether the request certainly did not run there.
     pub fn not_run(self) -> bool {
-        matches!(self, Self::NotOpened(_) | Self::NotSent | Self::NotRun(_))
+        matches!(
+            self,
+            Self::NotOpened(_) | Self::NotSent | Self::NoWriter | Self::NotRun(_)
+        )
     }
 
     /// Whether the endpoint has seen the request, as far as is known.
     pub fn arrived(self) -> bool {
-        !matches!(self, Self::NotOpened(_) | Self::NotSent)
+        !matches!(self, Self::NotOpened(_) | Self::NotSent | Self::NoWriter)
     }
 
     /// What it tells of the endpoint.
@@ -69,7 +79,9 @@
             Self::NotOpened(NotOpened::Silent | NotOpened::Refused) | Self::TimeOver => {
                 Verdict::Silent
             }
-            Self::NotOpened(NotOpened::Full) | Self::NotSent | Self::NotRun(_) => Verdict::Refused,
+            Self::NotOpened(NotOpened::Full) | Self::NotSent | Self::NoWriter | Self::NotRun(_) => {
+                Verdict::Refused
+            },
             Self::Broken | Self::Foreign | Self::Failed(_) => Verdict::Failed,
         }
     }
@@ -141,9 +153,6 @@
 
 /// Reads the short rest of an answer and gives its connection back.
 fn give_back_after(target: &Arc<Target>, link: Link, body: Incoming) {
-    use http_body_util::BodyExt;
-    use hyper::body::Body as _;
-
     if body.size_hint().upper().is_none_or(|most| most > REFUSAL) {
         return;
     }
@@ -157,20 +166,26 @@
 
 /// The longest wait for the answer to a call of the gateway's own.
 const CALL: Duration = Duration::from_secs(1);
+/// The most of an answer to such a call that is read.
+const CALL_BYTES: usize = 64 << 10;
 /// Connections that calls of the gateway's own may hold to an endpoint.
 const CALL_LINKS: usize = 64;
 
-/// Makes a call of the gateway's own to an endpoint and gives the status; none if there was no
-/// answer.
-pub async fn call(target: &Arc<Target>, call: crate::edge::Call) -> Option<hyper::StatusCode> {
+/// Makes a call of the gateway's own to an endpoint and gives the whole answer; none if there was
+/// none.
+pub async fn call(target: &Arc<Target>, call: Call) -> Option<(StatusCode, Bytes)> {
     let mut link = target.connect(ANY, CALL_LINKS).await.ok()?;
     let mut request = Request::new(Full::new(call.body));
     *request.method_mut() = call.method;
     *request.uri_mut() = call.path.parse().ok()?;
     *request.headers_mut() = call.headers;
-    let sending = link.sender().send_request(request);
-    let response = tokio::time::timeout(CALL, sending).await.ok()?.ok()?;
-    let status = response.status();
-    give_back_after(target, link, response.into_body());
-    Some(status)
+    let exchange = async {
+        let response = link.sender().send_request(request).await.ok()?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), CALL_BYTES).collect();
+        Some((status, body.await.ok()?.to_bytes()))
+    };
+    let answer = tokio::time::timeout(CALL, exchange).await.ok()??;
+    target.give_back(link);
+    Some(answer)
 }
--- a/components/gateway/src/request/generate.rs
+++ b/components/gateway/src/request/generate.rs
@@ -36,16 +36,26 @@
     let mut sent = 0;
     loop {
         let view = View::new(&job, &tried);
+        if tried.is_empty() {
+            job.gateway
+                .count_demand(&job.service.name, view.to_read(&job));
+        }
         let choice = view.choose(&job).ok_or_else(|| give_up(&tried))?;
+        view.tell(&job, &choice);
         admit(&job, &choice)?;
         let outcome = match choice.plan {
             Plan::Whole { engine } => whole(&job, &view.targets[engine], None).await,
-            Plan::Split { prefill, decode } => {
-                split(&job, &view.targets[prefill], &view.targets[decode]).await
-            }
+            Plan::Split { prefill, .. } => split(&job, &view.targets[prefill], &tried).await,
         };
         match outcome {
-            Ok((answer, writing)) => return Ok(pass::hand_on(job, answer, writing, sent + 1)),
+            Ok((answer, writing)) => {
+                if tried.is_empty() {
+                    let took = policy::micros(job.arrived.elapsed());
+                    job.gateway
+                        .learn_margin(&job.service.name, choice.first, took);
+                }
+                return Ok(pass::hand_on(job, answer, writing, sent + 1));
+            }
             Err((target, cause)) => {
                 target.note(cause.verdict(), &job.ask.id);
                 tried.push(target);
@@ -86,7 +96,8 @@
 /// Refuses at once what would not begin in time.
 fn admit(job: &Job, choice: &Choice) -> Result<(), Reason> {
     let left = policy::micros(job.objective.saturating_duration_since(Instant::now()));
-    let expected = policy::count(choice.first);
+    let margin = job.gateway.margin(&job.service.name);
+    let expected = policy::count(choice.first + margin);
     if expected <= left {
         return Ok(());
     }
@@ -94,6 +105,9 @@
     Err(Reason::Late(over.clamp(SOON, job.time_left() / LATEST)))
 }
 
+/// Nanoseconds in a microsecond.
+const NANOS: f64 = 1e3;
+
 /// The engines of a service as one decision sees them.
 struct View {
     targets: Vec<Arc<Target>>,
@@ -126,6 +140,42 @@
         let draw = rand::random();
         place::choose(&self.engines, &ask(job), &Weights::default(), draw)
     }
+
+    /// The work for an engine that reads; none if the prompt is short.
+    fn to_read(&self, job: &Job) -> u64 {
+        let prompt = ask(job).prompt;
+        let readers = self
+            .engines
+            .iter()
+            .filter(|engine| engine.stage == place::Stage::Prefill);
+        let held = readers.map(|engine| engine.held).max().unwrap_or(0);
+        if prompt.saturating_sub(held) > Weights::default().short_prompt {
+            policy::prompt::work(prompt, held)
+        } else {
+            0
+        }
+    }
+
+    /// Says where a request is placed, and what that was decided by.
+    fn tell(&self, job: &Job, choice: &Choice) {
+        let (at, writer) = match choice.plan {
+            Plan::Whole { engine } => (engine, engine),
+            Plan::Split { prefill, decode } => (prefill, decode),
+        };
+        let (reads, writes) = (&self.engines[at], &self.engines[writer]);
+        let ask = ask(job);
+        log::info!(
+            request = job.ask.id, reads = &*self.targets[at].id.0, writes = &*self.targets[writer].id.0,
+            expected_us = policy::count(choice.first),
+            margin_us = policy::count(job.gateway.margin(&job.service.name)), left_us = ask.within,
+            prompt = ask.prompt, held = reads.held, output = ask.output,
+            reading = reads.reading, writing = writes.writing,
+            long = writes.long, start_us = policy::count(writes.pace.start_us),
+            read_ns = policy::count(reads.pace.read_us * NANOS),
+            step_us = policy::count(writes.pace.step_us);
+            "placed"
+        );
+    }
 }
 
 fn engine(seen: &Seen, near: &str) -> place::Engine {
@@ -136,9 +186,10 @@
         },
         reading: seen.load.reading,
         writing: seen.load.writing,
+        long: seen.load.long,
         slots: seen.profile.slots,
         held: seen.held,
-        rates: seen.rates,
+        pace: seen.pace,
         distance: if *seen.profile.data_centre == *near {
             0
         } else {
@@ -151,16 +202,25 @@
 fn ask(job: &Job) -> Ask {
     let none = Prompt::default();
     let prompt = job.ask.prompt.as_ref().unwrap_or(&none);
-    let engines = job.service.engines.as_ref();
     let left = job.objective.saturating_duration_since(Instant::now());
     Ask {
         prompt: prompt.tokens,
         output: prompt.expected_output(),
-        event: engines.map_or(1, |engines| engines.event_tokens),
         within: policy::micros(left),
+        event: job
+            .service
+            .engines
+            .as_ref()
+            .map_or(1, |engines| engines.event_tokens),
+        pause: job.pause.map_or(policy::Micros::MAX, policy::micros),
     }
 }
 
+/// Whether a request's answer will be long.
+fn is_long(job: &Job) -> bool {
+    ask(job).output > Weights::default().long_answer
+}
+
 type Attempted = Result<(Answer, Writing), (Arc<Target>, Cause)>;
 
 /// One engine reads and writes.
@@ -173,17 +233,29 @@
         resume_after,
         ..Directive::default()
     };
-    let writing = Writing::new(target);
+    let writing = Writing::new(target, is_long(job));
     let sent = attempt::send(job, target, &directive, job.deadline).await;
     let answer = sent.map_err(|cause| (Arc::clone(target), cause))?;
-    learn(target, ahead + reading.guard.tokens(), begun);
+    learn(target, ahead + reading.guard.work(), begun);
     Ok((answer, writing))
 }
 
-/// One engine reads, another one writes.
-async fn split(job: &Job, prefill: &Arc<Target>, decode: &Arc<Target>) -> Attempted {
-    let writing = Writing::new(decode);
+/// One engine reads, another one writes. Which one writes is decided when the prompt has been read,
+/// as much has changed until then.
+async fn split(job: &Job, prefill: &Arc<Target>, tried: &[Arc<Target>]) -> Attempted {
     let handle = read(job, prefill).await?;
+    let view = View::new(job, tried);
+    let Some(at) = place::choose_writer(
+        &view.engines,
+        &ask(job),
+        &Weights::default(),
+        rand::random(),
+    ) else {
+        // counted like an engine that was not reached: nothing ran
+        return Err((Arc::clone(prefill), Cause::NoWriter));
+    };
+    let decode = &view.targets[at];
+    let writing = Writing::new(decode, is_long(job));
     let directive = Directive {
         time_left: job.time_left(),
         expect: Some(decode.id.clone()),
@@ -191,9 +263,12 @@
         ..Directive::default()
     };
     use_parts(job, decode);
+    let begun = Instant::now();
     let sent = attempt::send(job, decode, &directive, job.deadline).await;
     match sent {
         Ok(answer) => {
+            let took = policy::micros(begun.elapsed());
+            decode.with(|state| state.pace.began(took));
             handle.taken();
             Ok((answer, writing))
         }
@@ -218,7 +293,7 @@
     });
     use_parts(job, target);
     Counted {
-        guard: Reading::new(target, prompt.tokens.saturating_sub(held)),
+        guard: Reading::new(target, policy::prompt::work(prompt.tokens, held)),
         ahead,
     }
 }
@@ -253,7 +328,7 @@
     let address = target.with(|state| state.profile.address);
     let handle = job.gateway.edges.dialect.handle(address, &body);
     let handle = handle.ok_or_else(|| failed(Cause::Foreign))?;
-    learn(target, counted.ahead + counted.guard.tokens(), begun);
+    learn(target, counted.ahead + counted.guard.work(), begun);
     target.note(Verdict::Fine, &job.ask.id);
     target.give_back(answer.link);
     Ok(Kept {
@@ -264,9 +339,9 @@
     })
 }
 
-fn learn(target: &Arc<Target>, tokens: u64, begun: Instant) {
+fn learn(target: &Arc<Target>, work: u64, begun: Instant) {
     let took = policy::micros(begun.elapsed());
-    target.with(|state| state.rates.first(tokens, took));
+    target.with(|state| state.pace.read(work, took));
 }
 
 /// A handle that is given back if nobody takes it.
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -42,6 +42,8 @@
     pub deadline: Instant,
     /// Until when an answer is worth most.
     pub objective: Instant,
+    /// The longest pause that streams of its service may have.
+    pub pause: Option<Duration>,
     _under_way: Counted,
 }
 
@@ -61,6 +63,9 @@
         let deadline = arrived + patience.min(timeout);
         let objective = arrived + route.objective.saturating_sub(WAY);
         let headers = gateway.edges.dialect.pass_on(&head.headers);
+        let pause = gateway
+            .configuration()
+            .and_then(|version| version.shortest_pause(&service.name));
         let under_way = Counted::new(&gateway.under_way);
         Self {
             gateway,
@@ -74,6 +79,7 @@
             arrived,
             deadline,
             objective,
+            pause,
             _under_way: under_way,
         }
     }
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -20,6 +20,7 @@
     edge::Ask,
     process::{Gateway, Phase},
 };
+pub use attempt::call;
 use job::Job;
 use pass::Body;
 use refusal::Reason;
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -50,6 +50,8 @@
     attempts: u32,
     events: u64,
     first: Option<Instant>,
+    /// The longest time between two events.
+    longest: Duration,
     ended: bool,
 }
 
@@ -93,6 +95,7 @@
         attempts,
         events: 0,
         first: None,
+        longest: Duration::ZERO,
         ended: false,
     };
     let parts = stream::try_unfold(passing, |mut passing| async move {
@@ -146,6 +149,7 @@
             return;
         };
         let gap = source.last.replace(now).map(|last| now - last);
+        self.longest = self.longest.max(gap.unwrap_or_default());
         let event = self
             .job
             .service
@@ -156,8 +160,7 @@
             source.target.with(|state| {
                 let load = state.own.with(state.peers);
                 if load.prompts == 0 {
-                    let between = policy::micros(gap) / event.max(1);
-                    state.rates.between(load.writing, between);
+                    state.pace.wrote(event, policy::micros(gap));
                 }
             });
         }
@@ -166,27 +169,23 @@
     /// The end of an answer that is whole.
     fn finish(&mut self) -> Option<Bytes> {
         let rest = self.splitter.as_mut().and_then(Splitter::finish);
+        self.tell("answered");
         if let Some(source) = self.source.take() {
             source.target.note(Verdict::Fine, &self.job.ask.id);
             source.target.give_back(source.link);
         }
-        self.tell("answered");
         rest
     }
 
     fn fail(&mut self, broken: Broken) -> Broken {
+        let (outcome, verdict) = match broken {
+            Broken::Endpoint => ("broken off by the endpoint", Verdict::Failed),
+            Broken::TimeOver => ("cut when its time was over", Verdict::Fine),
+        };
+        self.tell(outcome);
         if let Some(source) = self.source.take() {
-            let verdict = match broken {
-                Broken::Endpoint => Verdict::Failed,
-                Broken::TimeOver => Verdict::Fine,
-            };
             source.target.note(verdict, &self.job.ask.id);
         }
-        let outcome = match broken {
-            Broken::Endpoint => "broken off by the endpoint",
-            Broken::TimeOver => "cut when its time was over",
-        };
-        self.tell(outcome);
         broken
     }
 
@@ -230,6 +229,8 @@
         log::info!(
             request = self.job.ask.id, route = &*self.job.route.name, status = self.status.as_u16(),
             attempts = self.attempts, events = self.events, first_us,
+            endpoint = self.source.as_ref().map(|source| &*source.target.id.0),
+            longest_gap_us = policy::micros(self.longest),
             took_us = policy::micros(self.job.arrived.elapsed());
             "{outcome}"
         );
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -29,7 +29,7 @@
         let Some(target) = choose(&job, &tried) else {
             return Err(give_up(&tried));
         };
-        let writing = Writing::new(&target);
+        let writing = Writing::new(&target, false);
         let outcome = attempt(&job, &target).await;
         match outcome {
             Ok(answer) if another_may_do_better(&job, &answer, sent + 1) => {
--- /dev/null
+++ b/components/gateway/src/steward/change.rs
@@ -0,0 +1,166 @@
+//! Carries one change of an engine's stage out: gateways stop sending there, then the order goes out,
+//! then the engine's word is awaited.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use super::plan::Wish;
+use crate::{
+    edge::{Order, Ordered, Report},
+    endpoint::Target,
+    process::Gateway,
+    request::call,
+};
+
+/// Peers hear that an engine is changing within this time, and what they sent before has arrived.
+const HEARD: Duration = Duration::from_millis(80);
+/// How long an engine's answers may run out before it is ordered; it finishes the rest itself, but
+/// takes nothing else meanwhile.
+const RUN_OUT: Duration = Duration::from_secs(2);
+/// Between two looks at an engine.
+const LOOK: Duration = Duration::from_millis(300);
+/// An order that had no effect is given this often.
+const ORDERS: u32 = 6;
+/// How much longer than its switch an engine may take: its longest answers run to their end first.
+const LONGEST: Duration = Duration::from_secs(20);
+
+/// An engine that is being changed; gateways send there again when this is dropped.
+struct Changing {
+    gateway: Arc<Gateway>,
+    short: u32,
+}
+
+impl Changing {
+    fn new(gateway: &Arc<Gateway>, short: u32) -> Self {
+        gateway.steward.begin(short);
+        Self {
+            gateway: Arc::clone(gateway),
+            short,
+        }
+    }
+}
+
+impl Drop for Changing {
+    fn drop(&mut self) {
+        self.gateway.steward.end(self.short);
+    }
+}
+
+/// Changes an engine's stage, if the lease lasts.
+pub async fn carry_out(gateway: Arc<Gateway>, wish: Wish, epoch: u64) {
+    let begun = Instant::now();
+    let target = &wish.target;
+    let _changing = Changing::new(&gateway, target.short);
+    run_out(target).await;
+    let ordered = order(&gateway, &wish, epoch).await;
+    let done = ordered && arrive(&gateway, &wish).await;
+    log::info!(
+        engine = &*target.id.0, to:% = wish.stage, ordered, done, epoch,
+        took_us = policy::micros(begun.elapsed());
+        "a change of stage ended"
+    );
+}
+
+/// Waits until the engine has nothing under way, for a while.
+async fn run_out(target: &Target) {
+    let begun = Instant::now();
+    tokio::time::sleep(HEARD).await;
+    while begun.elapsed() < RUN_OUT {
+        let load = target.with(|state| state.own.with(state.peers));
+        if load.writing == 0 && load.prompts == 0 {
+            return;
+        }
+        tokio::time::sleep(HEARD).await;
+    }
+}
+
+/// Gives the order until the engine has accepted it. Says whether it has.
+async fn order(gateway: &Arc<Gateway>, wish: &Wish, epoch: u64) -> bool {
+    for _ in 0..ORDERS {
+        let Some(report) = report(gateway, &wish.target).await else {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        };
+        if report.stage == wish.stage {
+            return true;
+        }
+        if report.busy {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
+        // nothing is awaited between this look at the lease and the order
+        if !gateway.steward.holds() {
+            return false;
+        }
+        match give(gateway, wish, epoch, &report).await {
+            Some(Ordered::Accepted | Ordered::Holds) => return true,
+            Some(Ordered::Fenced) => return false,
+            Some(Ordered::Conflict | Ordered::Refused | Ordered::Unclear) | None => {
+                tokio::time::sleep(LOOK).await;
+            }
+        }
+    }
+    false
+}
+
+async fn give(
+    gateway: &Arc<Gateway>,
+    wish: &Wish,
+    epoch: u64,
+    report: &Report,
+) -> Option<Ordered> {
+    let order = Order {
+        engine: wish.target.id.clone(),
+        stage: wish.stage,
+        holder: gateway.settings.gateway.name.clone(),
+        token: epoch,
+        after: report.orders,
+    };
+    let answer = call(&wish.target, gateway.edges.dialect.order(&order)).await;
+    let ordered = answer.map(|(status, _)| gateway.edges.dialect.ordered(status));
+    let outcome = ordered.map_or("no answer".to_owned(), |ordered| ordered.to_string());
+    log::info!(
+        engine = &*wish.target.id.0, to:% = wish.stage, epoch, after = report.orders, outcome;
+        "ordered a change of stage"
+    );
+    ordered
+}
+
+/// Waits until the engine is in its new stage. Says whether it is.
+async fn arrive(gateway: &Arc<Gateway>, wish: &Wish) -> bool {
+    let switch = switch(gateway, &wish.target);
+    let latest = Instant::now() + switch + LONGEST;
+    // not before the engine can be back
+    tokio::time::sleep(switch.saturating_sub(LOOK)).await;
+    while Instant::now() < latest {
+        if wish.target.stage() == Some(wish.stage) {
+            return true;
+        }
+        let report = report(gateway, &wish.target).await;
+        if report.is_some_and(|report| report.stage == wish.stage && !report.busy) {
+            wish.target.take_stage(wish.stage);
+            gateway.steward.tell(wish.target.short, wish.stage);
+            return true;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    false
+}
+
+/// How long the engine is away, as the operators say.
+fn switch(gateway: &Gateway, target: &Target) -> Duration {
+    let service = target.with(|state| Arc::clone(&state.profile.service));
+    gateway
+        .configuration()
+        .and_then(|version| Some(version.service(&service)?.engines.as_ref()?.switch))
+        .unwrap_or_default()
+}
+
+async fn report(gateway: &Arc<Gateway>, target: &Arc<Target>) -> Option<Report> {
+    let (status, body) = call(target, gateway.edges.dialect.inquiry()).await?;
+    status
+        .is_success()
+        .then(|| gateway.edges.dialect.report(&body))
+        .flatten()
+}
--- /dev/null
+++ b/components/gateway/src/steward/lease.rs
@@ -0,0 +1,226 @@
+//! The steward's lease in the store.
+
+use std::time::Duration;
+
+use cloud::table::{Outcome, Read, Row, Transaction};
+use protocol::{
+    Incarnation,
+    lease::{self, Lease, Renewal, Watch},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::Instant;
+
+use crate::process::{Gateway, Phase};
+
+/// The row that changes with the holder, and the one that changes with each renewal.
+const LEASE: &str = "steward/lease";
+const RENEWAL: &str = "steward/renewal";
+/// How much longer a lease is than the time that must lie between two holders' orders: a renewal may
+/// be slow, and an order some time on its way.
+const LONGER: Duration = Duration::from_secs(1);
+/// How often in a term the holder renews.
+const RENEWALS: u32 = 4;
+/// How many gateways look after a lease that nobody seems to hold. The rest save the calls.
+const CANDIDATES: usize = 2;
+
+/// What this process knows of the lease.
+#[derive(Debug, Default)]
+pub struct Seat {
+    watch: Option<Watch>,
+    held: Option<Held>,
+    /// When the lease was last read or renewed.
+    visited: Option<Instant>,
+    started: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    epoch: u64,
+    /// The version of the lease row.
+    version: u64,
+    renewals: u64,
+    /// Until when this process may act.
+    until: Instant,
+    /// From when on it may order: another holder's last order must lie long enough back.
+    orders_from: Instant,
+}
+
+impl Seat {
+    /// Until when this process may act as the steward.
+    pub fn until(&self) -> Option<Instant> {
+        self.held.map(|held| held.until)
+    }
+
+    /// The number that goes with its orders: higher than that of all stewards before.
+    pub fn epoch(&self) -> Option<u64> {
+        self.held.map(|held| held.epoch)
+    }
+
+    /// Whether this process may order now.
+    pub fn may_order(&self, now: Instant) -> bool {
+        self.held
+            .is_some_and(|held| held.orders_from <= now && now < held.until)
+    }
+
+    /// Renews the lease, or looks whether it is to be had, when it is time.
+    pub async fn visit(&mut self, gateway: &Gateway) {
+        let now = Instant::now();
+        let term = gateway.settings.bounds.lease_ms + LONGER;
+        let due = self
+            .visited
+            .is_none_or(|visited| now - visited >= term / RENEWALS);
+        match self.held {
+            _ if !due => {}
+            Some(_) if *gateway.phase.borrow() != Phase::Serving => self.release(gateway).await,
+            Some(held) if now >= held.until => self.lose("the lease was not renewed in time"),
+            Some(held) => self.renew(gateway, held, term).await,
+            None if may_stand(gateway) => self.stand(gateway, term).await,
+            None => self.watch = None,
+        }
+    }
+
+    fn lose(&mut self, why: &str) {
+        self.held = None;
+        self.watch = None;
+        log::info!(why; "no longer the steward");
+    }
+
+    async fn renew(&mut self, gateway: &Gateway, held: Held, term: Duration) {
+        // counted from before the request was sent
+        let sent = Instant::now();
+        self.visited = Some(sent);
+        let renewal = Renewal {
+            epoch: held.epoch,
+            count: held.renewals + 1,
+        };
+        let transaction = Transaction::default()
+            .check(LEASE, held.version)
+            .write(RENEWAL, json(&renewal));
+        match gateway.edges.table.commit(transaction).await {
+            Ok(Outcome::Committed(_)) => {
+                self.held = Some(Held {
+                    renewals: renewal.count,
+                    until: until(sent, term),
+                    ..held
+                });
+            }
+            Ok(Outcome::Conflict(_)) => self.lose("another gateway holds the lease"),
+            Err(error) => log::warn!(error:%; "the steward's lease was not renewed"),
+        }
+    }
+
+    async fn release(&mut self, gateway: &Gateway) {
+        let Some(held) = self.held else {
+            return;
+        };
+        let lease = Lease {
+            epoch: held.epoch,
+            holder: None,
+        };
+        let transaction = Transaction::default()
+            .check(LEASE, held.version)
+            .write(LEASE, json(&lease));
+        if let Err(error) = gateway.edges.table.commit(transaction).await {
+            log::warn!(error:%; "the steward's lease was not released; it lapses");
+        }
+        self.lose("this process stops");
+    }
+
+    /// Watches the lease, and takes it when its holder has let it lapse.
+    async fn stand(&mut self, gateway: &Gateway, term: Duration) {
+        let asked = Instant::now();
+        self.visited = Some(asked);
+        let started = *self.started.get_or_insert(asked);
+        let read = Read {
+            keys: vec![LEASE.to_owned(), RENEWAL.to_owned()],
+            prefixes: Vec::new(),
+        };
+        let rows = match gateway.edges.table.read(read).await {
+            Ok(rows) => rows,
+            Err(error) => {
+                log::warn!(error:%; "the steward's lease was not read");
+                return;
+            }
+        };
+        let row = rows.iter().find(|row| row.key == LEASE);
+        let lease: Option<Lease> = row.and_then(typed);
+        let renewal: Renewal = rows
+            .iter()
+            .find(|row| row.key == RENEWAL)
+            .and_then(typed)
+            .unwrap_or_default();
+        let now_ms = millis(started.elapsed());
+        match &mut self.watch {
+            Some(watch) => watch.see(renewal, now_ms),
+            None => self.watch = Some(Watch::new(renewal, now_ms)),
+        }
+        let lapsed = self
+            .watch
+            .is_some_and(|watch| watch.lapsed(lease.as_ref(), now_ms, millis(term)));
+        if lapsed {
+            let version = row.map_or(0, |row| row.version);
+            self.take(gateway, lease, version, term).await;
+        }
+    }
+
+    async fn take(&mut self, gateway: &Gateway, lease: Option<Lease>, version: u64, term: Duration) {
+        let sent = Instant::now();
+        let next = lease::take(lease.as_ref(), Incarnation(gateway.incarnation));
+        let renewal = Renewal {
+            epoch: next.epoch,
+            count: 0,
+        };
+        let transaction = Transaction::default()
+            .check(LEASE, version)
+            .write(LEASE, json(&next))
+            .write(RENEWAL, json(&renewal));
+        match gateway.edges.table.commit(transaction).await {
+            Ok(Outcome::Committed(version)) => {
+                // the first steward of all follows nobody
+                let pause = lease.map_or(Duration::ZERO, |_| gateway.settings.bounds.lease_ms);
+                self.held = Some(Held {
+                    epoch: next.epoch,
+                    version,
+                    renewals: 0,
+                    until: until(sent, term),
+                    orders_from: Instant::now() + pause,
+                });
+                log::info!(epoch = next.epoch, pause_ms = millis(pause); "became the steward");
+            }
+            Ok(Outcome::Conflict(_)) => self.watch = None,
+            Err(error) => {
+                // it may still be done; then this process sees itself as a holder that lets it lapse
+                self.watch = None;
+                log::warn!(error:%; "the steward's lease was not taken");
+            }
+        }
+    }
+}
+
+/// Whether this process should look after the lease: nobody claims to hold it, and it is among the
+/// first of the gateways that can be heard.
+fn may_stand(gateway: &Gateway) -> bool {
+    *gateway.phase.borrow() == Phase::Serving
+        && !gateway.peers.steward_heard()
+        && gateway.peers.rank(gateway.settings.gateway.peers) < CANDIDATES
+}
+
+fn until(sent: Instant, term: Duration) -> Instant {
+    // the same margin as in the checked protocol
+    sent + Duration::from_millis(lease::until(0, millis(term)))
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn json<T: Serialize>(value: &T) -> String {
+    // rows of plain fields always have a JSON form
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+fn typed<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    serde_json::from_str(&row.value)
+        .inspect_err(|error| log::error!(key = row.key, error:%; "a row can't be read"))
+        .ok()
+}
--- /dev/null
+++ b/components/gateway/src/steward/mod.rs
@@ -0,0 +1,103 @@
+//! The steward: the one gateway that orders engines to change their stage.
+//!
+//! It holds a lease in the platform's store. Engines may not check who gives them an order, so a
+//! steward stops well before its lease lapses, and a successor waits before its first order. See
+//! `docs/PLATFORM.md#orders`.
+
+mod change;
+mod lease;
+mod plan;
+
+use std::{sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use tokio::{task::JoinSet, time::Instant};
+
+use crate::{endpoint::Stage, process::Gateway};
+use lease::Seat;
+use plan::Planner;
+
+/// Between two looks at the lease and the plan.
+const TICK: Duration = Duration::from_millis(250);
+/// How long a stage that an engine told is passed on, until the list has it too.
+const TOLD: Duration = Duration::from_secs(3);
+
+/// What the other parts of the process and its peers hear of the steward.
+#[derive(Debug, Default)]
+pub struct Steward {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Until when this process may give orders; none while it holds no lease.
+    until: Option<Instant>,
+    /// Engines that it is changing, by short number.
+    changing: Vec<u32>,
+    /// Stages that engines told, by short number.
+    stages: Vec<(u32, Stage, Instant)>,
+}
+
+impl Steward {
+    /// Whether this process holds the lease.
+    pub fn holds(&self) -> bool {
+        let now = Instant::now();
+        self.state.lock().until.is_some_and(|until| until > now)
+    }
+
+    /// The engines that this process is changing.
+    pub fn changing(&self) -> Vec<u32> {
+        self.state.lock().changing.clone()
+    }
+
+    /// The stages that engines told lately.
+    pub fn stages(&self) -> Vec<(u32, Stage)> {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        state.stages.retain(|(.., at)| now - *at < TOLD);
+        state
+            .stages
+            .iter()
+            .map(|(short, stage, _)| (*short, *stage))
+            .collect()
+    }
+
+    fn tell(&self, short: u32, stage: Stage) {
+        let mut state = self.state.lock();
+        state.stages.retain(|(other, ..)| *other != short);
+        state.stages.push((short, stage, Instant::now()));
+    }
+
+    fn begin(&self, short: u32) {
+        self.state.lock().changing.push(short);
+    }
+
+    fn end(&self, short: u32) {
+        self.state.lock().changing.retain(|other| *other != short);
+    }
+}
+
+/// Takes, keeps and uses the lease as long as the process lives.
+pub async fn keep(gateway: Arc<Gateway>) {
+    let mut seat = Seat::default();
+    let mut planner = Planner::default();
+    let mut changes = JoinSet::new();
+    loop {
+        let jitter = rand::random_range(0.8..1.2);
+        tokio::time::sleep(TICK.mul_f64(jitter)).await;
+        while changes.try_join_next().is_some() {}
+        seat.visit(&gateway).await;
+        planner.observe(&gateway);
+        let may = seat.may_order(Instant::now());
+        gateway.steward.state.lock().until = seat.until();
+        if !may {
+            continue;
+        }
+        let Some(epoch) = seat.epoch() else {
+            continue;
+        };
+        for wish in planner.wishes(&gateway) {
+            changes.spawn(change::carry_out(Arc::clone(&gateway), wish, epoch));
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/steward/plan.rs
@@ -0,0 +1,191 @@
+//! Which engines should change their stage: the plan is the policy's, this finds the figures for it
+//! and the engines that a change costs least.
+
+use std::sync::Arc;
+
+use policy::stage::{self, Change, Demand, Weights};
+
+use crate::{
+    endpoint::{Stage, State, Target},
+    process::Gateway,
+};
+
+/// An engine and the stage that it is to take.
+#[derive(Clone, Debug)]
+pub struct Wish {
+    /// The engine.
+    pub target: Arc<Target>,
+    /// The stage.
+    pub stage: Stage,
+}
+
+/// What is remembered of a service's demand.
+#[derive(Debug)]
+struct Service {
+    name: Arc<str>,
+    demand: Demand,
+    /// Tokens asked for in all at the last look.
+    tokens: u64,
+}
+
+/// The demands of all services with engines.
+#[derive(Debug, Default)]
+pub struct Planner {
+    services: Vec<Service>,
+}
+
+/// An engine as the plan sees it.
+struct Engine {
+    target: Arc<Target>,
+    stage: Stage,
+    data_centre: Arc<str>,
+    reading: u64,
+    writing: u64,
+    long: u64,
+    slots: u64,
+    read_us: f64,
+}
+
+impl Planner {
+    /// Looks at what was asked for since the last look.
+    pub fn observe(&mut self, gateway: &Gateway) {
+        let Some(version) = gateway.configuration() else {
+            return;
+        };
+        let now = gateway.micros();
+        for service in version.services() {
+            if service.engines.is_none() {
+                continue;
+            }
+            let engines = engines(gateway, &service.name);
+            let tokens = gateway.demand(&service.name);
+            let at = match self.services.binary_search_by(|s| s.name.cmp(&service.name)) {
+                Ok(at) => at,
+                Err(at) => {
+                    let name = Arc::clone(&service.name);
+                    let demand = Demand::default();
+                    self.services.insert(at, Service { name, demand, tokens });
+                    at
+                }
+            };
+            let known = &mut self.services[at];
+            let asked = tokens.saturating_sub(known.tokens);
+            known.tokens = tokens;
+            let writing: u64 = engines.iter().map(|engine| engine.writing).sum();
+            let reading = policy::real(asked) * read_us(&engines);
+            known.demand.observe(now, reading, policy::real(writing));
+        }
+    }
+
+    /// The changes to begin now.
+    pub fn wishes(&self, gateway: &Gateway) -> Vec<Wish> {
+        let services = self.services.iter();
+        services
+            .filter_map(|service| wish(gateway, service))
+            .collect()
+    }
+}
+
+fn wish(gateway: &Gateway, service: &Service) -> Option<Wish> {
+    let engines = engines(gateway, &service.name);
+    let changing = gateway.steward.changing();
+    let count = u64::try_from(engines.len()).unwrap_or(0);
+    let away = engines
+        .iter()
+        .filter(|engine| changing.contains(&engine.target.short));
+    let away = u64::try_from(away.count()).unwrap_or(0);
+    let slots = engines.iter().map(|engine| engine.slots).max()?;
+    let weights = Weights::default();
+    let wanted = stage::readers(&service.demand, count, slots, &weights);
+    let reading = will_read(&engines, &changing);
+    let change = stage::change(&service.demand, wanted, reading, &weights)?;
+    if away >= stage::most_changing(count) {
+        return None;
+    }
+    let free = engines
+        .iter()
+        .filter(|engine| !changing.contains(&engine.target.short));
+    let (engine, stage) = match change {
+        Change::MoreReaders => {
+            let writers = free.filter(|engine| engine.stage == Stage::Decode);
+            let near = |engine: &Engine| readers_in(&engines, &engine.data_centre);
+            let engine = writers.min_by_key(|e| (e.long, near(e), e.writing))?;
+            (engine, Stage::Prefill)
+        }
+        Change::MoreWriters => {
+            let readers = free.filter(|engine| engine.stage == Stage::Prefill);
+            let near = |engine: &Engine| readers_in(&engines, &engine.data_centre);
+            let engine = readers.min_by_key(|e| (std::cmp::Reverse(near(e)), e.reading))?;
+            (engine, Stage::Decode)
+        }
+    };
+    log::info!(
+        service = &*service.name, engine = &*engine.target.id.0, to:% = stage, wanted, reading, count,
+        away, demand_reading = service.demand.reading, demand_writing = service.demand.writing,
+        long = engine.long;
+        "an engine is to change its stage"
+    );
+    Some(Wish {
+        target: Arc::clone(&engine.target),
+        stage,
+    })
+}
+
+/// Engines that read, or will once what is under way is done.
+fn will_read(engines: &[Engine], changing: &[u32]) -> u64 {
+    let reads = engines.iter().filter(|engine| {
+        let reads = engine.stage == Stage::Prefill;
+        // one that is changing will be the other kind
+        reads != changing.contains(&engine.target.short)
+    });
+    u64::try_from(reads.count()).unwrap_or(0)
+}
+
+fn readers_in(engines: &[Engine], data_centre: &str) -> usize {
+    engines
+        .iter()
+        .filter(|engine| engine.stage == Stage::Prefill && *engine.data_centre == *data_centre)
+        .count()
+}
+
+/// The engines of a service that are listed and stay.
+fn engines(gateway: &Gateway, service: &str) -> Vec<Engine> {
+    let fleet = gateway.registry.fleet(service);
+    fleet
+        .targets()
+        .iter()
+        .filter_map(|target| {
+            target.with(|state| {
+                let stage = state.profile.stage?;
+                let stays = state.listed
+                    && state.profile.state == State::Ready
+                    && state.health.sound();
+                let load = state.own.with(state.peers);
+                stays.then(|| Engine {
+                    target: Arc::clone(target),
+                    stage,
+                    data_centre: Arc::clone(&state.profile.data_centre),
+                    reading: load.reading,
+                    writing: load.writing,
+                    long: load.long,
+                    slots: state.profile.slots,
+                    read_us: state.pace.read_us,
+                })
+            })
+        })
+        .collect()
+}
+
+/// Time in which a reading engine reads a token, as a mean over those that there are.
+fn read_us(engines: &[Engine]) -> f64 {
+    let readers: Vec<f64> = engines
+        .iter()
+        .filter(|engine| engine.stage == Stage::Prefill)
+        .map(|engine| engine.read_us)
+        .collect();
+    let count = u64::try_from(readers.len()).unwrap_or(0);
+    if count == 0 {
+        return policy::learn::Pace::default().read_us;
+    }
+    readers.iter().sum::<f64>() / policy::real(count)
+}
--- a/components/gateway/src/version/mod.rs
+++ b/components/gateway/src/version/mod.rs
@@ -170,6 +170,14 @@
         at.ok().map(|at| &self.services[at])
     }
 
+    /// The shortest of the pauses that streams of a service may have; none if no route bounds them.
+    #[must_use]
+    pub fn shortest_pause(&self, service: &str) -> Option<Duration> {
+        let serves = |route: &&Arc<Route>| route.targets.iter().any(|t| *t.service == *service);
+        let routes = self.routes.iter().filter(serves);
+        routes.filter_map(|route| route.pause).min()
+    }
+
     /// All services, sorted by name.
     #[must_use]
     pub fn services(&self) -> &[Arc<Service>] {
--- a/components/policy/src/learn.rs
+++ b/components/policy/src/learn.rs
@@ -31,18 +31,6 @@
 const OUTLIER: f64 = 4.0;
 
 impl Rates {
-    /// A guess that is faster than any engine known so far, for fleets whose speed nobody has told:
-    /// an engine that looks fast is tried, and what it does corrects the guess; one that looks too
-    /// slow for every request would never be tried.
-    #[must_use]
-    pub fn hopeful() -> Self {
-        Self {
-            read_us: 2.0,
-            step_us: 500.0,
-            write_us: 1.0,
-        }
-    }
-
     /// Learns from a first token that came after so long, with so many prompt tokens read before it.
     pub fn first(&mut self, tokens_read: u64, took: Micros) {
         if tokens_read >= LEAST_TOKENS {
@@ -75,6 +63,98 @@
 const FEW: u64 = 4;
 
 fn blend(rate: &mut f64, sample: f64) {
+    blend_by(WEIGHT, rate, sample);
+}
+
+fn blend_by(weight: f64, rate: &mut f64, sample: f64) {
     let sample = sample.clamp(*rate / OUTLIER, *rate * OUTLIER);
-    *rate += WEIGHT * (sample - *rate);
+    *rate += weight * (sample - *rate);
+}
+
+/// How fast an engine is in its present stage, where nobody has told: learnt from what it does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// Time to the first token, or to the handle of a read prompt, besides reading.
+    pub start_us: f64,
+    /// Time to read one prompt token at the beginning of a prompt.
+    pub read_us: f64,
+    /// Time between two tokens of an answer while no prompt is read.
+    pub step_us: f64,
+}
+
+impl Default for Pace {
+    /// Faster than any engine known so far. An engine that looks fast is tried, and what it does
+    /// corrects the guess; one that looks too slow for every request would never be tried.
+    fn default() -> Self {
+        Self {
+            start_us: 3_000.0,
+            read_us: 2.0,
+            step_us: 500.0,
+        }
+    }
+}
+
+/// Weight of a new sample of a pace. Samples are noisy, as the work ahead is known only roughly.
+const PACE_WEIGHT: f64 = 0.1;
+/// Prompts up to this many tokens tell of the time besides reading, longer ones of reading.
+const SHORT: u64 = 512;
+
+impl Pace {
+    /// Learns from a prompt that was read, with so much work in all since it was sent.
+    pub fn read(&mut self, work: u64, took: Micros) {
+        let reading = real(work) * self.read_us;
+        if work <= SHORT {
+            let sample = (real(took) - reading).max(0.0);
+            blend_by(PACE_WEIGHT, &mut self.start_us, sample);
+        } else {
+            let sample = (real(took) - self.start_us).max(0.0) / real(work);
+            blend_by(PACE_WEIGHT, &mut self.read_us, sample);
+        }
+    }
+
+    /// Learns from an answer that began after so long, its prompt having been read elsewhere.
+    pub fn began(&mut self, took: Micros) {
+        blend_by(PACE_WEIGHT, &mut self.start_us, real(took));
+    }
+
+    /// Learns from so many tokens that came in a time in which no prompt was read.
+    pub fn wrote(&mut self, tokens: u64, took: Micros) {
+        if tokens > 0 {
+            blend_by(PACE_WEIGHT, &mut self.step_us, real(took) / real(tokens));
+        }
+    }
+}
+
+/// The time by which most things happen that were expected at another time: how far beyond the
+/// expectation all but one in [`ONE_IN`] are there.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Margin {
+    us: f64,
+}
+
+/// One in so many may be later than the margin says.
+const ONE_IN: f64 = 7.0;
+/// How far the margin moves with a sample that is beyond it, in microseconds: some ten such samples
+/// take it from nothing to where it was found to lie in overload, some 30 ms.
+const STEP_US: f64 = 3_000.0;
+/// The largest margin, in microseconds. A larger one would refuse what an idle fleet can serve.
+const LARGEST_US: f64 = 80_000.0;
+
+impl Margin {
+    /// Learns from something that was expected after one time and happened after another.
+    pub fn learn(&mut self, expected: f64, took: Micros) {
+        let beyond = real(took) - expected > self.us;
+        let step = if beyond {
+            STEP_US
+        } else {
+            -STEP_US / (ONE_IN - 1.0)
+        };
+        self.us = (self.us + step).clamp(0.0, LARGEST_US);
+    }
+
+    /// The margin in microseconds.
+    #[must_use]
+    pub fn us(&self) -> f64 {
+        self.us
+    }
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod retry;
 pub mod role;
 pub mod route;
+pub mod stage;
 pub mod view;
 
 /// Microseconds of the decider's own monotonic clock, or a span of them.
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -5,7 +5,7 @@
 //! what doesn't fit there in time may go to an engine that writes little. See
 //! `docs/DESIGN.md#placement`.
 
-use crate::{Micros, learn::Rates, real};
+use crate::{Micros, learn::Pace, prompt, real};
 
 /// What an engine does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,16 +21,18 @@
 pub struct Engine {
     /// What it does.
     pub stage: Stage,
-    /// Prompt tokens that wait there or are being read.
+    /// Work of the prompts that wait there or are being read, see [`prompt::work`].
     pub reading: u64,
     /// Answers that it writes, or will write once their prompts are read.
     pub writing: u64,
+    /// Those of them that are long, see [`Weights::long_answer`].
+    pub long: u64,
     /// Answers that it can write at once.
     pub slots: u64,
     /// Tokens of the prompt in question that it holds already.
     pub held: u64,
-    /// How fast it reads and writes in this stage.
-    pub rates: Rates,
+    /// How fast it is in this stage.
+    pub pace: Pace,
     /// Extra time, there and back, for an engine in another data centre.
     pub distance: Micros,
     /// Part of its attempts that fail, from 0 to 1.
@@ -44,10 +46,12 @@
     pub prompt: u64,
     /// Tokens of the answer that are expected.
     pub output: u64,
-    /// Tokens that come in one event.
-    pub event: u64,
     /// Time that is left until the first event should be there.
     pub within: Micros,
+    /// Tokens that come in one event.
+    pub event: u64,
+    /// The longest pause between two events that answers of the service may have.
+    pub pause: Micros,
 }
 
 /// What the decision weighs.
@@ -56,17 +60,26 @@
     /// Prompts of no more unread tokens than this are read where they are answered: a second engine
     /// would cost more than it saves.
     pub short_prompt: u64,
+    /// Answers of more tokens than this are long. Prompts that are read on their engine hold them up,
+    /// and an engine that writes some should write more of them rather than another one.
+    pub long_answer: u64,
     /// How much longer a step takes while a prompt is read between two tokens. An engine reads a
     /// quarter of a chunk at half its speed then, which is some three steps' time.
     pub stretch: f64,
-    /// How much a delay of other answers counts against a delay of this one.
+    /// How much a delay of a long answer that is under way counts against a delay of this request.
     pub disturbance: f64,
+    /// What it counts to put the first long answer on an engine, in microseconds: it is lost for
+    /// reading then.
+    pub opening: f64,
+    /// Part of the longest pause that reading may bring answers to.
+    pub pause: f64,
+    /// Part of an engine's slots up to which long answers go together.
+    pub together: f64,
     /// What a placement in another data centre counts besides its distance, for the bytes that it
     /// moves, in microseconds.
     pub remote: f64,
-    /// Fixed time to hand a prompt over from one engine to another.
-    pub handover: f64,
-    /// What a failure counts: an engine that fails every attempt looks this much slower.
+    /// What a failure counts, in microseconds: an engine that fails every attempt looks this much
+    /// slower.
     pub failure: f64,
     /// Part of an engine's slots that answers may take, so that it keeps room for those that are on
     /// their way from other deciders.
@@ -80,10 +93,13 @@
     fn default() -> Self {
         Self {
             short_prompt: 768,
+            long_answer: 512,
             stretch: 3.0,
             disturbance: 0.2,
+            opening: 20_000.0,
+            pause: 0.8,
+            together: 0.7,
             remote: 6_000.0,
-            handover: 3_000.0,
             failure: 200_000.0,
             fill: 0.95,
             tie: 2_000.0,
@@ -123,7 +139,9 @@
 #[must_use]
 pub fn choose(engines: &[Engine], ask: &Ask, weights: &Weights, draw: u64) -> Option<Choice> {
     let whole = cheapest(engines, weights, draw, |engine| {
-        let open = engine.stage == Stage::Decode && has_slot(engine, weights);
+        let open = engine.stage == Stage::Decode
+            && has_slot(engine, weights)
+            && keeps_pause(engine, ask, weights);
         open.then(|| read_and_write(engine, ask, weights))
     });
     let reads = cheapest(engines, weights, draw >> 16, |engine| {
@@ -138,8 +156,8 @@
             prefill: reads.at,
             decode: writes.at,
         };
-        let first = reads.first + weights.handover + writes.first;
-        let cost = reads.weighed + weights.handover + writes.weighed;
+        let first = reads.first + writes.first;
+        let cost = reads.weighed + writes.weighed;
         (Choice { plan, first }, cost)
     });
     let whole = whole.map(|found| {
@@ -191,10 +209,24 @@
     ask.prompt.saturating_sub(engine.held)
 }
 
+fn work(engine: &Engine, ask: &Ask) -> u64 {
+    prompt::work(ask.prompt, engine.held)
+}
+
+/// Whether the long answers that an engine writes keep coming while it reads prompts: with a prompt
+/// read between any two tokens, one event must not take longer than the longest pause.
+fn keeps_pause(engine: &Engine, ask: &Ask, weights: &Weights) -> bool {
+    let slowest = real(ask.event) * engine.pace.step_us * weights.stretch;
+    let reads_long = unread(engine, ask) > weights.short_prompt;
+    engine.long == 0 || !reads_long || slowest <= real(ask.pause) * weights.pause
+}
+
 /// Only reads the prompt.
 fn read(engine: &Engine, ask: &Ask, weights: &Weights) -> Cost {
     let unread = unread(engine, ask);
-    let first = real(engine.distance) + real(engine.reading + unread) * engine.rates.read_us;
+    let first = real(engine.distance)
+        + engine.pace.start_us
+        + real(engine.reading + work(engine, ask)) * engine.pace.read_us;
     Cost {
         first,
         weighed: first + besides(engine, weights),
@@ -202,12 +234,18 @@
     }
 }
 
-/// Only writes, the prompt being read elsewhere.
+/// Only writes, the prompt being read elsewhere. The first token waits for at most one piece of a
+/// prompt that is being read.
 fn write(engine: &Engine, ask: &Ask, weights: &Weights) -> Cost {
-    let first = real(engine.distance) + first_event(engine, ask, weights);
+    let held_up = if engine.reading > 0 {
+        engine.pace.step_us * weights.stretch
+    } else {
+        0.0
+    };
+    let first = real(engine.distance) + engine.pace.start_us + held_up;
     Cost {
         first,
-        weighed: first + besides(engine, weights),
+        weighed: first + answering(engine, ask, weights) + besides(engine, weights),
         unread: 0,
     }
 }
@@ -215,17 +253,38 @@
 /// Reads and writes on one engine.
 fn read_and_write(engine: &Engine, ask: &Ask, weights: &Weights) -> Cost {
     let unread = unread(engine, ask);
-    let own = real(unread) * engine.rates.read_us;
-    let ahead = real(engine.reading) * engine.rates.read_us;
-    let first = real(engine.distance) + ahead + own + event(engine, ask);
-    let held_up = own * real(engine.writing) * weights.disturbance;
+    let own = real(work(engine, ask)) * engine.pace.read_us;
+    let ahead = real(engine.reading) * engine.pace.read_us;
+    let first = real(engine.distance) + engine.pace.start_us + ahead + own;
+    let held_up = own * real(engine.long) * weights.disturbance;
     Cost {
         first,
-        weighed: first + held_up + besides(engine, weights),
+        weighed: first
+            + held_up
+            + answering(engine, ask, weights)
+            + besides(engine, weights),
         unread,
     }
 }
 
+/// What it counts to write the answer there, besides the time to its beginning.
+fn answering(engine: &Engine, ask: &Ask, weights: &Weights) -> f64 {
+    if ask.output <= weights.long_answer {
+        return 0.0;
+    }
+    let waiting = real(engine.reading) * engine.pace.read_us;
+    let slots = real(engine.slots.max(1));
+    let together = slots * weights.together;
+    let writing = real(engine.writing);
+    let opens = if engine.long == 0 { weights.opening } else { 0.0 };
+    // beyond what goes together each further answer counts like a part of an opening
+    let crowds = (writing - together).max(0.0) / slots * weights.opening * CROWDED;
+    opens + crowds + waiting
+}
+
+/// How much dearer a full engine is to a long answer than an empty one.
+const CROWDED: f64 = 8.0;
+
 /// What counts against an engine besides the time that it takes.
 fn besides(engine: &Engine, weights: &Weights) -> f64 {
     let remote = if engine.distance > 0 {
@@ -236,19 +295,6 @@
     remote + engine.failures * weights.failure
 }
 
-/// Time to write one event while no prompt is read.
-fn event(engine: &Engine, ask: &Ask) -> f64 {
-    real(ask.event) * engine.rates.between_tokens(engine.writing + 1)
-}
-
-/// Time to write the first event with the prompts that are being read between its tokens.
-fn first_event(engine: &Engine, ask: &Ask, weights: &Weights) -> f64 {
-    let alone = event(engine, ask);
-    let ahead = real(engine.reading) * engine.rates.read_us;
-    let held_up = ahead.min(alone * weights.stretch) * (1.0 - 1.0 / weights.stretch);
-    alone + held_up
-}
-
 /// The cheapest engine, or by chance one that is hardly dearer.
 fn cheapest(
     engines: &[Engine],
--- a/components/policy/src/prompt.rs
+++ b/components/policy/src/prompt.rs
@@ -1,5 +1,7 @@
 //! A prompt as far as it can be told without reading it: its parts, its length, what it asks for.
 
+use crate::{count, real};
+
 /// One part of a prompt, which others may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
@@ -33,3 +35,16 @@
             .max(1)
     }
 }
+
+/// How much longer a token takes to read for each token before it, as attention looks at all of them.
+/// Dense models of some 30 billion weights lie between 3.8e-5 and 4.5e-5.
+const ATTENTION: f64 = 4e-5;
+
+/// The work to read the rest of a prompt of which an engine holds the beginning, in tokens that are
+/// read at the beginning of a prompt.
+#[must_use]
+pub fn work(prompt: u64, held: u64) -> u64 {
+    let held = held.min(prompt);
+    let unread = real(prompt - held);
+    count(unread * (1.0 + ATTENTION * (real(held) + unread / 2.0)))
+}
--- /dev/null
+++ b/components/policy/src/stage.rs
@@ -0,0 +1,106 @@
+//! How many engines of a fleet should read prompts, and whether to change one's stage now.
+//!
+//! A change takes an engine away for seconds, so the plan follows the mix over several seconds and
+//! leaves shorter swings to placement, which can have prompts read by engines that write. See
+//! `docs/DESIGN.md#stages`.
+
+use crate::{Micros, count, real};
+
+/// What is asked of a fleet, as moving averages.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Time of reading engines that arrives in a second, in seconds: so many engines would be busy.
+    pub reading: f64,
+    /// Slots of writing engines that answers take at once.
+    pub writing: f64,
+    seen: Option<Micros>,
+}
+
+/// Time constant of the averages, in microseconds: above the swings of a few seconds that are over
+/// before a change of stage is, below the longer ones that a change pays for.
+const MEMORY: f64 = 3_000_000.0;
+
+impl Demand {
+    /// Takes what arrived since the last call: time to read it on reading engines, in microseconds,
+    /// and the slots that are taken now.
+    pub fn observe(&mut self, now: Micros, reading: f64, writing: f64) {
+        let Some(seen) = self.seen.replace(now) else {
+            self.writing = writing;
+            return;
+        };
+        let span = real(now.saturating_sub(seen)).max(1.0);
+        let part = (span / MEMORY).min(1.0);
+        self.reading += part * (reading / span - self.reading);
+        self.writing += part * (writing - self.writing);
+    }
+}
+
+/// What the plan weighs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// Part of its time that a reading engine should be busy: what waits behind a busier one is late.
+    pub busy: f64,
+    /// Part of its slots that a writing engine should fill.
+    pub full: f64,
+    /// Engines that always write, so that one can fail.
+    pub least_writing: u64,
+    /// Engines that the plan must be off by before one is changed.
+    pub margin: f64,
+    /// Below this, in engines and slots, nothing is planned.
+    pub idle: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self {
+            busy: 0.7,
+            full: 0.6,
+            least_writing: 2,
+            margin: 0.75,
+            idle: 0.2,
+        }
+    }
+}
+
+/// How many of `engines` should read, as a fraction of engines.
+///
+/// What both phases need comes first; what is left over, or missing, is shared in proportion.
+#[must_use]
+pub fn readers(demand: &Demand, engines: u64, slots: u64, weights: &Weights) -> f64 {
+    let all = real(engines);
+    let reading = demand.reading / weights.busy;
+    let least = real(weights.least_writing.min(engines));
+    let writing = (demand.writing / (real(slots.max(1)) * weights.full)).max(least);
+    let share = reading / (reading + writing);
+    (all * share).clamp(1.0, (all - least).max(1.0))
+}
+
+/// A change that the plan asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// One more engine should read.
+    MoreReaders,
+    /// One more engine should write.
+    MoreWriters,
+}
+
+/// Whether to change one engine now, with so many that read or soon will.
+#[must_use]
+pub fn change(demand: &Demand, wanted: f64, reading: u64, weights: &Weights) -> Option<Change> {
+    let off = wanted - real(reading);
+    match () {
+        // an idle fleet stays as its operators started it
+        () if demand.reading < weights.idle && demand.writing < weights.idle => None,
+        () if off > weights.margin => Some(Change::MoreReaders),
+        () if -off > weights.margin => Some(Change::MoreWriters),
+        () => None,
+    }
+}
+
+/// How many engines may be away at once for a change of stage: a quarter of the fleet, one at least.
+#[must_use]
+pub fn most_changing(engines: u64) -> u64 {
+    count(real(engines) * AWAY).max(1)
+}
+
+const AWAY: f64 = 0.25;
