--- a/components/gateway/src/endpoint/health.rs
+++ b/components/gateway/src/endpoint/health.rs
@@ -33,12 +33,22 @@
 /// The longest pause between two trials: within it a healed endpoint is found again.
 const LONGEST_AWAY: Duration = Duration::from_millis(1_600);
 
-/// Failures and silences of an endpoint.
+/// Refusals in a row after which an endpoint is left alone for a while: one alone may be a race for
+/// its last slot.
+const REFUSALS: u32 = 2;
+/// How long an endpoint that refuses is left alone; it doubles up to [`LONGEST_AWAY`] while it goes on
+/// refusing. Each refusal is paid for like a repeat.
+const REFUSES: Duration = Duration::from_millis(100);
+
+/// Failures, silences and refusals of an endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     /// Moving average of failures, from 0 to 1.
     failures: f64,
+    /// Silent attempts in a row.
     silent: u32,
+    /// Refusals in a row.
+    refused: u32,
     away: Option<Away>,
 }
 
@@ -60,25 +70,27 @@
             Verdict::Failed | Verdict::Silent => 1.0,
         };
         self.failures += WEIGHT * (failed - self.failures);
-        match verdict {
-            Verdict::Silent => {
-                self.silent += 1;
-                if self.silent >= SILENT {
-                    self.go_away(now);
-                }
-            }
-            Verdict::Fine | Verdict::Refused | Verdict::Failed => {
-                self.silent = 0;
-                self.away = None;
-            }
+        self.silent = match verdict {
+            Verdict::Silent => self.silent + 1,
+            Verdict::Fine | Verdict::Refused | Verdict::Failed => 0,
+        };
+        self.refused = match verdict {
+            Verdict::Refused => self.refused + 1,
+            Verdict::Fine | Verdict::Silent | Verdict::Failed => 0,
+        };
+        match () {
+            () if self.silent >= SILENT => self.go_away(AWAY, now),
+            () if self.refused >= REFUSALS => self.go_away(REFUSES, now),
+            () if verdict == Verdict::Fine => self.away = None,
+            () => {}
         }
         before != self.sound()
     }
 
-    fn go_away(&mut self, now: Instant) {
+    fn go_away(&mut self, first: Duration, now: Instant) {
         let span = self
             .away
-            .map_or(AWAY, |away| (away.span * 2).min(LONGEST_AWAY));
+            .map_or(first, |away| (away.span * 2).min(LONGEST_AWAY));
         self.away = Some(Away {
             until: now + span,
             span,
@@ -101,7 +113,7 @@
     /// Whether it answers, and mostly as it should.
     #[must_use]
     pub fn sound(&self) -> bool {
-        self.away.is_none() && self.failures < SICK
+        self.silent < SILENT && self.failures < SICK
     }
 
     /// The part of its attempts that fail, from 0 to 1.
--- a/components/gateway/src/endpoint/load.rs
+++ b/components/gateway/src/endpoint/load.rs
@@ -9,6 +9,8 @@
 pub struct Load {
     /// Work of the prompts that are sent and not read yet, see [`policy::prompt::work`].
     pub reading: u64,
+    /// Work of the prompts that give way to all others.
+    pub late: u64,
     /// Prompts that are sent and not read yet.
     pub prompts: u64,
     /// Requests that are answered, or will be once their prompts are read.
@@ -18,11 +20,20 @@
 }
 
 impl Load {
+    fn work(&mut self, late: bool) -> &mut u64 {
+        if late {
+            &mut self.late
+        } else {
+            &mut self.reading
+        }
+    }
+
     /// Both together.
     #[must_use]
     pub fn with(self, other: Self) -> Self {
         Self {
             reading: self.reading + other.reading,
+            late: self.late + other.late,
             prompts: self.prompts + other.prompts,
             writing: self.writing + other.writing,
             long: self.long + other.long,
@@ -35,19 +46,21 @@
 pub struct Reading {
     target: Arc<Target>,
     work: u64,
+    late: bool,
 }
 
 impl Reading {
-    /// Counts a prompt of so much work.
+    /// Counts a prompt of so much work, and whether it gives way to all others.
     #[must_use]
-    pub fn new(target: &Arc<Target>, work: u64) -> Self {
+    pub fn new(target: &Arc<Target>, work: u64, late: bool) -> Self {
         target.with(|state| {
-            state.own.reading += work;
+            *state.own.work(late) += work;
             state.own.prompts += 1;
         });
         Self {
             target: Arc::clone(target),
             work,
+            late,
         }
     }
 
@@ -61,7 +74,7 @@
 impl Drop for Reading {
     fn drop(&mut self) {
         self.target.with(|state| {
-            state.own.reading -= self.work;
+            *state.own.work(self.late) -= self.work;
             state.own.prompts -= 1;
         });
     }
--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use parking_lot::{Mutex, RwLock};
-use policy::learn::Pace;
 
 use super::{Id, Profile, Target};
 use crate::{edge::Change, version::Configuration};
@@ -101,7 +100,7 @@
                 .and_then(|version| version.service(&profile.service))
                 .and_then(|service| service.engines.as_ref())
                 .map_or(0, |engines| engines.memory_tokens);
-            let target = Target::new(profile.clone(), Pace::default(), memory);
+            let target = Target::new(profile.clone(), memory);
             targets.insert(at, Arc::new(target));
         }
     }
@@ -111,7 +110,7 @@
     let before = target.with(|inner| {
         if inner.profile.stage != profile.stage {
             inner.changing = None;
-            inner.pace = Pace::default();
+            inner.pace = None;
         }
         std::mem::replace(&mut inner.profile, profile.clone())
     });
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -42,8 +42,8 @@
     pub peers: Load,
     /// How it does.
     pub health: Health,
-    /// How fast it is in its present stage.
-    pub pace: Pace,
+    /// How fast it is in its present stage; none before it has done anything in it.
+    pub pace: Option<Pace>,
     /// Which prompt parts it likely holds.
     pub memory: Memory,
     /// Idle connections, the longest idle first.
@@ -62,7 +62,7 @@
     /// All that is under way there.
     pub load: Load,
     /// How fast it is in its present stage.
-    pub pace: Pace,
+    pub pace: Option<Pace>,
     /// Tokens of the prompt asked about that it likely holds.
     pub held: u64,
     /// Part of its attempts that fail.
@@ -72,7 +72,7 @@
 impl Target {
     /// An endpoint that is new on the list.
     #[must_use]
-    pub fn new(profile: Profile, pace: Pace, memory_tokens: u64) -> Self {
+    pub fn new(profile: Profile, memory_tokens: u64) -> Self {
         Self {
             id: profile.id.clone(),
             short: profile.id.short(),
@@ -83,7 +83,7 @@
                 own: Load::default(),
                 peers: Load::default(),
                 health: Health::default(),
-                pace,
+                pace: None,
                 memory: Memory::new(memory_tokens),
                 idle: Vec::new(),
                 changing: None,
@@ -126,7 +126,7 @@
         self.with(|state| {
             if state.profile.stage != Some(stage) {
                 state.profile.stage = Some(stage);
-                state.pace = Pace::default();
+                state.pace = None;
             }
             state.changing = None;
         });
--- a/components/gateway/src/peer/digest.rs
+++ b/components/gateway/src/peer/digest.rs
@@ -136,9 +136,7 @@
     }
     recount(gateway, &before, &after);
     remember(gateway, &digest.placed);
-    if digest.steward {
-        heed(gateway, &digest.changing, &digest.stages);
-    }
+    heed(gateway, &digest.changing, &digest.stages);
 }
 
 /// What was asked since the digest before; a peer that is new counts from now on.
@@ -162,7 +160,7 @@
         .collect()
 }
 
-/// Does as the steward says: sends nothing new to engines that are changing, and takes the stages that
+/// Does as a steward says, also one that has just lost its lease and sees a change through: sends nothing new to engines that are changing, and takes the stages that
 /// they told.
 pub fn heed(gateway: &Gateway, changing: &[u32], stages: &[StageTold]) {
     let targets = gateway.registry.all();
@@ -200,6 +198,7 @@
 fn replaced(sum: Load, old: Load, new: Load) -> Load {
     Load {
         reading: sum.reading.saturating_sub(old.reading) + new.reading,
+        late: sum.late.saturating_sub(old.late) + new.late,
         prompts: sum.prompts.saturating_sub(old.prompts) + new.prompts,
         writing: sum.writing.saturating_sub(old.writing) + new.writing,
         long: sum.long.saturating_sub(old.long) + new.long,
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -77,20 +77,13 @@
         }
     }
 
-    /// Whether a live peer says that it is the steward.
-    pub fn steward_heard(&self) -> bool {
-        let now = Instant::now();
-        let known = self.known.lock();
-        known.iter().any(|peer| peer.steward && peer.is_live(now))
-    }
-
-    /// How many live peers come before this process, by address.
+    /// How many live peers that aren't the steward come before this process, by address.
     pub fn rank(&self, own: SocketAddr) -> usize {
         let now = Instant::now();
         let known = self.known.lock();
         known
             .iter()
-            .filter(|peer| peer.address < own && peer.is_live(now))
+            .filter(|peer| peer.address < own && !peer.steward && peer.is_live(now))
             .count()
     }
 
@@ -154,6 +147,7 @@
 fn load(told: &EndpointLoad) -> (u32, Load) {
     let load = Load {
         reading: u64::from(told.reading),
+        late: u64::from(told.late),
         prompts: u64::from(told.prompts),
         writing: u64::from(told.writing),
         long: u64::from(told.long),
@@ -166,6 +160,7 @@
     EndpointLoad {
         endpoint,
         reading: narrow(load.reading),
+        late: narrow(load.late),
         prompts: narrow(load.prompts),
         writing: narrow(load.writing),
         long: narrow(load.long),
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -9,14 +9,17 @@
 
 use cloud::table::Table;
 use parking_lot::{Mutex, RwLock};
-use policy::{learn::Margin, retry::Window};
+use policy::{
+    learn::{Margin, Pace},
+    retry::Window,
+};
 use settings::gateway::Settings;
 use tokio::{net::TcpListener, net::UdpSocket, sync::watch, task::JoinSet, time::Instant};
 
 use crate::{
     connection,
     edge::{Dialect, Directory, From},
-    endpoint::Registry,
+    endpoint::{Registry, Stage, Target},
     error::Error,
     peer::{self, Peers},
     steward::{self, Steward},
@@ -55,6 +58,8 @@
     asked: u64,
     /// How much later than expected its answers begin.
     margin: Margin,
+    /// How fast its engines read, and write, on average.
+    paces: [Pace; 2],
 }
 
 impl Ledger {
@@ -63,6 +68,7 @@
             repeats: Window::new(window),
             asked: 0,
             margin: Margin::default(),
+            paces: [Pace::of_reader(), Pace::of_writer()],
         }
     }
 }
@@ -166,6 +172,28 @@
         self.with_ledger(service, |ledger| ledger.margin.learn(expected, took));
     }
 
+    /// How fast engines of a service are on average in a stage.
+    pub fn pace(&self, service: &Arc<str>, stage: Stage) -> Pace {
+        self.with_ledger(service, |ledger| ledger.paces[usize::from(stage == Stage::Decode)])
+    }
+
+    /// Learns how fast an engine is: its own pace, and its service's.
+    pub fn learn_pace(&self, target: &Target, learn: impl Fn(&mut Pace)) {
+        let (service, stage) = target.with(|state| {
+            let stage = state.profile.stage.unwrap_or(Stage::Decode);
+            (Arc::clone(&state.profile.service), stage)
+        });
+        let common = self.with_ledger(&service, |ledger| {
+            let pace = &mut ledger.paces[usize::from(stage == Stage::Decode)];
+            learn(pace);
+            *pace
+        });
+        target.with(|state| match &mut state.pace {
+            Some(pace) => learn(pace),
+            None => state.pace = Some(common),
+        });
+    }
+
     fn with_ledger<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut Ledger) -> T) -> T {
         let mut ledgers = self.ledgers.lock();
         let at = match ledgers.binary_search_by(|(name, _)| name.cmp(service)) {
--- a/components/gateway/src/request/generate.rs
+++ b/components/gateway/src/request/generate.rs
@@ -1,6 +1,6 @@
 //! Generations: placed on engines that read prompts and engines that write answers.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
@@ -18,7 +18,7 @@
     refusal::{Reason, SOON},
 };
 use crate::{
-    edge::{Directive, Handle},
+    edge::{Directive, Handle, Urgency},
     endpoint::{Reading, Seen, Stage, Target, Verdict, Writing},
     process::Gateway,
 };
@@ -27,6 +27,9 @@
 const FAR: policy::Micros = 4_000;
 /// The most of an answer to a read prompt that is taken.
 const HANDLE_BYTES: usize = 16 << 10;
+/// The part of the time left in which the prompt of a late answer must be read: the rest is for
+/// writing, and for what was expected wrongly.
+const LATE_READ: f64 = 0.5;
 /// The part of a deadline after which a late answer is not begun: it would be cut before its end.
 const LATEST: u32 = 2;
 
@@ -41,15 +44,18 @@
                 .count_demand(&job.service.name, view.to_read(&job));
         }
         let choice = view.choose(&job).ok_or_else(|| give_up(&tried))?;
-        view.tell(&job, &choice);
-        admit(&job, &choice)?;
-        let outcome = match choice.plan {
-            Plan::Whole { engine } => whole(&job, &view.targets[engine], None).await,
-            Plan::Split { prefill, .. } => split(&job, &view.targets[prefill], &tried).await,
+        let timing = place(&job, &view, &choice)?;
+        let in_time = matches!(timing, Timing::InTime);
+        let outcome = match (timing, choice.plan) {
+            (Timing::Late { prefill }, _) => split(&job, &view, prefill, &tried, true).await,
+            (Timing::InTime, Plan::Whole { engine }) => whole(&job, &view, engine, None).await,
+            (Timing::InTime, Plan::Split { prefill, .. }) => {
+                split(&job, &view, prefill, &tried, false).await
+            }
         };
         match outcome {
             Ok((answer, writing)) => {
-                if tried.is_empty() {
+                if tried.is_empty() && in_time {
                     let took = policy::micros(job.arrived.elapsed());
                     job.gateway
                         .learn_margin(&job.service.name, choice.first, took);
@@ -78,8 +84,7 @@
         Plan::Whole { engine } => engine,
         Plan::Split { decode, .. } => decode,
     };
-    let target = &view.targets[engine];
-    whole(job, target, after).await.map_err(|(target, cause)| {
+    whole(job, &view, engine, after).await.map_err(|(target, cause)| {
         target.note(cause.verdict(), &job.ask.id);
         cause
     })
@@ -93,18 +98,42 @@
     }
 }
 
-/// Refuses at once what would not begin in time.
-fn admit(job: &Job, choice: &Choice) -> Result<(), Reason> {
+/// Whether an answer will begin in time.
+enum Timing {
+    /// It will.
+    InTime,
+    /// It won't, but there is time for a late one; its prompt is read when no other one waits.
+    Late {
+        /// The engine that reads it.
+        prefill: usize,
+    },
+}
+
+/// Decides whether a request is served in time, late or not at all, which is said at once.
+fn place(job: &Job, view: &View, choice: &Choice) -> Result<Timing, Reason> {
     let left = policy::micros(job.objective.saturating_duration_since(Instant::now()));
     let margin = job.gateway.margin(&job.service.name);
     let expected = policy::count(choice.first + margin);
     if expected <= left {
-        return Ok(());
+        view.tell(job, choice, "placed");
+        return Ok(Timing::InTime);
+    }
+    let time = policy::real(policy::micros(job.time_left())) * LATE_READ;
+    if let Some(prefill) = place::choose_late(&view.engines, &ask(job), &Weights::default(), time) {
+        view.tell(job, choice, "placed late");
+        return Ok(Timing::Late { prefill });
     }
     let over = std::time::Duration::from_micros(expected - left);
     Err(Reason::Late(over.clamp(SOON, job.time_left() / LATEST)))
 }
 
+/// Fewer tokens than this are read rather than fetched.
+const LEAST_FETCH: u64 = 512;
+/// How much longer a fetch may take than the link needs: others are under way, and it may come from
+/// another data centre.
+const FETCH_SLACK: f64 = 3.0;
+/// Microseconds in a second.
+const MICROS: f64 = 1e6;
 /// Nanoseconds in a microsecond.
 const NANOS: f64 = 1e3;
 
@@ -112,6 +141,8 @@
 struct View {
     targets: Vec<Arc<Target>>,
     engines: Vec<place::Engine>,
+    /// The engine from which the others can fetch the most of the prompt.
+    source: Option<usize>,
 }
 
 impl View {
@@ -130,10 +161,48 @@
             .filter(|target| !tried.iter().any(|other| other.id == target.id))
             .filter_map(|target| {
                 let seen = target.seen(now, parts)?;
-                Some((Arc::clone(target), engine(&seen, near)))
+                Some((Arc::clone(target), engine(job, &seen, near)))
             })
             .unzip();
-        Self { targets, engines }
+        let mut view = Self {
+            targets,
+            engines,
+            source: None,
+        };
+        view.add_fetches(job);
+        view
+    }
+
+    /// Finds what engines that lack parts of the prompt can fetch from the one that holds the most.
+    fn add_fetches(&mut self, job: &Job) {
+        let Some(engines) = &job.service.engines else {
+            return;
+        };
+        let most = self.engines.iter().enumerate();
+        let Some((at, held)) = most
+            .map(|(at, engine)| (at, engine.held))
+            .max_by_key(|(_, held)| *held)
+        else {
+            return;
+        };
+        let token_us = engines.move_token.as_secs_f64() * MICROS;
+        for engine in &mut self.engines {
+            let tokens = held.saturating_sub(engine.held);
+            if tokens >= LEAST_FETCH {
+                engine.fetch = place::Fetch {
+                    tokens,
+                    time: policy::real(tokens) * token_us * FETCH_SLACK,
+                };
+            }
+        }
+        self.source = Some(at);
+    }
+
+    /// Where an engine should fetch parts of the prompt that it lacks.
+    fn fetch_from(&self, at: usize) -> Option<SocketAddr> {
+        let source = &self.targets[self.source?];
+        let fetches = self.engines[at].fetch.tokens > 0;
+        fetches.then(|| source.with(|state| state.profile.address))
     }
 
     fn choose(&self, job: &Job) -> Option<Choice> {
@@ -157,7 +226,7 @@
     }
 
     /// Says where a request is placed, and what that was decided by.
-    fn tell(&self, job: &Job, choice: &Choice) {
+    fn tell(&self, job: &Job, choice: &Choice, how: &str) {
         let (at, writer) = match choice.plan {
             Plan::Whole { engine } => (engine, engine),
             Plan::Split { prefill, decode } => (prefill, decode),
@@ -168,28 +237,32 @@
             request = job.ask.id, reads = &*self.targets[at].id.0, writes = &*self.targets[writer].id.0,
             expected_us = policy::count(choice.first),
             margin_us = policy::count(job.gateway.margin(&job.service.name)), left_us = ask.within,
-            prompt = ask.prompt, held = reads.held, output = ask.output,
+            prompt = ask.prompt, held = reads.held, fetched = reads.fetch.tokens, output = ask.output,
             reading = reads.reading, writing = writes.writing,
             long = writes.long, start_us = policy::count(writes.pace.start_us),
             read_ns = policy::count(reads.pace.read_us * NANOS),
-            step_us = policy::count(writes.pace.step_us);
-            "placed"
+            step_us = policy::count(writes.pace.step_us), late = reads.late;
+            "{how}"
         );
     }
 }
 
-fn engine(seen: &Seen, near: &str) -> place::Engine {
+fn engine(job: &Job, seen: &Seen, near: &str) -> place::Engine {
+    let stage = seen.profile.stage.unwrap_or(Stage::Decode);
+    let common = || job.gateway.pace(&job.service.name, stage);
     place::Engine {
-        stage: match seen.profile.stage {
-            Some(Stage::Prefill) => place::Stage::Prefill,
-            Some(Stage::Decode) | None => place::Stage::Decode,
+        stage: match stage {
+            Stage::Prefill => place::Stage::Prefill,
+            Stage::Decode => place::Stage::Decode,
         },
         reading: seen.load.reading,
+        late: seen.load.late,
         writing: seen.load.writing,
         long: seen.load.long,
         slots: seen.profile.slots,
         held: seen.held,
-        pace: seen.pace,
+        fetch: place::Fetch::default(),
+        pace: seen.pace.unwrap_or_else(common),
         distance: if *seen.profile.data_centre == *near {
             0
         } else {
@@ -224,26 +297,35 @@
 type Attempted = Result<(Answer, Writing), (Arc<Target>, Cause)>;
 
 /// One engine reads and writes.
-async fn whole(job: &Job, target: &Arc<Target>, resume_after: Option<u64>) -> Attempted {
-    let reading = read_at(job, target);
+async fn whole(job: &Job, view: &View, at: usize, resume_after: Option<u64>) -> Attempted {
+    let target = &view.targets[at];
+    let reading = read_at(job, view, at, false);
     let (ahead, begun) = (reading.ahead, Instant::now());
     let directive = Directive {
         time_left: job.time_left(),
         expect: Some(target.id.clone()),
         resume_after,
+        fetch_from: view.fetch_from(at),
         ..Directive::default()
     };
     let writing = Writing::new(target, is_long(job));
     let sent = attempt::send(job, target, &directive, job.deadline).await;
     let answer = sent.map_err(|cause| (Arc::clone(target), cause))?;
-    learn(target, ahead + reading.guard.work(), begun);
+    learn(job, target, ahead + reading.guard.work(), begun);
     Ok((answer, writing))
 }
 
 /// One engine reads, another one writes. Which one writes is decided when the prompt has been read,
 /// as much has changed until then.
-async fn split(job: &Job, prefill: &Arc<Target>, tried: &[Arc<Target>]) -> Attempted {
-    let handle = read(job, prefill).await?;
+async fn split(
+    job: &Job,
+    view: &View,
+    prefill: usize,
+    tried: &[Arc<Target>],
+    late: bool,
+) -> Attempted {
+    let handle = read(job, view, prefill, late).await?;
+    let prefill = &view.targets[prefill];
     let view = View::new(job, tried);
     let Some(at) = place::choose_writer(
         &view.engines,
@@ -268,7 +350,7 @@
     match sent {
         Ok(answer) => {
             let took = policy::micros(begun.elapsed());
-            decode.with(|state| state.pace.began(took));
+            job.gateway.learn_pace(decode, |pace| pace.began(took));
             handle.taken();
             Ok((answer, writing))
         }
@@ -283,17 +365,14 @@
 }
 
 /// Counts a prompt at an engine, and notes that the engine will hold its parts.
-fn read_at(job: &Job, target: &Arc<Target>) -> Counted {
-    let none = Prompt::default();
-    let prompt = job.ask.prompt.as_ref().unwrap_or(&none);
-    let (held, ahead) = target.with(|state| {
-        let held = state.memory.held(&prompt.parts);
-        let ahead = state.own.with(state.peers).reading;
-        (held, ahead)
-    });
+fn read_at(job: &Job, view: &View, at: usize, late: bool) -> Counted {
+    let target = &view.targets[at];
+    let engine = &view.engines[at];
+    let held = engine.held + engine.fetch.tokens;
+    let ahead = target.with(|state| state.own.with(state.peers).reading);
     use_parts(job, target);
     Counted {
-        guard: Reading::new(target, policy::prompt::work(prompt.tokens, held)),
+        guard: Reading::new(target, policy::prompt::work(ask(job).prompt, held), late),
         ahead,
     }
 }
@@ -306,14 +385,22 @@
 }
 
 /// Has a prompt read at an engine, which keeps its KV cache for another one.
-async fn read(job: &Job, target: &Arc<Target>) -> Result<Kept, (Arc<Target>, Cause)> {
+async fn read(
+    job: &Job,
+    view: &View,
+    at: usize,
+    late: bool,
+) -> Result<Kept, (Arc<Target>, Cause)> {
+    let target = &view.targets[at];
     let failed = |cause| (Arc::clone(target), cause);
-    let counted = read_at(job, target);
+    let counted = read_at(job, view, at, late);
     let begun = Instant::now();
     let directive = Directive {
         time_left: job.time_left(),
         expect: Some(target.id.clone()),
         read_only: true,
+        fetch_from: view.fetch_from(at),
+        urgency: Some(if late { Urgency::Low } else { Urgency::Normal }),
         ..Directive::default()
     };
     let answer = attempt::send(job, target, &directive, job.deadline)
@@ -328,7 +415,9 @@
     let address = target.with(|state| state.profile.address);
     let handle = job.gateway.edges.dialect.handle(address, &body);
     let handle = handle.ok_or_else(|| failed(Cause::Foreign))?;
-    learn(target, counted.ahead + counted.guard.work(), begun);
+    if !late {
+        learn(job, target, counted.ahead + counted.guard.work(), begun);
+    }
     target.note(Verdict::Fine, &job.ask.id);
     target.give_back(answer.link);
     Ok(Kept {
@@ -339,9 +428,9 @@
     })
 }
 
-fn learn(target: &Arc<Target>, work: u64, begun: Instant) {
+fn learn(job: &Job, target: &Target, work: u64, begun: Instant) {
     let took = policy::micros(begun.elapsed());
-    target.with(|state| state.pace.read(work, took));
+    job.gateway.learn_pace(target, |pace| pace.read(work, took));
 }
 
 /// A handle that is given back if nobody takes it.
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -157,12 +157,14 @@
             .as_ref()
             .map(|engines| engines.event_tokens);
         if let (Some(gap), Some(event)) = (gap, event) {
-            source.target.with(|state| {
-                let load = state.own.with(state.peers);
-                if load.prompts == 0 {
-                    state.pace.wrote(event, policy::micros(gap));
-                }
-            });
+            let prompts = source
+                .target
+                .with(|state| state.own.with(state.peers).prompts);
+            if prompts == 0 {
+                let gap = policy::micros(gap);
+                let gateway = &self.job.gateway;
+                gateway.learn_pace(&source.target, |pace| pace.wrote(event, gap));
+            }
         }
     }
 
--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -20,7 +20,7 @@
 const LONGER: Duration = Duration::from_secs(1);
 /// How often in a term the holder renews.
 const RENEWALS: u32 = 4;
-/// How many gateways look after a lease that nobody seems to hold. The rest save the calls.
+/// How many gateways look after the lease of another one. The rest save the calls.
 const CANDIDATES: usize = 2;
 
 /// What this process knows of the lease.
@@ -197,11 +197,10 @@
     }
 }
 
-/// Whether this process should look after the lease: nobody claims to hold it, and it is among the
-/// first of the gateways that can be heard.
+/// Whether this process should look after the lease: it is among the first of the gateways that can be
+/// heard and don't hold it. They look all the time, as a term is counted from the last renewal seen.
 fn may_stand(gateway: &Gateway) -> bool {
     *gateway.phase.borrow() == Phase::Serving
-        && !gateway.peers.steward_heard()
         && gateway.peers.rank(gateway.settings.gateway.peers) < CANDIDATES
 }
 
--- a/components/gateway/src/steward/plan.rs
+++ b/components/gateway/src/steward/plan.rs
@@ -43,7 +43,6 @@
     writing: u64,
     long: u64,
     slots: u64,
-    read_us: f64,
 }
 
 impl Planner {
@@ -72,7 +71,8 @@
             let asked = tokens.saturating_sub(known.tokens);
             known.tokens = tokens;
             let writing: u64 = engines.iter().map(|engine| engine.writing).sum();
-            let reading = policy::real(asked) * read_us(&engines);
+            let pace = gateway.pace(&service.name, Stage::Prefill);
+            let reading = policy::real(asked) * pace.read_us;
             known.demand.observe(now, reading, policy::real(writing));
         }
     }
@@ -169,23 +169,8 @@
                     writing: load.writing,
                     long: load.long,
                     slots: state.profile.slots,
-                    read_us: state.pace.read_us,
                 })
             })
         })
         .collect()
 }
-
-/// Time in which a reading engine reads a token, as a mean over those that there are.
-fn read_us(engines: &[Engine]) -> f64 {
-    let readers: Vec<f64> = engines
-        .iter()
-        .filter(|engine| engine.stage == Stage::Prefill)
-        .map(|engine| engine.read_us)
-        .collect();
-    let count = u64::try_from(readers.len()).unwrap_or(0);
-    if count == 0 {
-        return policy::learn::Pace::default().read_us;
-    }
-    readers.iter().sum::<f64>() / policy::real(count)
-}
--- a/components/gateway/src/version/mod.rs
+++ b/components/gateway/src/version/mod.rs
@@ -73,6 +73,8 @@
     pub slots: u64,
     /// Tokens that an engine's memory holds.
     pub memory_tokens: u64,
+    /// Time to move a token's KV cache from one engine to another in the same data centre.
+    pub move_token: Duration,
     /// Tokens in one event of a stream.
     pub event_tokens: u64,
     /// How long an engine keeps a handle.
--- a/components/policy/src/learn.rs
+++ b/components/policy/src/learn.rs
@@ -82,16 +82,27 @@
     pub step_us: f64,
 }
 
-impl Default for Pace {
-    /// Faster than any engine known so far. An engine that looks fast is tried, and what it does
-    /// corrects the guess; one that looks too slow for every request would never be tried.
-    fn default() -> Self {
+impl Pace {
+    /// A guess for an engine that only reads: faster than any known so far. An engine that looks fast
+    /// is tried, and what it does corrects the guess; one that looks too slow for every request would
+    /// never be tried.
+    #[must_use]
+    pub fn of_reader() -> Self {
         Self {
             start_us: 3_000.0,
             read_us: 2.0,
             step_us: 500.0,
         }
     }
+
+    /// A guess for an engine that writes: it reads at half the speed, and between its tokens.
+    #[must_use]
+    pub fn of_writer() -> Self {
+        Self {
+            read_us: 5.0,
+            ..Self::of_reader()
+        }
+    }
 }
 
 /// Weight of a new sample of a pace. Samples are noisy, as the work ahead is known only roughly.
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -23,6 +23,8 @@
     pub stage: Stage,
     /// Work of the prompts that wait there or are being read, see [`prompt::work`].
     pub reading: u64,
+    /// Work of the prompts that give way to all others there.
+    pub late: u64,
     /// Answers that it writes, or will write once their prompts are read.
     pub writing: u64,
     /// Those of them that are long, see [`Weights::long_answer`].
@@ -31,6 +33,8 @@
     pub slots: u64,
     /// Tokens of the prompt in question that it holds already.
     pub held: u64,
+    /// Tokens of it that it can fetch from another engine beyond those, and the time that takes.
+    pub fetch: Fetch,
     /// How fast it is in this stage.
     pub pace: Pace,
     /// Extra time, there and back, for an engine in another data centre.
@@ -39,6 +43,15 @@
     pub failures: f64,
 }
 
+/// What an engine can fetch of a prompt from another one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Fetch {
+    /// Tokens beyond those that it holds.
+    pub tokens: u64,
+    /// Time to fetch them.
+    pub time: f64,
+}
+
 /// What is to be placed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ask {
@@ -175,6 +188,24 @@
     }
 }
 
+/// Chooses an engine that reads, for a prompt that comes too late anyway and gives way to all that
+/// don't; none if it would not be read within `time`, in microseconds.
+#[must_use]
+pub fn choose_late(engines: &[Engine], ask: &Ask, weights: &Weights, time: f64) -> Option<usize> {
+    let found = cheapest(engines, weights, 0, |engine| {
+        if engine.stage != Stage::Prefill {
+            return None;
+        }
+        let cost = read(engine, ask, weights);
+        let late = real(engine.late) * engine.pace.read_us;
+        (cost.first + late <= time).then(|| Cost {
+            weighed: cost.weighed + late,
+            ..cost
+        })
+    });
+    found.map(|found| found.at)
+}
+
 /// Chooses an engine that writes, for a prompt that another engine has read already.
 #[must_use]
 pub fn choose_writer(engines: &[Engine], ask: &Ask, weights: &Weights, draw: u64) -> Option<usize> {
@@ -206,11 +237,11 @@
 }
 
 fn unread(engine: &Engine, ask: &Ask) -> u64 {
-    ask.prompt.saturating_sub(engine.held)
+    ask.prompt.saturating_sub(engine.held + engine.fetch.tokens)
 }
 
 fn work(engine: &Engine, ask: &Ask) -> u64 {
-    prompt::work(ask.prompt, engine.held)
+    prompt::work(ask.prompt, engine.held + engine.fetch.tokens)
 }
 
 /// Whether the long answers that an engine writes keep coming while it reads prompts: with a prompt
@@ -226,6 +257,7 @@
     let unread = unread(engine, ask);
     let first = real(engine.distance)
         + engine.pace.start_us
+        + engine.fetch.time
         + real(engine.reading + work(engine, ask)) * engine.pace.read_us;
     Cost {
         first,
@@ -255,7 +287,8 @@
     let unread = unread(engine, ask);
     let own = real(work(engine, ask)) * engine.pace.read_us;
     let ahead = real(engine.reading) * engine.pace.read_us;
-    let first = real(engine.distance) + engine.pace.start_us + ahead + own;
+    let start = engine.pace.start_us + engine.fetch.time;
+    let first = real(engine.distance) + start + ahead + own;
     let held_up = own * real(engine.long) * weights.disturbance;
     Cost {
         first,
--- a/components/policy/src/stage.rs
+++ b/components/policy/src/stage.rs
@@ -18,7 +18,7 @@
 
 /// Time constant of the averages, in microseconds: above the swings of a few seconds that are over
 /// before a change of stage is, below the longer ones that a change pays for.
-const MEMORY: f64 = 3_000_000.0;
+const MEMORY: f64 = 4_000_000.0;
 
 impl Demand {
     /// Takes what arrived since the last call: time to read it on reading engines, in microseconds,
@@ -56,7 +56,7 @@
             busy: 0.7,
             full: 0.6,
             least_writing: 2,
-            margin: 0.75,
+            margin: 1.0,
             idle: 0.2,
         }
     }
