Plan slots for writing first, and refuse what a planned stop would cut

Change: what writing needs comes before what reading needs, up to half of the fleet, and never counts for less than now; a request that would not end before the process does is refused as not run, at once. Ruled out: a stop that waits longer (the platform kills after grace_s).

--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -5,6 +5,8 @@
 mod ready;
 mod stop;
 
+pub use stop::Stop;
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use cloud::table::Table;
@@ -93,6 +95,8 @@
     pub connections: watch::Sender<usize>,
     /// Requests under way; a planned stop waits until there are none.
     pub under_way: watch::Sender<usize>,
+    /// When a planned stop ends, if one has begun.
+    stop: RwLock<Option<Stop>>,
     configuration: RwLock<Option<Arc<Configuration>>>,
     /// Whether the endpoints were read once.
     endpoints_read: watch::Sender<bool>,
@@ -207,6 +211,11 @@
         f(&mut ledgers[at].1)
     }
 
+    /// The planned stop that has begun.
+    pub fn stop(&self) -> Option<Stop> {
+        *self.stop.read()
+    }
+
     /// Time since the start, for decisions that keep their own time.
     pub fn micros(&self) -> policy::Micros {
         policy::micros(self.started.elapsed())
@@ -283,6 +292,7 @@
         phase: watch::Sender::new(Phase::Serving),
         connections: watch::Sender::new(0),
         under_way: watch::Sender::new(0),
+        stop: RwLock::default(),
         configuration: RwLock::default(),
         endpoints_read: watch::Sender::new(false),
         ledgers: Mutex::default(),
--- a/components/gateway/src/process/stop.rs
+++ b/components/gateway/src/process/stop.rs
@@ -12,8 +12,23 @@
 /// The process ends this long before it would be killed, so that it still says what it cut.
 const BEFORE_KILL: Duration = Duration::from_millis(250);
 
+/// A planned stop that has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// When the process ends, whatever is under way.
+    pub end: Instant,
+    /// When the balancer sends nothing any more. What is accepted later and then cut is a fault.
+    pub quiet: Instant,
+}
+
 /// Begins a planned stop; a second call changes nothing.
 pub fn begin(gateway: &Gateway) {
+    let now = Instant::now();
+    let grace = gateway.settings.bounds.grace_s.saturating_sub(BEFORE_KILL);
+    gateway.stop.write().get_or_insert(Stop {
+        end: now + grace,
+        quiet: now + BALANCER_LAG,
+    });
     gateway.phase.send_if_modified(|phase| {
         let begins = *phase == Phase::Serving;
         if begins {
@@ -28,11 +43,13 @@
     let mut phase = gateway.phase.subscribe();
     // the sender lives as long as the process
     let _ = phase.wait_for(|phase| *phase != Phase::Serving).await;
-    let begun = Instant::now();
+    let stop = gateway.stop().unwrap_or_else(|| Stop {
+        end: Instant::now(),
+        quiet: Instant::now(),
+    });
     let under_way = *gateway.under_way.borrow();
     log::info!(under_way; "planned stop begins");
-    tokio::time::sleep(BALANCER_LAG).await;
-    let grace = gateway.settings.bounds.grace_s.saturating_sub(BEFORE_KILL);
+    tokio::time::sleep_until(stop.quiet).await;
     let mut under_way = gateway.under_way.subscribe();
     let mut connections = gateway.connections.subscribe();
     let empty = async {
@@ -40,7 +57,7 @@
         let _ = under_way.wait_for(|count| *count == 0).await;
         let _ = connections.wait_for(|count| *count == 0).await;
     };
-    let cut = match tokio::time::timeout_at(begun + grace, empty).await {
+    let cut = match tokio::time::timeout_at(stop.end, empty).await {
         Ok(()) => 0,
         Err(_) => *gateway.under_way.borrow(),
     };
--- a/components/gateway/src/request/generate.rs
+++ b/components/gateway/src/request/generate.rs
@@ -29,7 +29,7 @@
 const HANDLE_BYTES: usize = 16 << 10;
 /// The part of the time left in which the prompt of a late answer must be read: the rest is for
 /// writing, and for what was expected wrongly.
-const LATE_READ: f64 = 0.5;
+const LATE_READ: f64 = 0.2;
 /// The part of a deadline after which a late answer is not begun: it would be cut before its end.
 const LATEST: u32 = 2;
 
@@ -44,6 +44,9 @@
                 .count_demand(&job.service.name, view.to_read(&job));
         }
         let choice = view.choose(&job).ok_or_else(|| give_up(&tried))?;
+        if !ends_before_stop(&job, &view, &choice) {
+            return Err(Reason::Stopping);
+        }
         let timing = place(&job, &view, &choice)?;
         let in_time = matches!(timing, Timing::InTime);
         let outcome = match (timing, choice.plan) {
@@ -98,6 +101,25 @@
     }
 }
 
+/// How much longer than expected an answer may take where it must not be cut.
+const LONGER: f64 = 1.3;
+
+/// Whether an answer ends before this process does, if it stops.
+fn ends_before_stop(job: &Job, view: &View, choice: &Choice) -> bool {
+    let writer = match choice.plan {
+        Plan::Whole { engine } => engine,
+        Plan::Split { decode, .. } => decode,
+    };
+    let step = view.engines[writer].pace.step_us;
+    let after = |tokens: u64, step: f64| {
+        let us = choice.first + policy::real(tokens) * step;
+        std::time::Duration::from_micros(policy::count(us * LONGER))
+    };
+    let most = job.ask.prompt.as_ref().map_or(0, |prompt| prompt.most_output);
+    let stretched = step * Weights::default().stretch;
+    job.ends_before_stop(after(ask(job).output, step), after(most, stretched))
+}
+
 /// Whether an answer will begin in time.
 enum Timing {
     /// It will.
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -89,6 +89,17 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Whether it will have ended before this process does: after so long by expectation, after
+    /// `most` at the latest.
+    pub fn ends_before_stop(&self, expected: Duration, most: Duration) -> bool {
+        let now = Instant::now();
+        self.gateway.stop().is_none_or(|stop| {
+            // the balancer still sends until then, and takes no cut amiss
+            let takes = if now < stop.quiet { expected } else { most };
+            (now + takes).min(self.deadline) <= stop.end
+        })
+    }
+
     /// Connections that this process may hold to one endpoint of its service.
     pub fn most_links(&self) -> usize {
         let sharers = usize::try_from(self.gateway.peers.count()).unwrap_or(0) + 1;
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -23,6 +23,9 @@
 
 /// Serves a request.
 pub async fn serve(job: Job) -> Result<Response<Body>, Reason> {
+    if !job.ends_before_stop(job.route.objective, job.time_left()) {
+        return Err(Reason::Stopping);
+    }
     let mut tried: Vec<Arc<Target>> = Vec::new();
     let mut sent = 0;
     loop {
--- a/components/gateway/src/request/refusal.rs
+++ b/components/gateway/src/request/refusal.rs
@@ -40,6 +40,9 @@
     /// This process does not know the configuration yet.
     #[display("this process knows no configuration yet")]
     NotReady,
+    /// This process stops before the answer would end.
+    #[display("this process stops before the answer would end")]
+    Stopping,
     /// No engine would begin to answer in time.
     #[display("no engine would begin to answer in time")]
     Late(Duration),
@@ -79,6 +82,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NotReady
+            | Self::Stopping
             | Self::Late(_)
             | Self::NoEndpoint(_)
             | Self::NotTaken(_)
@@ -93,6 +97,8 @@
         match self {
             Self::Late(after) | Self::NoEndpoint(after) | Self::NotTaken(after) => Some(after),
             Self::NotReady => Some(SOON),
+            // another process takes it at once
+            Self::Stopping => Some(Duration::ZERO),
             _ => None,
         }
     }
--- a/components/policy/src/stage.rs
+++ b/components/policy/src/stage.rs
@@ -23,6 +23,9 @@
 impl Demand {
     /// Takes what arrived since the last call: time to read it on reading engines, in microseconds,
     /// and the slots that are taken now.
+    ///
+    /// The slots never count for less than now: an answer that finds none is lost, and so is the
+    /// prompt that was read for it.
     pub fn observe(&mut self, now: Micros, reading: f64, writing: f64) {
         let Some(seen) = self.seen.replace(now) else {
             self.writing = writing;
@@ -32,6 +35,7 @@
         let part = (span / MEMORY).min(1.0);
         self.reading += part * (reading / span - self.reading);
         self.writing += part * (writing - self.writing);
+        self.writing = self.writing.max(writing);
     }
 }
 
@@ -44,8 +48,10 @@
     pub full: f64,
     /// Engines that always write, so that one can fail.
     pub least_writing: u64,
-    /// Engines that the plan must be off by before one is changed.
-    pub margin: f64,
+    /// Engines that reading must lack before one more reads.
+    pub margin_reading: f64,
+    /// Engines that writing must lack before one more writes.
+    pub margin_writing: f64,
     /// Below this, in engines and slots, nothing is planned.
     pub idle: f64,
 }
@@ -54,25 +60,29 @@
     fn default() -> Self {
         Self {
             busy: 0.7,
-            full: 0.6,
+            full: 0.55,
             least_writing: 2,
-            margin: 1.0,
+            margin_reading: 1.0,
+            margin_writing: 0.75,
             idle: 0.2,
         }
     }
 }
 
-/// How many of `engines` should read, as a fraction of engines.
+/// How many of `engines` should read, with a fraction.
 ///
-/// What both phases need comes first; what is left over, or missing, is shared in proportion.
+/// What writing needs comes first, up to half of the fleet; then what reading needs. What is left
+/// over is shared in proportion.
 #[must_use]
 pub fn readers(demand: &Demand, engines: u64, slots: u64, weights: &Weights) -> f64 {
     let all = real(engines);
-    let reading = demand.reading / weights.busy;
     let least = real(weights.least_writing.min(engines));
-    let writing = (demand.writing / (real(slots.max(1)) * weights.full)).max(least);
-    let share = reading / (reading + writing);
-    (all * share).clamp(1.0, (all - least).max(1.0))
+    let reading = demand.reading / weights.busy;
+    let writing = demand.writing / (real(slots.max(1)) * weights.full);
+    let share = reading / (reading + writing.max(least));
+    let proportional = all * share;
+    let most = all - writing.clamp(least, (all / 2.0).max(least));
+    proportional.min(most).clamp(1.0, (all - least).max(1.0))
 }
 
 /// A change that the plan asks for.
@@ -91,8 +101,8 @@
     match () {
         // an idle fleet stays as its operators started it
         () if demand.reading < weights.idle && demand.writing < weights.idle => None,
-        () if off > weights.margin => Some(Change::MoreReaders),
-        () if -off > weights.margin => Some(Change::MoreWriters),
+        () if off > weights.margin_reading => Some(Change::MoreReaders),
+        () if -off > weights.margin_reading => Some(Change::MoreWriters),
         () => None,
     }
 }
