--- a/components/gateway/src/peer/digest.rs
+++ b/components/gateway/src/peer/digest.rs
@@ -16,7 +16,7 @@
 /// time that a prompt takes to be read.
 const PACE: Duration = Duration::from_millis(10);
 /// A digest is sent at least this often, so that peers know that this process lives.
-const HEARTBEAT: Duration = Duration::from_millis(150);
+const HEARTBEAT: Duration = Duration::from_millis(100);
 /// How long an engine is left alone after the steward's last word that it is changing: a few
 /// heartbeats.
 const HEED: Duration = Duration::from_millis(600);
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -18,7 +18,7 @@
 
 /// A peer that was not heard for this long is taken to be away: what it had under way is no longer
 /// counted. A few of its heartbeats.
-const SILENT: Duration = Duration::from_millis(700);
+const SILENT: Duration = Duration::from_millis(400);
 /// A peer that was not heard for this long is forgotten. It sends a digest itself when it is back.
 const FORGOTTEN: Duration = Duration::from_secs(60);
 /// The most placements that wait for the next digest; a hint that is lost costs little.
@@ -77,6 +77,27 @@
         }
     }
 
+    /// The data centres that are cut off from here: peers there were heard once and none is now, while
+    /// others still are. A process that hears nobody is cut off itself, and knows nothing of others.
+    pub fn cut_off(&self) -> Vec<Arc<str>> {
+        let now = Instant::now();
+        let known = self.known.lock();
+        let heard = known.iter().filter(|peer| peer.heard.is_some());
+        let mut centres: Vec<(&Arc<str>, bool)> = Vec::new();
+        for peer in heard {
+            let live = peer.is_live(now);
+            match centres.binary_search_by(|(name, _)| (*name).cmp(&peer.data_centre)) {
+                Ok(at) => centres[at].1 |= live,
+                Err(at) => centres.insert(at, (&peer.data_centre, live)),
+            }
+        }
+        if !centres.iter().any(|(_, live)| *live) {
+            return Vec::new();
+        }
+        let silent = centres.iter().filter(|(_, live)| !live);
+        silent.map(|(name, _)| Arc::clone(name)).collect()
+    }
+
     /// How many live peers that aren't the steward come before this process, by address.
     pub fn rank(&self, own: SocketAddr) -> usize {
         let now = Instant::now();
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -140,11 +140,30 @@
     /// Takes one repeat out of the service's budget, if there is one.
     pub fn spend_repeat(&self, service: &Arc<str>) -> bool {
         let now = self.micros();
-        let slack = self.settings.bounds.retry_slack / policy::real(self.peers.count() + 1);
-        let ratio = self.settings.bounds.retry_ratio;
+        let (ratio, slack) = self.repeat_bounds();
         self.with_ledger(service, |ledger| ledger.repeats.spend(now, ratio, slack))
     }
 
+    /// Counts a repeat that nobody asked whether it may be.
+    pub fn force_repeat(&self, service: &Arc<str>) {
+        let now = self.micros();
+        self.with_ledger(service, |ledger| ledger.repeats.force(now));
+    }
+
+    /// Whether there is a repeat left in the service's budget.
+    pub fn may_repeat(&self, service: &Arc<str>) -> bool {
+        let now = self.micros();
+        let (ratio, slack) = self.repeat_bounds();
+        self.with_ledger(service, |ledger| ledger.repeats.has(now, ratio, slack))
+    }
+
+    /// This process's part of the operators' bounds on repeats.
+    fn repeat_bounds(&self) -> (f64, f64) {
+        let bounds = &self.settings.bounds;
+        let sharers = policy::real(self.peers.count() + 1);
+        (bounds.retry_ratio, bounds.retry_slack / sharers)
+    }
+
     /// Counts the work of prompts that a service is asked to read.
     pub fn count_demand(&self, service: &Arc<str>, work: u64) {
         self.with_ledger(service, |ledger| ledger.asked += work);
@@ -178,7 +197,9 @@
 
     /// How fast engines of a service are on average in a stage.
     pub fn pace(&self, service: &Arc<str>, stage: Stage) -> Pace {
-        self.with_ledger(service, |ledger| ledger.paces[usize::from(stage == Stage::Decode)])
+        self.with_ledger(service, |ledger| {
+            ledger.paces[usize::from(stage == Stage::Decode)]
+        })
     }
 
     /// Learns how fast an engine is: its own pace, and its service's.
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -12,7 +12,7 @@
 };
 use tokio::time::Instant;
 
-use super::job::Job;
+use super::{effort::Phase, job::Job};
 use crate::{
     edge::{Call, Directive},
     endpoint::{Link, NotOpened, Target, Verdict},
@@ -42,6 +42,15 @@
     /// A prompt was read, but no engine has room to write the answer.
     #[display("no engine has room to write the answer")]
     NoWriter,
+    /// The budget of repeats is used up.
+    #[display("the budget of repeats is used up")]
+    NoBudget,
+    /// An engine could not fetch the KV cache of the prompt from the engine that had read it.
+    #[display("the prompt's KV cache could not be fetched")]
+    NoHandle,
+    /// A late prompt was still giving way to others when the time was over.
+    #[display("other prompts went first until the time was over")]
+    GaveWay,
     /// The endpoint said that it did not run it.
     #[display("the endpoint did not run it, status {_0}")]
     NotRun(u16),
@@ -64,25 +73,29 @@
     pub fn not_run(self) -> bool {
         matches!(
             self,
-            Self::NotOpened(_) | Self::NotSent | Self::NoWriter | Self::NotRun(_)
+            Self::NotOpened(_)
+                | Self::NotSent
+                | Self::NoWriter
+                | Self::NoBudget
+                | Self::NoHandle
+                | Self::NotRun(_)
         )
     }
 
-    /// Whether the endpoint has seen the request, as far as is known.
-    pub fn arrived(self) -> bool {
-        !matches!(self, Self::NotOpened(_) | Self::NotSent | Self::NoWriter)
-    }
-
-    /// What it tells of the endpoint.
-    pub fn verdict(self) -> Verdict {
+    /// What it tells of the endpoint, if it tells anything.
+    pub fn verdict(self) -> Option<Verdict> {
         match self {
             Self::NotOpened(NotOpened::Silent | NotOpened::Refused) | Self::TimeOver => {
-                Verdict::Silent
+                Some(Verdict::Silent)
             }
-            Self::NotOpened(NotOpened::Full) | Self::NotSent | Self::NoWriter | Self::NotRun(_) => {
-                Verdict::Refused
-            },
-            Self::Broken | Self::Foreign | Self::Failed(_) => Verdict::Failed,
+            Self::NotRun(_) => Some(Verdict::Refused),
+            Self::Broken | Self::Foreign | Self::Failed(_) => Some(Verdict::Failed),
+            Self::NotOpened(NotOpened::Full)
+            | Self::NotSent
+            | Self::NoWriter
+            | Self::NoBudget
+            | Self::NoHandle
+            | Self::GaveWay => None,
         }
     }
 }
@@ -105,6 +118,15 @@
         .connect(fresh, job.most_links())
         .await
         .map_err(Cause::NotOpened)?;
+    let phase = if directive.read_only {
+        Phase::Read
+    } else {
+        Phase::Run
+    };
+    if !job.arrivals.begin(job, phase) {
+        target.give_back(link);
+        return Err(Cause::NoBudget);
+    }
     let request = request(job, directive);
     let sending = link.sender().try_send_request(request);
     let response = match tokio::time::timeout_at(until, sending).await {
--- a/components/gateway/src/request/generate.rs
+++ b/components/gateway/src/request/generate.rs
@@ -12,9 +12,9 @@
 
 use super::{
     attempt::{self, Answer, Cause},
+    effort::{Effort, Failed, Phase},
     job::Job,
     pass::{self, Body},
-    plain::may_go_on,
     refusal::{Reason, SOON},
 };
 use crate::{
@@ -30,51 +30,74 @@
 /// The part of the time left in which the prompt of a late answer must be read: the rest is for
 /// writing, and for what was expected wrongly.
 const LATE_READ: f64 = 0.2;
+/// How many times as long as expected an engine may take before it is taken to be silent, and how much
+/// longer besides: expectations are wrong by less.
+const EXPECTED_TIMES: u32 = 3;
+const GRACE: std::time::Duration = std::time::Duration::from_millis(250);
 /// The part of a deadline after which a late answer is not begun: it would be cut before its end.
 const LATEST: u32 = 2;
 
 /// Serves a generation.
 pub async fn serve(job: Job) -> Result<Response<Body>, Reason> {
-    let mut tried: Vec<Arc<Target>> = Vec::new();
-    let mut sent = 0;
+    let mut effort = Effort::default();
+    let mut may_split = true;
     loop {
-        let view = View::new(&job, &tried);
-        if tried.is_empty() {
+        let mut view = View::new(&job, effort.tried());
+        if effort.is_fresh() {
             job.gateway
                 .count_demand(&job.service.name, view.to_read(&job));
         }
-        let choice = view.choose(&job).ok_or_else(|| give_up(&tried))?;
+        if !may_split {
+            view.only_writers();
+        }
+        let choice = view.choose(&job).ok_or_else(|| effort.give_up())?;
         if !ends_before_stop(&job, &view, &choice) {
             return Err(Reason::Stopping);
         }
-        let timing = place(&job, &view, &choice)?;
-        let in_time = matches!(timing, Timing::InTime);
+        let timing = if effort.is_fresh() {
+            place(&job, &view, &choice)?
+        } else {
+            view.tell(&job, &choice, "placed again");
+            Timing::InTime
+        };
         let outcome = match (timing, choice.plan) {
-            (Timing::Late { prefill }, _) => split(&job, &view, prefill, &tried, true).await,
-            (Timing::InTime, Plan::Whole { engine }) => whole(&job, &view, engine, None).await,
+            (Timing::Late { prefill }, _) => split(&job, &view, prefill, &effort, None).await,
+            (Timing::InTime, Plan::Whole { engine }) => {
+                let until = patience(&job, &effort, &choice);
+                whole(&job, &view, engine, until, None).await
+            }
             (Timing::InTime, Plan::Split { prefill, .. }) => {
-                split(&job, &view, prefill, &tried, false).await
+                split(&job, &view, prefill, &effort, Some(&choice)).await
             }
         };
         match outcome {
             Ok((answer, writing)) => {
-                if tried.is_empty() && in_time {
+                if effort.is_fresh() && timing == Timing::InTime {
                     let took = policy::micros(job.arrived.elapsed());
                     job.gateway
                         .learn_margin(&job.service.name, choice.first, took);
                 }
-                return Ok(pass::hand_on(job, answer, writing, sent + 1));
+                return Ok(pass::hand_on(job, answer, writing, effort.runs() + 1));
             }
-            Err((target, cause)) => {
-                target.note(cause.verdict(), &job.ask.id);
-                tried.push(target);
-                sent += u32::from(cause.arrived());
-                may_go_on(&job, cause, sent)?;
+            Err(failed) => {
+                // a second read and a second fetch would be two more arrivals
+                may_split = failed.cause != Cause::NoHandle;
+                effort.fail(&job, failed)?;
             }
         }
     }
 }
 
+/// How long an answer is waited for: where another attempt may follow, only as long as an engine that
+/// works would take.
+fn patience(job: &Job, effort: &Effort, choice: &Choice) -> Instant {
+    if !effort.may_repeat_after_next(job) {
+        return job.deadline;
+    }
+    let expected = std::time::Duration::from_micros(policy::count(choice.first));
+    (Instant::now() + expected * EXPECTED_TIMES + GRACE).min(job.deadline)
+}
+
 /// Goes on with a stream that broke, on another engine.
 pub async fn resume(
     job: &Job,
@@ -87,20 +110,15 @@
         Plan::Whole { engine } => engine,
         Plan::Split { decode, .. } => decode,
     };
-    whole(job, &view, engine, after).await.map_err(|(target, cause)| {
-        target.note(cause.verdict(), &job.ask.id);
-        cause
+    let resumed = whole(job, &view, engine, job.deadline, after).await;
+    resumed.map_err(|failed| {
+        if let Some(verdict) = failed.cause.verdict() {
+            failed.target.note(verdict, &job.ask.id);
+        }
+        failed.cause
     })
 }
 
-fn give_up(tried: &[Arc<Target>]) -> Reason {
-    if tried.is_empty() {
-        Reason::NoEndpoint(SOON)
-    } else {
-        Reason::NotTaken(SOON)
-    }
-}
-
 /// How much longer than expected an answer may take where it must not be cut.
 const LONGER: f64 = 1.3;
 
@@ -115,12 +133,17 @@
         let us = choice.first + policy::real(tokens) * step;
         std::time::Duration::from_micros(policy::count(us * LONGER))
     };
-    let most = job.ask.prompt.as_ref().map_or(0, |prompt| prompt.most_output);
+    let most = job
+        .ask
+        .prompt
+        .as_ref()
+        .map_or(0, |prompt| prompt.most_output);
     let stretched = step * Weights::default().stretch;
     job.ends_before_stop(after(ask(job).output, step), after(most, stretched))
 }
 
 /// Whether an answer will begin in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Timing {
     /// It will.
     InTime,
@@ -177,13 +200,15 @@
             .as_ref()
             .map_or(&[][..], |prompt| &prompt.parts);
         let near = &job.gateway.settings.gateway.data_centre;
+        let cut_off = job.gateway.peers.cut_off();
         let (targets, engines) = fleet
             .targets()
             .iter()
             .filter(|target| !tried.iter().any(|other| other.id == target.id))
             .filter_map(|target| {
                 let seen = target.seen(now, parts)?;
-                Some((Arc::clone(target), engine(job, &seen, near)))
+                let reached = !cut_off.contains(&seen.profile.data_centre);
+                reached.then(|| (Arc::clone(target), engine(job, &seen, near)))
             })
             .unzip();
         let mut view = Self {
@@ -195,6 +220,20 @@
         view
     }
 
+    /// Leaves engines that read alone.
+    fn only_writers(&mut self) {
+        let stages = self.engines.iter().map(|engine| engine.stage);
+        let keep: Vec<bool> = stages.map(|stage| stage == place::Stage::Decode).collect();
+        let mut kept = keep.iter();
+        self.targets.retain(|_| kept.next() == Some(&true));
+        let mut kept = keep.iter();
+        self.engines.retain(|_| kept.next() == Some(&true));
+        self.source = None;
+        for engine in &mut self.engines {
+            engine.fetch = place::Fetch::default();
+        }
+    }
+
     /// Finds what engines that lack parts of the prompt can fetch from the one that holds the most.
     fn add_fetches(&mut self, job: &Job) {
         let Some(engines) = &job.service.engines else {
@@ -316,10 +355,24 @@
     ask(job).output > Weights::default().long_answer
 }
 
-type Attempted = Result<(Answer, Writing), (Arc<Target>, Cause)>;
+type Attempted = Result<(Answer, Writing), Failed>;
+
+fn failed(target: &Arc<Target>, cause: Cause, phase: Phase) -> Failed {
+    Failed {
+        target: Arc::clone(target),
+        cause,
+        phase,
+    }
+}
 
 /// One engine reads and writes.
-async fn whole(job: &Job, view: &View, at: usize, resume_after: Option<u64>) -> Attempted {
+async fn whole(
+    job: &Job,
+    view: &View,
+    at: usize,
+    until: Instant,
+    resume_after: Option<u64>,
+) -> Attempted {
     let target = &view.targets[at];
     let reading = read_at(job, view, at, false);
     let (ahead, begun) = (reading.ahead, Instant::now());
@@ -331,32 +384,31 @@
         ..Directive::default()
     };
     let writing = Writing::new(target, is_long(job));
-    let sent = attempt::send(job, target, &directive, job.deadline).await;
-    let answer = sent.map_err(|cause| (Arc::clone(target), cause))?;
+    let sent = attempt::send(job, target, &directive, until).await;
+    let answer = sent.map_err(|cause| failed(target, cause, Phase::Run))?;
     learn(job, target, ahead + reading.guard.work(), begun);
     Ok((answer, writing))
 }
 
 /// One engine reads, another one writes. Which one writes is decided when the prompt has been read,
-/// as much has changed until then.
+/// as much has changed until then. Without a choice the prompt is late and gives way to others.
 async fn split(
     job: &Job,
     view: &View,
     prefill: usize,
-    tried: &[Arc<Target>],
-    late: bool,
+    effort: &Effort,
+    choice: Option<&Choice>,
 ) -> Attempted {
-    let handle = read(job, view, prefill, late).await?;
+    let handle = read(job, view, prefill, choice).await?;
     let prefill = &view.targets[prefill];
-    let view = View::new(job, tried);
+    let view = View::new(job, effort.tried());
     let Some(at) = place::choose_writer(
         &view.engines,
         &ask(job),
         &Weights::default(),
         rand::random(),
     ) else {
-        // counted like an engine that was not reached: nothing ran
-        return Err((Arc::clone(prefill), Cause::NoWriter));
+        return Err(failed(prefill, Cause::NoWriter, Phase::Read));
     };
     let decode = &view.targets[at];
     let writing = Writing::new(decode, is_long(job));
@@ -368,15 +420,25 @@
     };
     use_parts(job, decode);
     let begun = Instant::now();
-    let sent = attempt::send(job, decode, &directive, job.deadline).await;
-    match sent {
+    let until = if effort.may_repeat_after_next(job) {
+        (begun + GRACE * 2).min(job.deadline)
+    } else {
+        job.deadline
+    };
+    match attempt::send(job, decode, &directive, until).await {
         Ok(answer) => {
             let took = policy::micros(begun.elapsed());
             job.gateway.learn_pace(decode, |pace| pace.began(took));
+            prefill.note(Verdict::Fine, &job.ask.id);
             handle.taken();
             Ok((answer, writing))
         }
-        Err(cause) => Err((Arc::clone(decode), cause)),
+        // the writer can't tell why, but most often it is the reader that has lost the handle
+        Err(Cause::NotRun(_)) => {
+            prefill.note(Verdict::Failed, &job.ask.id);
+            Err(failed(decode, Cause::NoHandle, Phase::Run))
+        }
+        Err(cause) => Err(failed(decode, cause, Phase::Run)),
     }
 }
 
@@ -407,14 +469,10 @@
 }
 
 /// Has a prompt read at an engine, which keeps its KV cache for another one.
-async fn read(
-    job: &Job,
-    view: &View,
-    at: usize,
-    late: bool,
-) -> Result<Kept, (Arc<Target>, Cause)> {
+async fn read(job: &Job, view: &View, at: usize, choice: Option<&Choice>) -> Result<Kept, Failed> {
     let target = &view.targets[at];
-    let failed = |cause| (Arc::clone(target), cause);
+    let late = choice.is_none();
+    let failed = |cause| failed(target, cause, Phase::Read);
     let counted = read_at(job, view, at, late);
     let begun = Instant::now();
     let directive = Directive {
@@ -425,22 +483,34 @@
         urgency: Some(if late { Urgency::Low } else { Urgency::Normal }),
         ..Directive::default()
     };
-    let answer = attempt::send(job, target, &directive, job.deadline)
-        .await
-        .map_err(failed)?;
+    let expected =
+        choice.map(|choice| std::time::Duration::from_micros(policy::count(choice.first)));
+    let until = expected.map_or(job.deadline, |expected| {
+        (begun + expected * EXPECTED_TIMES + GRACE).min(job.deadline)
+    });
+    let answer = match attempt::send(job, target, &directive, until).await {
+        Ok(answer) => answer,
+        Err(Cause::TimeOver) if late => return Err(failed(Cause::GaveWay)),
+        Err(cause) => {
+            if matches!(cause, Cause::NotRun(_)) {
+                job.arrivals.rejected(job);
+            }
+            return Err(failed(cause));
+        }
+    };
     let status = answer.head.status;
     let body = Limited::new(answer.body, HANDLE_BYTES).collect().await;
     let body = body.map_err(|_| failed(Cause::Broken))?.to_bytes();
     if !status.is_success() {
         return Err(failed(Cause::Failed(status.as_u16())));
     }
+    job.arrivals.accepted();
     let address = target.with(|state| state.profile.address);
     let handle = job.gateway.edges.dialect.handle(address, &body);
     let handle = handle.ok_or_else(|| failed(Cause::Foreign))?;
     if !late {
         learn(job, target, counted.ahead + counted.guard.work(), begun);
     }
-    target.note(Verdict::Fine, &job.ask.id);
     target.give_back(answer.link);
     Ok(Kept {
         handle,
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -6,6 +6,7 @@
 use hyper::{HeaderMap, Method, Uri, http::request::Parts};
 use tokio::time::Instant;
 
+use super::effort::Arrivals;
 use crate::{
     connection::Counted,
     edge::Ask,
@@ -44,6 +45,8 @@
     pub objective: Instant,
     /// The longest pause that streams of its service may have.
     pub pause: Option<Duration>,
+    /// Its arrivals at endpoints.
+    pub arrivals: Arrivals,
     _under_way: Counted,
 }
 
@@ -80,6 +83,7 @@
             deadline,
             objective,
             pause,
+            arrivals: Arrivals::default(),
             _under_way: under_way,
         }
     }
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -4,6 +4,7 @@
 
 mod attempt;
 mod body;
+mod effort;
 mod events;
 mod generate;
 mod job;
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -204,9 +204,7 @@
         broken.target.note(Verdict::Failed, &self.job.ask.id);
         let from = Arc::clone(&broken.target);
         drop(broken);
-        if self.attempts >= self.job.route.attempts
-            || !self.job.gateway.spend_repeat(&self.job.service.name)
-        {
+        if self.attempts >= self.job.route.attempts {
             return false;
         }
         self.attempts += 1;
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -1,15 +1,16 @@
 //! Requests to plain services: any endpoint serves them, the least loaded near one first.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use hyper::Response;
 use tokio::time::Instant;
 
 use super::{
     attempt::{self, Answer, Cause},
+    effort::{Effort, Failed, Phase},
     job::Job,
     pass::{self, Body},
-    refusal::{Reason, SOON},
+    refusal::Reason,
 };
 use crate::{
     edge::Directive,
@@ -21,49 +22,47 @@
 /// What an endpoint counts that fails every attempt, in slots' worth of load.
 const FAILURES: f64 = 4.0;
 
+/// The part of the objective after which a silent endpoint is given up on, if the request may run
+/// again: an endpoint that works answers sooner, and the rest is enough for another one.
+const PATIENCE: u32 = 2;
+/// A silent endpoint is given this much time at least.
+const LEAST_PATIENCE: Duration = Duration::from_millis(30);
+
 /// Serves a request.
 pub async fn serve(job: Job) -> Result<Response<Body>, Reason> {
     if !job.ends_before_stop(job.route.objective, job.time_left()) {
         return Err(Reason::Stopping);
     }
-    let mut tried: Vec<Arc<Target>> = Vec::new();
-    let mut sent = 0;
+    let mut effort = Effort::default();
     loop {
-        let Some(target) = choose(&job, &tried) else {
-            return Err(give_up(&tried));
-        };
+        let target = choose(&job, effort.tried()).ok_or_else(|| effort.give_up())?;
         let writing = Writing::new(&target, false);
-        let outcome = attempt(&job, &target).await;
+        let outcome = attempt(&job, &target, &effort).await;
         match outcome {
-            Ok(answer) if another_may_do_better(&job, &answer, sent + 1) => {
-                sent += 1;
-                tried.push(target);
-            }
-            Ok(answer) => return Ok(pass::hand_on(job, answer, writing, sent + 1)),
+            Ok(answer) if another_may_do_better(&job, &answer, &effort) => effort.ran(target),
+            Ok(answer) => return Ok(pass::hand_on(job, answer, writing, effort.runs() + 1)),
             Err(cause) => {
                 drop(writing);
-                target.note(cause.verdict(), &job.ask.id);
-                tried.push(target);
-                sent += u32::from(cause.arrived());
-                may_go_on(&job, cause, sent)?;
+                let phase = Phase::Run;
+                effort.fail(
+                    &job,
+                    Failed {
+                        target,
+                        cause,
+                        phase,
+                    },
+                )?;
             }
         }
     }
 }
 
-fn give_up(tried: &[Arc<Target>]) -> Reason {
-    if tried.is_empty() {
-        Reason::NoEndpoint(SOON)
-    } else {
-        Reason::NotTaken(SOON)
-    }
-}
-
 /// The endpoint with the least load in proportion to its slots; near ones first.
 fn choose(job: &Job, tried: &[Arc<Target>]) -> Option<Arc<Target>> {
     let now = Instant::now();
     let fleet = job.gateway.registry.fleet(&job.service.name);
     let near = &job.gateway.settings.gateway.data_centre;
+    let cut_off = job.gateway.peers.cut_off();
     let mut best: Option<(f64, &Arc<Target>)> = None;
     for target in fleet.targets() {
         if tried.iter().any(|other| other.id == target.id) {
@@ -72,6 +71,9 @@
         let Some(seen) = target.seen(now, &[]) else {
             continue;
         };
+        if cut_off.contains(&seen.profile.data_centre) {
+            continue;
+        }
         let load = policy::real(seen.load.writing) / policy::real(seen.profile.slots.max(1));
         let remote = if *seen.profile.data_centre == **near {
             0.0
@@ -86,51 +88,35 @@
     best.map(|(_, target)| Arc::clone(target))
 }
 
-async fn attempt(job: &Job, target: &Arc<Target>) -> Result<Answer, Cause> {
+async fn attempt(job: &Job, target: &Arc<Target>, effort: &Effort) -> Result<Answer, Cause> {
     let directive = Directive {
         time_left: job.time_left(),
         expect: Some(target.id.clone()),
         ..Directive::default()
     };
-    attempt::send(job, target, &directive, job.deadline).await
+    let until = if effort.may_repeat_after_next(job) {
+        // in time for another endpoint to answer within the objective
+        (job.arrived + job.route.objective / PATIENCE).max(Instant::now() + LEAST_PATIENCE)
+    } else {
+        job.deadline
+    };
+    attempt::send(job, target, &directive, until.min(job.deadline)).await
 }
 
 /// Whether an endpoint's own failure is not the caller's answer yet: the request may run again, there
-/// is time, and the budget has room.
-fn another_may_do_better(job: &Job, answer: &Answer, sent: u32) -> bool {
+/// is time, and another endpoint is there.
+fn another_may_do_better(job: &Job, answer: &Answer, effort: &Effort) -> bool {
     let status = answer.head.status;
     if !status.is_server_error() {
         return false;
     }
     answer.target.note(Verdict::Failed, &job.ask.id);
-    let may = job.route.kind.repeats()
-        && sent < job.route.attempts
+    let may = effort.may_repeat_after_next(job)
         && Instant::now() < job.objective
-        && job.gateway.spend_repeat(&job.service.name);
+        && job.gateway.may_repeat(&job.service.name);
     log::info!(
-        request = job.ask.id, endpoint = &*answer.target.id.0, status = status.as_u16(), sent, may;
+        request = job.ask.id, endpoint = &*answer.target.id.0, status = status.as_u16(), may;
         "an endpoint failed a request"
     );
     may
 }
-
-/// Whether another endpoint may be tried; otherwise what the caller is told.
-pub fn may_go_on(job: &Job, cause: Cause, sent: u32) -> Result<(), Reason> {
-    let repeats = cause.not_run() || job.route.kind.repeats();
-    let time_left = !job.time_left().is_zero();
-    let attempts_left = sent < job.route.attempts || cause.not_run();
-    let may = repeats && time_left && attempts_left;
-    // what was never sent is no repeat
-    let paid = !cause.arrived() || (may && job.gateway.spend_repeat(&job.service.name));
-    log::info!(
-        request = job.ask.id, cause:%, sent, repeats, time_left, paid;
-        "an attempt failed"
-    );
-    match () {
-        () if may && paid => Ok(()),
-        () if cause.not_run() && !time_left => Err(Reason::TooLate),
-        () if cause.not_run() => Err(Reason::NotTaken(SOON)),
-        () if !time_left => Err(Reason::DeadlinePassed),
-        () => Err(Reason::AnswerLost),
-    }
-}
--- a/components/gateway/src/steward/change.rs
+++ b/components/gateway/src/steward/change.rs
@@ -104,12 +104,7 @@
     false
 }
 
-async fn give(
-    gateway: &Arc<Gateway>,
-    wish: &Wish,
-    epoch: u64,
-    report: &Report,
-) -> Option<Ordered> {
+async fn give(gateway: &Arc<Gateway>, wish: &Wish, epoch: u64, report: &Report) -> Option<Ordered> {
     let order = Order {
         engine: wish.target.id.clone(),
         stage: wish.stage,
--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -163,7 +163,13 @@
         }
     }
 
-    async fn take(&mut self, gateway: &Gateway, lease: Option<Lease>, version: u64, term: Duration) {
+    async fn take(
+        &mut self,
+        gateway: &Gateway,
+        lease: Option<Lease>,
+        version: u64,
+        term: Duration,
+    ) {
         let sent = Instant::now();
         let next = lease::take(lease.as_ref(), Incarnation(gateway.incarnation));
         let renewal = Renewal {
--- a/components/gateway/src/steward/plan.rs
+++ b/components/gateway/src/steward/plan.rs
@@ -58,12 +58,22 @@
             }
             let engines = engines(gateway, &service.name);
             let tokens = gateway.demand(&service.name);
-            let at = match self.services.binary_search_by(|s| s.name.cmp(&service.name)) {
+            let at = match self
+                .services
+                .binary_search_by(|s| s.name.cmp(&service.name))
+            {
                 Ok(at) => at,
                 Err(at) => {
                     let name = Arc::clone(&service.name);
                     let demand = Demand::default();
-                    self.services.insert(at, Service { name, demand, tokens });
+                    self.services.insert(
+                        at,
+                        Service {
+                            name,
+                            demand,
+                            tokens,
+                        },
+                    );
                     at
                 }
             };
@@ -157,9 +167,8 @@
         .filter_map(|target| {
             target.with(|state| {
                 let stage = state.profile.stage?;
-                let stays = state.listed
-                    && state.profile.state == State::Ready
-                    && state.health.sound();
+                let stays =
+                    state.listed && state.profile.state == State::Ready && state.health.sound();
                 let load = state.own.with(state.peers);
                 stays.then(|| Engine {
                     target: Arc::clone(target),
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -292,10 +292,7 @@
     let held_up = own * real(engine.long) * weights.disturbance;
     Cost {
         first,
-        weighed: first
-            + held_up
-            + answering(engine, ask, weights)
-            + besides(engine, weights),
+        weighed: first + held_up + answering(engine, ask, weights) + besides(engine, weights),
         unread,
     }
 }
@@ -309,7 +306,11 @@
     let slots = real(engine.slots.max(1));
     let together = slots * weights.together;
     let writing = real(engine.writing);
-    let opens = if engine.long == 0 { weights.opening } else { 0.0 };
+    let opens = if engine.long == 0 {
+        weights.opening
+    } else {
+        0.0
+    };
     // beyond what goes together each further answer counts like a part of an opening
     let crowds = (writing - together).max(0.0) / slots * weights.opening * CROWDED;
     opens + crowds + waiting
--- a/components/policy/src/retry.rs
+++ b/components/policy/src/retry.rs
@@ -1,6 +1,8 @@
 //! Whether a failed attempt may be followed by another.
 
-use crate::Micros;
+use std::collections::VecDeque;
+
+use crate::{Micros, real};
 
 /// What is known of a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,9 +76,9 @@
 pub struct Window {
     span: Micros,
     /// Times of requests in the window, the oldest first.
-    requests: std::collections::VecDeque<Micros>,
+    requests: VecDeque<Micros>,
     /// Times of repeats in the window, the oldest first.
-    repeats: std::collections::VecDeque<Micros>,
+    repeats: VecDeque<Micros>,
 }
 
 /// The part of what is allowed that is used: the deciders' windows don't slide together, and a
@@ -89,8 +91,8 @@
     pub fn new(span: Micros) -> Self {
         Self {
             span,
-            requests: std::collections::VecDeque::new(),
-            repeats: std::collections::VecDeque::new(),
+            requests: VecDeque::new(),
+            repeats: VecDeque::new(),
         }
     }
 
@@ -100,20 +102,29 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one repeat, if there is one left.
-    pub fn spend(&mut self, now: Micros, ratio: f64, slack: f64) -> bool {
+    /// Whether there is a repeat left.
+    pub fn has(&mut self, now: Micros, ratio: f64, slack: f64) -> bool {
         self.slide(now);
-        let count = |times: &std::collections::VecDeque<Micros>| {
-            crate::real(u64::try_from(times.len()).unwrap_or(u64::MAX))
-        };
+        let count = |times: &VecDeque<Micros>| real(u64::try_from(times.len()).unwrap_or(u64::MAX));
         let allowed = (count(&self.requests) * ratio + slack) * USED;
-        let enough = count(&self.repeats) + 1.0 <= allowed;
+        count(&self.repeats) + 1.0 <= allowed
+    }
+
+    /// Takes one repeat, if there is one left.
+    pub fn spend(&mut self, now: Micros, ratio: f64, slack: f64) -> bool {
+        let enough = self.has(now, ratio, slack);
         if enough {
             self.repeats.push_back(now);
         }
         enough
     }
 
+    /// Takes a repeat that has happened already.
+    pub fn force(&mut self, now: Micros) {
+        self.slide(now);
+        self.repeats.push_back(now);
+    }
+
     fn slide(&mut self, now: Micros) {
         let from = now.saturating_sub(self.span);
         for times in [&mut self.requests, &mut self.repeats] {
