--- a/components/gateway/src/connection/mod.rs
+++ b/components/gateway/src/connection/mod.rs
@@ -41,12 +41,11 @@
             log::warn!(open = connections.len(); "a connection over the bound was closed");
             continue;
         }
-        let open = Counted::new(&gateway.connections);
-        connections.spawn(serve(Arc::clone(&gateway), stream, open));
+        connections.spawn(serve(Arc::clone(&gateway), stream));
     }
 }
 
-async fn serve(gateway: Arc<Gateway>, stream: TcpStream, open: Counted) {
+async fn serve(gateway: Arc<Gateway>, stream: TcpStream) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:%; "a caller's socket is gone already");
     }
@@ -57,27 +56,37 @@
         // the library counts a head's time from the end of the request before it
         .header_read_timeout(Some(limits.idle_time.max(limits.head_time)))
         .max_buf_size(limits.head_bytes.max(LEAST_HEAD));
+    // from its first request on, a planned stop waits for the connection's end
+    let used = watch::Sender::new(None);
     let service = service_fn(|request| {
+        used.send_if_modified(|used| {
+            let first = used.is_none();
+            used.get_or_insert_with(|| Counted::new(&gateway.connections));
+            first
+        });
         let gateway = Arc::clone(&gateway);
         async move { Ok::<_, Infallible>(request::answer(gateway, request).await) }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let mut phase = gateway.phase.subscribe();
     tokio::select! {
         // a broken connection is the caller's business
         _ = &mut connection => {}
-        () = draining(&mut phase) => {
+        () = idle_ends(&gateway, &used) => {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
     }
-    drop(open);
 }
 
-async fn draining(phase: &mut watch::Receiver<Phase>) {
-    // the sender lives as long as the process
+/// Waits until a connection should end as soon as nothing is under way on it: a planned stop has begun,
+/// and its first request, which may still be on its way, has come.
+async fn idle_ends(gateway: &Gateway, used: &watch::Sender<Option<Counted>>) {
+    let mut phase = gateway.phase.subscribe();
+    let mut used = used.subscribe();
+    // both senders live longer than this
     let _ = phase.wait_for(|phase| *phase >= Phase::Draining).await;
+    let _ = used.wait_for(Option::is_some).await;
 }
 
 /// Counts one more as long as it lives.
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -250,6 +250,17 @@
     }
 }
 
+/// Where a gateway listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// The balancer.
+    pub ready: SocketAddr,
+    /// Peers.
+    pub peers: SocketAddr,
+}
+
 /// A running gateway. Dropping it ends it hard, as a kill would.
 pub struct Running {
     gateway: Arc<Gateway>,
@@ -257,6 +268,23 @@
 }
 
 impl Running {
+    /// Where it listens; a port that was left open in the settings has been chosen.
+    #[must_use]
+    pub fn addresses(&self) -> Addresses {
+        let settings = &self.gateway.settings.gateway;
+        Addresses {
+            callers: settings.callers,
+            ready: settings.ready,
+            peers: settings.peers,
+        }
+    }
+
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.gateway.settings.gateway.name
+    }
+
     /// Begins a planned stop.
     pub fn stop(&self) {
         stop::begin(&self.gateway);
@@ -278,15 +306,11 @@
 /// # Errors
 ///
 /// [`Error`] when an address can't be bound.
-pub async fn start(settings: Settings, edges: Edges) -> Result<Running, Error> {
-    let callers = listen(settings.gateway.callers).await?;
-    let ready = listen(settings.gateway.ready).await?;
-    let peers = UdpSocket::bind(settings.gateway.peers)
-        .await
-        .map_err(|source| Error::Bind {
-            address: settings.gateway.peers,
-            source,
-        })?;
+pub async fn start(mut settings: Settings, edges: Edges) -> Result<Running, Error> {
+    let own = &mut settings.gateway;
+    let callers = listen(&mut own.callers).await?;
+    let ready = listen(&mut own.ready).await?;
+    let peers = hear(&mut own.peers).await?;
     let gateway = Arc::new(assemble(settings, edges));
     log::info!(
         gateway = gateway.settings.gateway.name, incarnation = gateway.incarnation,
@@ -322,10 +346,26 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Bind { address, source })
+/// Listens on an address, and notes the port if it was left open.
+async fn listen(address: &mut SocketAddr) -> Result<TcpListener, Error> {
+    let failed = |source| Error::Bind {
+        address: *address,
+        source,
+    };
+    let listener = TcpListener::bind(*address).await.map_err(failed)?;
+    *address = listener.local_addr().map_err(failed)?;
+    Ok(listener)
+}
+
+/// The same for datagrams.
+async fn hear(address: &mut SocketAddr) -> Result<UdpSocket, Error> {
+    let failed = |source| Error::Bind {
+        address: *address,
+        source,
+    };
+    let socket = UdpSocket::bind(*address).await.map_err(failed)?;
+    *address = socket.local_addr().map_err(failed)?;
+    Ok(socket)
 }
 
 /// How long the store may wait for a change before it answers that there is none.
--- a/components/gateway/src/request/effort.rs
+++ b/components/gateway/src/request/effort.rs
@@ -47,6 +47,8 @@
     tried: Vec<Arc<Target>>,
     /// Attempts in which it ran or may have run.
     runs: u32,
+    /// Attempts that failed.
+    failures: u32,
 }
 
 impl Effort {
@@ -57,7 +59,7 @@
 
     /// Whether nothing has failed yet.
     pub fn is_fresh(&self) -> bool {
-        self.tried.is_empty()
+        self.failures == 0
     }
 
     /// Attempts that may have run so far.
@@ -73,6 +75,7 @@
     /// Takes an endpoint's own failure of the request, for which another endpoint is tried.
     pub fn ran(&mut self, target: Arc<Target>) {
         self.runs += 1;
+        self.failures += 1;
         self.tried.push(target);
     }
 
@@ -81,6 +84,7 @@
         if let Some(verdict) = failed.cause.verdict() {
             failed.target.note(verdict, &job.ask.id);
         }
+        self.failures += 1;
         let not_run = failed.not_run();
         self.runs += u32::from(!not_run);
         let repeats = not_run || job.route.kind.repeats();
@@ -92,7 +96,10 @@
             phase:? = failed.phase, runs = self.runs, not_run, repeats, left;
             "an attempt failed"
         );
-        self.tried.push(failed.target);
+        // an engine that could not fetch a handle can still read the prompt itself
+        if failed.cause != Cause::NoHandle {
+            self.tried.push(failed.target);
+        }
         if repeats && left && attempts && budget {
             return Ok(());
         }
@@ -101,7 +108,7 @@
 
     /// What is true when nothing more is tried.
     pub fn give_up(&self) -> Reason {
-        if self.tried.is_empty() {
+        if self.is_fresh() {
             Reason::NoEndpoint(SOON)
         } else {
             self.reason(true)
--- /dev/null
+++ b/components/gateway/src/request/generate/mod.rs
@@ -0,0 +1,94 @@
+//! Generations: placed on engines that read prompts and engines that write answers.
+
+mod read;
+mod run;
+mod timing;
+mod view;
+
+use std::sync::Arc;
+
+use hyper::Response;
+use policy::place::Plan;
+
+use super::{
+    attempt::{Answer, Cause},
+    effort::Effort,
+    job::Job,
+    pass::{self, Body},
+    refusal::Reason,
+};
+use crate::endpoint::{Target, Writing};
+use timing::Timing;
+use view::View;
+
+/// Serves a generation.
+pub async fn serve(job: Job) -> Result<Response<Body>, Reason> {
+    let mut effort = Effort::default();
+    let mut may_split = true;
+    loop {
+        let mut view = View::new(&job, effort.tried());
+        if effort.is_fresh() {
+            job.gateway
+                .count_demand(&job.service.name, view.to_read(&job));
+        }
+        if !may_split {
+            view.only_writers();
+        }
+        let choice = view.choose(&job).ok_or_else(|| effort.give_up())?;
+        if !timing::ends_before_stop(&job, &view, &choice) {
+            return Err(Reason::Stopping);
+        }
+        let timing = if effort.is_fresh() {
+            timing::decide(&job, &view, &choice)?
+        } else {
+            view.tell(&job, &choice, "placed again");
+            Timing::InTime
+        };
+        let outcome = match (timing, choice.plan) {
+            (Timing::Late { prefill }, _) => run::split(&job, &view, prefill, &effort, None).await,
+            (Timing::InTime, Plan::Whole { engine }) => {
+                let until = timing::patience(&job, &effort, &choice);
+                run::whole(&job, &view, engine, until, None).await
+            }
+            (Timing::InTime, Plan::Split { prefill, .. }) => {
+                run::split(&job, &view, prefill, &effort, Some(&choice)).await
+            }
+        };
+        match outcome {
+            Ok((answer, writing)) => {
+                if effort.is_fresh() && timing == Timing::InTime {
+                    let took = policy::micros(job.arrived.elapsed());
+                    job.gateway
+                        .learn_margin(&job.service.name, choice.first, took);
+                }
+                return Ok(pass::hand_on(job, answer, writing, effort.runs() + 1));
+            }
+            Err(failed) => {
+                // a second read and a second fetch would be two more arrivals
+                may_split = failed.cause != Cause::NoHandle;
+                effort.fail(&job, failed)?;
+            }
+        }
+    }
+}
+
+/// Goes on with a stream that broke, on another engine.
+pub async fn resume(
+    job: &Job,
+    after: Option<u64>,
+    from: &Arc<Target>,
+) -> Result<(Answer, Writing), Cause> {
+    let view = View::new(job, std::slice::from_ref(from));
+    let choice = view.choose(job).ok_or(Cause::TimeOver)?;
+    let engine = match choice.plan {
+        Plan::Whole { engine } => engine,
+        Plan::Split { decode, .. } => decode,
+    };
+    let resumed = run::whole(job, &view, engine, job.deadline, after).await;
+    resumed.map_err(|failed| {
+        if let Some(verdict) = failed.cause.verdict() {
+            failed.target.note(verdict, &job.ask.id);
+        }
+        failed.cause
+    })
+}
--- /dev/null
+++ b/components/gateway/src/request/generate/read.rs
@@ -0,0 +1,144 @@
+//! Prompts being read, and their KV caches that wait to be fetched.
+
+use std::sync::Arc;
+
+use http_body_util::{BodyExt, Limited};
+use policy::place::Choice;
+use tokio::time::Instant;
+
+use super::{
+    run::failed,
+    timing,
+    view::{View, ask},
+};
+use crate::{
+    edge::{Directive, Handle, Urgency},
+    endpoint::{Reading, Target},
+    process::Gateway,
+    request::{
+        attempt::{self, Cause},
+        effort::{Failed, Phase},
+        job::Job,
+    },
+};
+
+/// The most of an answer to a read prompt that is taken, in bytes.
+const HANDLE_BYTES: usize = 16 << 10;
+
+/// A prompt being read, with what was ahead of it.
+pub struct Counted {
+    /// Counts it as long as this lives.
+    pub guard: Reading,
+    /// Work that was ahead of it.
+    pub ahead: u64,
+}
+
+/// Counts a prompt at an engine, and notes that the engine will hold its parts.
+pub fn begin(job: &Job, view: &View, at: usize, late: bool) -> Counted {
+    let target = &view.targets[at];
+    let engine = &view.engines[at];
+    let held = engine.held + engine.fetch.tokens;
+    let ahead = target.with(|state| state.own.with(state.peers).reading);
+    use_parts(job, target);
+    Counted {
+        guard: Reading::new(target, policy::prompt::work(ask(job).prompt, held), late),
+        ahead,
+    }
+}
+
+/// Notes that an engine will hold the parts of a prompt.
+pub fn use_parts(job: &Job, target: &Arc<Target>) {
+    if let Some(prompt) = &job.ask.prompt {
+        target.with(|state| state.memory.used(&prompt.parts));
+        job.gateway.peers.placed(target.short, &prompt.parts);
+    }
+}
+
+/// Has a prompt read at an engine, which keeps its KV cache for another one.
+pub async fn keep(
+    job: &Job,
+    view: &View,
+    at: usize,
+    choice: Option<&Choice>,
+) -> Result<Kept, Failed> {
+    let target = &view.targets[at];
+    let late = choice.is_none();
+    let failed = |cause| failed(target, cause, Phase::Read);
+    let counted = begin(job, view, at, late);
+    let begun = Instant::now();
+    let directive = Directive {
+        time_left: job.time_left(),
+        expect: Some(target.id.clone()),
+        read_only: true,
+        fetch_from: view.fetch_from(at),
+        urgency: Some(if late { Urgency::Low } else { Urgency::Normal }),
+        ..Directive::default()
+    };
+    let until = choice.map_or(job.deadline, |choice| {
+        (begun + timing::longest(choice)).min(job.deadline)
+    });
+    let answer = match attempt::send(job, target, &directive, until).await {
+        Ok(answer) => answer,
+        Err(Cause::TimeOver) if late => return Err(failed(Cause::GaveWay)),
+        Err(cause) => {
+            if matches!(cause, Cause::NotRun(_)) {
+                job.arrivals.rejected(job);
+            }
+            return Err(failed(cause));
+        }
+    };
+    let status = answer.head.status;
+    let body = Limited::new(answer.body, HANDLE_BYTES).collect().await;
+    let body = body.map_err(|_| failed(Cause::Broken))?.to_bytes();
+    if !status.is_success() {
+        return Err(failed(Cause::Failed(status.as_u16())));
+    }
+    job.arrivals.accepted();
+    let address = target.with(|state| state.profile.address);
+    let handle = job.gateway.edges.dialect.handle(address, &body);
+    let handle = handle.ok_or_else(|| failed(Cause::Foreign))?;
+    if !late {
+        learn(job, target, counted.ahead + counted.guard.work(), begun);
+    }
+    target.give_back(answer.link);
+    Ok(Kept {
+        handle,
+        target: Arc::clone(target),
+        gateway: Arc::clone(&job.gateway),
+        taken: false,
+    })
+}
+
+/// Learns from a prompt that was read, with all the work there was since it was sent.
+pub fn learn(job: &Job, target: &Target, work: u64, begun: Instant) {
+    let took = policy::micros(begun.elapsed());
+    job.gateway.learn_pace(target, |pace| pace.read(work, took));
+}
+
+/// A handle that is given back if nobody takes it.
+pub struct Kept {
+    /// The handle.
+    pub handle: Handle,
+    target: Arc<Target>,
+    gateway: Arc<Gateway>,
+    taken: bool,
+}
+
+impl Kept {
+    /// Notes that an engine has fetched it.
+    pub fn taken(mut self) {
+        self.taken = true;
+    }
+}
+
+impl Drop for Kept {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let call = self.gateway.edges.dialect.release(&self.handle);
+        let target = Arc::clone(&self.target);
+        // a handle that stays is only a cost, and the engine drops it in the end
+        tokio::spawn(async move { attempt::call(&target, call).await });
+    }
+}
--- /dev/null
+++ b/components/gateway/src/request/generate/run.rs
@@ -0,0 +1,110 @@
+//! Runs a generation on the engines that were chosen for it.
+
+use std::sync::Arc;
+
+use policy::place::{self, Choice, Weights};
+use tokio::time::Instant;
+
+use super::{
+    read,
+    timing::GRACE,
+    view::{View, ask, is_long},
+};
+use crate::{
+    edge::Directive,
+    endpoint::{Target, Verdict, Writing},
+    request::{
+        attempt::{self, Answer, Cause},
+        effort::{Effort, Failed, Phase},
+        job::Job,
+    },
+};
+
+/// An answer that has begun, and the slot that it takes; or the attempt that failed.
+pub type Attempted = Result<(Answer, Writing), Failed>;
+
+/// An attempt that failed at an endpoint.
+pub fn failed(target: &Arc<Target>, cause: Cause, phase: Phase) -> Failed {
+    Failed {
+        target: Arc::clone(target),
+        cause,
+        phase,
+    }
+}
+
+/// One engine reads and writes.
+pub async fn whole(
+    job: &Job,
+    view: &View,
+    at: usize,
+    until: Instant,
+    resume_after: Option<u64>,
+) -> Attempted {
+    let target = &view.targets[at];
+    let reading = read::begin(job, view, at, false);
+    let (ahead, begun) = (reading.ahead, Instant::now());
+    let directive = Directive {
+        time_left: job.time_left(),
+        expect: Some(target.id.clone()),
+        resume_after,
+        fetch_from: view.fetch_from(at),
+        ..Directive::default()
+    };
+    let writing = Writing::new(target, is_long(job));
+    let sent = attempt::send(job, target, &directive, until).await;
+    let answer = sent.map_err(|cause| failed(target, cause, Phase::Run))?;
+    read::learn(job, target, ahead + reading.guard.work(), begun);
+    Ok((answer, writing))
+}
+
+/// One engine reads, another one writes. Which one writes is decided when the prompt has been read,
+/// as much has changed until then. Without a choice the prompt is late and gives way to others.
+pub async fn split(
+    job: &Job,
+    view: &View,
+    prefill: usize,
+    effort: &Effort,
+    choice: Option<&Choice>,
+) -> Attempted {
+    let handle = read::keep(job, view, prefill, choice).await?;
+    let prefill = &view.targets[prefill];
+    let view = View::new(job, effort.tried());
+    let Some(at) = place::choose_writer(
+        &view.engines,
+        &ask(job),
+        &Weights::default(),
+        rand::random(),
+    ) else {
+        return Err(failed(prefill, Cause::NoWriter, Phase::Read));
+    };
+    let decode = &view.targets[at];
+    let writing = Writing::new(decode, is_long(job));
+    let directive = Directive {
+        time_left: job.time_left(),
+        expect: Some(decode.id.clone()),
+        handle: Some(handle.handle.clone()),
+        ..Directive::default()
+    };
+    read::use_parts(job, decode);
+    let begun = Instant::now();
+    let until = if effort.may_repeat_after_next(job) {
+        (begun + GRACE * 2).min(job.deadline)
+    } else {
+        job.deadline
+    };
+    match attempt::send(job, decode, &directive, until).await {
+        Ok(answer) => {
+            let took = policy::micros(begun.elapsed());
+            job.gateway.learn_pace(decode, |pace| pace.began(took));
+            prefill.note(Verdict::Fine, &job.ask.id);
+            handle.taken();
+            Ok((answer, writing))
+        }
+        // the writer can't tell why, but most often it is the reader that has lost the handle
+        Err(Cause::NotRun(_)) => {
+            prefill.note(Verdict::Failed, &job.ask.id);
+            Err(failed(decode, Cause::NoHandle, Phase::Run))
+        }
+        Err(cause) => Err(failed(decode, cause, Phase::Run)),
+    }
+}
--- /dev/null
+++ b/components/gateway/src/request/generate/timing.rs
@@ -0,0 +1,91 @@
+//! When an answer will begin and end: whether it is served in time, late or not at all.
+
+use std::time::Duration;
+
+use policy::place::{self, Choice, Plan, Weights};
+use tokio::time::Instant;
+
+use super::view::{View, ask};
+use crate::request::{
+    effort::Effort,
+    job::Job,
+    refusal::{Reason, SOON},
+};
+
+/// The part of the time left in which the prompt of a late answer must be read: the rest is for
+/// writing, and for what was expected wrongly.
+const LATE_READ: f64 = 0.2;
+/// The part of the time left after which a caller that is refused is not asked to come back.
+const LATEST: u32 = 2;
+/// How many times as long as expected an engine may take before it is taken to be silent, and how much
+/// longer besides: expectations are wrong by less.
+const EXPECTED_TIMES: u32 = 3;
+/// See [`EXPECTED_TIMES`].
+pub const GRACE: Duration = Duration::from_millis(250);
+
+/// Whether an answer will begin in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Timing {
+    /// It will.
+    InTime,
+    /// It won't, but there is time for a late one; its prompt is read when no other one waits.
+    Late {
+        /// The engine that reads it.
+        prefill: usize,
+    },
+}
+
+/// Decides whether a request is served in time, late or not at all, which is said at once.
+pub fn decide(job: &Job, view: &View, choice: &Choice) -> Result<Timing, Reason> {
+    let left = policy::micros(job.objective.saturating_duration_since(Instant::now()));
+    let margin = job.gateway.margin(&job.service.name);
+    let expected = policy::count(choice.first + margin);
+    if expected <= left {
+        view.tell(job, choice, "placed");
+        return Ok(Timing::InTime);
+    }
+    let time = policy::real(policy::micros(job.time_left())) * LATE_READ;
+    if let Some(prefill) = place::choose_late(&view.engines, &ask(job), &Weights::default(), time) {
+        view.tell(job, choice, "placed late");
+        return Ok(Timing::Late { prefill });
+    }
+    let over = Duration::from_micros(expected - left);
+    Err(Reason::Late(over.clamp(SOON, job.time_left() / LATEST)))
+}
+
+/// How long an answer is waited for: where another attempt may follow, only as long as an engine that
+/// works would take.
+pub fn patience(job: &Job, effort: &Effort, choice: &Choice) -> Instant {
+    if !effort.may_repeat_after_next(job) {
+        return job.deadline;
+    }
+    (Instant::now() + longest(choice)).min(job.deadline)
+}
+
+/// The longest that an engine that works takes to begin.
+pub fn longest(choice: &Choice) -> Duration {
+    Duration::from_micros(policy::count(choice.first)) * EXPECTED_TIMES + GRACE
+}
+
+/// How much longer than expected an answer may take where it must not be cut.
+const LONGER: f64 = 1.3;
+
+/// Whether an answer ends before this process does, if it stops.
+pub fn ends_before_stop(job: &Job, view: &View, choice: &Choice) -> bool {
+    let writer = match choice.plan {
+        Plan::Whole { engine } => engine,
+        Plan::Split { decode, .. } => decode,
+    };
+    let step = view.engines[writer].pace.step_us;
+    let after = |tokens: u64, step: f64| {
+        let us = choice.first + policy::real(tokens) * step;
+        Duration::from_micros(policy::count(us * LONGER))
+    };
+    let most = job
+        .ask
+        .prompt
+        .as_ref()
+        .map_or(0, |prompt| prompt.most_output);
+    let stretched = step * Weights::default().stretch;
+    job.ends_before_stop(after(ask(job).output, step), after(most, stretched))
+}
--- /dev/null
+++ b/components/gateway/src/request/generate/view.rs
@@ -0,0 +1,205 @@
+//! The engines of a service as one decision sees them.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use policy::{
+    place::{self, Ask, Choice, Plan, Weights},
+    prompt::Prompt,
+};
+use tokio::time::Instant;
+
+use crate::{
+    endpoint::{Seen, Stage, Target},
+    request::job::Job,
+};
+
+/// Time there and back to an engine in another data centre, until it is measured.
+const FAR: policy::Micros = 4_000;
+/// Fewer tokens than this are read rather than fetched.
+const LEAST_FETCH: u64 = 512;
+/// How much longer a fetch may take than the link needs: others are under way, and it may come from
+/// another data centre.
+const FETCH_SLACK: f64 = 3.0;
+/// Microseconds in a second.
+const MICROS: f64 = 1e6;
+/// Nanoseconds in a microsecond.
+const NANOS: f64 = 1e3;
+
+/// The engines of a service as one decision sees them.
+pub struct View {
+    /// The endpoints, by index.
+    pub targets: Vec<Arc<Target>>,
+    /// The same as placement sees them.
+    pub engines: Vec<place::Engine>,
+    /// The engine from which the others can fetch the most of the prompt.
+    source: Option<usize>,
+}
+
+impl View {
+    /// The engines that take a request now, without those that failed it.
+    pub fn new(job: &Job, tried: &[Arc<Target>]) -> Self {
+        let now = Instant::now();
+        let fleet = job.gateway.registry.fleet(&job.service.name);
+        let parts = job
+            .ask
+            .prompt
+            .as_ref()
+            .map_or(&[][..], |prompt| &prompt.parts);
+        let near = &job.gateway.settings.gateway.data_centre;
+        let cut_off = job.gateway.peers.cut_off();
+        let (targets, engines) = fleet
+            .targets()
+            .iter()
+            .filter(|target| !tried.iter().any(|other| other.id == target.id))
+            .filter_map(|target| {
+                let seen = target.seen(now, parts)?;
+                let reached = !cut_off.contains(&seen.profile.data_centre);
+                reached.then(|| (Arc::clone(target), engine(job, &seen, near)))
+            })
+            .unzip();
+        let mut view = Self {
+            targets,
+            engines,
+            source: None,
+        };
+        view.add_fetches(job);
+        view
+    }
+
+    /// Leaves engines that read alone.
+    pub fn only_writers(&mut self) {
+        let stages = self.engines.iter().map(|engine| engine.stage);
+        let keep: Vec<bool> = stages.map(|stage| stage == place::Stage::Decode).collect();
+        let mut kept = keep.iter();
+        self.targets.retain(|_| kept.next() == Some(&true));
+        let mut kept = keep.iter();
+        self.engines.retain(|_| kept.next() == Some(&true));
+        self.source = None;
+        for engine in &mut self.engines {
+            engine.fetch = place::Fetch::default();
+        }
+    }
+
+    /// Finds what engines that lack parts of the prompt can fetch from the one that holds the most.
+    fn add_fetches(&mut self, job: &Job) {
+        let Some(engines) = &job.service.engines else {
+            return;
+        };
+        let most = self.engines.iter().enumerate();
+        let Some((at, held)) = most
+            .map(|(at, engine)| (at, engine.held))
+            .max_by_key(|(_, held)| *held)
+        else {
+            return;
+        };
+        let token_us = engines.move_token.as_secs_f64() * MICROS;
+        for engine in &mut self.engines {
+            let tokens = held.saturating_sub(engine.held);
+            if tokens >= LEAST_FETCH {
+                engine.fetch = place::Fetch {
+                    tokens,
+                    time: policy::real(tokens) * token_us * FETCH_SLACK,
+                };
+            }
+        }
+        self.source = Some(at);
+    }
+
+    /// Where an engine should fetch parts of the prompt that it lacks.
+    pub fn fetch_from(&self, at: usize) -> Option<SocketAddr> {
+        let source = &self.targets[self.source?];
+        let fetches = self.engines[at].fetch.tokens > 0;
+        fetches.then(|| source.with(|state| state.profile.address))
+    }
+
+    /// Where the request is best placed.
+    pub fn choose(&self, job: &Job) -> Option<Choice> {
+        let draw = rand::random();
+        place::choose(&self.engines, &ask(job), &Weights::default(), draw)
+    }
+
+    /// The work for an engine that reads; none if the prompt is short.
+    pub fn to_read(&self, job: &Job) -> u64 {
+        let prompt = ask(job).prompt;
+        let readers = self
+            .engines
+            .iter()
+            .filter(|engine| engine.stage == place::Stage::Prefill);
+        let held = readers.map(|engine| engine.held).max().unwrap_or(0);
+        if prompt.saturating_sub(held) > Weights::default().short_prompt {
+            policy::prompt::work(prompt, held)
+        } else {
+            0
+        }
+    }
+
+    /// Says where a request is placed, and what that was decided by.
+    pub fn tell(&self, job: &Job, choice: &Choice, how: &str) {
+        let (first, last) = match choice.plan {
+            Plan::Whole { engine } => (engine, engine),
+            Plan::Split { prefill, decode } => (prefill, decode),
+        };
+        let names = (&*self.targets[first].id.0, &*self.targets[last].id.0);
+        let (reader, writer) = (&self.engines[first], &self.engines[last]);
+        let ask = ask(job);
+        log::info!(
+            request = job.ask.id, reads = names.0, writes = names.1,
+            expected_us = policy::count(choice.first),
+            margin_us = policy::count(job.gateway.margin(&job.service.name)), left_us = ask.within,
+            prompt = ask.prompt, held = reader.held, fetched = reader.fetch.tokens, output = ask.output,
+            reading = reader.reading, writing = writer.writing,
+            long = writer.long, start_us = policy::count(writer.pace.start_us),
+            read_ns = policy::count(reader.pace.read_us * NANOS),
+            step_us = policy::count(writer.pace.step_us), late = reader.late;
+            "{how}"
+        );
+    }
+}
+
+fn engine(job: &Job, seen: &Seen, near: &str) -> place::Engine {
+    let stage = seen.profile.stage.unwrap_or(Stage::Decode);
+    let common = || job.gateway.pace(&job.service.name, stage);
+    place::Engine {
+        stage: match stage {
+            Stage::Prefill => place::Stage::Prefill,
+            Stage::Decode => place::Stage::Decode,
+        },
+        reading: seen.load.reading,
+        late: seen.load.late,
+        writing: seen.load.writing,
+        long: seen.load.long,
+        slots: seen.profile.slots,
+        held: seen.held,
+        fetch: place::Fetch::default(),
+        pace: seen.pace.unwrap_or_else(common),
+        distance: if *seen.profile.data_centre == *near {
+            0
+        } else {
+            FAR
+        },
+        failures: seen.failures,
+    }
+}
+
+/// What a request asks of placement.
+pub fn ask(job: &Job) -> Ask {
+    let none = Prompt::default();
+    let prompt = job.ask.prompt.as_ref().unwrap_or(&none);
+    let left = job.objective.saturating_duration_since(Instant::now());
+    Ask {
+        prompt: prompt.tokens,
+        output: prompt.expected_output(),
+        within: policy::micros(left),
+        event: job
+            .service
+            .engines
+            .as_ref()
+            .map_or(1, |engines| engines.event_tokens),
+        pause: job.pause.map_or(policy::Micros::MAX, policy::micros),
+    }
+}
+
+/// Whether a request's answer will be long.
+pub fn is_long(job: &Job) -> bool {
+    ask(job).output > Weights::default().long_answer
+}
--- a/components/gateway/src/steward/mod.rs
+++ b/components/gateway/src/steward/mod.rs
@@ -63,9 +63,9 @@
     }
 
     fn tell(&self, short: u32, stage: Stage) {
-        let mut state = self.state.lock();
-        state.stages.retain(|(other, ..)| *other != short);
-        state.stages.push((short, stage, Instant::now()));
+        let stages = &mut self.state.lock().stages;
+        stages.retain(|(other, ..)| *other != short);
+        stages.push((short, stage, Instant::now()));
     }
 
     fn begin(&self, short: u32) {
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -198,7 +198,7 @@
         }
         let cost = read(engine, ask, weights);
         let late = real(engine.late) * engine.pace.read_us;
-        (cost.first + late <= time).then(|| Cost {
+        (cost.first + late <= time).then_some(Cost {
             weighed: cost.weighed + late,
             ..cost
         })
@@ -302,7 +302,7 @@
     if ask.output <= weights.long_answer {
         return 0.0;
     }
-    let waiting = real(engine.reading) * engine.pace.read_us;
+    let behind = real(engine.reading) * engine.pace.read_us;
     let slots = real(engine.slots.max(1));
     let together = slots * weights.together;
     let writing = real(engine.writing);
@@ -313,7 +313,7 @@
     };
     // beyond what goes together each further answer counts like a part of an opening
     let crowds = (writing - together).max(0.0) / slots * weights.opening * CROWDED;
-    opens + crowds + waiting
+    opens + crowds + behind
 }
 
 /// How much dearer a full engine is to a long answer than an empty one.
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! can be told to fail in the ways that the real one does.
 
 pub mod batch;
+pub mod contract;
 pub mod engine;
 pub mod link;
 pub mod platform;
