--- a/components/gateway/src/peer/digest.rs
+++ b/components/gateway/src/peer/digest.rs
@@ -9,7 +9,7 @@
 use super::{FORGOTTEN, Peer, load, own, told};
 use crate::{
     endpoint::{Load, Stage, Target},
-    process::Gateway,
+    process::{Asked, Gateway},
 };
 
 /// The shortest time between two digests: twice the way between two data centres, and well below the
@@ -129,10 +129,14 @@
     let before = std::mem::replace(&mut peer.loads, loads);
     let after = peer.loads.clone();
     peer.steward = digest.steward;
+    peer.store_answers = digest.store_answers;
+    peer.ceded = digest.ceded;
+    let since_order = Duration::from_millis(u64::from(digest.last_order_ms));
+    peer.ordered = (digest.last_order_ms > 0).then(|| now.checked_sub(since_order)).flatten();
     let grown = grown(&mut peer.demands, &digest.demands, !restarted);
     drop(known);
-    for (service, tokens) in grown {
-        gateway.peers.add_demand(service, tokens);
+    for (service, asked) in grown {
+        gateway.peers.add_demand(service, asked);
     }
     recount(gateway, &before, &after);
     remember(gateway, &digest.placed);
@@ -140,11 +144,21 @@
 }
 
 /// What was asked since the digest before; a peer that is new counts from now on.
-fn grown(known: &mut Vec<(u32, u64)>, told: &[ServiceDemand], same: bool) -> Vec<(u32, u64)> {
+fn grown(
+    known: &mut Vec<(u32, Asked)>,
+    told: &[ServiceDemand],
+    same: bool,
+) -> Vec<(u32, Asked)> {
     let before = std::mem::take(known);
     *known = told
         .iter()
-        .map(|demand| (demand.service, demand.reading))
+        .map(|demand| {
+            let asked = Asked {
+                reading: demand.reading,
+                writing: demand.writing,
+            };
+            (demand.service, asked)
+        })
         .collect();
     known.sort_unstable_by_key(|(service, _)| *service);
     if !same {
@@ -152,10 +166,10 @@
     }
     known
         .iter()
-        .map(|(service, tokens)| {
+        .map(|(service, asked)| {
             let at = before.binary_search_by_key(service, |(service, _)| *service);
-            let old = at.map_or(0, |at| before[at].1);
-            (*service, tokens.saturating_sub(old))
+            let old = at.map_or_else(|_| Asked::default(), |at| before[at].1);
+            (*service, asked.since(old))
         })
         .collect()
 }
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     endpoint::{Load, Stage, short},
-    process::Gateway,
+    process::{Asked, Gateway},
 };
 
 /// A peer that was not heard for this long is taken to be away: what it had under way is no longer
@@ -41,7 +41,13 @@
     /// Whether it says that it is the steward.
     steward: bool,
     /// What its callers asked of services since it started, sorted by service.
-    demands: Vec<(u32, u64)>,
+    demands: Vec<(u32, Asked)>,
+    /// Whether the store answered its last call.
+    store_answers: bool,
+    /// An epoch in which it was the steward and gives no more orders.
+    ceded: u64,
+    /// When it gave its last order, if it has told that it gave one.
+    ordered: Option<Instant>,
 }
 
 /// The gateways that are known, sorted by address.
@@ -50,7 +56,7 @@
     known: Mutex<Vec<Peer>>,
     placed: Mutex<Vec<Placed>>,
     /// What peers' callers asked of services since the peers were first heard, sorted by service.
-    demands: Mutex<Vec<(u32, u64)>>,
+    demands: Mutex<Vec<(u32, Asked)>>,
 }
 
 impl Peers {
@@ -77,6 +83,28 @@
         }
     }
 
+    /// Whether the store answers any live peer.
+    pub fn store_answers(&self) -> bool {
+        let now = Instant::now();
+        let known = self.known.lock();
+        known.iter().any(|peer| peer.store_answers && peer.is_live(now))
+    }
+
+    /// The last epoch that a steward has given up.
+    pub fn ceded(&self) -> u64 {
+        let known = self.known.lock();
+        known.iter().map(|peer| peer.ceded).max().unwrap_or(0)
+    }
+
+    /// How long ago the peer that gave up the last epoch gave its last order, if it said so.
+    pub fn last_order(&self) -> Option<Duration> {
+        let known = self.known.lock();
+        let last = known.iter().max_by_key(|peer| peer.ceded)?;
+        // one that never gave an order has given none that could matter
+        let never = Duration::from_secs(3600);
+        (last.ceded > 0).then(|| last.ordered.map_or(never, |ordered| ordered.elapsed()))
+    }
+
     /// The data centres that are cut off from here: peers there were heard once and none is now, while
     /// others still are. A process that hears nobody is cut off itself, and knows nothing of others.
     pub fn cut_off(&self) -> Vec<Arc<str>> {
@@ -98,28 +126,30 @@
         silent.map(|(name, _)| Arc::clone(name)).collect()
     }
 
-    /// How many live peers that aren't the steward come before this process, by address.
+    /// How many live peers come before this process, by address, of those that the store answers and that
+    /// aren't the steward.
     pub fn rank(&self, own: SocketAddr) -> usize {
         let now = Instant::now();
         let known = self.known.lock();
         known
             .iter()
-            .filter(|peer| peer.address < own && !peer.steward && peer.is_live(now))
+            .filter(|peer| peer.address < own && peer.store_answers)
+            .filter(|peer| !peer.steward && peer.is_live(now))
             .count()
     }
 
     /// What peers' callers asked of a service since the peers were first heard.
-    pub fn demand(&self, service: &str) -> u64 {
+    pub fn demand(&self, service: &str) -> Asked {
         let demands = self.demands.lock();
         let at = demands.binary_search_by_key(&short(service), |(service, _)| *service);
-        at.map_or(0, |at| demands[at].1)
+        at.map_or_else(|_| Asked::default(), |at| demands[at].1)
     }
 
-    fn add_demand(&self, service: u32, tokens: u64) {
+    fn add_demand(&self, service: u32, asked: Asked) {
         let mut demands = self.demands.lock();
         match demands.binary_search_by_key(&service, |(service, _)| *service) {
-            Ok(at) => demands[at].1 += tokens,
-            Err(at) => demands.insert(at, (service, tokens)),
+            Ok(at) => demands[at].1 = demands[at].1.with(asked),
+            Err(at) => demands.insert(at, (service, asked)),
         }
     }
 
@@ -148,6 +178,9 @@
             loads: Vec::new(),
             steward: false,
             demands: Vec::new(),
+            store_answers: false,
+            ceded: 0,
+            ordered: None,
         }
     }
 
@@ -203,6 +236,12 @@
         loads: Vec::new(),
         placed: Vec::new(),
         steward: gateway.steward.holds(),
+        store_answers: gateway.store_answers(),
+        ceded: gateway.steward.ceded(),
+        last_order_ms: gateway
+            .steward
+            .since_order()
+            .map_or(0, |since| u32::try_from(since.as_millis()).unwrap_or(u32::MAX).max(1)),
         changing: gateway.steward.changing(),
         stages: gateway
             .steward
@@ -216,9 +255,10 @@
         demands: gateway
             .own_demands()
             .into_iter()
-            .map(|(service, reading)| ServiceDemand {
+            .map(|(service, asked)| ServiceDemand {
                 service: short(&service),
-                reading,
+                reading: asked.reading,
+                writing: asked.writing,
             })
             .collect(),
     }
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -1,6 +1,9 @@
 //! Keeps the list of endpoints.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use tokio::time::Instant;
 
@@ -71,6 +74,7 @@
             log::warn!(table = "endpoints", failure:%; "the store did not answer");
         }
         self.lost = true;
+        self.gateway.store_answers.store(false, Ordering::Relaxed);
         if let From::After { revision, .. } = self.from {
             self.from = next(revision, false);
         }
@@ -79,6 +83,7 @@
     fn take(&mut self, update: Update<Change>) {
         let whole = self.from == From::Start;
         let returned = std::mem::take(&mut self.lost);
+        self.gateway.store_answers.store(true, Ordering::Relaxed);
         if returned {
             log::info!(table = "endpoints", revision = update.revision; "the store answers again");
         }
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -7,7 +7,14 @@
 
 pub use stop::Stop;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use cloud::table::Table;
 use parking_lot::{Mutex, RwLock};
@@ -51,26 +58,59 @@
     pub table: Arc<dyn Table>,
 }
 
+/// What callers asked of a service so far; only its growth means anything.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Asked {
+    /// Work of prompts worth reading apart, beyond what engines were known to hold.
+    pub reading: u64,
+    /// Tokens that long answers were expected to have.
+    pub writing: u64,
+}
+
+impl Asked {
+    /// Both together.
+    #[must_use]
+    pub fn with(self, other: Self) -> Self {
+        Self {
+            reading: self.reading + other.reading,
+            writing: self.writing + other.writing,
+        }
+    }
+
+    /// What was asked since.
+    #[must_use]
+    pub fn since(self, before: Self) -> Self {
+        Self {
+            reading: self.reading.saturating_sub(before.reading),
+            writing: self.writing.saturating_sub(before.writing),
+        }
+    }
+}
+
 /// What is counted and learnt of a service.
 #[derive(Debug)]
 struct Ledger {
     /// Repeats that were sent to it.
     repeats: Window,
-    /// Work of prompts that callers of this process asked it to read.
-    asked: u64,
+    /// What callers of this process asked of it.
+    asked: Asked,
     /// How much later than expected its answers begin.
     margin: Margin,
     /// How fast its engines read, and write, on average.
     paces: [Pace; 2],
+    /// The longest time between tokens with which each long answer so far could end in time, in
+    /// microseconds.
+    bearable: f64,
 }
 
 impl Ledger {
     fn new(window: policy::Micros) -> Self {
         Self {
             repeats: Window::new(window),
-            asked: 0,
+            asked: Asked::default(),
             margin: Margin::default(),
             paces: [Pace::of_reader(), Pace::of_writer()],
+            bearable: f64::MAX,
         }
     }
 }
@@ -100,6 +140,8 @@
     configuration: RwLock<Option<Arc<Configuration>>>,
     /// Whether the endpoints were read once.
     endpoints_read: watch::Sender<bool>,
+    /// Whether the store answered the last read of the lists.
+    store_answers: AtomicBool,
     /// What is counted and learnt of each service, sorted by service.
     ledgers: Mutex<Vec<(Arc<str>, Ledger)>>,
     started: Instant,
@@ -164,13 +206,13 @@
         (bounds.retry_ratio, bounds.retry_slack / sharers)
     }
 
-    /// Counts the work of prompts that a service is asked to read.
-    pub fn count_demand(&self, service: &Arc<str>, work: u64) {
-        self.with_ledger(service, |ledger| ledger.asked += work);
+    /// Counts what a service is asked for.
+    pub fn count_demand(&self, service: &Arc<str>, asked: Asked) {
+        self.with_ledger(service, |ledger| ledger.asked = ledger.asked.with(asked));
     }
 
     /// What callers of this process asked of each service so far.
-    pub fn own_demands(&self) -> Vec<(Arc<str>, u64)> {
+    pub fn own_demands(&self) -> Vec<(Arc<str>, Asked)> {
         let ledgers = self.ledgers.lock();
         ledgers
             .iter()
@@ -178,11 +220,24 @@
             .collect()
     }
 
-    /// The work that a service was asked to read, here and at the peers, since each was first heard;
-    /// only its growth means anything.
-    pub fn demand(&self, service: &Arc<str>) -> u64 {
+    /// What a service was asked for, here and at the peers, since each was first heard.
+    pub fn demand(&self, service: &Arc<str>) -> Asked {
         let own = self.with_ledger(service, |ledger| ledger.asked);
-        own + self.peers.demand(service)
+        own.with(self.peers.demand(service))
+    }
+
+    /// Notes a long answer of at most so many tokens, which has so much time.
+    pub fn count_long(&self, service: &Arc<str>, tokens: u64, time: Duration) {
+        let bearable = policy::real(policy::micros(time)) / policy::real(tokens.max(1));
+        self.with_ledger(service, |ledger| {
+            ledger.bearable = ledger.bearable.min(bearable);
+        });
+    }
+
+    /// The longest time between tokens with which each long answer so far could end in time, in
+    /// microseconds.
+    pub fn bearable(&self, service: &Arc<str>) -> f64 {
+        self.with_ledger(service, |ledger| ledger.bearable)
     }
 
     /// How much later than expected most answers of a service begin, in microseconds.
@@ -232,6 +287,11 @@
         f(&mut ledgers[at].1)
     }
 
+    /// Whether the store answered the last read of the lists.
+    pub fn store_answers(&self) -> bool {
+        self.store_answers.load(Ordering::Relaxed)
+    }
+
     /// The planned stop that has begun.
     pub fn stop(&self) -> Option<Stop> {
         *self.stop.read()
@@ -340,6 +400,7 @@
         stop: RwLock::default(),
         configuration: RwLock::default(),
         endpoints_read: watch::Sender::new(false),
+        store_answers: AtomicBool::new(false),
         ledgers: Mutex::default(),
         started: Instant::now(),
         settings,
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -28,8 +28,7 @@
     loop {
         let mut view = View::new(&job, effort.tried());
         if effort.is_fresh() {
-            job.gateway
-                .count_demand(&job.service.name, view.to_read(&job));
+            view::count(&job, &view);
         }
         if !may_split {
             view.only_writers();
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     endpoint::{Seen, Stage, Target},
+    process::Asked,
     request::job::Job,
 };
 
@@ -119,7 +120,7 @@
     }
 
     /// The work for an engine that reads; none if the prompt is short.
-    pub fn to_read(&self, job: &Job) -> u64 {
+    fn to_read(&self, job: &Job) -> u64 {
         let prompt = ask(job).prompt;
         let readers = self
             .engines
@@ -190,16 +191,39 @@
         prompt: prompt.tokens,
         output: prompt.expected_output(),
         within: policy::micros(left),
-        event: job
-            .service
-            .engines
-            .as_ref()
-            .map_or(1, |engines| engines.event_tokens),
-        pause: job.pause.map_or(policy::Micros::MAX, policy::micros),
+        pace: policy::real(policy::micros(job.time_left())) / policy::real(prompt.most_output.max(1)),
+        bearable: bearable(job),
     }
 }
 
+/// The longest time between two tokens that long answers of a request's service bear, in microseconds.
+fn bearable(job: &Job) -> f64 {
+    let whole = job.gateway.bearable(&job.service.name);
+    let engines = job.service.engines.as_ref();
+    let event = engines.map_or(1, |engines| engines.event_tokens.max(1));
+    let pause = job
+        .pause
+        .map_or(f64::MAX, |pause| policy::real(policy::micros(pause)) / policy::real(event));
+    whole.min(pause)
+}
+
 /// Whether a request's answer will be long.
 pub fn is_long(job: &Job) -> bool {
     ask(job).output > Weights::default().long_answer
 }
+
+/// Counts what a request asks of its service.
+pub fn count(job: &Job, view: &View) {
+    let gateway = &job.gateway;
+    let service = &job.service.name;
+    let writing = if is_long(job) { ask(job).output } else { 0 };
+    let asked = Asked {
+        reading: view.to_read(job),
+        writing,
+    };
+    gateway.count_demand(service, asked);
+    if let Some(prompt) = job.ask.prompt.as_ref().filter(|_| is_long(job)) {
+        let time = job.deadline - job.arrived;
+        gateway.count_long(service, prompt.most_output, time);
+    }
+}
--- a/components/gateway/src/steward/change.rs
+++ b/components/gateway/src/steward/change.rs
@@ -90,7 +90,7 @@
             continue;
         }
         // nothing is awaited between this look at the lease and the order
-        if !gateway.steward.holds() {
+        if !gateway.steward.may_order(epoch) {
             return false;
         }
         match give(gateway, wish, epoch, &report).await {
--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -15,19 +15,23 @@
 /// The row that changes with the holder, and the one that changes with each renewal.
 const LEASE: &str = "steward/lease";
 const RENEWAL: &str = "steward/renewal";
-/// How much longer a lease is than the time that must lie between two holders' orders: a renewal may
-/// be slow, and an order some time on its way.
-const LONGER: Duration = Duration::from_secs(1);
+/// A lease's term, as a part of the time that must lie between two holders' orders: short, so that a
+/// successor is found soon; the rest of that time it waits before its first order.
+const TERM: f64 = 0.8;
 /// How often in a term the holder renews.
 const RENEWALS: u32 = 4;
 /// How many gateways look after the lease of another one. The rest save the calls.
-const CANDIDATES: usize = 2;
+const CANDIDATES: usize = 1;
+/// How long an order may be on its way.
+const ON_THE_WAY: Duration = Duration::from_millis(400);
 
 /// What this process knows of the lease.
 #[derive(Debug, Default)]
 pub struct Seat {
     watch: Option<Watch>,
     held: Option<Held>,
+    /// The last epoch that this process took.
+    taken: u64,
     /// When the lease was last read or renewed.
     visited: Option<Instant>,
     started: Option<Instant>,
@@ -65,22 +69,27 @@
     /// Renews the lease, or looks whether it is to be had, when it is time.
     pub async fn visit(&mut self, gateway: &Gateway) {
         let now = Instant::now();
-        let term = gateway.settings.bounds.lease_ms + LONGER;
+        let term = gateway.settings.bounds.lease_ms.mul_f64(TERM);
         let due = self
             .visited
             .is_none_or(|visited| now - visited >= term / RENEWALS);
+        let ceded = gateway.peers.ceded();
         match self.held {
-            _ if !due => {}
+            _ if !due && (self.held.is_some() || ceded <= self.taken) => {}
             Some(_) if *gateway.phase.borrow() != Phase::Serving => self.release(gateway).await,
-            Some(held) if now >= held.until => self.lose("the lease was not renewed in time"),
+            Some(held) if now >= held.until => {
+                self.lose(gateway, "the lease was not renewed in time");
+            }
             Some(held) => self.renew(gateway, held, term).await,
-            None if may_stand(gateway) => self.stand(gateway, term).await,
+            None if may_stand(gateway) => self.stand(gateway, term, ceded).await,
             None => self.watch = None,
         }
     }
 
-    fn lose(&mut self, why: &str) {
-        self.held = None;
+    fn lose(&mut self, gateway: &Gateway, why: &str) {
+        if let Some(held) = self.held.take() {
+            gateway.steward.cede(held.epoch);
+        }
         self.watch = None;
         log::info!(why; "no longer the steward");
     }
@@ -104,8 +113,14 @@
                     ..held
                 });
             }
-            Ok(Outcome::Conflict(_)) => self.lose("another gateway holds the lease"),
-            Err(error) => log::warn!(error:%; "the steward's lease was not renewed"),
+            Ok(Outcome::Conflict(_)) => self.lose(gateway, "another gateway holds the lease"),
+            Err(error) => {
+                log::warn!(error:%; "the steward's lease was not renewed");
+                // one that the store still answers takes over sooner than the lease lapses
+                if gateway.peers.store_answers() {
+                    self.lose(gateway, "the store answers peers and not this process");
+                }
+            }
         }
     }
 
@@ -123,11 +138,11 @@
         if let Err(error) = gateway.edges.table.commit(transaction).await {
             log::warn!(error:%; "the steward's lease was not released; it lapses");
         }
-        self.lose("this process stops");
+        self.lose(gateway, "this process stops");
     }
 
     /// Watches the lease, and takes it when its holder has let it lapse.
-    async fn stand(&mut self, gateway: &Gateway, term: Duration) {
+    async fn stand(&mut self, gateway: &Gateway, term: Duration, ceded: u64) {
         let asked = Instant::now();
         self.visited = Some(asked);
         let started = *self.started.get_or_insert(asked);
@@ -157,9 +172,16 @@
         let lapsed = self
             .watch
             .is_some_and(|watch| watch.lapsed(lease.as_ref(), now_ms, millis(term)));
-        if lapsed {
+        let epoch = lease.map_or(0, |lease| lease.epoch);
+        let given_up = epoch > 0 && ceded >= epoch;
+        if lapsed || given_up {
             let version = row.map_or(0, |row| row.version);
-            self.take(gateway, lease, version, term).await;
+            let pause = match gateway.peers.last_order() {
+                // the former holder has said when it ordered last
+                Some(ago) if given_up => gateway.settings.bounds.lease_ms.saturating_sub(ago),
+                _ => pause(gateway, lease.as_ref(), term),
+            };
+            self.take(gateway, lease, version, term, pause).await;
         }
     }
 
@@ -169,6 +191,7 @@
         lease: Option<Lease>,
         version: u64,
         term: Duration,
+        pause: Duration,
     ) {
         let sent = Instant::now();
         let next = lease::take(lease.as_ref(), Incarnation(gateway.incarnation));
@@ -182,8 +205,7 @@
             .write(RENEWAL, json(&renewal));
         match gateway.edges.table.commit(transaction).await {
             Ok(Outcome::Committed(version)) => {
-                // the first steward of all follows nobody
-                let pause = lease.map_or(Duration::ZERO, |_| gateway.settings.bounds.lease_ms);
+                self.taken = next.epoch;
                 self.held = Some(Held {
                     epoch: next.epoch,
                     version,
@@ -203,6 +225,16 @@
     }
 }
 
+/// How long a new holder waits before its first order. The former one could order until its term was
+/// over but for the margin, and an order may be some time on its way.
+fn pause(gateway: &Gateway, lease: Option<&Lease>, term: Duration) -> Duration {
+    // the first steward of all follows nobody
+    lease.map_or(Duration::ZERO, |_| {
+        let margin = term - Duration::from_millis(lease::until(0, millis(term)));
+        (gateway.settings.bounds.lease_ms + ON_THE_WAY).saturating_sub(margin)
+    })
+}
+
 /// Whether this process should look after the lease: it is among the first of the gateways that can be
 /// heard and don't hold it. They look all the time, as a term is counted from the last renewal seen.
 fn may_stand(gateway: &Gateway) -> bool {
--- a/components/gateway/src/steward/mod.rs
+++ b/components/gateway/src/steward/mod.rs
@@ -36,6 +36,10 @@
     changing: Vec<u32>,
     /// Stages that engines told, by short number.
     stages: Vec<(u32, Stage, Instant)>,
+    /// When this process gave its last order.
+    ordered: Option<Instant>,
+    /// The last epoch in which it was the steward and gives no more orders.
+    ceded: u64,
 }
 
 impl Steward {
@@ -62,6 +66,34 @@
             .collect()
     }
 
+    /// The last epoch in which this process was the steward and gives no more orders.
+    pub fn ceded(&self) -> u64 {
+        self.state.lock().ceded
+    }
+
+    /// How long ago this process gave its last order.
+    pub fn since_order(&self) -> Option<Duration> {
+        self.state.lock().ordered.map(|ordered| ordered.elapsed())
+    }
+
+    /// Asks for leave to give an order in an epoch, and notes the time. What follows must be the order.
+    fn may_order(&self, epoch: u64) -> bool {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let may = state.ceded < epoch && state.until.is_some_and(|until| until > now);
+        if may {
+            state.ordered = Some(now);
+        }
+        may
+    }
+
+    /// Gives an epoch up for good.
+    fn cede(&self, epoch: u64) {
+        let mut state = self.state.lock();
+        state.ceded = state.ceded.max(epoch);
+        state.until = None;
+    }
+
     fn tell(&self, short: u32, stage: Stage) {
         let stages = &mut self.state.lock().stages;
         stages.retain(|(other, ..)| *other != short);
--- a/components/gateway/src/steward/plan.rs
+++ b/components/gateway/src/steward/plan.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     endpoint::{Stage, State, Target},
-    process::Gateway,
+    process::{Asked, Gateway},
 };
 
 /// An engine and the stage that it is to take.
@@ -24,8 +24,8 @@
 struct Service {
     name: Arc<str>,
     demand: Demand,
-    /// Tokens asked for in all at the last look.
-    tokens: u64,
+    /// What was asked for in all at the last look.
+    asked: Asked,
 }
 
 /// The demands of all services with engines.
@@ -57,7 +57,7 @@
                 continue;
             }
             let engines = engines(gateway, &service.name);
-            let tokens = gateway.demand(&service.name);
+            let asked = gateway.demand(&service.name);
             let at = match self
                 .services
                 .binary_search_by(|s| s.name.cmp(&service.name))
@@ -71,19 +71,23 @@
                         Service {
                             name,
                             demand,
-                            tokens,
+                            asked,
                         },
                     );
                     at
                 }
             };
             let known = &mut self.services[at];
-            let asked = tokens.saturating_sub(known.tokens);
-            known.tokens = tokens;
-            let writing: u64 = engines.iter().map(|engine| engine.writing).sum();
-            let pace = gateway.pace(&service.name, Stage::Prefill);
-            let reading = policy::real(asked) * pace.read_us;
-            known.demand.observe(now, reading, policy::real(writing));
+            let new = asked.since(std::mem::replace(&mut known.asked, asked));
+            let reader = gateway.pace(&service.name, Stage::Prefill);
+            let writer = gateway.pace(&service.name, Stage::Decode);
+            let taken: u64 = engines.iter().map(|engine| engine.writing).sum();
+            known.demand.observe(
+                now,
+                policy::real(new.reading) * reader.read_us,
+                policy::real(new.writing) * writer.step_us,
+                policy::real(taken),
+            );
         }
     }
 
@@ -106,8 +110,8 @@
     let away = u64::try_from(away.count()).unwrap_or(0);
     let slots = engines.iter().map(|engine| engine.slots).max()?;
     let weights = Weights::default();
-    let wanted = stage::readers(&service.demand, count, slots, &weights);
     let reading = will_read(&engines, &changing);
+    let wanted = stage::readers(&service.demand, reading, count, slots, &weights);
     let change = stage::change(&service.demand, wanted, reading, &weights)?;
     if away >= stage::most_changing(count) {
         return None;
@@ -131,7 +135,8 @@
     };
     log::info!(
         service = &*service.name, engine = &*engine.target.id.0, to:% = stage, wanted, reading, count,
-        away, demand_reading = service.demand.reading, demand_writing = service.demand.writing,
+        away, demand_reading = service.demand.reading, demand_lately = service.demand.reading_lately,
+         demand_writing = service.demand.writing,
         long = engine.long;
         "an engine is to change its stage"
     );
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -61,10 +61,11 @@
     pub output: u64,
     /// Time that is left until the first event should be there.
     pub within: Micros,
-    /// Tokens that come in one event.
-    pub event: u64,
-    /// The longest pause between two events that answers of the service may have.
-    pub pause: Micros,
+    /// The longest time between two tokens with which this answer ends in time, in microseconds.
+    pub pace: f64,
+    /// The longest time between two tokens that long answers of the service bear, in microseconds:
+    /// events must not come too far apart, and the last one must come in time.
+    pub bearable: f64,
 }
 
 /// What the decision weighs.
@@ -84,9 +85,10 @@
     /// What it counts to put the first long answer on an engine, in microseconds: it is lost for
     /// reading then.
     pub opening: f64,
-    /// Part of the longest pause that reading may bring answers to.
-    pub pause: f64,
-    /// Part of an engine's slots up to which long answers go together.
+    /// Part of the longest bearable time between tokens that reading may bring answers to.
+    pub bearable: f64,
+    /// Part of an engine's slots up to which long answers go together. The rest is for short ones, which
+    /// are soon over: a prompt that was read must find a slot.
     pub together: f64,
     /// What a placement in another data centre counts besides its distance, for the bytes that it
     /// moves, in microseconds.
@@ -110,8 +112,8 @@
             stretch: 3.0,
             disturbance: 0.2,
             opening: 20_000.0,
-            pause: 0.8,
-            together: 0.7,
+            bearable: 0.85,
+            together: 0.75,
             remote: 6_000.0,
             failure: 200_000.0,
             fill: 0.95,
@@ -153,15 +155,15 @@
 pub fn choose(engines: &[Engine], ask: &Ask, weights: &Weights, draw: u64) -> Option<Choice> {
     let whole = cheapest(engines, weights, draw, |engine| {
         let open = engine.stage == Stage::Decode
-            && has_slot(engine, weights)
-            && keeps_pause(engine, ask, weights);
+            && has_slot(engine, ask, weights)
+            && bears_reading(engine, ask, weights);
         open.then(|| read_and_write(engine, ask, weights))
     });
     let reads = cheapest(engines, weights, draw >> 16, |engine| {
         (engine.stage == Stage::Prefill).then(|| read(engine, ask, weights))
     });
     let writes = cheapest(engines, weights, draw >> 32, |engine| {
-        let open = engine.stage == Stage::Decode && has_slot(engine, weights);
+        let open = engine.stage == Stage::Decode && has_slot(engine, ask, weights);
         open.then(|| write(engine, ask, weights))
     });
     let split = reads.zip(writes).map(|(reads, writes)| {
@@ -210,7 +212,7 @@
 #[must_use]
 pub fn choose_writer(engines: &[Engine], ask: &Ask, weights: &Weights, draw: u64) -> Option<usize> {
     let found = cheapest(engines, weights, draw, |engine| {
-        let open = engine.stage == Stage::Decode && has_slot(engine, weights);
+        let open = engine.stage == Stage::Decode && has_slot(engine, ask, weights);
         open.then(|| write(engine, ask, weights))
     });
     found.map(|found| found.at)
@@ -232,8 +234,15 @@
     unread: u64,
 }
 
-fn has_slot(engine: &Engine, weights: &Weights) -> bool {
-    real(engine.writing) < real(engine.slots) * weights.fill
+/// Whether an engine can take the answer: it has a slot, and a long answer would end in time there.
+fn has_slot(engine: &Engine, ask: &Ask, weights: &Weights) -> bool {
+    let slots = real(engine.slots);
+    let writing = real(engine.writing);
+    if ask.output <= weights.long_answer {
+        return writing < slots * weights.fill;
+    }
+    let ends = engine.pace.step_us <= ask.pace * weights.bearable || engine.long == 0;
+    writing < slots * weights.together && ends
 }
 
 fn unread(engine: &Engine, ask: &Ask) -> u64 {
@@ -244,12 +253,12 @@
     prompt::work(ask.prompt, engine.held + engine.fetch.tokens)
 }
 
-/// Whether the long answers that an engine writes keep coming while it reads prompts: with a prompt
-/// read between any two tokens, one event must not take longer than the longest pause.
-fn keeps_pause(engine: &Engine, ask: &Ask, weights: &Weights) -> bool {
-    let slowest = real(ask.event) * engine.pace.step_us * weights.stretch;
+/// Whether the long answers that an engine writes bear that it reads prompts, at worst one between any
+/// two tokens.
+fn bears_reading(engine: &Engine, ask: &Ask, weights: &Weights) -> bool {
+    let slowest = engine.pace.step_us * weights.stretch;
     let reads_long = unread(engine, ask) > weights.short_prompt;
-    engine.long == 0 || !reads_long || slowest <= real(ask.pause) * weights.pause
+    engine.long == 0 || !reads_long || slowest <= ask.bearable * weights.bearable
 }
 
 /// Only reads the prompt.
@@ -303,22 +312,10 @@
         return 0.0;
     }
     let behind = real(engine.reading) * engine.pace.read_us;
-    let slots = real(engine.slots.max(1));
-    let together = slots * weights.together;
-    let writing = real(engine.writing);
-    let opens = if engine.long == 0 {
-        weights.opening
-    } else {
-        0.0
-    };
-    // beyond what goes together each further answer counts like a part of an opening
-    let crowds = (writing - together).max(0.0) / slots * weights.opening * CROWDED;
-    opens + crowds + behind
+    let opens = if engine.long == 0 { weights.opening } else { 0.0 };
+    opens + behind
 }
 
-/// How much dearer a full engine is to a long answer than an empty one.
-const CROWDED: f64 = 8.0;
-
 /// What counts against an engine besides the time that it takes.
 fn besides(engine: &Engine, weights: &Weights) -> f64 {
     let remote = if engine.distance > 0 {
--- a/components/policy/src/stage.rs
+++ b/components/policy/src/stage.rs
@@ -11,6 +11,8 @@
 pub struct Demand {
     /// Time of reading engines that arrives in a second, in seconds: so many engines would be busy.
     pub reading: f64,
+    /// The same over a shorter time.
+    pub reading_lately: f64,
     /// Slots of writing engines that answers take at once.
     pub writing: f64,
     seen: Option<Micros>,
@@ -19,23 +21,27 @@
 /// Time constant of the averages, in microseconds: above the swings of a few seconds that are over
 /// before a change of stage is, below the longer ones that a change pays for.
 const MEMORY: f64 = 4_000_000.0;
+/// Time constant of the shorter average: a few of the steward's looks.
+const LATELY: f64 = 1_000_000.0;
 
 impl Demand {
-    /// Takes what arrived since the last call: time to read it on reading engines, in microseconds,
-    /// and the slots that are taken now.
+    /// Takes what arrived since the last call: time to read it on reading engines and time to write it
+    /// on writing ones, in microseconds; and the slots that are taken now.
     ///
     /// The slots never count for less than now: an answer that finds none is lost, and so is the
     /// prompt that was read for it.
-    pub fn observe(&mut self, now: Micros, reading: f64, writing: f64) {
+    pub fn observe(&mut self, now: Micros, reading: f64, writing: f64, taken: f64) {
         let Some(seen) = self.seen.replace(now) else {
-            self.writing = writing;
+            self.writing = taken;
             return;
         };
         let span = real(now.saturating_sub(seen)).max(1.0);
         let part = (span / MEMORY).min(1.0);
+        let lately = (span / LATELY).min(1.0);
         self.reading += part * (reading / span - self.reading);
-        self.writing += part * (writing - self.writing);
-        self.writing = self.writing.max(writing);
+        self.reading_lately += lately * (reading / span - self.reading_lately);
+        self.writing += part * (writing / span - self.writing);
+        self.writing = self.writing.max(taken);
     }
 }
 
@@ -52,6 +58,9 @@
     pub margin_reading: f64,
     /// Engines that writing must lack before one more writes.
     pub margin_writing: f64,
+    /// Engines that reading must lack, or have over, by the shorter average for a change before the
+    /// longer one asks for it. Swings of a few seconds stay below.
+    pub leap: f64,
     /// Below this, in engines and slots, nothing is planned.
     pub idle: f64,
 }
@@ -64,25 +73,36 @@
             least_writing: 2,
             margin_reading: 1.0,
             margin_writing: 0.75,
+            leap: 99.0,
             idle: 0.2,
         }
     }
 }
 
-/// How many of `engines` should read, with a fraction.
+/// How many of `engines` should read, with a fraction: by the longer average, or by the shorter one
+/// where it is far off from the `now` that read.
 ///
 /// What writing needs comes first, up to half of the fleet; then what reading needs. What is left
 /// over is shared in proportion.
 #[must_use]
-pub fn readers(demand: &Demand, engines: u64, slots: u64, weights: &Weights) -> f64 {
+pub fn readers(demand: &Demand, now: u64, engines: u64, slots: u64, weights: &Weights) -> f64 {
+    let by = |reading: f64| share(reading, demand.writing, engines, slots, weights);
+    let lately = by(demand.reading_lately);
+    if (lately - real(now)).abs() >= weights.leap {
+        lately
+    } else {
+        by(demand.reading)
+    }
+}
+
+fn share(reading: f64, writing: f64, engines: u64, slots: u64, weights: &Weights) -> f64 {
     let all = real(engines);
     let least = real(weights.least_writing.min(engines));
-    let reading = demand.reading / weights.busy;
-    let writing = demand.writing / (real(slots.max(1)) * weights.full);
+    let reading = reading / weights.busy;
+    let writing = writing / (real(slots.max(1)) * weights.full);
     let share = reading / (reading + writing.max(least));
-    let proportional = all * share;
     let most = all - writing.clamp(least, (all / 2.0).max(least));
-    proportional.min(most).clamp(1.0, (all - least).max(1.0))
+    (all * share).min(most).clamp(1.0, (all - least).max(1.0))
 }
 
 /// A change that the plan asks for.
@@ -107,7 +127,7 @@
     }
 }
 
-/// How many engines may be away at once for a change of stage: a quarter of the fleet, one at least.
+/// How many engines may be away at once for a change of stage: a third of the fleet, one at least.
 #[must_use]
 pub fn most_changing(engines: u64) -> u64 {
     count(real(engines) * AWAY).max(1)
