Move long answers off engines that are left, and follow leaps in demand

Cause: an engine that is to read finishes its long answers first, up to ten seconds (one change took 22 s), and so does one that leaves; slots counted at 0.55 kept six of twelve engines writing for 130 answers; the plan followed a jump of demand only after its four-second average. Change: a long answer whose engine changes its stage or leaves is stopped, its memory copied, and goes on elsewhere after the last whole event; writers may be 0.7 full; a short average decides where it is off by 2.5 engines or more.

--- a/components/gateway/src/edge/mod.rs
+++ b/components/gateway/src/edge/mod.rs
@@ -104,6 +104,15 @@
     pub tokens: u64,
 }
 
+/// An answer that was stopped to go on elsewhere.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Relocated {
+    /// Its memory.
+    pub handle: Handle,
+    /// Whether the other engine has the copy; otherwise it can only go on where it stopped.
+    pub copied: bool,
+}
+
 /// What one attempt tells its endpoint beyond the caller's own head.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Directive {
@@ -168,6 +177,14 @@
     /// The call that gives a handle back which nobody will fetch.
     fn release(&self, handle: &Handle) -> Call;
 
+    /// The call, to the engine that writes an answer, which stops it there and copies its memory to
+    /// another engine.
+    fn relocation(&self, id: &str, to: SocketAddr) -> Call;
+
+    /// Reads the answer to a relocation: the handle under which the answer goes on, where it stopped
+    /// or at the other engine; none if it has not stopped.
+    fn relocated(&self, from: SocketAddr, status: StatusCode, body: &[u8]) -> Option<Relocated>;
+
     /// The call that orders a stage.
     fn order(&self, order: &Order) -> Call;
 
--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -107,13 +107,7 @@
 }
 
 fn update(target: &Target, profile: &Profile) {
-    let before = target.with(|inner| {
-        if inner.profile.stage != profile.stage {
-            inner.changing = None;
-            inner.pace = None;
-        }
-        std::mem::replace(&mut inner.profile, profile.clone())
-    });
+    let before = target.update(profile);
     if before.state != profile.state {
         log::info!(
             endpoint = &*profile.id.0, before:% = before.state, now:% = profile.state;
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -10,7 +10,7 @@
 
 use parking_lot::Mutex;
 use policy::{learn::Pace, memory::Memory, prompt::Part};
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use super::{
     Health, Id, Link, Load, NotOpened, Profile, Stage, State, Verdict,
@@ -25,6 +25,8 @@
     /// The short number by which peers name it.
     pub short: u32,
     state: Mutex<Inner>,
+    /// Told when long answers should go on elsewhere.
+    leave: Notify,
     /// Open connections, idle or in use.
     open: Arc<AtomicUsize>,
 }
@@ -77,6 +79,7 @@
             id: profile.id.clone(),
             short: profile.id.short(),
             open: Arc::default(),
+            leave: Notify::new(),
             state: Mutex::new(Inner {
                 profile,
                 listed: true,
@@ -132,6 +135,52 @@
         });
     }
 
+    /// Whether answers that take long should go on elsewhere: it leaves, or will do something else.
+    #[must_use]
+    pub fn is_left(&self) -> bool {
+        let now = Instant::now();
+        self.with(|state| {
+            let changes = state.changing.is_some_and(|until| until > now);
+            let leaves = state.listed && state.profile.state == State::Draining;
+            changes || leaves
+        })
+    }
+
+    /// Waits until answers that take long should go on elsewhere.
+    pub async fn left(&self) {
+        loop {
+            let told = self.leave.notified();
+            if self.is_left() {
+                return;
+            }
+            told.await;
+        }
+    }
+
+    /// Leaves it alone until then, as it is changing its stage.
+    pub fn leave_alone(&self, until: Instant) {
+        let now = Instant::now();
+        let before = self.with(|state| state.changing.replace(until));
+        if before.is_none_or(|before| before <= now) {
+            self.leave.notify_waiters();
+        }
+    }
+
+    /// Takes what the platform now says of it, and gives what it said before.
+    pub fn update(&self, profile: &Profile) -> Profile {
+        let before = self.with(|state| {
+            if state.profile.stage != profile.stage {
+                state.changing = None;
+                state.pace = None;
+            }
+            std::mem::replace(&mut state.profile, profile.clone())
+        });
+        if profile.state == State::Draining {
+            self.leave.notify_waiters();
+        }
+        before
+    }
+
     /// Notes how an attempt ended.
     pub fn note(&self, verdict: Verdict, request: &str) {
         let now = Instant::now();
--- a/components/gateway/src/peer/digest.rs
+++ b/components/gateway/src/peer/digest.rs
@@ -187,7 +187,7 @@
                 Stage::Decode
             });
         } else if changing.contains(&target.short) {
-            target.with(|state| state.changing = Some(until));
+            target.leave_alone(until);
         }
     }
 }
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -1,6 +1,7 @@
 //! Generations: placed on engines that read prompts and engines that write answers.
 
 mod read;
+pub mod relocate;
 mod run;
 mod timing;
 mod view;
@@ -21,6 +22,8 @@
 use timing::Timing;
 use view::View;
 
+pub use view::is_long;
+
 /// Serves a generation.
 pub async fn serve(job: Job) -> Result<Response<Body>, Reason> {
     let mut effort = Effort::default();
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -32,12 +32,13 @@
     let (head, body) = request.into_parts();
     let ask = gateway.edges.dialect.ask(&head);
     let id = ask.id.clone();
+    let path = head.uri.path().to_owned();
     let mut response = match serve(&gateway, head, body, ask, arrived).await {
         Ok(response) => response,
         Err(reason) => {
             let after_ms = reason.retry_after().map(policy::micros).unwrap_or_default() / 1_000;
             log::info!(
-                request = id, reason:%, run:% = reason.run(), after_ms,
+                request = id, path, reason:%, run:% = reason.run(), after_ms,
                 took_us = policy::micros(arrived.elapsed());
                 "refused"
             );
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -13,8 +13,17 @@
 };
 use tokio::time::Instant;
 
-use super::{attempt::Answer, events::Splitter, generate, job::Job};
-use crate::endpoint::{Link, Target, Verdict, Writing};
+use super::{
+    attempt::Answer,
+    events::Splitter,
+    generate::{self, is_long, relocate},
+    job::Job,
+};
+use crate::{
+    edge::Handle,
+    endpoint::{Link, Target, Verdict, Writing},
+    version::Kind,
+};
 
 /// A body towards a caller.
 pub type Body = UnsyncBoxBody<Bytes, Broken>;
@@ -33,6 +42,9 @@
 /// An endpoint stops by itself when its time is over; its last bytes may take this much longer.
 const LAST_BYTES: Duration = Duration::from_millis(200);
 
+/// How often an answer goes on elsewhere because its engine is left: each time is an arrival more.
+const MOVES: u32 = 2;
+
 /// A body that is whole.
 pub fn whole(bytes: Bytes) -> Body {
     Full::new(bytes)
@@ -45,9 +57,13 @@
     job: Job,
     status: StatusCode,
     source: Option<Source>,
-    /// Set where the stream may go on at another endpoint.
+    /// Set for streams of events, which may go on at another endpoint.
     splitter: Option<Splitter>,
     attempts: u32,
+    /// Times that it went on elsewhere because its engine was left.
+    moves: u32,
+    /// The engine to which it goes next, once it has stopped where it is.
+    next: Option<Next>,
     events: u64,
     first: Option<Instant>,
     /// The longest time between two events.
@@ -76,14 +92,19 @@
     }
 }
 
+/// Where a stopped answer goes on.
+struct Next {
+    target: Arc<Target>,
+    handle: Handle,
+}
+
 /// Hands an answer on, after so many attempts.
 pub fn hand_on(job: Job, answer: Answer, writing: Writing, attempts: u32) -> Response<Body> {
     let mut response = Response::new(());
     *response.status_mut() = answer.head.status;
     *response.headers_mut() = call::headers::end_to_end(&answer.head.headers);
-    let resumes =
-        job.route.kind == crate::version::Kind::ResumableStream && answer.head.status.is_success();
-    let mut splitter = resumes.then(Splitter::default);
+    let streams = job.route.kind.streams() && answer.head.status.is_success();
+    let mut splitter = streams.then(Splitter::default);
     if let (Some(splitter), Some(after)) = (&mut splitter, job.ask.resume_after) {
         splitter.start_after(after);
     }
@@ -93,6 +114,8 @@
         job,
         splitter,
         attempts,
+        moves: 0,
+        next: None,
         events: 0,
         first: None,
         longest: Duration::ZERO,
@@ -113,7 +136,14 @@
                 return Ok(None);
             };
             let until = self.job.deadline + LAST_BYTES;
-            let frame = tokio::time::timeout_at(until, source.body.frame()).await;
+            let moves = self.next.is_none() && self.moves < MOVES && is_long(&self.job);
+            let frame = tokio::select! {
+                frame = tokio::time::timeout_at(until, source.body.frame()) => frame,
+                () = source.target.left(), if moves => {
+                    self.leave().await;
+                    continue;
+                }
+            };
             match frame {
                 Ok(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else {
@@ -131,7 +161,11 @@
                 }
                 Ok(None) => return Ok(self.finish()),
                 Ok(Some(Err(_))) => {
-                    if !self.resume().await {
+                    let goes_on = match self.next.take() {
+                        Some(next) => self.go_on(next).await,
+                        None => self.resume().await,
+                    };
+                    if !goes_on {
                         return Err(self.fail(Broken::Endpoint));
                     }
                 }
@@ -191,8 +225,42 @@
         broken
     }
 
+    /// Has the answer stopped where it is, to go on at another engine.
+    async fn leave(&mut self) {
+        self.moves += 1;
+        let Some(source) = &self.source else {
+            return;
+        };
+        if let Some((target, handle)) = relocate::stop(&self.job, &source.target).await {
+            self.next = Some(Next { target, handle });
+        }
+    }
+
+    /// Goes on where a stopped answer was moved to. Says whether that worked.
+    async fn go_on(&mut self, next: Next) -> bool {
+        let Some(splitter) = &mut self.splitter else {
+            return false;
+        };
+        splitter.forget();
+        let after = splitter.last();
+        self.source = None;
+        match relocate::go_on(&self.job, &next.target, next.handle, after).await {
+            Ok((answer, writing)) => {
+                self.source = Some(Source::new(answer, writing));
+                true
+            }
+            Err(cause) => {
+                log::warn!(request = self.job.ask.id, cause:%; "a moved stream did not go on");
+                false
+            }
+        }
+    }
+
     /// Goes on at another endpoint after the last whole event. Says whether that worked.
     async fn resume(&mut self) -> bool {
+        if self.job.route.kind != Kind::ResumableStream {
+            return false;
+        }
         let Some(splitter) = &mut self.splitter else {
             return false;
         };
@@ -228,7 +296,7 @@
             .map(|first| policy::micros(first - self.job.arrived));
         log::info!(
             request = self.job.ask.id, route = &*self.job.route.name, status = self.status.as_u16(),
-            attempts = self.attempts, events = self.events, first_us,
+            attempts = self.attempts, moves = self.moves, events = self.events, first_us,
             endpoint = self.source.as_ref().map(|source| &*source.target.id.0),
             longest_gap_us = policy::micros(self.longest),
             took_us = policy::micros(self.job.arrived.elapsed());
--- a/components/policy/src/stage.rs
+++ b/components/policy/src/stage.rs
@@ -69,11 +69,11 @@
     fn default() -> Self {
         Self {
             busy: 0.7,
-            full: 0.55,
+            full: 0.7,
             least_writing: 2,
             margin_reading: 1.0,
             margin_writing: 0.75,
-            leap: 99.0,
+            leap: 2.5,
             idle: 0.2,
         }
     }
