--- a/components/gateway/src/peer/digest.rs
+++ b/components/gateway/src/peer/digest.rs
@@ -132,7 +132,9 @@
     peer.store_answers = digest.store_answers;
     peer.ceded = digest.ceded;
     let since_order = Duration::from_millis(u64::from(digest.last_order_ms));
-    peer.ordered = (digest.last_order_ms > 0).then(|| now.checked_sub(since_order)).flatten();
+    peer.ordered = (digest.last_order_ms > 0)
+        .then(|| now.checked_sub(since_order))
+        .flatten();
     let grown = grown(&mut peer.demands, &digest.demands, !restarted);
     drop(known);
     for (service, asked) in grown {
@@ -144,11 +146,7 @@
 }
 
 /// What was asked since the digest before; a peer that is new counts from now on.
-fn grown(
-    known: &mut Vec<(u32, Asked)>,
-    told: &[ServiceDemand],
-    same: bool,
-) -> Vec<(u32, Asked)> {
+fn grown(known: &mut Vec<(u32, Asked)>, told: &[ServiceDemand], same: bool) -> Vec<(u32, Asked)> {
     let before = std::mem::take(known);
     *known = told
         .iter()
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -87,7 +87,9 @@
     pub fn store_answers(&self) -> bool {
         let now = Instant::now();
         let known = self.known.lock();
-        known.iter().any(|peer| peer.store_answers && peer.is_live(now))
+        known
+            .iter()
+            .any(|peer| peer.store_answers && peer.is_live(now))
     }
 
     /// The last epoch that a steward has given up.
@@ -238,10 +240,9 @@
         steward: gateway.steward.holds(),
         store_answers: gateway.store_answers(),
         ceded: gateway.steward.ceded(),
-        last_order_ms: gateway
-            .steward
-            .since_order()
-            .map_or(0, |since| u32::try_from(since.as_millis()).unwrap_or(u32::MAX).max(1)),
+        last_order_ms: gateway.steward.since_order().map_or(0, |since| {
+            u32::try_from(since.as_millis()).unwrap_or(u32::MAX).max(1)
+        }),
         changing: gateway.steward.changing(),
         stages: gateway
             .steward
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -191,7 +191,8 @@
         prompt: prompt.tokens,
         output: prompt.expected_output(),
         within: policy::micros(left),
-        pace: policy::real(policy::micros(job.time_left())) / policy::real(prompt.most_output.max(1)),
+        pace: policy::real(policy::micros(job.time_left()))
+            / policy::real(prompt.most_output.max(1)),
         bearable: bearable(job),
     }
 }
@@ -201,9 +202,9 @@
     let whole = job.gateway.bearable(&job.service.name);
     let engines = job.service.engines.as_ref();
     let event = engines.map_or(1, |engines| engines.event_tokens.max(1));
-    let pause = job
-        .pause
-        .map_or(f64::MAX, |pause| policy::real(policy::micros(pause)) / policy::real(event));
+    let pause = job.pause.map_or(f64::MAX, |pause| {
+        policy::real(policy::micros(pause)) / policy::real(event)
+    });
     whole.min(pause)
 }
 
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -312,7 +312,11 @@
         return 0.0;
     }
     let behind = real(engine.reading) * engine.pace.read_us;
-    let opens = if engine.long == 0 { weights.opening } else { 0.0 };
+    let opens = if engine.long == 0 {
+        weights.opening
+    } else {
+        0.0
+    };
     opens + behind
 }
 
