--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -230,7 +230,7 @@
 fn pause(gateway: &Gateway, lease: Option<&Lease>, term: Duration) -> Duration {
     // the first steward of all follows nobody
     lease.map_or(Duration::ZERO, |_| {
-        let margin = term - Duration::from_millis(lease::until(0, millis(term)));
+        let margin = term.saturating_sub(Duration::from_millis(lease::until(0, millis(term))));
         (gateway.settings.bounds.lease_ms + ON_THE_WAY).saturating_sub(margin)
     })
 }
--- a/components/gateway/tests/lists.rs
+++ b/components/gateway/tests/lists.rs
@@ -8,7 +8,7 @@
     Edges,
     edge::{
         Ask, Call, Change, Dialect, Directive, Directory, Failure, From, Handle, Order, Ordered,
-        Report, Told, Update,
+        Relocated, Report, Told, Update,
     },
     version::Configuration,
 };
@@ -100,6 +100,14 @@
         call()
     }
 
+    fn relocation(&self, _: &str, _: SocketAddr) -> Call {
+        call()
+    }
+
+    fn relocated(&self, _: SocketAddr, _: StatusCode, _: &[u8]) -> Option<Relocated> {
+        None
+    }
+
     fn order(&self, _: &Order) -> Call {
         call()
     }
