--- a/components/gateway/src/peer/digest.rs
+++ b/components/gateway/src/peer/digest.rs
@@ -30,7 +30,7 @@
     let mut number = 0;
     let mut last: Vec<(u32, Load)> = Vec::new();
     let mut last_changing = Vec::new();
-    let mut last_changed = [0; 2];
+    let mut last_revisions = [0; 2];
     let mut sent = Instant::now();
     loop {
         tokio::time::sleep(PACE).await;
@@ -38,8 +38,9 @@
         let placed = take_placed(gateway);
         let changing = gateway.steward.changing();
         let changes = std::mem::take(&mut *gateway.peers.news.lock());
-        let changed = [List::Endpoints, List::Configuration].map(|list| gateway.changed.get(list));
-        let listed = !changes.is_empty() || changed != last_changed;
+        let revisions =
+            [List::Endpoints, List::Configuration].map(|list| gateway.changed.get(list));
+        let listed = !changes.is_empty() || revisions != last_revisions;
         let news = loads != last || !placed.is_empty() || changing != last_changing || listed;
         if !news && sent.elapsed() < HEARTBEAT {
             continue;
@@ -55,7 +56,7 @@
         heed(gateway, &digest.changing, &[]);
         last = loads;
         last_changing = changing;
-        last_changed = changed;
+        last_revisions = revisions;
         let bytes = digest.encode_to_vec();
         for address in gateway.peers.addresses() {
             if let Err(error) = socket.send_to(&bytes, address).await {
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -11,6 +11,7 @@
 
 use parking_lot::Mutex;
 use policy::prompt::Part;
+use settings::gateway::Settings;
 use tokio::{net::UdpSocket, sync::Notify, time::Instant};
 use wire::{Digest, EndpointChanges, EndpointLoad, Placed, ServiceDemand, StageTold};
 
@@ -212,6 +213,17 @@
         }
     }
 
+    /// Adds the VMs on which peers may be found.
+    pub fn learn_seeds(&self, settings: &Settings) {
+        let own = settings.gateway.peers;
+        for seed in &settings.gateway.seeds {
+            let address = SocketAddr::new(seed.ip(), own.port());
+            if address != own {
+                self.learn(address, "");
+            }
+        }
+    }
+
     /// Adds a peer that was heard of.
     fn learn(&self, address: SocketAddr, data_centre: &str) {
         let mut known = self.known.lock();
--- a/components/gateway/src/peer/register.rs
+++ b/components/gateway/src/peer/register.rs
@@ -24,13 +24,7 @@
 
 /// Registers this process and reads the others' rows from time to time.
 pub async fn keep(gateway: &Gateway) {
-    let port = gateway.settings.gateway.peers.port();
-    for seed in &gateway.settings.gateway.seeds {
-        let address = SocketAddr::new(seed.ip(), port);
-        if address != gateway.settings.gateway.peers {
-            gateway.peers.learn(address, "");
-        }
-    }
+    gateway.peers.learn_seeds(&gateway.settings);
     let mut written = false;
     loop {
         written = written || write(gateway).await;
@@ -49,8 +43,12 @@
     let value = serde_json::to_string(&row).unwrap_or_default();
     let transaction = Transaction::default().write(&key, value);
     match gateway.edges.table.commit(transaction).await {
-        Ok(_) => true,
+        Ok(_) => {
+            gateway.count_call("register", true);
+            true
+        }
         Err(error) => {
+            gateway.count_call("register", false);
             log::warn!(error:%; "this gateway is not registered yet");
             false
         }
@@ -63,8 +61,12 @@
         prefixes: vec![PREFIX.to_owned()],
     };
     let rows = match gateway.edges.table.read(read).await {
-        Ok(rows) => rows,
+        Ok(rows) => {
+            gateway.count_call("peers", true);
+            rows
+        }
         Err(error) => {
+            gateway.count_call("peers", false);
             log::warn!(error:%; "the other gateways' rows were not read");
             return false;
         }
--- a/components/gateway/src/process/configuration.rs
+++ b/components/gateway/src/process/configuration.rs
@@ -26,6 +26,7 @@
         }
         match gateway.edges.directory.configuration(from).await {
             Ok(update) => {
+                gateway.count_call("configuration", true);
                 if !reachable {
                     log::info!(table = "configuration", revision = update.revision; "the store answers again");
                 }
@@ -44,6 +45,7 @@
                 from = next(update.revision, true);
             }
             Err(failure) => {
+                gateway.count_call("configuration", false);
                 if reachable || failure == Failure::HistoryGone {
                     log::warn!(table = "configuration", failure:%; "the store did not answer");
                 }
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -48,6 +48,7 @@
                 continue;
             }
         };
+        list.gateway.count_call("endpoints", answer.is_ok());
         match answer {
             Ok(update) => {
                 backoff = Backoff::default();
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -3,7 +3,8 @@
 mod configuration;
 mod endpoints;
 mod follow;
-mod ready;
+mod reload;
+mod status;
 mod stop;
 
 pub use follow::List;
@@ -24,7 +25,8 @@
     learn::{Margin, Pace},
     retry::Window,
 };
-use settings::gateway::Settings;
+use settings::gateway::{Bounds, Settings};
+use telemetry::metrics::gateway::Metrics;
 use tokio::{net::TcpListener, net::UdpSocket, sync::watch, task::JoinSet, time::Instant};
 
 use follow::Changed;
@@ -121,8 +123,12 @@
 
 /// The state that the parts of a gateway share.
 pub struct Gateway {
-    /// Its settings.
+    /// Its settings as it started.
     pub settings: Settings,
+    /// The bounds for all gateways together, as the settings file says now.
+    pub bounds: RwLock<Bounds>,
+    /// Its metrics.
+    pub metrics: Metrics,
     /// Its identity: random at start, never reused.
     pub incarnation: u64,
     /// The adapters.
@@ -189,12 +195,17 @@
     pub fn spend_repeat(&self, service: &Arc<str>) -> bool {
         let now = self.micros();
         let (ratio, slack) = self.repeat_bounds();
-        self.with_ledger(service, |ledger| ledger.repeats.spend(now, ratio, slack))
+        let allowed = self.with_ledger(service, |ledger| ledger.repeats.spend(now, ratio, slack));
+        let labels = [&**service, if allowed { "yes" } else { "no" }];
+        self.metrics.repeats.with_label_values(&labels).inc();
+        allowed
     }
 
     /// Counts a repeat that nobody asked whether it may be.
     pub fn force_repeat(&self, service: &Arc<str>) {
         let now = self.micros();
+        let labels = [&**service, "unasked"];
+        self.metrics.repeats.with_label_values(&labels).inc();
         self.with_ledger(service, |ledger| ledger.repeats.force(now));
     }
 
@@ -207,7 +218,7 @@
 
     /// This process's part of the operators' bounds on repeats.
     fn repeat_bounds(&self) -> (f64, f64) {
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds.read();
         let sharers = policy::real(self.peers.count() + 1);
         (bounds.retry_ratio, bounds.retry_slack / sharers)
     }
@@ -285,7 +296,7 @@
         let at = match ledgers.binary_search_by(|(name, _)| name.cmp(service)) {
             Ok(at) => at,
             Err(at) => {
-                let window = policy::micros(self.settings.bounds.retry_window_s);
+                let window = policy::micros(self.bounds.read().retry_window_s);
                 ledgers.insert(at, (Arc::clone(service), Ledger::new(window)));
                 at
             }
@@ -303,6 +314,12 @@
         self.store_answers.store(answered, Ordering::Relaxed);
     }
 
+    /// Counts a call to the store.
+    pub fn count_call(&self, call: &str, answered: bool) {
+        let labels = [call, if answered { "yes" } else { "no" }];
+        self.metrics.calls.with_label_values(&labels).inc();
+    }
+
     /// Whether this process reads the operators' lists itself.
     pub fn reads_lists(&self) -> bool {
         follow::reads(self)
@@ -335,6 +352,8 @@
     pub ready: SocketAddr,
     /// Peers.
     pub peers: SocketAddr,
+    /// Whoever collects the metrics.
+    pub metrics: SocketAddr,
 }
 
 /// A running gateway. Dropping it ends it hard, as a kill would.
@@ -352,9 +371,15 @@
             callers: settings.callers,
             ready: settings.ready,
             peers: settings.peers,
+            metrics: settings.metrics,
         }
     }
 
+    /// Takes settings that have changed, as far as a running process can.
+    pub fn reload(&self, settings: &Settings) {
+        reload::take(&self.gateway, settings);
+    }
+
     /// Its name.
     #[must_use]
     pub fn name(&self) -> &str {
@@ -387,7 +412,8 @@
     let callers = listen(&mut own.callers).await?;
     let ready = listen(&mut own.ready).await?;
     let peers = hear(&mut own.peers).await?;
-    let gateway = Arc::new(assemble(settings, edges));
+    let metrics = listen(&mut own.metrics).await?;
+    let gateway = Arc::new(assemble(settings, edges)?);
     log::info!(
         gateway = gateway.settings.gateway.name, incarnation = gateway.incarnation,
         data_centre = gateway.settings.gateway.data_centre; "started"
@@ -396,15 +422,22 @@
     tasks.spawn(configuration::keep(Arc::clone(&gateway)));
     tasks.spawn(endpoints::keep(Arc::clone(&gateway)));
     tasks.spawn(peer::keep(Arc::clone(&gateway), peers));
-    tasks.spawn(ready::serve(Arc::clone(&gateway), ready));
+    tasks.spawn(status::serve(Arc::clone(&gateway), ready, status::ready));
+    tasks.spawn(status::serve(
+        Arc::clone(&gateway),
+        metrics,
+        status::metrics,
+    ));
     tasks.spawn(connection::accept(Arc::clone(&gateway), callers));
     tasks.spawn(steward::keep(Arc::clone(&gateway)));
     tasks.spawn(stop::carry_out(Arc::clone(&gateway)));
     Ok(Running { gateway, tasks })
 }
 
-fn assemble(settings: Settings, edges: Edges) -> Gateway {
-    Gateway {
+fn assemble(settings: Settings, edges: Edges) -> Result<Gateway, Error> {
+    Ok(Gateway {
+        bounds: RwLock::new(settings.bounds.clone()),
+        metrics: Metrics::new().map_err(Error::Metrics)?,
         incarnation: rand::random(),
         edges,
         registry: Registry::default(),
@@ -421,7 +454,7 @@
         ledgers: Mutex::default(),
         started: Instant::now(),
         settings,
-    }
+    })
 }
 
 /// Listens on an address, and notes the port if it was left open.
--- /dev/null
+++ b/components/gateway/src/process/reload.rs
@@ -0,0 +1,47 @@
+//! Settings that change while the process lives.
+
+use settings::gateway::Settings;
+
+use super::Gateway;
+
+/// Takes new settings: the bounds for all gateways together, and more VMs on which peers may be found.
+/// Says what else differs and needs a new start.
+pub fn take(gateway: &Gateway, new: &Settings) {
+    let old = &gateway.settings;
+    gateway.metrics.reloads.inc();
+    *gateway.bounds.write() = new.bounds.clone();
+    gateway.peers.learn_seeds(new);
+    let kept = [
+        ("gateway", identity(old) != identity(new)),
+        ("store", old.store != new.store),
+        ("resources", old.resources != new.resources),
+        // two processes that count a lease's term differently could both give orders
+        (
+            "bounds.lease_ms",
+            old.bounds.lease_ms != new.bounds.lease_ms,
+        ),
+    ];
+    let kept: Vec<&str> = kept
+        .into_iter()
+        .filter_map(|(name, differs)| differs.then_some(name))
+        .collect();
+    log::info!(
+        grace_ms = policy::micros(new.bounds.grace_s) / 1_000, retry_ratio = new.bounds.retry_ratio,
+        retry_slack = new.bounds.retry_slack, seeds = new.gateway.seeds.len(),
+        needs_a_new_start = kept.join(" ");
+        "took changed settings"
+    );
+}
+
+/// What can't change: who the process is and where it listens. Ports that were left open in the file
+/// have been chosen since.
+fn identity(settings: &Settings) -> (&str, &str, [std::net::IpAddr; 4]) {
+    let gateway = &settings.gateway;
+    let addresses = [
+        gateway.callers.ip(),
+        gateway.ready.ip(),
+        gateway.metrics.ip(),
+        gateway.peers.ip(),
+    ];
+    (&gateway.name, &gateway.data_centre, addresses)
+}
--- /dev/null
+++ b/components/gateway/src/process/status.rs
@@ -0,0 +1,67 @@
+//! Small answers about the process itself: to the balancer whether it takes new connections, to
+//! whoever collects them its metrics.
+
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Response, StatusCode, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{net::TcpListener, task::JoinSet};
+
+use super::Gateway;
+
+/// An answer.
+type Answer = Response<Full<Bytes>>;
+
+/// Serves on a listener as long as the process lives.
+pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener, answer: fn(&Gateway) -> Answer) {
+    let mut connections = JoinSet::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:%; "a connection for readiness or metrics was not accepted");
+                continue;
+            }
+        };
+        let gateway = Arc::clone(&gateway);
+        connections.spawn(async move {
+            let service = service_fn(|_request| {
+                let response = answer(&gateway);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // a broken connection is the asker's business
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+/// Whether the process takes new connections.
+pub fn ready(gateway: &Gateway) -> Answer {
+    let mut response = Response::new(Full::default());
+    if !gateway.is_ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+/// The metrics, with the gauges as they are now.
+pub fn metrics(gateway: &Gateway) -> Answer {
+    let metrics = &gateway.metrics;
+    let set = |gauge: &telemetry::metrics::Gauge, count: u64| {
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    };
+    let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+    let version = gateway.configuration().map_or(0, |version| version.version);
+    set(&metrics.configuration, version);
+    set(&metrics.connections, count(*gateway.connections.borrow()));
+    set(&metrics.under_way, count(*gateway.under_way.borrow()));
+    set(&metrics.peers, gateway.peers.count());
+    set(&metrics.endpoints, count(gateway.registry.all().len()));
+    Response::new(Full::new(Bytes::from(metrics.text())))
+}
--- a/components/gateway/src/process/stop.rs
+++ b/components/gateway/src/process/stop.rs
@@ -24,7 +24,7 @@
 /// Begins a planned stop; a second call changes nothing.
 pub fn begin(gateway: &Gateway) {
     let now = Instant::now();
-    let grace = gateway.settings.bounds.grace_s.saturating_sub(BEFORE_KILL);
+    let grace = gateway.bounds.read().grace_s.saturating_sub(BEFORE_KILL);
     gateway.stop.write().get_or_insert(Stop {
         end: now + grace,
         quiet: now + BALANCER_LAG,
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -82,6 +82,23 @@
         )
     }
 
+    /// A word for it, as a label of a metric.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NotOpened(_) => "not-opened",
+            Self::NotSent => "not-sent",
+            Self::NoWriter => "no-writer",
+            Self::NoBudget => "no-budget",
+            Self::NoHandle => "no-handle",
+            Self::GaveWay => "gave-way",
+            Self::NotRun(_) => "not-run",
+            Self::Broken => "broken",
+            Self::Foreign => "foreign",
+            Self::TimeOver => "time-over",
+            Self::Failed(_) => "failed",
+        }
+    }
+
     /// What it tells of the endpoint, if it tells anything.
     pub fn verdict(self) -> Option<Verdict> {
         match self {
--- a/components/gateway/src/request/effort.rs
+++ b/components/gateway/src/request/effort.rs
@@ -84,6 +84,12 @@
         if let Some(verdict) = failed.cause.verdict() {
             failed.target.note(verdict, &job.ask.id);
         }
+        let labels = [&*job.service.name, failed.cause.label()];
+        job.gateway
+            .metrics
+            .failures
+            .with_label_values(&labels)
+            .inc();
         self.failures += 1;
         let not_run = failed.not_run();
         self.runs += u32::from(!not_run);
--- a/components/gateway/src/request/generate/relocate.rs
+++ b/components/gateway/src/request/generate/relocate.rs
@@ -37,6 +37,13 @@
         copied = moved.as_ref().is_some_and(|moved| moved.copied);
         "an answer leaves its engine"
     );
+    let outcome = match &moved {
+        None => "stayed",
+        Some(moved) if moved.copied => "copied",
+        Some(_) => "stopped",
+    };
+    let metrics = &job.gateway.metrics;
+    metrics.moves.with_label_values(&[outcome]).inc();
     let moved = moved?;
     let target = if moved.copied { to } else { from };
     Some((Arc::clone(target), moved.handle))
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -36,6 +36,8 @@
     let mut response = match serve(&gateway, head, body, ask, arrived).await {
         Ok(response) => response,
         Err(reason) => {
+            let metrics = &gateway.metrics;
+            metrics.refusals.with_label_values(&[reason.label()]).inc();
             let after_ms = reason.retry_after().map(policy::micros).unwrap_or_default() / 1_000;
             log::info!(
                 request = id, path, reason:%, run:% = reason.run(), after_ms,
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
     Response, StatusCode,
-    body::{Frame, Incoming},
+    body::{Body as _, Frame, Incoming},
 };
 use tokio::time::Instant;
 
@@ -108,7 +108,7 @@
     if let (Some(splitter), Some(after)) = (&mut splitter, job.ask.resume_after) {
         splitter.start_after(after);
     }
-    let passing = Passing {
+    let mut passing = Passing {
         status: answer.head.status,
         source: Some(Source::new(answer, writing)),
         job,
@@ -121,6 +121,14 @@
         longest: Duration::ZERO,
         ended: false,
     };
+    if passing
+        .source
+        .as_ref()
+        .is_some_and(|source| source.body.is_end_stream())
+    {
+        // nobody asks for the body of an answer that has none
+        passing.finish();
+    }
     let parts = stream::try_unfold(passing, |mut passing| async move {
         let part = passing.next().await?;
         Ok::<_, Broken>(part.map(|part| (part, passing)))
@@ -149,14 +157,20 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
+                    // nobody asks for more once an announced length has come
+                    let last = source.body.is_end_stream();
                     self.learn();
-                    match &mut self.splitter {
-                        None => return Ok(Some(bytes)),
-                        Some(splitter) => {
-                            if let Some(whole) = splitter.push(&bytes) {
-                                return Ok(Some(whole));
-                            }
+                    let whole = match &mut self.splitter {
+                        None => Some(bytes),
+                        Some(splitter) => splitter.push(&bytes),
+                    };
+                    let rest = last.then(|| self.finish()).flatten();
+                    match (whole, rest) {
+                        (Some(whole), Some(rest)) => {
+                            return Ok(Some([whole, rest].concat().into()));
                         }
+                        (Some(part), None) | (None, Some(part)) => return Ok(Some(part)),
+                        (None, None) => {}
                     }
                 }
                 Ok(None) => return Ok(self.finish()),
@@ -291,6 +305,15 @@
     /// Says how the request ended.
     fn tell(&mut self, outcome: &str) {
         self.ended = true;
+        let metrics = &self.job.gateway.metrics;
+        let service = &*self.job.service.name;
+        let whole = self.job.arrived.elapsed().as_secs_f64();
+        metrics.answers.with_label_values(&[service, outcome]).inc();
+        metrics.whole.with_label_values(&[service]).observe(whole);
+        if let Some(first) = self.first {
+            let first = (first - self.job.arrived).as_secs_f64();
+            metrics.first.with_label_values(&[service]).observe(first);
+        }
         let first_us = self
             .first
             .map(|first| policy::micros(first - self.job.arrived));
--- a/components/gateway/src/request/refusal.rs
+++ b/components/gateway/src/request/refusal.rs
@@ -76,6 +76,23 @@
         }
     }
 
+    /// A word for it, as a label of a metric.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NoSuchRoute => "no-such-route",
+            Self::TooLarge => "too-large",
+            Self::SlowBody => "slow-body",
+            Self::NotReady => "not-ready",
+            Self::Stopping => "stopping",
+            Self::Late(_) => "late",
+            Self::NoEndpoint(_) => "no-endpoint",
+            Self::NotTaken(_) => "not-taken",
+            Self::AnswerLost => "answer-lost",
+            Self::TooLate => "too-late",
+            Self::DeadlinePassed => "deadline-passed",
+        }
+    }
+
     fn status(self) -> StatusCode {
         match self {
             Self::NoSuchRoute => StatusCode::NOT_FOUND,
--- a/components/gateway/src/steward/change.rs
+++ b/components/gateway/src/steward/change.rs
@@ -114,6 +114,8 @@
     };
     let answer = call(&wish.target, gateway.edges.dialect.order(&order)).await;
     let ordered = answer.map(|(status, _)| gateway.edges.dialect.ordered(status));
+    let label = ordered.map_or_else(|| "unanswered".to_owned(), |ordered| ordered.to_string());
+    gateway.metrics.orders.with_label_values(&[&label]).inc();
     let outcome = ordered.map_or("no answer".to_owned(), |ordered| ordered.to_string());
     log::info!(
         engine = &*wish.target.id.0, to:% = wish.stage, epoch, after = report.orders, outcome;
--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -107,7 +107,9 @@
         let transaction = Transaction::default()
             .check(LEASE, held.version)
             .write(RENEWAL, json(&renewal));
-        match gateway.edges.table.commit(transaction).await {
+        let outcome = gateway.edges.table.commit(transaction).await;
+        gateway.count_call("renew", outcome.is_ok());
+        match outcome {
             Ok(Outcome::Committed(_)) => {
                 self.held = Some(Held {
                     renewals: renewal.count,
@@ -153,7 +155,9 @@
             keys: Vec::new(),
             prefixes: vec![PREFIX.to_owned()],
         };
-        let rows = match gateway.edges.table.read(read).await {
+        let read = gateway.edges.table.read(read).await;
+        gateway.count_call("lease", read.is_ok());
+        let rows = match read {
             Ok(rows) => rows,
             Err(error) => {
                 gateway.note_store(false);
@@ -207,7 +211,9 @@
             .check(LEASE, version)
             .write(LEASE, json(&next))
             .write(RENEWAL, json(&renewal));
-        match gateway.edges.table.commit(transaction).await {
+        let outcome = gateway.edges.table.commit(transaction).await;
+        gateway.count_call("take", outcome.is_ok());
+        match outcome {
             Ok(Outcome::Committed(version)) => {
                 self.taken = next.epoch;
                 self.held = Some(Held {
--- /dev/null
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -0,0 +1,125 @@
+//! Metrics of one gateway. Label sets are bounded: services come from the operators' configuration, the
+//! rest are closed sets.
+
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
+
+use super::{counters, histogram, text};
+
+/// All metrics of a gateway.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that an endpoint answered, by service and how the answer ended.
+    pub answers: IntCounterVec,
+    /// Refusals, by reason.
+    pub refusals: IntCounterVec,
+    /// Attempts that failed, by service and cause.
+    pub failures: IntCounterVec,
+    /// Repeats, by service and whether the budget allowed them.
+    pub repeats: IntCounterVec,
+    /// Long answers that left their engine, by outcome.
+    pub moves: IntCounterVec,
+    /// Orders to engines, by outcome.
+    pub orders: IntCounterVec,
+    /// Calls to the platform's store, by what they were for and whether the store answered.
+    pub calls: IntCounterVec,
+    /// Time to the first bytes of an answer, by service.
+    pub first: HistogramVec,
+    /// Time to the end of an answer, by service.
+    pub whole: HistogramVec,
+    /// The version of the configuration in force.
+    pub configuration: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+    /// Requests under way.
+    pub under_way: IntGauge,
+    /// Peers that are heard.
+    pub peers: IntGauge,
+    /// Endpoints that are listed.
+    pub endpoints: IntGauge,
+    /// Times that the settings file was read again.
+    pub reloads: IntCounter,
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// The library's error when two metrics share a name.
+    pub fn new() -> prometheus::Result<Self> {
+        let metrics = Self {
+            registry: Registry::new(),
+            answers: counters("answers_total", "Answers.", &["service", "outcome"])?,
+            refusals: counters("refusals_total", "Refusals.", &["reason"])?,
+            failures: counters(
+                "attempt_failures_total",
+                "Attempts that failed.",
+                &["service", "cause"],
+            )?,
+            repeats: counters(
+                "repeats_total",
+                "Arrivals at endpoints beyond the first.",
+                &["service", "allowed"],
+            )?,
+            moves: counters(
+                "moves_total",
+                "Answers that left their engine.",
+                &["outcome"],
+            )?,
+            orders: counters("orders_total", "Orders to engines.", &["outcome"])?,
+            calls: counters(
+                "store_calls_total",
+                "Calls to the store.",
+                &["call", "answered"],
+            )?,
+            first: histogram("first_seconds", "Time to the first bytes.", &["service"])?,
+            whole: histogram("request_seconds", "Time to the end.", &["service"])?,
+            configuration: gauge("configuration_version", "Configuration in force.")?,
+            connections: gauge("connections", "Open connections of callers.")?,
+            under_way: gauge("requests_under_way", "Requests under way.")?,
+            peers: gauge("peers", "Peers that are heard.")?,
+            endpoints: gauge("endpoints", "Endpoints that are listed.")?,
+            reloads: IntCounter::new("wrenramp_reloads_total", "Reads of changed settings.")?,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    /// The metrics in the text form that Prometheus reads.
+    #[must_use]
+    pub fn text(&self) -> Vec<u8> {
+        text(&self.registry)
+    }
+
+    fn register(&self) -> prometheus::Result<()> {
+        for counters in [
+            &self.answers,
+            &self.refusals,
+            &self.failures,
+            &self.repeats,
+            &self.moves,
+            &self.orders,
+            &self.calls,
+        ] {
+            self.registry.register(Box::new(counters.clone()))?;
+        }
+        for histogram in [&self.first, &self.whole] {
+            self.registry.register(Box::new(histogram.clone()))?;
+        }
+        for gauge in [
+            &self.configuration,
+            &self.connections,
+            &self.under_way,
+            &self.peers,
+            &self.endpoints,
+        ] {
+            self.registry.register(Box::new(gauge.clone()))?;
+        }
+        self.registry.register(Box::new(self.reloads.clone()))
+    }
+}
+
+fn gauge(name: &str, help: &str) -> prometheus::Result<IntGauge> {
+    IntGauge::new(format!("wrenramp_{name}"), help)
+}
--- a/components/telemetry/src/metrics/mod.rs
+++ b/components/telemetry/src/metrics/mod.rs
@@ -1,10 +1,15 @@
 //! Metrics of one daemon. Label sets are bounded: services and groups come from the settings.
 
+pub mod gateway;
+
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
 
+/// A gauge of a metric that is read as it is.
+pub use prometheus::IntGauge as Gauge;
+
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS: &[f64] = &[
     0.001, 0.005, 0.01, 0.026, 0.05, 0.1, 0.25, 0.5, 1.3, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0,
@@ -62,9 +67,17 @@
                 "Tokens of whole answers in time.",
                 &["service", "group"],
             )?,
-            queue: histogram("queue_seconds", "Time in the queue.")?,
-            first: histogram("first_token_seconds", "Time to the first token.")?,
-            whole: histogram("request_seconds", "Time to the end of the answer.")?,
+            queue: histogram("queue_seconds", "Time in the queue.", &["service", "group"])?,
+            first: histogram(
+                "first_token_seconds",
+                "Time to the first token.",
+                &["service", "group"],
+            )?,
+            whole: histogram(
+                "request_seconds",
+                "Time to the end of the answer.",
+                &["service", "group"],
+            )?,
             retries: counters("retries_total", "Attempts after the first.", &["reason"])?,
             dropped: counters("dropped_frames_total", "Frames dropped.", &["verdict"])?,
             orders: counters("orders_total", "Orders to engines.", &["outcome"])?,
@@ -81,10 +94,7 @@
     /// The metrics in the text form that Prometheus reads.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        // writing into memory does not fail
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        text
+        text(&self.registry)
     }
 
     fn register(&self) -> prometheus::Result<()> {
@@ -113,10 +123,14 @@
     IntCounterVec::new(Opts::new(format!("wrenramp_{name}"), help), labels)
 }
 
-fn histogram(name: &str, help: &str) -> prometheus::Result<HistogramVec> {
+fn histogram(name: &str, help: &str, labels: &[&str]) -> prometheus::Result<HistogramVec> {
     let options = HistogramOpts::new(format!("wrenramp_{name}"), help);
-    HistogramVec::new(
-        options.buckets(LATENCY_BUCKETS.to_vec()),
-        &["service", "group"],
-    )
+    HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), labels)
+}
+
+fn text(registry: &Registry) -> Vec<u8> {
+    let mut text = Vec::new();
+    // writing into memory does not fail
+    let _ = TextEncoder::new().encode(&registry.gather(), &mut text);
+    text
 }
--- a/src/bin/wrenrampd.rs
+++ b/src/bin/wrenrampd.rs
@@ -112,19 +112,39 @@
             .enable_all()
             .build()?,
     };
-    runtime.block_on(run_gateway(settings))
+    runtime.block_on(run_gateway(file, settings))
 }
 
+/// Between two looks whether the settings file has changed without a signal. Operators may change it
+/// so, and reading a small file is cheap.
+const LOOK: std::time::Duration = std::time::Duration::from_secs(2);
+
 /// Runs the gateway to its planned end and says how many requests were cut.
-async fn run_gateway(settings: gateway::Settings) -> Ended {
+async fn run_gateway(file: &Path, settings: gateway::Settings) -> Ended {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let edges = platform::edges(settings.store.address);
+    let mut seen = settings.clone();
+    let mut readable = true;
     let mut running = ::gateway::start(settings, edges).await?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = hangup.recv() => log::info!("told that the settings changed"),
+            () = tokio::time::sleep(LOOK) => {}
+        }
+        match gateway::Settings::load(file) {
+            Ok(new) if new != seen => {
+                running.reload(&new);
+                seen = new;
+            }
+            Ok(_) => readable = true,
+            Err(error) if readable => {
+                readable = false;
+                log::error!(error:%; "the settings stay as they are");
+            }
+            // it was said already
+            Err(_) => {}
         }
     }
     running.stop();
