Part the process's ledger and its pauses from the process itself

Change: what is counted and learnt of services, and how the store is asked again, stand in files of their own; no behaviour changes.

--- /dev/null
+++ b/components/gateway/src/process/ledger.rs
@@ -0,0 +1,195 @@
+//! What is counted and learnt of each service: its budget of repeats, what callers asked of it, and how
+//! fast its engines are.
+
+use std::{sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use policy::{
+    learn::{Margin, Pace},
+    retry::Window,
+};
+
+use super::Gateway;
+use crate::endpoint::{Stage, Target};
+
+/// What callers asked of a service so far; only its growth means anything.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Asked {
+    /// Work of prompts worth reading apart, beyond what engines were known to hold.
+    pub reading: u64,
+    /// Tokens that long answers were expected to have.
+    pub writing: u64,
+}
+
+impl Asked {
+    /// Both together.
+    #[must_use]
+    pub fn with(self, other: Self) -> Self {
+        Self {
+            reading: self.reading + other.reading,
+            writing: self.writing + other.writing,
+        }
+    }
+
+    /// What was asked since.
+    #[must_use]
+    pub fn since(self, before: Self) -> Self {
+        Self {
+            reading: self.reading.saturating_sub(before.reading),
+            writing: self.writing.saturating_sub(before.writing),
+        }
+    }
+}
+
+/// What is counted and learnt of a service.
+#[derive(Debug)]
+pub struct Ledger {
+    /// Repeats that were sent to it.
+    repeats: Window,
+    /// What callers of this process asked of it.
+    asked: Asked,
+    /// How much later than expected its answers begin.
+    margin: Margin,
+    /// How fast its engines read, and write, on average.
+    paces: [Pace; 2],
+    /// The longest time between tokens with which each long answer so far could end in time, in
+    /// microseconds.
+    bearable: f64,
+}
+
+impl Ledger {
+    fn new(window: policy::Micros) -> Self {
+        Self {
+            repeats: Window::new(window),
+            asked: Asked::default(),
+            margin: Margin::default(),
+            paces: [Pace::of_reader(), Pace::of_writer()],
+            bearable: f64::MAX,
+        }
+    }
+}
+
+/// What is counted and learnt of all services, sorted by service.
+#[derive(Debug, Default)]
+pub struct Ledgers(Mutex<Vec<(Arc<str>, Ledger)>>);
+
+impl Gateway {
+    /// Counts a request to a service, which allows for repeats.
+    pub fn count_request(&self, service: &Arc<str>) {
+        let now = self.micros();
+        self.with_ledger(service, |ledger| ledger.repeats.request(now));
+    }
+
+    /// Takes one repeat out of the service's budget, if there is one.
+    pub fn spend_repeat(&self, service: &Arc<str>) -> bool {
+        let now = self.micros();
+        let (ratio, slack) = self.repeat_bounds();
+        let allowed = self.with_ledger(service, |ledger| ledger.repeats.spend(now, ratio, slack));
+        let labels = [&**service, if allowed { "yes" } else { "no" }];
+        self.metrics.repeats.with_label_values(&labels).inc();
+        allowed
+    }
+
+    /// Counts a repeat that nobody asked whether it may be.
+    pub fn force_repeat(&self, service: &Arc<str>) {
+        let now = self.micros();
+        let labels = [&**service, "unasked"];
+        self.metrics.repeats.with_label_values(&labels).inc();
+        self.with_ledger(service, |ledger| ledger.repeats.force(now));
+    }
+
+    /// Whether there is a repeat left in the service's budget.
+    pub fn may_repeat(&self, service: &Arc<str>) -> bool {
+        let now = self.micros();
+        let (ratio, slack) = self.repeat_bounds();
+        self.with_ledger(service, |ledger| ledger.repeats.has(now, ratio, slack))
+    }
+
+    /// This process's part of the operators' bounds on repeats.
+    fn repeat_bounds(&self) -> (f64, f64) {
+        let bounds = self.bounds.read();
+        let sharers = policy::real(self.peers.count() + 1);
+        (bounds.retry_ratio, bounds.retry_slack / sharers)
+    }
+
+    /// Counts what a service is asked for.
+    pub fn count_demand(&self, service: &Arc<str>, asked: Asked) {
+        self.with_ledger(service, |ledger| ledger.asked = ledger.asked.with(asked));
+    }
+
+    /// What callers of this process asked of each service so far.
+    pub fn own_demands(&self) -> Vec<(Arc<str>, Asked)> {
+        let ledgers = self.ledgers.0.lock();
+        ledgers
+            .iter()
+            .map(|(service, ledger)| (Arc::clone(service), ledger.asked))
+            .collect()
+    }
+
+    /// What a service was asked for, here and at the peers, since each was first heard.
+    pub fn demand(&self, service: &Arc<str>) -> Asked {
+        let own = self.with_ledger(service, |ledger| ledger.asked);
+        own.with(self.peers.demand(service))
+    }
+
+    /// Notes a long answer of at most so many tokens, which has so much time.
+    pub fn count_long(&self, service: &Arc<str>, tokens: u64, time: Duration) {
+        let bearable = policy::real(policy::micros(time)) / policy::real(tokens.max(1));
+        self.with_ledger(service, |ledger| {
+            ledger.bearable = ledger.bearable.min(bearable);
+        });
+    }
+
+    /// The longest time between tokens with which each long answer so far could end in time, in
+    /// microseconds.
+    pub fn bearable(&self, service: &Arc<str>) -> f64 {
+        self.with_ledger(service, |ledger| ledger.bearable)
+    }
+
+    /// How much later than expected most answers of a service begin, in microseconds.
+    pub fn margin(&self, service: &Arc<str>) -> f64 {
+        self.with_ledger(service, |ledger| ledger.margin.us())
+    }
+
+    /// Learns from an answer that was expected to begin after one time and began after another.
+    pub fn learn_margin(&self, service: &Arc<str>, expected: f64, took: policy::Micros) {
+        self.with_ledger(service, |ledger| ledger.margin.learn(expected, took));
+    }
+
+    /// How fast engines of a service are on average in a stage.
+    pub fn pace(&self, service: &Arc<str>, stage: Stage) -> Pace {
+        self.with_ledger(service, |ledger| {
+            ledger.paces[usize::from(stage == Stage::Decode)]
+        })
+    }
+
+    /// Learns how fast an engine is: its own pace, and its service's.
+    pub fn learn_pace(&self, target: &Target, learn: impl Fn(&mut Pace)) {
+        let (service, stage) = target.with(|state| {
+            let stage = state.profile.stage.unwrap_or(Stage::Decode);
+            (Arc::clone(&state.profile.service), stage)
+        });
+        let common = self.with_ledger(&service, |ledger| {
+            let pace = &mut ledger.paces[usize::from(stage == Stage::Decode)];
+            learn(pace);
+            *pace
+        });
+        target.with(|state| match &mut state.pace {
+            Some(pace) => learn(pace),
+            None => state.pace = Some(common),
+        });
+    }
+
+    fn with_ledger<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut Ledger) -> T) -> T {
+        let mut ledgers = self.ledgers.0.lock();
+        let at = match ledgers.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                let window = policy::micros(self.bounds.read().retry_window_s);
+                ledgers.insert(at, (Arc::clone(service), Ledger::new(window)));
+                at
+            }
+        };
+        f(&mut ledgers[at].1)
+    }
+}
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -1,13 +1,16 @@
 //! What lives as long as the process: its identity, what it knows, and its loops.
 
+mod backoff;
 mod configuration;
 mod endpoints;
 mod follow;
+mod ledger;
 mod reload;
 mod status;
 mod stop;
 
 pub use follow::List;
+pub use ledger::Asked;
 pub use stop::Stop;
 
 use std::{
@@ -16,25 +19,22 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
 };
 
 use cloud::table::Table;
-use parking_lot::{Mutex, RwLock};
-use policy::{
-    learn::{Margin, Pace},
-    retry::Window,
-};
+use parking_lot::RwLock;
 use settings::gateway::{Bounds, Settings};
 use telemetry::metrics::gateway::Metrics;
 use tokio::{net::TcpListener, net::UdpSocket, sync::watch, task::JoinSet, time::Instant};
 
+use backoff::{Backoff, next};
 use follow::Changed;
+use ledger::Ledgers;
 
 use crate::{
     connection,
-    edge::{Dialect, Directory, From},
-    endpoint::{Registry, Stage, Target},
+    edge::{Dialect, Directory},
+    endpoint::Registry,
     error::Error,
     peer::{self, Peers},
     steward::{self, Steward},
@@ -64,63 +64,6 @@
     pub table: Arc<dyn Table>,
 }
 
-/// What callers asked of a service so far; only its growth means anything.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Asked {
-    /// Work of prompts worth reading apart, beyond what engines were known to hold.
-    pub reading: u64,
-    /// Tokens that long answers were expected to have.
-    pub writing: u64,
-}
-
-impl Asked {
-    /// Both together.
-    #[must_use]
-    pub fn with(self, other: Self) -> Self {
-        Self {
-            reading: self.reading + other.reading,
-            writing: self.writing + other.writing,
-        }
-    }
-
-    /// What was asked since.
-    #[must_use]
-    pub fn since(self, before: Self) -> Self {
-        Self {
-            reading: self.reading.saturating_sub(before.reading),
-            writing: self.writing.saturating_sub(before.writing),
-        }
-    }
-}
-
-/// What is counted and learnt of a service.
-#[derive(Debug)]
-struct Ledger {
-    /// Repeats that were sent to it.
-    repeats: Window,
-    /// What callers of this process asked of it.
-    asked: Asked,
-    /// How much later than expected its answers begin.
-    margin: Margin,
-    /// How fast its engines read, and write, on average.
-    paces: [Pace; 2],
-    /// The longest time between tokens with which each long answer so far could end in time, in
-    /// microseconds.
-    bearable: f64,
-}
-
-impl Ledger {
-    fn new(window: policy::Micros) -> Self {
-        Self {
-            repeats: Window::new(window),
-            asked: Asked::default(),
-            margin: Margin::default(),
-            paces: [Pace::of_reader(), Pace::of_writer()],
-            bearable: f64::MAX,
-        }
-    }
-}
-
 /// The state that the parts of a gateway share.
 pub struct Gateway {
     /// Its settings as it started.
@@ -155,7 +98,7 @@
     /// The last changes of the operators' lists that this process knows.
     pub changed: Changed,
     /// What is counted and learnt of each service, sorted by service.
-    ledgers: Mutex<Vec<(Arc<str>, Ledger)>>,
+    ledgers: Ledgers,
     started: Instant,
 }
 
@@ -185,125 +128,6 @@
         newer
     }
 
-    /// Counts a request to a service, which allows for repeats.
-    pub fn count_request(&self, service: &Arc<str>) {
-        let now = self.micros();
-        self.with_ledger(service, |ledger| ledger.repeats.request(now));
-    }
-
-    /// Takes one repeat out of the service's budget, if there is one.
-    pub fn spend_repeat(&self, service: &Arc<str>) -> bool {
-        let now = self.micros();
-        let (ratio, slack) = self.repeat_bounds();
-        let allowed = self.with_ledger(service, |ledger| ledger.repeats.spend(now, ratio, slack));
-        let labels = [&**service, if allowed { "yes" } else { "no" }];
-        self.metrics.repeats.with_label_values(&labels).inc();
-        allowed
-    }
-
-    /// Counts a repeat that nobody asked whether it may be.
-    pub fn force_repeat(&self, service: &Arc<str>) {
-        let now = self.micros();
-        let labels = [&**service, "unasked"];
-        self.metrics.repeats.with_label_values(&labels).inc();
-        self.with_ledger(service, |ledger| ledger.repeats.force(now));
-    }
-
-    /// Whether there is a repeat left in the service's budget.
-    pub fn may_repeat(&self, service: &Arc<str>) -> bool {
-        let now = self.micros();
-        let (ratio, slack) = self.repeat_bounds();
-        self.with_ledger(service, |ledger| ledger.repeats.has(now, ratio, slack))
-    }
-
-    /// This process's part of the operators' bounds on repeats.
-    fn repeat_bounds(&self) -> (f64, f64) {
-        let bounds = self.bounds.read();
-        let sharers = policy::real(self.peers.count() + 1);
-        (bounds.retry_ratio, bounds.retry_slack / sharers)
-    }
-
-    /// Counts what a service is asked for.
-    pub fn count_demand(&self, service: &Arc<str>, asked: Asked) {
-        self.with_ledger(service, |ledger| ledger.asked = ledger.asked.with(asked));
-    }
-
-    /// What callers of this process asked of each service so far.
-    pub fn own_demands(&self) -> Vec<(Arc<str>, Asked)> {
-        let ledgers = self.ledgers.lock();
-        ledgers
-            .iter()
-            .map(|(service, ledger)| (Arc::clone(service), ledger.asked))
-            .collect()
-    }
-
-    /// What a service was asked for, here and at the peers, since each was first heard.
-    pub fn demand(&self, service: &Arc<str>) -> Asked {
-        let own = self.with_ledger(service, |ledger| ledger.asked);
-        own.with(self.peers.demand(service))
-    }
-
-    /// Notes a long answer of at most so many tokens, which has so much time.
-    pub fn count_long(&self, service: &Arc<str>, tokens: u64, time: Duration) {
-        let bearable = policy::real(policy::micros(time)) / policy::real(tokens.max(1));
-        self.with_ledger(service, |ledger| {
-            ledger.bearable = ledger.bearable.min(bearable);
-        });
-    }
-
-    /// The longest time between tokens with which each long answer so far could end in time, in
-    /// microseconds.
-    pub fn bearable(&self, service: &Arc<str>) -> f64 {
-        self.with_ledger(service, |ledger| ledger.bearable)
-    }
-
-    /// How much later than expected most answers of a service begin, in microseconds.
-    pub fn margin(&self, service: &Arc<str>) -> f64 {
-        self.with_ledger(service, |ledger| ledger.margin.us())
-    }
-
-    /// Learns from an answer that was expected to begin after one time and began after another.
-    pub fn learn_margin(&self, service: &Arc<str>, expected: f64, took: policy::Micros) {
-        self.with_ledger(service, |ledger| ledger.margin.learn(expected, took));
-    }
-
-    /// How fast engines of a service are on average in a stage.
-    pub fn pace(&self, service: &Arc<str>, stage: Stage) -> Pace {
-        self.with_ledger(service, |ledger| {
-            ledger.paces[usize::from(stage == Stage::Decode)]
-        })
-    }
-
-    /// Learns how fast an engine is: its own pace, and its service's.
-    pub fn learn_pace(&self, target: &Target, learn: impl Fn(&mut Pace)) {
-        let (service, stage) = target.with(|state| {
-            let stage = state.profile.stage.unwrap_or(Stage::Decode);
-            (Arc::clone(&state.profile.service), stage)
-        });
-        let common = self.with_ledger(&service, |ledger| {
-            let pace = &mut ledger.paces[usize::from(stage == Stage::Decode)];
-            learn(pace);
-            *pace
-        });
-        target.with(|state| match &mut state.pace {
-            Some(pace) => learn(pace),
-            None => state.pace = Some(common),
-        });
-    }
-
-    fn with_ledger<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut Ledger) -> T) -> T {
-        let mut ledgers = self.ledgers.lock();
-        let at = match ledgers.binary_search_by(|(name, _)| name.cmp(service)) {
-            Ok(at) => at,
-            Err(at) => {
-                let window = policy::micros(self.bounds.read().retry_window_s);
-                ledgers.insert(at, (Arc::clone(service), Ledger::new(window)));
-                at
-            }
-        };
-        f(&mut ledgers[at].1)
-    }
-
     /// Whether the store answered this process's last call.
     pub fn store_answers(&self) -> bool {
         self.store_answers.load(Ordering::Relaxed)
@@ -451,7 +275,7 @@
         endpoints_read: watch::Sender::new(false),
         store_answers: AtomicBool::new(false),
         changed: Changed::default(),
-        ledgers: Mutex::default(),
+        ledgers: Ledgers::default(),
         started: Instant::now(),
         settings,
     })
@@ -478,54 +302,3 @@
     *address = socket.local_addr().map_err(failed)?;
     Ok(socket)
 }
-
-/// How long the store may wait for a change before it answers that there is none.
-///
-/// A call that was on its way when the store went silent is lost without a word. It must be noticed,
-/// and the list read again, within the three seconds after the store's return that operators grant
-/// (`stable_window_ms` of the first deployments); each call is paid for, so not much sooner.
-const WAIT: Duration = Duration::from_millis(2_200);
-
-/// How a list is read next.
-fn next(revision: u64, answered: bool) -> From {
-    // a store that failed is asked for a plain answer until it gives one
-    let wait = if answered { WAIT } else { Duration::ZERO };
-    From::After { revision, wait }
-}
-
-/// A pause between two tries of a call that failed; each is twice the one before it.
-#[derive(Clone, Copy, Debug)]
-struct Backoff {
-    next: Duration,
-}
-
-/// The first pause: a lost answer alone is no reason to wait.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-/// The longest pause: a store that is back must be found well within the time that a configuration
-/// has to be in force.
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-/// The longest pause of a process that others tell of the store's return. Together with the pause
-/// above it is well within the three seconds that operators grant after an outage
-/// (`stable_window_ms` of the first deployments).
-const FOLLOWERS_PAUSE: Duration = Duration::from_millis(1_500);
-
-impl Default for Backoff {
-    fn default() -> Self {
-        Self { next: FIRST_PAUSE }
-    }
-}
-
-impl Backoff {
-    /// Waits, and doubles the next pause.
-    async fn wait(&mut self, gateway: &Gateway) {
-        let longest = if follow::looks_first(gateway) {
-            LONGEST_PAUSE
-        } else {
-            FOLLOWERS_PAUSE
-        };
-        // processes that failed together do not come back together
-        let part: f64 = rand::random_range(0.5..1.0);
-        tokio::time::sleep(self.next.mul_f64(part)).await;
-        self.next = (self.next * 2).min(longest);
-    }
-}
