Count each read that an engine fails against the budget of repeats

The first read of a prompt is free once accepted, and the gateway took each read as free until one was; only reads that were turned away as not run counted, not those that an engine failed with an error of its own. Change: one read is free, each further one asks the budget, and so does a run after a read that failed.

--- a/components/gateway/src/request/effort.rs
+++ b/components/gateway/src/request/effort.rs
@@ -133,38 +133,48 @@
 
 /// Arrivals of one request at endpoints, as the operators' budget of repeats counts them.
 ///
-/// The first call that has the prompt read is free, once an engine has accepted it. Of all others the
-/// first is the request itself, and the rest are repeats.
+/// The first call that has the prompt read is free if an engine accepts it; one that an engine rejects or
+/// fails counts like a run, and so does each further one. Of all that count the first is the request
+/// itself, and the rest are repeats.
 #[derive(Debug, Default)]
 pub struct Arrivals {
-    counted: AtomicU32,
-    read: AtomicBool,
+    runs: AtomicU32,
+    reads: AtomicU32,
+    /// Whether the last read was accepted.
+    accepted: AtomicBool,
 }
 
 impl Arrivals {
     /// Counts an arrival that is about to be. Says whether the budget allows it.
     pub fn begin(&self, job: &Job, phase: Phase) -> bool {
-        if phase == Phase::Read && !self.read.load(Ordering::Relaxed) {
-            return true;
-        }
-        let before = self.counted.load(Ordering::Relaxed);
-        // a second read is a repeat also where nothing else has arrived yet
-        let repeat = before > 0 || phase == Phase::Read;
+        let reads = self.reads.load(Ordering::Relaxed);
+        let runs = self.runs.load(Ordering::Relaxed);
+        let (repeat, count) = match phase {
+            Phase::Read => (reads > 0, &self.reads),
+            // a read that failed has arrived before it
+            Phase::Run => {
+                let failed_read = reads > 0 && !self.accepted.load(Ordering::Relaxed);
+                (runs > 0 || failed_read, &self.runs)
+            }
+        };
         let allowed = !repeat || job.gateway.spend_repeat(&job.service.name);
         if allowed {
-            self.counted.fetch_add(1, Ordering::Relaxed);
+            count.fetch_add(1, Ordering::Relaxed);
         }
         allowed
     }
 
     /// Takes that an engine accepted to read the prompt.
     pub fn accepted(&self) {
-        self.read.store(true, Ordering::Relaxed);
+        self.accepted.store(true, Ordering::Relaxed);
     }
 
-    /// Takes that an engine rejected a first read, which was not counted as an arrival until then.
-    pub fn rejected(&self, job: &Job) {
-        if !self.read.load(Ordering::Relaxed) && self.counted.fetch_add(1, Ordering::Relaxed) > 0 {
+    /// Takes that the last read failed. A first one was thought to be free, and is a repeat if a run has
+    /// arrived before it.
+    pub fn read_failed(&self, job: &Job) {
+        self.accepted.store(false, Ordering::Relaxed);
+        let first = self.reads.load(Ordering::Relaxed) == 1;
+        if first && self.runs.load(Ordering::Relaxed) > 0 {
             job.gateway.force_repeat(&job.service.name);
         }
     }
--- a/components/gateway/src/request/generate/read.rs
+++ b/components/gateway/src/request/generate/read.rs
@@ -79,18 +79,19 @@
     });
     let answer = match attempt::send(job, target, &directive, until).await {
         Ok(answer) => answer,
-        Err(Cause::TimeOver) if late => return Err(failed(Cause::GaveWay)),
         Err(cause) => {
-            if matches!(cause, Cause::NotRun(_)) {
-                job.arrivals.rejected(job);
-            }
-            return Err(failed(cause));
+            job.arrivals.read_failed(job);
+            return Err(failed(match cause {
+                Cause::TimeOver if late => Cause::GaveWay,
+                cause => cause,
+            }));
         }
     };
     let status = answer.head.status;
     let body = Limited::new(answer.body, HANDLE_BYTES).collect().await;
     let body = body.map_err(|_| failed(Cause::Broken))?.to_bytes();
     if !status.is_success() {
+        job.arrivals.read_failed(job);
         return Err(failed(Cause::Failed(status.as_u16())));
     }
     job.arrivals.accepted();
