Take nothing late in a planned stop that a silent engine could hold

Change: once the balancer sends nothing any more, a request is taken only if its whole time fits, else refused as not run.

--- a/components/gateway/src/request/generate/timing.rs
+++ b/components/gateway/src/request/generate/timing.rs
@@ -77,15 +77,6 @@
         Plan::Split { decode, .. } => decode,
     };
     let step = view.engines[writer].pace.step_us;
-    let after = |tokens: u64, step: f64| {
-        let us = choice.first + policy::real(tokens) * step;
-        Duration::from_micros(policy::count(us * LONGER))
-    };
-    let most = job
-        .ask
-        .prompt
-        .as_ref()
-        .map_or(0, |prompt| prompt.most_output);
-    let stretched = step * Weights::default().stretch;
-    job.ends_before_stop(after(ask(job).output, step), after(most, stretched))
+    let us = choice.first + policy::real(ask(job).output) * step;
+    job.ends_before_stop(Duration::from_micros(policy::count(us * LONGER)))
 }
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -93,14 +93,19 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Whether it will have ended before this process does: after so long by expectation, after
-    /// `most` at the latest.
-    pub fn ends_before_stop(&self, expected: Duration, most: Duration) -> bool {
+    /// Whether it will have ended before this process does: after so long by
+    /// expectation. What comes when the balancer sends nothing any more must not be cut even if its
+    /// endpoint falls silent, so its whole time has to fit.
+    pub fn ends_before_stop(&self, expected: Duration) -> bool {
         let now = Instant::now();
         self.gateway.stop().is_none_or(|stop| {
             // the balancer still sends until then, and takes no cut amiss
-            let takes = if now < stop.quiet { expected } else { most };
-            (now + takes).min(self.deadline) <= stop.end
+            let ends = if now < stop.quiet {
+                (now + expected).min(self.deadline)
+            } else {
+                self.deadline
+            };
+            ends <= stop.end
         })
     }
 
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -30,7 +30,7 @@
 
 /// Serves a request.
 pub async fn serve(job: Job) -> Result<Response<Body>, Reason> {
-    if !job.ends_before_stop(job.route.objective, job.time_left()) {
+    if !job.ends_before_stop(job.route.objective) {
         return Err(Reason::Stopping);
     }
     let mut effort = Effort::default();
