--- a/components/gateway/src/process/backoff.rs
+++ b/components/gateway/src/process/backoff.rs
@@ -33,7 +33,7 @@
 /// The longest pause of a process that others tell of the store's return. Together with the pause
 /// above it is well within the three seconds that operators grant after an outage
 /// (`stable_window_ms` of the first deployments).
-const FOLLOWERS_PAUSE: Duration = Duration::from_millis(1_500);
+const FOLLOWERS_PAUSE: Duration = Duration::from_millis(500);
 
 impl Default for Backoff {
     fn default() -> Self {
