Read the endpoints once more when new readers are followed

And a follower trusted readers that had read the list after something went from it: what went leaves no row, so the readers had nothing to tell, and the follower kept the endpoint until the next change.

Ruled out: noting the revision of each first read, which makes all gateways call the store whenever one starts.

Change: a follower remembers which incarnations of readers it had heard before its last read, and reads once when it follows none of them.

--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -62,6 +62,13 @@
     ordered: Option<Instant>,
 }
 
+/// One incarnation of a peer that reads the operators' lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reader {
+    address: SocketAddr,
+    incarnation: u64,
+}
+
 /// The gateways that are known, sorted by address.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -125,15 +132,19 @@
         (last.ceded > 0).then(|| last.ordered.map_or(never, |ordered| ordered.elapsed()))
     }
 
-    /// How many live peers with lower addresses read the operators' lists in a data centre.
-    pub fn readers(&self, own: SocketAddr, data_centre: &str) -> usize {
+    /// The live peers with lower addresses that read the operators' lists in a data centre.
+    pub fn readers(&self, own: SocketAddr, data_centre: &str) -> Vec<Reader> {
         let now = Instant::now();
         let known = self.known.lock();
         known
             .iter()
             .filter(|peer| peer.address < own && *peer.data_centre == *data_centre)
             .filter(|peer| peer.reads && peer.store_answers && peer.is_live(now))
-            .count()
+            .map(|peer| Reader {
+                address: peer.address,
+                incarnation: peer.incarnation,
+            })
+            .collect()
     }
 
     /// The revision of the last change of a list that any live peer knows.
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -52,6 +52,7 @@
         match answer {
             Ok(update) => {
                 backoff = Backoff::default();
+                wait.caught_up();
                 list.take(update);
             }
             Err(Failure::HistoryGone) => {
--- a/components/gateway/src/process/follow.rs
+++ b/components/gateway/src/process/follow.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use super::Gateway;
-use crate::edge::From;
+use crate::{edge::From, peer::Reader};
 
 /// Gateways of a data centre that read the lists: one may fail without anything becoming older.
 const READERS: usize = 2;
@@ -63,8 +63,13 @@
 /// Whether this process reads the lists itself: few enough before it, by address, do in its data
 /// centre and are answered.
 pub fn reads(gateway: &Gateway) -> bool {
+    readers(gateway).len() < READERS
+}
+
+/// The processes before this one that read the lists.
+fn readers(gateway: &Gateway) -> Vec<Reader> {
     let own = &gateway.settings.gateway;
-    gateway.peers.readers(own.peers, &own.data_centre) < READERS
+    gateway.peers.readers(own.peers, &own.data_centre)
 }
 
 /// What a follower waits for.
@@ -73,6 +78,11 @@
     list: List,
     /// Since when it has been behind of what it was told, and how long it waits.
     behind: Option<(Instant, Duration)>,
+    /// The readers that were heard before the list was last read here: whatever went since has been
+    /// seen by each of them, and is told.
+    followed: Vec<Reader>,
+    /// The readers heard before the read that is under way.
+    heard: Vec<Reader>,
 }
 
 /// What is to be done after a look.
@@ -89,7 +99,12 @@
 impl Wait {
     /// Waits for changes of a list.
     pub fn new(list: List) -> Self {
-        Self { list, behind: None }
+        Self {
+            list,
+            behind: None,
+            followed: Vec::new(),
+            heard: Vec::new(),
+        }
     }
 
     /// The time until the next look.
@@ -103,10 +118,17 @@
             From::Start => return Turn::Read,
             From::After { revision, .. } => revision,
         };
-        if reads(gateway) {
+        let readers = readers(gateway);
+        if readers.len() < READERS {
             self.behind = None;
+            self.followed.clear();
+            self.heard.clear();
             return Turn::Read;
         }
+        if !self.overlaps(&readers) {
+            self.heard = readers;
+            return Turn::CatchUp;
+        }
         if gateway.peers.changed(self.list) <= revision {
             self.behind = None;
             return Turn::Rest;
@@ -119,6 +141,21 @@
             return Turn::Rest;
         }
         self.behind = None;
+        self.heard = readers;
         Turn::CatchUp
     }
+
+    /// Takes that the list has been read.
+    pub fn caught_up(&mut self) {
+        if !self.heard.is_empty() {
+            self.followed = std::mem::take(&mut self.heard);
+        }
+    }
+
+    /// Whether all that goes from the list is told: one of the readers has read it before this process
+    /// last did. What went earlier than a reader's first read leaves no row that it could tell of. Of the
+    /// configuration nothing ever goes.
+    fn overlaps(&self, readers: &[Reader]) -> bool {
+        self.list == List::Configuration || readers.iter().any(|r| self.followed.contains(r))
+    }
 }
