Have a moved answer that is turned away go on where it stopped

Cause: an answer that left its engine went on only at the engine with its copy; if that one turned it away (421, its stage had changed meanwhile) the stream broke off midway, though the engine where it had stopped still kept its memory.

Ruled out: a second move to a third engine, since its copy must be made first and the time is short.

Change: it goes back to the engine where it stopped, within a second after it was asked to leave (an engine that leaves may get nothing after two), and stays there. The stand-in of an engine moves answers and turns moved ones away; what only engines do has a file of its own there.

Tests: a_moved_answer_that_is_turned_away_goes_on_where_it_stopped fails without it (3 of 600 events) and passes with it, three times in a row; a_long_answer_moves_off_an_engine_that_leaves_without_a_gap_or_a_repeat shows the usual move, which had no test.

--- a/components/gateway/src/request/generate/relocate.rs
+++ b/components/gateway/src/request/generate/relocate.rs
@@ -3,9 +3,10 @@
 //! The answer stops, its memory is copied, and the same request is sent where the copy is. That counts
 //! as the same run, so requests that may run only once can move as well.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use policy::place::{self, Weights};
+use tokio::time::Instant;
 
 use super::view::{View, ask, is_long};
 use crate::{
@@ -17,9 +18,40 @@
     },
 };
 
-/// Has an answer stopped where it is written, and its memory copied to another engine. Gives the engine
-/// at which it goes on; none if it goes on where it is.
-pub async fn stop(job: &Job, from: &Arc<Target>) -> Option<(Arc<Target>, Handle)> {
+/// How long after an answer was asked to leave its engine it may go back there: an engine that leaves takes
+/// nothing new two seconds after it has said so (`drain_ms` of the first deployments), and it takes some
+/// time until that is known here.
+const BACK: Duration = Duration::from_secs(1);
+
+/// An answer that has stopped, and where it goes on.
+pub struct Stopped {
+    /// The engine at which it goes on.
+    target: Arc<Target>,
+    /// Its memory.
+    handle: Handle,
+    /// The engine at which it stopped, which keeps its memory until it is fetched.
+    from: Arc<Target>,
+    /// When it was asked to leave.
+    since: Instant,
+}
+
+impl Stopped {
+    /// The same, going on where it stopped: for when the other engine turns it away. None if it was that
+    /// engine which did, or if it is too late.
+    #[must_use]
+    pub fn back(self) -> Option<Self> {
+        let may = self.target.id != self.from.id && self.since.elapsed() < BACK;
+        may.then(|| Self {
+            target: Arc::clone(&self.from),
+            ..self
+        })
+    }
+}
+
+/// Has an answer stopped where it is written, and its memory copied to another engine. None if it goes on
+/// where it is.
+pub async fn stop(job: &Job, from: &Arc<Target>) -> Option<Stopped> {
+    let since = Instant::now();
     let view = View::new(job, std::slice::from_ref(from));
     let weights = Weights::default();
     let at = place::choose_writer(&view.engines, &ask(job), &weights, rand::random())?;
@@ -46,21 +78,26 @@
     metrics.moves.with_label_values(&[outcome]).inc();
     let moved = moved?;
     let target = if moved.copied { to } else { from };
-    Some((Arc::clone(target), moved.handle))
+    Some(Stopped {
+        target: Arc::clone(target),
+        handle: moved.handle,
+        from: Arc::clone(from),
+        since,
+    })
 }
 
 /// Sends a stopped answer's request where it goes on, after the last event that was handed over.
 pub async fn go_on(
     job: &Job,
-    target: &Arc<Target>,
-    handle: Handle,
+    stopped: &Stopped,
     after: Option<u64>,
 ) -> Result<(Answer, Writing), Cause> {
+    let target = &stopped.target;
     let writing = Writing::new(target, is_long(job));
     let directive = Directive {
         time_left: job.time_left(),
         expect: Some(target.id.clone()),
-        handle: Some(handle),
+        handle: Some(stopped.handle.clone()),
         resume_after: after,
         ..Directive::default()
     };
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -16,11 +16,13 @@
 use super::{
     attempt::Answer,
     events::Splitter,
-    generate::{self, is_long, relocate},
+    generate::{
+        self, is_long,
+        relocate::{self, Stopped},
+    },
     job::Job,
 };
 use crate::{
-    edge::Handle,
     endpoint::{Id, Link, Target, Verdict, Writing},
     version::Kind,
 };
@@ -65,7 +67,7 @@
     /// Times that it went on elsewhere because its engine was left.
     moves: u32,
     /// The engine to which it goes next, once it has stopped where it is.
-    next: Option<Next>,
+    next: Option<Stopped>,
     events: u64,
     first: Option<Instant>,
     /// The longest time between two events.
@@ -94,12 +96,6 @@
     }
 }
 
-/// Where a stopped answer goes on.
-struct Next {
-    target: Arc<Target>,
-    handle: Handle,
-}
-
 /// Hands an answer on, after so many attempts.
 pub fn hand_on(job: Job, answer: Answer, writing: Writing, attempts: u32) -> Response<Body> {
     let mut response = Response::new(());
@@ -248,30 +244,34 @@
         let Some(source) = &self.source else {
             return;
         };
-        if let Some((target, handle)) = relocate::stop(&self.job, &source.target).await {
-            self.next = Some(Next { target, handle });
-        }
+        self.next = relocate::stop(&self.job, &source.target).await;
     }
 
-    /// Goes on where a stopped answer was moved to. Says whether that worked.
-    async fn go_on(&mut self, next: Next) -> bool {
+    /// Goes on where a stopped answer was moved to, or else where it stopped. Says whether that worked.
+    async fn go_on(&mut self, stopped: Stopped) -> bool {
         let Some(splitter) = &mut self.splitter else {
             return false;
         };
         splitter.forget();
         let after = splitter.last();
         self.source = None;
-        match relocate::go_on(&self.job, &next.target, next.handle, after).await {
-            Ok((answer, writing)) => {
-                self.endpoint = answer.target.id.clone();
-                self.source = Some(Source::new(answer, writing));
-                true
-            }
-            Err(cause) => {
-                log::warn!(request = self.job.ask.id, cause:%; "a moved stream did not go on");
-                false
+        let mut next = Some(stopped);
+        while let Some(stopped) = next {
+            match relocate::go_on(&self.job, &stopped, after).await {
+                Ok((answer, writing)) => {
+                    self.endpoint = answer.target.id.clone();
+                    self.source = Some(Source::new(answer, writing));
+                    return true;
+                }
+                Err(cause) => {
+                    log::warn!(request = self.job.ask.id, cause:%; "a moved stream did not go on");
+                    next = stopped.back().filter(|_| cause.not_run());
+                    // it stays there, as the others are likely to turn it away too
+                    self.moves = MOVES;
+                }
             }
         }
+        false
     }
 
     /// Goes on at another endpoint after the last whole event. Says whether that worked.
