--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -95,6 +95,13 @@
         u64::try_from(live).unwrap_or(0)
     }
 
+    /// How many peers there are, with those that were heard once and are silent until they are forgotten.
+    pub fn heard(&self) -> u64 {
+        let known = self.known.lock();
+        let heard = known.iter().filter(|peer| peer.heard.is_some()).count();
+        u64::try_from(heard).unwrap_or(0)
+    }
+
     /// Notes a prompt that was placed on an engine, to be told to the peers.
     pub fn placed(&self, endpoint: u32, parts: &[Part]) {
         let mut placed = self.placed.lock();
--- a/components/gateway/src/process/ledger.rs
+++ b/components/gateway/src/process/ledger.rs
@@ -106,10 +106,20 @@
     }
 
     /// This process's part of the operators' bounds on repeats.
+    ///
+    /// Peers that are gone keep their part for a while: what they have sent still counts, and those that are
+    /// only cut off go on sending. After a restart this process's own part grows from nothing over the time
+    /// that repeats are counted, as the process before it may have used it.
     fn repeat_bounds(&self) -> (f64, f64) {
         let bounds = self.bounds.read();
-        let sharers = policy::real(self.peers.count() + 1);
-        (bounds.retry_ratio, bounds.retry_slack / sharers)
+        let sharers = policy::real(self.peers.heard() + 1);
+        let window = bounds.retry_window_s.as_secs_f64();
+        let grown = if self.settings.gateway.restarted {
+            (self.started.elapsed().as_secs_f64() / window).min(1.0)
+        } else {
+            1.0
+        };
+        (bounds.retry_ratio, bounds.retry_slack * grown / sharers)
     }
 
     /// Counts what a service is asked for.
--- a/components/gateway/tests/lists.rs
+++ b/components/gateway/tests/lists.rs
@@ -146,6 +146,7 @@
             metrics: any,
             peers: any,
             seeds: Vec::new(),
+            restarted: false,
         },
         store: Store {
             address: any,
--- a/components/settings/src/gateway/mod.rs
+++ b/components/settings/src/gateway/mod.rs
@@ -44,6 +44,10 @@
     /// peers listen at the same port as this process.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Whether the system has run before: this process may then follow one that used its part of what
+    /// all gateways share.
+    #[serde(default)]
+    pub restarted: bool,
 }
 
 /// The platform's store.
