Use a bounded part of a large fleet, and tell peers less often when they are very many

Each request weighed all engines of its service; each digest walked all endpoints; each gateway sent all others a heartbeat every 100 ms however many there are, and one more for each change of a list that it had merely heard of.

Change: of a service with more than 96 endpoints a gateway uses 64 near and 32 far ones, drawn by rendezvous hashing; what digests tell is found by number; the heartbeat grows with the number of peers past 62 and says how long it is; only readers tell at once that a list has changed.

Tests: components/gateway/tests/registry.rs (bounded, mostly near, stable, even; found by number).

--- a/components/gateway/src/edge/mod.rs
+++ b/components/gateway/src/edge/mod.rs
@@ -280,4 +280,13 @@
             Self::Gone(id) => id,
         }
     }
+
+    /// The endpoint, if it is there.
+    #[must_use]
+    pub fn present(&self) -> Option<&Id> {
+        match self {
+            Self::Present(profile) => Some(&profile.id),
+            Self::Gone(_) => None,
+        }
+    }
 }
--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -7,6 +7,7 @@
 mod link;
 mod load;
 mod registry;
+mod subset;
 mod target;
 
 use std::{net::SocketAddr, sync::Arc};
--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -4,18 +4,27 @@
 
 use parking_lot::{Mutex, RwLock};
 
-use super::{Id, Profile, Target};
+use super::{Id, Profile, Target, subset};
 use crate::{edge::Change, version::Configuration};
 
 /// The endpoints of one service, sorted by name.
 #[derive(Clone, Debug, Default)]
-pub struct Fleet(Arc<Vec<Arc<Target>>>);
+pub struct Fleet {
+    targets: Arc<Vec<Arc<Target>>>,
+    used: Arc<Vec<Arc<Target>>>,
+}
 
 impl Fleet {
     /// Its endpoints.
     #[must_use]
     pub fn targets(&self) -> &[Arc<Target>] {
-        &self.0
+        &self.targets
+    }
+
+    /// Those of them that this process sends requests to.
+    #[must_use]
+    pub fn used(&self) -> &[Arc<Target>] {
+        &self.used
     }
 }
 
@@ -26,11 +35,32 @@
     targets: RwLock<Arc<Vec<Arc<Target>>>>,
     /// The same by service, sorted by its name. Services are few, endpoints many.
     fleets: RwLock<Vec<(Arc<str>, Fleet)>>,
+    /// The same by their short numbers, sorted by these.
+    numbered: RwLock<Vec<(u32, Arc<Target>)>>,
+    /// Which endpoints of large fleets this process uses.
+    choice: subset::Choice,
     /// Only one update at a time.
     updating: Mutex<()>,
 }
 
 impl Registry {
+    /// No endpoints yet, for a process in a data centre.
+    #[must_use]
+    pub fn new(process: &str, data_centre: &str) -> Self {
+        Self {
+            choice: subset::Choice::new(process, data_centre),
+            ..Self::default()
+        }
+    }
+
+    /// An endpoint by its short number.
+    #[must_use]
+    pub fn find(&self, short: u32) -> Option<Arc<Target>> {
+        let numbered = self.numbered.read();
+        let at = numbered.binary_search_by_key(&short, |(short, _)| *short);
+        at.ok().map(|at| Arc::clone(&numbered[at].1))
+    }
+
     /// The endpoints of a service.
     #[must_use]
     pub fn fleet(&self, service: &str) -> Fleet {
@@ -51,10 +81,10 @@
         let _updating = self.updating.lock();
         let mut targets: Vec<Arc<Target>> = self.targets.read().as_ref().clone();
         if whole {
+            let mut present: Vec<&Id> = changes.iter().filter_map(Change::present).collect();
+            present.sort_unstable();
             targets.retain(|target| {
-                let listed = changes.iter().any(
-                    |change| matches!(change, Change::Present(profile) if profile.id == target.id),
-                );
+                let listed = present.binary_search(&&target.id).is_ok();
                 if !listed {
                     leave(target);
                 }
@@ -81,10 +111,25 @@
         }
         *self.fleets.write() = fleets
             .into_iter()
-            .map(|(name, targets)| (name, Fleet(Arc::new(targets))))
+            .map(|(name, targets)| (name, self.fleet_of(targets)))
             .collect();
+        let mut numbered: Vec<(u32, Arc<Target>)> = targets
+            .iter()
+            .map(|target| (target.short, Arc::clone(target)))
+            .collect();
+        numbered.sort_unstable_by_key(|(short, _)| *short);
+        *self.numbered.write() = numbered;
         *self.targets.write() = Arc::new(targets);
     }
+
+    fn fleet_of(&self, targets: Vec<Arc<Target>>) -> Fleet {
+        let targets = Arc::new(targets);
+        let used = match self.choice.of(&targets) {
+            Some(used) => Arc::new(used),
+            None => Arc::clone(&targets),
+        };
+        Fleet { targets, used }
+    }
 }
 
 fn present(targets: &mut Vec<Arc<Target>>, profile: &Profile, version: Option<&Configuration>) {
--- a/components/gateway/src/peer/digest.rs
+++ b/components/gateway/src/peer/digest.rs
@@ -19,8 +19,9 @@
 /// centre and as many from all others, however many there are. One gateway of many matters less to the
 /// others' choices, so what it tells may be older.
 const EACH: Duration = Duration::from_micros(1_600);
-/// A digest is sent at least this often, so that peers know that this process lives.
-const HEARTBEAT: Duration = Duration::from_millis(100);
+/// A digest is sent at least this often, so that peers know that this process lives, unless they are very
+/// many.
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(100);
 /// How long an engine is left alone after the steward's last word that it is changing: a few
 /// heartbeats.
 const HEED: Duration = Duration::from_millis(600);
@@ -49,7 +50,8 @@
                 Reach::Near => near,
                 Reach::Far => far,
             };
-            stream.pace = pace(peers.len());
+            stream.beat = beat(peers.len());
+            stream.pace = pace(peers.len()).min(stream.beat);
             number += 1;
             let bytes = stream.digest(gateway, &news, number).encode_to_vec();
             for address in peers {
@@ -78,6 +80,8 @@
     changing: Vec<u32>,
     changes: Vec<EndpointChanges>,
     revisions: [u64; 2],
+    /// Whether this process reads the operators' lists itself.
+    reads: bool,
 }
 
 impl News {
@@ -88,6 +92,7 @@
             changing: gateway.steward.changing(),
             changes: std::mem::take(&mut *gateway.peers.news.lock()),
             revisions: [List::Endpoints, List::Configuration].map(|list| gateway.changed.get(list)),
+            reads: gateway.reads_lists(),
         }
     }
 }
@@ -100,6 +105,8 @@
     sent: Instant,
     /// The shortest time until the next one.
     pace: Duration,
+    /// The longest time until the next one.
+    beat: Duration,
     /// What the last one told.
     loads: Vec<(u32, Load)>,
     changing: Vec<u32>,
@@ -115,6 +122,7 @@
             reach,
             sent: Instant::now(),
             pace: PACE,
+            beat: HEARTBEAT,
             loads: Vec::new(),
             changing: Vec::new(),
             revisions: [0; 2],
@@ -133,11 +141,12 @@
     /// Whether a digest is to be sent now.
     fn is_due(&self, news: &News) -> bool {
         let since = self.sent.elapsed();
+        // what a follower knows its readers have told
         let urgent = !self.changes.is_empty()
             || news.changing != self.changing
-            || news.revisions != self.revisions;
+            || (news.reads && news.revisions != self.revisions);
         let changed = news.loads != self.loads || !self.placed.is_empty();
-        urgent || (changed && since >= self.pace) || since >= HEARTBEAT
+        urgent || (changed && since >= self.pace) || since >= self.beat
     }
 
     /// The digest that tells the news.
@@ -154,6 +163,7 @@
                 .map(|(at, load)| told(*at, *load))
                 .collect(),
             placed: self.placed.drain(..count).collect(),
+            beat_ms: u32::try_from(self.beat.as_millis()).unwrap_or(u32::MAX),
             changes: std::mem::take(&mut self.changes),
             ..own(gateway, number)
         }
@@ -163,7 +173,13 @@
 /// The shortest time between two digests to so many peers, each of which sends as many.
 fn pace(peers: usize) -> Duration {
     let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-    PACE.max(EACH.saturating_mul(peers)).min(HEARTBEAT)
+    PACE.max(EACH.saturating_mul(peers))
+}
+
+/// The longest time between two digests to so many peers: with very many the shortest one is longer than a
+/// heartbeat, and it is kept.
+fn beat(peers: usize) -> Duration {
+    HEARTBEAT.max(pace(peers))
 }
 
 /// What this process has under way, by endpoint.
@@ -225,6 +241,7 @@
     peer.incarnation = digest.incarnation;
     peer.number = digest.number;
     peer.heard = Some(now);
+    peer.beat = Duration::from_millis(u64::from(digest.beat_ms)).max(HEARTBEAT);
     peer.data_centre = Arc::from(digest.data_centre.as_str());
     let loads = digest.loads.iter().map(load).collect();
     let before = std::mem::replace(&mut peer.loads, loads);
@@ -294,33 +311,48 @@
 /// Does as a steward says, also one that has just lost its lease and sees a change through: sends
 /// nothing new to engines that are changing, and takes the stages that they told.
 pub fn heed(gateway: &Gateway, changing: &[u32], stages: &[StageTold]) {
-    let targets = gateway.registry.all();
     let until = Instant::now() + HEED;
-    for target in targets.iter() {
-        if let Some(told) = stages.iter().find(|told| told.endpoint == target.short) {
+    for told in stages {
+        if let Some(target) = gateway.registry.find(told.endpoint) {
             target.take_stage(if told.prefill {
                 Stage::Prefill
             } else {
                 Stage::Decode
             });
-        } else if changing.contains(&target.short) {
+        }
+    }
+    let told = |short: u32| stages.iter().any(|told| told.endpoint == short);
+    for short in changing.iter().filter(|short| !told(**short)) {
+        if let Some(target) = gateway.registry.find(*short) {
             target.leave_alone(until);
         }
     }
 }
 
-/// Counts a peer's loads anew.
+/// Counts a peer's loads anew; both lists are sorted by endpoint.
 fn recount(gateway: &Gateway, before: &[(u32, Load)], after: &[(u32, Load)]) {
-    let targets = gateway.registry.all();
-    for target in targets.iter() {
-        let find = |loads: &[(u32, Load)]| {
-            let at = loads.binary_search_by_key(&target.short, |(short, _)| *short);
-            at.map(|at| loads[at].1).unwrap_or_default()
-        };
-        let (old, new) = (find(before), find(after));
-        if old != new {
+    let find = |loads: &[(u32, Load)], short: u32| {
+        let at = loads.binary_search_by_key(&short, |(short, _)| *short);
+        at.map(|at| loads[at].1).unwrap_or_default()
+    };
+    let count = |short: u32| {
+        let (old, new) = (find(before, short), find(after, short));
+        if old != new
+            && let Some(target) = gateway.registry.find(short)
+        {
             target.with(|state| state.peers = replaced(state.peers, old, new));
         }
+    };
+    for (short, _) in after {
+        count(*short);
+    }
+    for (short, _) in before {
+        if after
+            .binary_search_by_key(short, |(short, _)| *short)
+            .is_err()
+        {
+            count(*short);
+        }
     }
 }
 
@@ -338,16 +370,9 @@
 
 /// Notes which engines likely hold what peers placed there.
 fn remember(gateway: &Gateway, placed: &[Placed]) {
-    if placed.is_empty() {
-        return;
-    }
-    let targets = gateway.registry.all();
     for placed in placed {
-        let target = targets
-            .iter()
-            .find(|target| target.short == placed.endpoint);
-        if let Some(target) = target {
-            used(target, placed);
+        if let Some(target) = gateway.registry.find(placed.endpoint) {
+            used(&target, placed);
         }
     }
 }
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -20,9 +20,9 @@
     process::{Asked, Gateway, List},
 };
 
-/// A peer that was not heard for this long is taken to be away: what it had under way is no longer
-/// counted. A few of its heartbeats.
-const SILENT: Duration = Duration::from_millis(400);
+/// A peer that was not heard for so many of its heartbeats is taken to be away: what it had under way is
+/// no longer counted. Datagrams are lost now and then.
+const SILENT_BEATS: u32 = 4;
 /// A peer that was not heard for this long is forgotten. It sends a digest itself when it is back.
 const FORGOTTEN: Duration = Duration::from_secs(60);
 /// The most placements that wait for the next digest; a hint that is lost costs little.
@@ -44,6 +44,8 @@
     heard: Option<Instant>,
     /// When it was first heard of.
     since: Instant,
+    /// How often it says that it lives.
+    beat: Duration,
     /// Whether it reads the operators' lists itself.
     reads: bool,
     /// The revisions of the last changes that it knows of the endpoints and of the configuration.
@@ -279,6 +281,7 @@
             number: 0,
             heard: None,
             since: Instant::now(),
+            beat: digest::HEARTBEAT,
             reads: false,
             changed: [0; 2],
             loads: Vec::new(),
@@ -292,7 +295,8 @@
     }
 
     fn is_live(&self, now: Instant) -> bool {
-        self.heard.is_some_and(|heard| now - heard < SILENT)
+        self.heard
+            .is_some_and(|heard| now - heard < self.beat * SILENT_BEATS)
     }
 }
 
@@ -361,6 +365,7 @@
         endpoints_changed: gateway.changed.get(List::Endpoints),
         configuration_changed: gateway.changed.get(List::Configuration),
         changes: Vec::new(),
+        beat_ms: 0,
         answered_ms: gateway.store_steady_since().map_or(0, age_ms),
         ceded: gateway.steward.ceded(),
         last_order_ms: gateway.steward.ordered().map_or(0, age_ms),
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -271,7 +271,7 @@
         metrics: Metrics::new().map_err(Error::Metrics)?,
         incarnation: rand::random(),
         edges,
-        registry: Registry::default(),
+        registry: Registry::new(&settings.gateway.name, &settings.gateway.data_centre),
         peers: Peers::default(),
         steward: Steward::default(),
         phase: watch::Sender::new(Phase::Serving),
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -49,7 +49,7 @@
         let near = &job.gateway.settings.gateway.data_centre;
         let cut_off = job.gateway.peers.cut_off();
         let (targets, engines) = fleet
-            .targets()
+            .used()
             .iter()
             .filter(|target| !tried.iter().any(|other| other.id == target.id))
             .filter_map(|target| {
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -64,7 +64,7 @@
     let near = &job.gateway.settings.gateway.data_centre;
     let cut_off = job.gateway.peers.cut_off();
     let mut best: Option<(f64, &Arc<Target>)> = None;
-    for target in fleet.targets() {
+    for target in fleet.used() {
         if tried.iter().any(|other| other.id == target.id) {
             continue;
         }
--- /dev/null
+++ b/components/gateway/tests/registry.rs
@@ -0,0 +1,97 @@
+//! Which endpoints a process knows and uses.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use gateway::{
+    edge::Change,
+    endpoint::{Id, Profile, Registry, Stage, State},
+};
+
+/// Data centres over which the endpoints are spread.
+const CENTRES: [&str; 3] = ["a", "b", "c"];
+
+fn endpoint(n: usize) -> Change {
+    Change::Present(Profile {
+        id: Id(Arc::from(format!("e{n:04}"))),
+        service: Arc::from("engines"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: Arc::from(CENTRES[n % CENTRES.len()]),
+        state: State::Ready,
+        slots: 16,
+        stage: Some(Stage::Decode),
+    })
+}
+
+fn registry(process: &str, endpoints: usize) -> Registry {
+    let registry = Registry::new(process, "a");
+    let changes: Vec<Change> = (0..endpoints).map(endpoint).collect();
+    registry.apply(&changes, true, None);
+    registry
+}
+
+fn used(registry: &Registry) -> Vec<Id> {
+    let fleet = registry.fleet("engines");
+    fleet
+        .used()
+        .iter()
+        .map(|target| target.id.clone())
+        .collect()
+}
+
+#[test]
+fn a_small_fleet_is_used_whole() {
+    let registry = registry("g1", 60);
+    assert_eq!(used(&registry).len(), 60);
+}
+
+#[test]
+fn of_a_large_fleet_a_bounded_part_is_used_and_most_of_it_is_near() {
+    let registry = registry("g1", 3_000);
+    let fleet = registry.fleet("engines");
+    assert_eq!(fleet.targets().len(), 3_000);
+    assert_eq!(fleet.used().len(), 96);
+    let near = fleet
+        .used()
+        .iter()
+        .filter(|target| target.with(|state| &*state.profile.data_centre == "a"));
+    assert_eq!(near.count(), 64);
+}
+
+#[test]
+fn a_change_of_one_endpoint_changes_the_part_by_one_at_most() {
+    let registry = registry("g1", 3_000);
+    let before = used(&registry);
+    registry.apply(&[Change::Gone(before[10].clone())], false, None);
+    let after = used(&registry);
+    assert_eq!(after.len(), before.len());
+    let kept = after.iter().filter(|id| before.contains(id)).count();
+    assert_eq!(kept, before.len() - 1);
+}
+
+#[test]
+fn many_processes_use_nearly_all_endpoints_about_as_often() {
+    let mut counts = vec![0_usize; 900];
+    for process in 0..100 {
+        for id in used(&registry(&format!("g{process}"), counts.len())) {
+            let n: usize = id.0[1..].parse().expect("a number");
+            counts[n] += 1;
+        }
+    }
+    let near: Vec<usize> = counts.iter().copied().step_by(CENTRES.len()).collect();
+    // 100 processes use 64 of 300 endpoints near them each, so 21 use an endpoint on average
+    assert!(
+        near.iter().all(|count| (6..=40).contains(count)),
+        "{near:?}"
+    );
+}
+
+#[test]
+fn endpoints_are_found_by_their_short_numbers() {
+    let registry = registry("g1", 200);
+    for target in registry.all().iter() {
+        let found = registry.find(target.short).expect("an endpoint");
+        assert_eq!(found.id, target.id);
+    }
+    registry.apply(&[Change::Gone(Id(Arc::from("e0007")))], false, None);
+    assert!(registry.find(Id(Arc::from("e0007")).short()).is_none());
+}
