Have one gateway of each data centre read the lists

Ruled out: fewer readers than data centres, as one that is cut off must know of changes; one reader where there is a single data centre, as it may fail.

Change: a gateway reads if none before it does in its data centre, or fewer than two do in all.

--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -69,6 +69,8 @@
 /// One incarnation of a peer that reads the operators' lists.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reader {
+    /// Whether it is in this process's data centre.
+    pub near: bool,
     address: SocketAddr,
     incarnation: u64,
 }
@@ -151,18 +153,20 @@
         (last.ceded > 0).then(|| last.ordered.map_or(never, |ordered| ordered.elapsed()))
     }
 
-    /// The live peers with lower addresses that read the operators' lists in a data centre.
+    /// The live peers that read the operators' lists and are answered: in a data centre those with lower
+    /// addresses, and all in others.
     pub fn readers(&self, own: SocketAddr, data_centre: &str) -> Vec<Reader> {
         let now = Instant::now();
         let known = self.known.lock();
         known
             .iter()
-            .filter(|peer| peer.address < own && *peer.data_centre == *data_centre)
             .filter(|peer| peer.reads && peer.store_answers && peer.is_live(now))
             .map(|peer| Reader {
+                near: *peer.data_centre == *data_centre,
                 address: peer.address,
                 incarnation: peer.incarnation,
             })
+            .filter(|reader| !reader.near || reader.address < own)
             .collect()
     }
 
--- a/components/gateway/src/process/follow.rs
+++ b/components/gateway/src/process/follow.rs
@@ -14,7 +14,8 @@
 use super::Gateway;
 use crate::{edge::From, peer::Reader};
 
-/// Gateways of a data centre that read the lists: one may fail without anything becoming older.
+/// Gateways that read the lists, at least: one may fail without anything becoming older. One of them is in
+/// the own data centre, so that it knows of changes also when it is cut off.
 const READERS: usize = 2;
 /// Between two looks of a follower at what it was told: a heartbeat of its peers.
 const LOOK: Duration = Duration::from_millis(100);
@@ -60,13 +61,17 @@
     }
 }
 
-/// Whether this process reads the lists itself: few enough before it, by address, do in its data
-/// centre and are answered.
+/// Whether this process reads the lists itself: none before it, by address, does in its data centre, or
+/// too few do at all.
 pub fn reads(gateway: &Gateway) -> bool {
-    readers(gateway).len() < READERS
+    too_few(&readers(gateway))
 }
 
-/// The processes before this one that read the lists.
+fn too_few(readers: &[Reader]) -> bool {
+    readers.len() < READERS || !readers.iter().any(|reader| reader.near)
+}
+
+/// The processes before this one that read the lists, and those in other data centres.
 fn readers(gateway: &Gateway) -> Vec<Reader> {
     let own = &gateway.settings.gateway;
     gateway.peers.readers(own.peers, &own.data_centre)
@@ -119,7 +124,7 @@
             From::After { revision, .. } => revision,
         };
         let readers = readers(gateway);
-        if readers.len() < READERS {
+        if too_few(&readers) {
             self.behind = None;
             self.followed.clear();
             self.heard.clear();
