Read, parse and check settings files in one place

Cause: the daemon's and the gateway's settings each had their own copy of reading, parsing and checking a file (listed by a search for repeats). Change: settings::file has them, and the error type.

--- a/components/settings/src/gateway/mod.rs
+++ b/components/settings/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 
-use crate::process::Error;
+use crate::file::{self, Error, OutOfRange};
 
 /// All settings of a gateway.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -147,12 +147,7 @@
     ///
     /// [`Error`] names the file and, where there is one, the line and the key.
     pub fn load(path: &Path) -> Result<Self, Error> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
-            path: name.clone(),
-            source,
-        })?;
-        Self::parse(&text, &name)
+        file::load(path, Self::out_of_range)
     }
 
     /// Parses and checks the text of a settings file; `name` is told in errors.
@@ -161,21 +156,10 @@
     ///
     /// [`Error`] as for [`Settings::load`].
     pub fn parse(text: &str, name: &str) -> Result<Self, Error> {
-        let settings: Self = toml::from_str(text).map_err(|source| Error::Parse {
-            path: name.to_owned(),
-            source: Box::new(source),
-        })?;
-        match settings.out_of_range() {
-            Some((key, range)) => Err(Error::Range {
-                path: name.to_owned(),
-                key,
-                range,
-            }),
-            None => Ok(settings),
-        }
+        file::parse(text, name, Self::out_of_range)
     }
 
-    fn out_of_range(&self) -> Option<(&'static str, &'static str)> {
+    fn out_of_range(&self) -> Option<OutOfRange> {
         let bounds = &self.bounds;
         let checks = [
             (
--- a/components/settings/src/process/mod.rs
+++ b/components/settings/src/process/mod.rs
@@ -2,40 +2,11 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use derive_more::{Display, Error};
 use serde::Deserialize;
 use serde_with::{DisplayFromStr, serde_as};
 
-/// Why a settings file cannot be used.
-#[derive(Debug, Display, Error)]
-pub enum Error {
-    /// The file could not be read.
-    #[display("cannot read {path}: {source}")]
-    Read {
-        /// The file asked for.
-        path: String,
-        /// What the system said.
-        source: std::io::Error,
-    },
-    /// The file is not valid TOML, or a key is unknown or of the wrong type.
-    #[display("{path}: {source}")]
-    Parse {
-        /// The file asked for.
-        path: String,
-        /// What is wrong, with line and key.
-        source: Box<toml::de::Error>,
-    },
-    /// A value is out of its range.
-    #[display("{path}: {key} is out of range: {range}")]
-    Range {
-        /// The file asked for.
-        path: String,
-        /// The key with its section.
-        key: &'static str,
-        /// What is allowed.
-        range: &'static str,
-    },
-}
+pub use crate::file::Error;
+use crate::file::{self, OutOfRange};
 
 /// All settings of a daemon.
 #[derive(Clone, Debug, Deserialize)]
@@ -186,12 +157,7 @@
     ///
     /// [`Error`] names the file and, where there is one, the line and the key.
     pub fn load(path: &Path) -> Result<Self, Error> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
-            path: name.clone(),
-            source,
-        })?;
-        Self::parse(&text, &name)
+        file::load(path, Self::out_of_range)
     }
 
     /// Parses and checks the text of a settings file; `name` is told in errors.
@@ -200,21 +166,10 @@
     ///
     /// [`Error`] as for [`Settings::load`].
     pub fn parse(text: &str, name: &str) -> Result<Self, Error> {
-        let settings: Self = toml::from_str(text).map_err(|source| Error::Parse {
-            path: name.to_owned(),
-            source: Box::new(source),
-        })?;
-        match settings.out_of_range() {
-            Some((key, range)) => Err(Error::Range {
-                path: name.to_owned(),
-                key,
-                range,
-            }),
-            None => Ok(settings),
-        }
+        file::parse(text, name, Self::out_of_range)
     }
 
-    fn out_of_range(&self) -> Option<(&'static str, &'static str)> {
+    fn out_of_range(&self) -> Option<OutOfRange> {
         let limits = &self.limits;
         let control = &self.control;
         let token = &self.daemon.operator_token_sha256;
