--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -2,8 +2,9 @@
 //! heard at all. Soft state in datagrams; only the quality of choices depends on it.
 
 mod changes;
-mod digest;
+mod receive;
 mod register;
+mod send;
 
 pub use changes::Told;
 
@@ -285,7 +286,7 @@
             number: 0,
             heard: None,
             since: Instant::now(),
-            beat: digest::HEARTBEAT,
+            beat: send::HEARTBEAT,
             reads: false,
             changed: [0; 2],
             loads: Vec::new(),
@@ -308,8 +309,8 @@
 pub async fn keep(gateway: Arc<Gateway>, socket: UdpSocket) {
     tokio::join!(
         register::keep(&gateway),
-        digest::send(&gateway, &socket),
-        digest::receive(&gateway, &socket),
+        send::keep(&gateway, &socket),
+        receive::keep(&gateway, &socket),
     );
 }
 
--- /dev/null
+++ b/components/gateway/src/peer/send.rs
@@ -0,0 +1,190 @@
+//! Digests as they go: while there is something to tell, and as a heartbeat.
+
+use std::time::Duration;
+
+use prost::Message;
+use tokio::{net::UdpSocket, time::Instant};
+use wire::{Digest, EndpointChanges, Placed};
+
+use super::{PLACED, own, receive::heed, told};
+use crate::{
+    endpoint::Load,
+    process::{Gateway, List},
+};
+
+/// The shortest time between two digests: twice the way between two data centres, and well below the
+/// time that a prompt takes to be read.
+const PACE: Duration = Duration::from_millis(10);
+/// What each peer adds to that time: a gateway then takes in some 600 digests a second from its data
+/// centre and as many from all others, however many there are. One gateway of many matters less to the
+/// others' choices, so what it tells may be older.
+const EACH: Duration = Duration::from_micros(1_600);
+/// A digest is sent at least this often, so that peers know that this process lives, unless they are very
+/// many.
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(100);
+/// Placements in one digest; a datagram then stays below the usual size of a packet or two.
+const PLACED_AT_ONCE: usize = 24;
+
+/// Sends digests as long as the process lives.
+pub async fn keep(gateway: &Gateway, socket: &UdpSocket) {
+    let mut number = 0;
+    let mut streams = [Stream::new(Reach::Near), Stream::new(Reach::Far)];
+    loop {
+        tokio::time::sleep(PACE).await;
+        let news = News::gather(gateway);
+        heed(gateway, &news.changing, &[]);
+        for stream in &mut streams {
+            stream.add(&news);
+            if !stream.is_due(&news) {
+                continue;
+            }
+            let [near, far] = gateway
+                .peers
+                .addresses(&gateway.settings.gateway.data_centre);
+            let peers = match stream.reach {
+                Reach::Near => near,
+                Reach::Far => far,
+            };
+            stream.beat = beat(peers.len());
+            stream.pace = pace(peers.len()).min(stream.beat);
+            number += 1;
+            let bytes = stream.digest(gateway, &news, number).encode_to_vec();
+            for address in peers {
+                if let Err(error) = socket.send_to(&bytes, address).await {
+                    log::debug!(peer:% = address, error:%; "a digest was not sent");
+                }
+            }
+        }
+    }
+}
+
+/// Which peers a stream of digests goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    /// Those in the same data centre.
+    Near,
+    /// All others: what goes there is paid for, and what they have under way matters less here.
+    Far,
+}
+
+/// What there is to tell at one moment.
+#[derive(Debug)]
+struct News {
+    loads: Vec<(u32, Load)>,
+    placed: Vec<Placed>,
+    changing: Vec<u32>,
+    changes: Vec<EndpointChanges>,
+    revisions: [u64; 2],
+    /// Whether this process reads the operators' lists itself.
+    reads: bool,
+}
+
+impl News {
+    fn gather(gateway: &Gateway) -> Self {
+        Self {
+            loads: loads(gateway),
+            placed: std::mem::take(&mut *gateway.peers.placed.lock()),
+            changing: gateway.steward.changing(),
+            changes: std::mem::take(&mut *gateway.peers.news.lock()),
+            revisions: [List::Endpoints, List::Configuration].map(|list| gateway.changed.get(list)),
+            reads: gateway.reads_lists(),
+        }
+    }
+}
+
+/// Digests to some of the peers.
+#[derive(Debug)]
+struct Stream {
+    reach: Reach,
+    /// When the last one was sent.
+    sent: Instant,
+    /// The shortest time until the next one.
+    pace: Duration,
+    /// The longest time until the next one.
+    beat: Duration,
+    /// What the last one told.
+    loads: Vec<(u32, Load)>,
+    changing: Vec<u32>,
+    revisions: [u64; 2],
+    /// What none has told yet.
+    placed: Vec<Placed>,
+    changes: Vec<EndpointChanges>,
+}
+
+impl Stream {
+    fn new(reach: Reach) -> Self {
+        Self {
+            reach,
+            sent: Instant::now(),
+            pace: PACE,
+            beat: HEARTBEAT,
+            loads: Vec::new(),
+            changing: Vec::new(),
+            revisions: [0; 2],
+            placed: Vec::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    /// Keeps what must be told once.
+    fn add(&mut self, news: &News) {
+        let room = PLACED.saturating_sub(self.placed.len());
+        self.placed.extend(news.placed.iter().take(room).cloned());
+        self.changes.extend_from_slice(&news.changes);
+    }
+
+    /// Whether a digest is to be sent now.
+    fn is_due(&self, news: &News) -> bool {
+        let since = self.sent.elapsed();
+        // what a follower knows its readers have told
+        let urgent = !self.changes.is_empty()
+            || news.changing != self.changing
+            || (news.reads && news.revisions != self.revisions);
+        let changed = news.loads != self.loads || !self.placed.is_empty();
+        urgent || (changed && since >= self.pace) || since >= self.beat
+    }
+
+    /// The digest that tells the news.
+    fn digest(&mut self, gateway: &Gateway, news: &News, number: u64) -> Digest {
+        self.sent = Instant::now();
+        self.loads.clone_from(&news.loads);
+        self.changing.clone_from(&news.changing);
+        self.revisions = news.revisions;
+        let count = self.placed.len().min(PLACED_AT_ONCE);
+        Digest {
+            loads: news
+                .loads
+                .iter()
+                .map(|(at, load)| told(*at, *load))
+                .collect(),
+            placed: self.placed.drain(..count).collect(),
+            beat_ms: u32::try_from(self.beat.as_millis()).unwrap_or(u32::MAX),
+            changes: std::mem::take(&mut self.changes),
+            ..own(gateway, number)
+        }
+    }
+}
+
+/// The shortest time between two digests to so many peers, each of which sends as many.
+fn pace(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    PACE.max(EACH.saturating_mul(peers))
+}
+
+/// The longest time between two digests to so many peers: with very many the shortest one is longer than a
+/// heartbeat, and it is kept.
+fn beat(peers: usize) -> Duration {
+    HEARTBEAT.max(pace(peers))
+}
+
+/// What this process has under way, by endpoint.
+fn loads(gateway: &Gateway) -> Vec<(u32, Load)> {
+    let targets = gateway.registry.all();
+    let mut loads: Vec<(u32, Load)> = targets
+        .iter()
+        .map(|target| (target.short, target.with(|state| state.own)))
+        .filter(|(_, load)| *load != Load::default())
+        .collect();
+    loads.sort_unstable_by_key(|(short, _)| *short);
+    loads
+}
