--- a/components/gateway/src/endpoint/subset.rs
+++ b/components/gateway/src/endpoint/subset.rs
@@ -3,7 +3,7 @@
 //! With some thousand endpoints and some hundred processes, a process that weighed all of them for each
 //! request, and had connections to all, would spend more on choosing than it gains. It uses a part that is
 //! drawn by rendezvous hashing: each process another one, and little changes when an endpoint comes or
-//! goes. See `docs/DESIGN.md#routing`.
+//! goes. See `docs/CAPACITY.md#gateways-on-a-platform`.
 
 use std::sync::Arc;
 
