--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -11,9 +11,13 @@
 /// Seeds of the short run: one in three has planned work only.
 const SEEDS: [u64; 3] = [3, 7, 11];
 /// Seeds that once broke a promise, with a line on the cause each.
-const CASES: [u64; 4] = [
+const CASES: [&[u64]; 3] = [
     // a silent stand-in of an engine counted a prompt that was only to be read as run
-    104, 115, 130, 148,
+    &[104, 115, 130, 148],
+    // a restarted gateway took its part of the slack for repeats anew
+    &[1, 7, 8],
+    // the soak's own process stood still for some eight seconds; why is open
+    &[4038, 4041],
 ];
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -24,9 +28,13 @@
         seconds: 5,
         logs: None,
     };
-    let mut reports = stream::iter(SEEDS.into_iter().chain(CASES))
-        .map(|seed| play(seed, &options))
-        .buffer_unordered(AT_ONCE);
+    let mut reports = stream::iter(
+        SEEDS
+            .into_iter()
+            .chain(CASES.into_iter().flatten().copied()),
+    )
+    .map(|seed| play(seed, &options))
+    .buffer_unordered(AT_ONCE);
     while let Some(report) = reports.next().await {
         let report = report.expect("the fleet is set up");
         assert!(report.broken.is_empty(), "{report:#?}");
