Don't ask a failing store to wait because peers tell a change

Ruled out: changes told while a call is under way; a failure after that sets the call without a wait.

Change: the wait follows only from whether the store answered this process. The fake of the edge in tests/lists.rs notes which calls fail.

--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -109,7 +109,8 @@
             From::After { revision, .. } if told.after <= revision && revision < told.to => {
                 self.apply(told.changes, false, told.after_outage);
                 self.gateway.changed.note(Listed::Endpoints, told.to);
-                self.from = next(told.to, true);
+                // peers' news does not show that the store answers this process again
+                self.from = next(told.to, !self.lost);
             }
             // what is missing in between is read at the store
             From::Start | From::After { .. } => {}
--- a/components/gateway/tests/lists.rs
+++ b/components/gateway/tests/lists.rs
@@ -1,6 +1,6 @@
 //! How the gateway asks for the operators' lists, against a fake of the edge that only notes it.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration};
 
 use cloud::table::{Error, Outcome, Read, Row, Table, Transaction};
 use futures::{FutureExt, future::BoxFuture};
@@ -14,33 +14,68 @@
 };
 use hyper::{HeaderMap, Method, StatusCode, http::request, http::response};
 use parking_lot::Mutex;
+use prost::Message;
 use settings::gateway::{Bounds, Gateway, Resources, Settings, Store};
+use tokio::net::UdpSocket;
+use wire::{Digest, EndpointChanges};
 
-/// Answers the first call, fails the second, answers the third, and notes all of them.
-#[derive(Debug, Default)]
-struct Notes(Mutex<Vec<From>>);
+/// The revision that all answers have.
+const REVISION: u64 = 7;
+
+/// Notes all calls, and fails some of them.
+#[derive(Debug)]
+struct Notes {
+    calls: Mutex<Vec<From>>,
+    /// The calls that fail, by their number from 1.
+    fails: RangeInclusive<usize>,
+}
 
 impl Notes {
+    fn new(fails: RangeInclusive<usize>) -> Self {
+        Self {
+            calls: Mutex::default(),
+            fails,
+        }
+    }
+
     fn take<T>(&self, from: From) -> Result<Update<T>, Failure> {
-        let mut notes = self.0.lock();
-        notes.push(from);
-        match notes.len() {
-            2 => Err(Failure::Lost),
-            _ => Ok(Update {
-                revision: 7,
-                changed: 0,
-                changes: Vec::new(),
-            }),
+        let mut calls = self.calls.lock();
+        calls.push(from);
+        if self.fails.contains(&calls.len()) {
+            return Err(Failure::Lost);
         }
+        Ok(Update {
+            revision: REVISION,
+            changed: 0,
+            changes: Vec::new(),
+        })
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Fake {
     endpoints: Notes,
     configuration: Notes,
 }
 
+impl Fake {
+    /// Of each list the calls with these numbers fail.
+    fn failing(fails: RangeInclusive<usize>) -> Arc<Self> {
+        Arc::new(Self {
+            endpoints: Notes::new(fails.clone()),
+            configuration: Notes::new(fails),
+        })
+    }
+
+    fn edges(self: &Arc<Self>) -> Edges {
+        Edges {
+            directory: Arc::clone(self) as Arc<dyn Directory>,
+            dialect: Arc::clone(self) as Arc<dyn Dialect>,
+            table: Arc::clone(self) as Arc<dyn Table>,
+        }
+    }
+}
+
 impl Directory for Fake {
     fn endpoints(&self, from: From) -> BoxFuture<'_, Result<Update<Change>, Failure>> {
         async move {
@@ -164,25 +199,22 @@
 
 #[tokio::test]
 async fn a_store_is_never_asked_to_wait_as_long_as_operators_grant() {
-    let fake = Arc::new(Fake::default());
-    let edges = Edges {
-        directory: Arc::clone(&fake) as Arc<dyn Directory>,
-        dialect: Arc::clone(&fake) as Arc<dyn Dialect>,
-        table: Arc::clone(&fake) as Arc<dyn Table>,
-    };
-    let running = gateway::start(settings(), edges).await.expect("gateway");
+    let fake = Fake::failing(2..=2);
+    let running = gateway::start(settings(), fake.edges())
+        .await
+        .expect("gateway");
     for notes in [&fake.endpoints, &fake.configuration] {
-        while notes.0.lock().len() < 4 {
+        while notes.calls.lock().len() < 4 {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        let asked = notes.0.lock().clone();
+        let asked = notes.calls.lock().clone();
         assert_eq!(asked[0], From::Start);
         let waits: Vec<Duration> = asked[1..]
             .iter()
             .map(|from| match from {
                 From::Start => panic!("read from the start again: {asked:?}"),
                 From::After { revision, wait } => {
-                    assert_eq!(*revision, 7);
+                    assert_eq!(*revision, REVISION);
                     *wait
                 }
             })
@@ -197,3 +229,43 @@
     }
     drop(running);
 }
+
+#[tokio::test]
+async fn a_store_that_fails_is_not_asked_to_wait_because_a_peer_tells_a_change() {
+    let fake = Fake::failing(2..=usize::MAX);
+    let running = gateway::start(settings(), fake.edges())
+        .await
+        .expect("gateway");
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let told = Digest {
+        incarnation: 1,
+        address: socket.local_addr().expect("an address").to_string(),
+        changes: vec![EndpointChanges {
+            after: REVISION,
+            to: REVISION + 1,
+            ..EndpointChanges::default()
+        }],
+        ..Digest::default()
+    };
+    let calls = || fake.endpoints.calls.lock().clone();
+    while calls().len() < 3 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let knows = |from: &From| matches!(from, From::After { revision, .. } if *revision > REVISION);
+    let mut number = 0;
+    while !calls().iter().any(knows) {
+        number += 1;
+        let digest = Digest {
+            number,
+            ..told.clone()
+        };
+        let to = running.addresses().peers;
+        let sent = socket.send_to(&digest.encode_to_vec(), to).await;
+        sent.expect("a digest is sent");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    // the second call was made before the store had failed
+    for call in calls().iter().skip(2) {
+        assert_eq!(*call, call.at_once());
+    }
+}
