Change an engine's stage only where its new stage is tight

Cause: the plan shares what engines are left over in proportion to reading and writing, with a margin of one engine. One unused weight stood beside it.

Change: a change needs a tight stage (above 0.7 of what its engines should carry) and a plan that is off by 4 % of the fleet, at least one engine. The fleet's figures are one type.

--- a/components/gateway/src/steward/plan.rs
+++ b/components/gateway/src/steward/plan.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use policy::stage::{self, Change, Demand, Weights};
+use policy::stage::{self, Change, Demand, Fleet, Weights};
 
 use crate::{
     endpoint::{Stage, State, Target},
@@ -103,17 +103,19 @@
 fn wish(gateway: &Gateway, service: &Service) -> Option<Wish> {
     let engines = engines(gateway, &service.name);
     let changing = gateway.steward.changing();
-    let count = u64::try_from(engines.len()).unwrap_or(0);
+    let fleet = Fleet {
+        engines: u64::try_from(engines.len()).unwrap_or(0),
+        reading: will_read(&engines, &changing),
+        slots: engines.iter().map(|engine| engine.slots).max()?,
+    };
     let away = engines
         .iter()
         .filter(|engine| changing.contains(&engine.target.short));
     let away = u64::try_from(away.count()).unwrap_or(0);
-    let slots = engines.iter().map(|engine| engine.slots).max()?;
     let weights = Weights::default();
-    let reading = will_read(&engines, &changing);
-    let wanted = stage::readers(&service.demand, reading, count, slots, &weights);
-    let change = stage::change(&service.demand, wanted, reading, &weights)?;
-    if away >= stage::most_changing(count) {
+    let wanted = stage::readers(&service.demand, &fleet, &weights);
+    let change = stage::change(&service.demand, wanted, &fleet, &weights)?;
+    if away >= stage::most_changing(fleet.engines) {
         return None;
     }
     let free = engines
@@ -134,9 +136,9 @@
         }
     };
     log::info!(
-        service = &*service.name, engine = &*engine.target.id.0, to:% = stage, wanted, reading, count,
-        away, demand_reading = service.demand.reading, demand_lately = service.demand.reading_lately,
-         demand_writing = service.demand.writing,
+        service = &*service.name, engine = &*engine.target.id.0, to:% = stage, wanted, away,
+        reading = fleet.reading, count = fleet.engines, demand_reading = service.demand.reading,
+        demand_lately = service.demand.reading_lately, demand_writing = service.demand.writing,
         long = engine.long;
         "an engine is to change its stage"
     );
--- a/components/policy/src/stage.rs
+++ b/components/policy/src/stage.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// A fleet as the plan sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// Its engines.
+    pub engines: u64,
+    /// Those of them that read prompts, or soon will.
+    pub reading: u64,
+    /// Answers that an engine can write at once.
+    pub slots: u64,
+}
+
 /// What the plan weighs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Weights {
@@ -54,10 +65,14 @@
     pub full: f64,
     /// Engines that always write, so that one can fail.
     pub least_writing: u64,
-    /// Engines that reading must lack before one more reads.
-    pub margin_reading: f64,
-    /// Engines that writing must lack before one more writes.
-    pub margin_writing: f64,
+    /// Engines that a stage must lack for a change, at least. A change takes one away for seconds, so a
+    /// fraction of an engine is no reason.
+    pub margin: f64,
+    /// The same as a part of the fleet: what one engine of many adds is soon lost in the swings of demand.
+    pub margin_part: f64,
+    /// Part of what the engines of a stage should carry, below which they are enough as they are. Prompts
+    /// hardly wait for each other then, and a change would only be paid for.
+    pub ease: f64,
     /// Engines that reading must lack, or have over, by the shorter average for a change before the
     /// longer one asks for it. Swings of a few seconds stay below.
     pub leap: f64,
@@ -71,35 +86,36 @@
             busy: 0.7,
             full: 0.7,
             least_writing: 2,
-            margin_reading: 1.0,
-            margin_writing: 0.75,
+            margin: 1.0,
+            margin_part: 0.04,
+            ease: 0.7,
             leap: 2.5,
             idle: 0.2,
         }
     }
 }
 
-/// How many of `engines` should read, with a fraction: by the longer average, or by the shorter one
-/// where it is far off from the `now` that read.
+/// How many engines of a fleet should read, with a fraction: by the longer average, or by the shorter
+/// one where it is far off from those that read now.
 ///
 /// What writing needs comes first, up to half of the fleet; then what reading needs. What is left
 /// over is shared in proportion.
 #[must_use]
-pub fn readers(demand: &Demand, now: u64, engines: u64, slots: u64, weights: &Weights) -> f64 {
-    let by = |reading: f64| share(reading, demand.writing, engines, slots, weights);
+pub fn readers(demand: &Demand, fleet: &Fleet, weights: &Weights) -> f64 {
+    let by = |reading: f64| share(reading, demand.writing, fleet, weights);
     let lately = by(demand.reading_lately);
-    if (lately - real(now)).abs() >= weights.leap {
+    if (lately - real(fleet.reading)).abs() >= weights.leap {
         lately
     } else {
         by(demand.reading)
     }
 }
 
-fn share(reading: f64, writing: f64, engines: u64, slots: u64, weights: &Weights) -> f64 {
-    let all = real(engines);
-    let least = real(weights.least_writing.min(engines));
+fn share(reading: f64, writing: f64, fleet: &Fleet, weights: &Weights) -> f64 {
+    let all = real(fleet.engines);
+    let least = real(weights.least_writing.min(fleet.engines));
     let reading = reading / weights.busy;
-    let writing = writing / (real(slots.max(1)) * weights.full);
+    let writing = writing / (real(fleet.slots.max(1)) * weights.full);
     let share = reading / (reading + writing.max(least));
     let most = all - writing.clamp(least, (all / 2.0).max(least));
     (all * share).min(most).clamp(1.0, (all - least).max(1.0))
@@ -114,23 +130,44 @@
     MoreWriters,
 }
 
-/// Whether to change one engine now, with so many that read or soon will.
+/// Whether to change one engine now, so that as many read as are `wanted`, see [`readers`].
 #[must_use]
-pub fn change(demand: &Demand, wanted: f64, reading: u64, weights: &Weights) -> Option<Change> {
-    let off = wanted - real(reading);
+pub fn change(demand: &Demand, wanted: f64, fleet: &Fleet, weights: &Weights) -> Option<Change> {
+    let lack = wanted - real(fleet.reading);
+    let margin = weights
+        .margin
+        .max(real(fleet.engines) * weights.margin_part);
     match () {
         // an idle fleet stays as its operators started it
         () if demand.reading < weights.idle && demand.writing < weights.idle => None,
-        () if off > weights.margin_reading => Some(Change::MoreReaders),
-        () if -off > weights.margin_reading => Some(Change::MoreWriters),
+        () if lack > margin && is_reading_tight(demand, fleet, weights) => {
+            Some(Change::MoreReaders)
+        }
+        () if -lack > margin && is_writing_tight(demand, fleet, weights) => {
+            Some(Change::MoreWriters)
+        }
         () => None,
     }
 }
 
-/// How many engines may be away at once for a change of stage: a third of the fleet, one at least.
+/// Whether the engines that read have about as much to do as they should, or more.
+fn is_reading_tight(demand: &Demand, fleet: &Fleet, weights: &Weights) -> bool {
+    let carried = real(fleet.reading) * weights.busy;
+    demand.reading.max(demand.reading_lately) > carried * weights.ease
+}
+
+/// The same for the engines that write; those that always do count as needed.
+fn is_writing_tight(demand: &Demand, fleet: &Fleet, weights: &Weights) -> bool {
+    let writers = fleet.engines.saturating_sub(fleet.reading);
+    let carried = real(writers * fleet.slots) * weights.full;
+    writers < weights.least_writing || demand.writing > carried * weights.ease
+}
+
+/// Part of a fleet that may be away at once for a change of stage.
+const AWAY: f64 = 0.25;
+
+/// How many engines may be away at once for a change of stage: a quarter of the fleet, one at least.
 #[must_use]
 pub fn most_changing(engines: u64) -> u64 {
     count(real(engines) * AWAY).max(1)
 }
-
-const AWAY: f64 = 0.25;
--- /dev/null
+++ b/components/policy/tests/stage.rs
@@ -0,0 +1,101 @@
+//! When the plan changes the stage of an engine, and when it leaves the fleet as it is.
+
+use policy::{
+    count,
+    stage::{Change, Demand, Fleet, Weights, change, most_changing, readers},
+};
+
+/// Twelve engines of 48 answers each, so many of which read.
+fn small(reading: u64) -> Fleet {
+    Fleet {
+        engines: 12,
+        reading,
+        slots: 48,
+    }
+}
+
+/// Three hundred engines of 16 answers each, so many of which read.
+fn large(reading: u64) -> Fleet {
+    Fleet {
+        engines: 300,
+        reading,
+        slots: 16,
+    }
+}
+
+/// Longer than the averages remember, in microseconds.
+const LONG: f64 = 60_000_000.0;
+
+/// A steady demand: engines that reading keeps busy, and slots that writing takes.
+fn demand(reading: f64, writing: f64) -> Demand {
+    let mut demand = Demand::default();
+    demand.observe(0, 0.0, 0.0, 0.0);
+    demand.observe(count(LONG), reading * LONG, writing * LONG, 0.0);
+    demand
+}
+
+fn plan(demand: &Demand, fleet: &Fleet) -> Option<Change> {
+    let weights = Weights::default();
+    change(demand, readers(demand, fleet, &weights), fleet, &weights)
+}
+
+#[test]
+fn an_idle_fleet_stays_as_it_is() {
+    assert_eq!(plan(&demand(0.1, 0.1), &small(1)), None);
+    assert_eq!(plan(&demand(0.1, 0.1), &small(11)), None);
+}
+
+#[test]
+fn a_stage_that_lacks_engines_gets_one() {
+    assert_eq!(
+        plan(&demand(5.0, 60.0), &small(4)),
+        Some(Change::MoreReaders)
+    );
+    assert_eq!(
+        plan(&demand(1.0, 200.0), &small(8)),
+        Some(Change::MoreWriters)
+    );
+}
+
+#[test]
+fn an_engine_is_not_moved_between_stages_that_have_enough() {
+    // two thirds of the work is reading, so two thirds of the engines could read
+    let light = demand(4.0, 20.0);
+    let weights = Weights::default();
+    assert!(readers(&light, &large(90), &weights) > 150.0);
+    assert_eq!(plan(&light, &large(90)), None);
+    // the other way round
+    assert_eq!(plan(&demand(1.0, 60.0), &large(250)), None);
+}
+
+#[test]
+fn a_large_fleet_is_not_changed_for_one_engine() {
+    let heavy = demand(100.0, 1_000.0);
+    let weights = Weights::default();
+    let wanted = readers(&heavy, &large(90), &weights);
+    let short_of = |lack: u64| large(count(wanted) - lack);
+    assert_eq!(plan(&heavy, &short_of(5)), None);
+    assert_eq!(plan(&heavy, &short_of(20)), Some(Change::MoreReaders));
+}
+
+#[test]
+fn writers_for_a_failure_are_there_also_when_little_is_written() {
+    assert_eq!(
+        plan(&demand(6.0, 1.0), &small(12)),
+        Some(Change::MoreWriters)
+    );
+}
+
+#[test]
+fn a_leap_in_reading_counts_before_the_longer_average_shows_it() {
+    let mut leap = demand(1.0, 40.0);
+    let second = 1_000_000.0;
+    leap.observe(count(LONG + second), 8.0 * second, 40.0 * second, 0.0);
+    assert!(leap.reading < 3.0);
+    assert_eq!(plan(&leap, &small(3)), Some(Change::MoreReaders));
+}
+
+#[test]
+fn a_quarter_of_a_fleet_may_change_at_once() {
+    assert_eq!([1, 3, 12, 300].map(most_changing), [1, 1, 3, 75]);
+}
