Part an answer's attempts and its outcome from its stream

Change: the attempt with its cancellation, and what is learnt and what follows from an end or a failure, are modules of their own; no behaviour changes.

--- a/components/daemon/src/request/generate.rs
+++ b/components/daemon/src/request/generate/mod.rs
@@ -2,6 +2,9 @@
 //!
 //! See `docs/DESIGN.md#whole-answers`.
 
+mod attempt;
+mod outcome;
+
 use std::{
     net::SocketAddr,
     sync::Arc,
@@ -11,28 +14,23 @@
 use derive_more::{Display, Error};
 use endpoint::{
     Failure,
-    engine::{Done, Engine, Frame, Frames, Generate, Kv, Reason as End},
+    engine::{Done, Frame, Generate, Kv, Reason as End},
 };
-use policy::retry::{self, Class};
 use protocol::stream::{Assembler, Verdict};
 use settings::tree::resolve::Repeat;
 use telemetry::timeline::Kind;
 
+use attempt::{Cancel, Live};
+
 use super::{
     Context,
     refusal::{Reason, Refusal},
 };
 use crate::process::{
     gates::Id,
-    lock,
-    pool::{self, Grant, Need, Pool},
+    pool::{Grant, Need, Pool},
 };
 
-/// How long a cancellation is tried.
-const CANCEL: Duration = Duration::from_secs(2);
-/// One in so many gaps between tokens is learnt from, so that a token costs no lock.
-const SAMPLE: u64 = 8;
-
 /// An answer that can't be finished.
 #[derive(Clone, Debug, Display, Error)]
 #[display("request {request}: {reason}")]
@@ -73,38 +71,6 @@
     pub repeat: Repeat,
 }
 
-/// An attempt that is running.
-struct Live {
-    grant: Grant,
-    frames: Frames,
-    at: (Id, SocketAddr),
-    sent: Instant,
-    last: Instant,
-    cancel: Cancel,
-}
-
-/// Cancels an attempt at its engine when it is dropped before the attempt has ended.
-struct Cancel {
-    engine: Engine,
-    address: SocketAddr,
-    attempt: u64,
-    ended: bool,
-}
-
-impl Drop for Cancel {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
-        }
-        let engine = self.engine.clone();
-        let (address, attempt) = (self.address, self.attempt);
-        tokio::spawn(async move {
-            // an engine that can't be reached ends the attempt by its broken stream
-            let _ = tokio::time::timeout(CANCEL, engine.cancel(address, attempt)).await;
-        });
-    }
-}
-
 /// An answer as it comes.
 pub struct Stream {
     job: Job,
@@ -327,155 +293,6 @@
         }
         Ok(())
     }
-
-    fn learn(&mut self, frame: &Frame) {
-        let Some(live) = self.live.as_mut() else {
-            return;
-        };
-        let now = Instant::now();
-        let first = live.last == live.sent;
-        let gap = micros(now - live.last);
-        let since = micros(now - live.sent);
-        live.last = now;
-        if first {
-            live.grant.read();
-            let prompt = self.job.need.prompt;
-            let blocks = &self.job.need.blocks;
-            self.job.pool.with(&live.at.0, |entry| {
-                // with others in between the time is not this prompt's alone
-                if entry.reading.iter().all(|tokens| *tokens == 0) {
-                    let cached = frame.done.map_or(0, |done| done.cached_tokens);
-                    entry.rates.first(prompt - cached.min(prompt), since);
-                }
-                entry.read(blocks);
-            });
-            if frame.offset == 0 {
-                let metrics = &self.job.context.process.metrics;
-                metrics
-                    .first
-                    .with_label_values(&self.labels())
-                    .observe(self.began.elapsed().as_secs_f64());
-            }
-        } else if frame.offset.is_multiple_of(SAMPLE) {
-            self.job.pool.with(&live.at.0, |entry| {
-                entry.written += SAMPLE;
-                let seen = entry.bare(0);
-                if seen.reading == 0 {
-                    entry.rates.between(seen.writing, gap);
-                }
-            });
-        }
-    }
-
-    fn finish(&mut self) {
-        if let Some(live) = self.live.as_mut() {
-            live.cancel.ended = true;
-        }
-        self.live = None;
-        self.whole = true;
-        let context = &self.job.context;
-        let written = self.assembler.offset();
-        let service = &self.job.pool.service;
-        let group = &self.job.need.group.1;
-        context.note(Kind::Finished, format!("{written} tokens"));
-        self.job.pool.finished(group, written);
-        let process = &context.process;
-        process.used(group, pool::work(self.job.need.prompt, written));
-        lock(&process.budget).succeed();
-        let metrics = &process.metrics;
-        let labels = [service.as_str(), group.as_str()];
-        metrics
-            .requests
-            .with_label_values(&[service, group, "whole"])
-            .inc();
-        metrics.goodput.with_label_values(&labels).inc_by(written);
-        metrics
-            .whole
-            .with_label_values(&labels)
-            .observe(self.began.elapsed().as_secs_f64());
-    }
-
-    /// Ends the running attempt after a failure; another one follows if it may.
-    fn fail(&mut self, failure: Failure) -> Result<(), Broken> {
-        let Some(live) = self.live.take() else {
-            return Ok(());
-        };
-        let id = live.at.0.clone();
-        drop(live);
-        self.may_have_run = true;
-        self.again(&id, failure)
-    }
-
-    fn again(&mut self, failed: &Id, failure: Failure) -> Result<(), Broken> {
-        let class = if failure.not_run() {
-            Class::NotRun
-        } else {
-            self.may_have_run = true;
-            Class::Unknown
-        };
-        self.job.pool.with(failed, pool::Entry::failed);
-        self.job.need.avoid.push(failed.clone());
-        // what has begun has until its deadline to go on
-        self.job.need.start_by = self.job.need.deadline;
-        let left = self
-            .job
-            .need
-            .deadline
-            .saturating_duration_since(Instant::now());
-        let process = &self.job.context.process;
-        // an attempt that may have run is the only one of a request that may not be repeated
-        let repeatable = self.job.repeat == Repeat::Allowed;
-        let class = if self.may_have_run && !repeatable {
-            Class::Unknown
-        } else {
-            class
-        };
-        let more = retry::again(
-            class,
-            repeatable,
-            self.attempts,
-            micros(left),
-            0,
-            &mut lock(&process.budget),
-        );
-        if !more {
-            let reason = if self.may_have_run {
-                Reason::AnswerLost
-            } else {
-                Reason::NotTaken
-            };
-            return Err(self.broken(reason));
-        }
-        let kind = if self.assembler.offset() > 0 {
-            Kind::Resumed
-        } else {
-            Kind::Retried
-        };
-        self.job.context.note(kind, format!("{failed}: {failure}"));
-        let reason = if failure.not_run() {
-            "not-run"
-        } else {
-            "unknown"
-        };
-        process.metrics.retries.with_label_values(&[reason]).inc();
-        Ok(())
-    }
-
-    fn broken(&self, reason: Reason) -> Broken {
-        let context = &self.job.context;
-        context.note(Kind::Broken, reason.to_string());
-        let labels = [
-            self.job.pool.service.as_str(),
-            self.job.need.group.1.as_str(),
-            "broken",
-        ];
-        let metrics = &context.process.metrics;
-        metrics.requests.with_label_values(&labels).inc();
-        Broken {
-            request: context.id.clone(),
-            reason,
-        }
-    }
 }
 
 impl Drop for Stream {
