--- a/components/standin/src/link/mod.rs
+++ b/components/standin/src/link/mod.rs
@@ -28,11 +28,20 @@
     NoAnswers,
 }
 
+/// What holds for the connections of a link.
+#[derive(Clone, Copy, Debug, Default)]
+struct Condition {
+    state: State,
+    /// How often all open connections went silent for good: those that were made before the last time
+    /// forward nothing any more.
+    silenced: u64,
+}
+
 /// A running link; dropping it closes its port.
 #[derive(Debug)]
 pub struct Link {
     address: SocketAddr,
-    state: Arc<watch::Sender<State>>,
+    condition: Arc<watch::Sender<Condition>>,
     task: JoinHandle<()>,
 }
 
@@ -45,17 +54,17 @@
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let state = Arc::new(watch::Sender::new(State::Open));
-        let watching = Arc::clone(&state);
+        let condition = Arc::new(watch::Sender::default());
+        let watching = Arc::clone(&condition);
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let state = watching.subscribe();
-                tokio::spawn(async move { forward(stream, target, state).await });
+                let condition = watching.subscribe();
+                tokio::spawn(async move { forward(stream, target, condition).await });
             }
         });
         Ok(Self {
             address,
-            state,
+            condition,
             task,
         })
     }
@@ -73,7 +82,14 @@
 
     /// Changes how it does.
     pub fn set(&self, state: State) {
-        self.state.send_replace(state);
+        self.condition
+            .send_modify(|condition| condition.state = state);
+    }
+
+    /// Has all open connections go silent for good, without a reset; new ones work.
+    pub fn silence(&self) {
+        self.condition
+            .send_modify(|condition| condition.silenced += 1);
     }
 }
 
@@ -83,8 +99,9 @@
     }
 }
 
-async fn forward(near: TcpStream, target: SocketAddr, mut state: watch::Receiver<State>) {
-    if *state.borrow() == State::Cut {
+async fn forward(near: TcpStream, target: SocketAddr, mut condition: watch::Receiver<Condition>) {
+    let born = *condition.borrow();
+    if born.state == State::Cut {
         return;
     }
     let Ok(far) = TcpStream::connect(target).await else {
@@ -94,35 +111,64 @@
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let there = carry(near_read, far_write, state.clone(), false);
-    let back = carry(far_read, near_write, state.clone(), true);
+    let carry = |from, to, answers| Carrier {
+        from,
+        to,
+        condition: condition.clone(),
+        born: born.silenced,
+        answers,
+    };
+    let there = carry(near_read, far_write, false).run();
+    let back = carry(far_read, near_write, true).run();
     tokio::select! {
         _ = async { tokio::join!(there, back) } => {}
-        _ = state.wait_for(|state| *state == State::Cut) => {}
+        _ = condition.wait_for(|condition| condition.state == State::Cut) => {}
     }
 }
 
-/// Carries bytes one way until either end is gone.
-async fn carry(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    mut state: watch::Receiver<State>,
+/// One way of a connection.
+struct Carrier {
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    condition: watch::Receiver<Condition>,
+    /// How often connections had gone silent when this one was made.
+    born: u64,
+    /// Whether it carries answers.
     answers: bool,
-) {
-    let mut buffer = vec![0; 16 << 10];
-    while let Ok(length @ 1..) = from.read(&mut buffer).await {
-        let held_up =
-            |state: &State| *state == State::Silent || (answers && *state == State::NoAnswers);
-        // the link lives longer than its connections, or they end with it
-        let _ = state.wait_for(|state| !held_up(state)).await;
-        let now = *state.borrow();
-        if let State::Slow(time) = now {
-            tokio::time::sleep(time).await;
-        }
-        if to.write_all(&buffer[..length]).await.is_err() {
-            return;
+}
+
+impl Carrier {
+    /// Carries bytes until either end is gone.
+    async fn run(mut self) {
+        let mut buffer = vec![0; 16 << 10];
+        while let Ok(length @ 1..) = self.from.read(&mut buffer).await {
+            self.let_through().await;
+            let now = self.condition.borrow().state;
+            if let State::Slow(time) = now {
+                tokio::time::sleep(time).await;
+            }
+            if self.to.write_all(&buffer[..length]).await.is_err() {
+                return;
+            }
         }
+        self.let_through().await;
+        // the other side may be gone already
+        let _ = self.to.shutdown().await;
+    }
+
+    /// Waits until the link lets bytes through this way.
+    async fn let_through(&mut self) {
+        let (born, answers) = (self.born, self.answers);
+        let held_up = |condition: &Condition| match condition.state {
+            _ if condition.silenced > born => true,
+            State::Silent => true,
+            State::NoAnswers => answers,
+            State::Open | State::Cut | State::Slow(_) => false,
+        };
+        // the link lives longer than its connections, or they end with it
+        let _ = self
+            .condition
+            .wait_for(|condition| !held_up(condition))
+            .await;
     }
-    // the other side may be gone already
-    let _ = to.shutdown().await;
 }
