Part the state of the model of orders from its steps

Change: the state and the labels are a module of their own, the protocol's type can be hashed, the copy is gone.

--- a/components/protocol/src/order.rs
+++ b/components/protocol/src/order.rs
@@ -228,7 +228,7 @@
 }
 
 /// How a sender's call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Ended {
     /// The engine has what was wanted.
     Reached,
--- a/components/spec/src/orders.rs
+++ b/components/spec/src/orders/mod.rs
@@ -2,12 +2,15 @@
 //! answers of the table, crashes. A pause is any delay between two steps of a daemon, so every
 //! pause is covered; a lease may lapse at any moment, since safety may not rest on its term.
 
+mod state;
+
 use protocol::{
-    Incarnation,
-    lease::{self, Lease},
-    order::{self, Ended, Role, Row, Stage, Step, Wanted},
+    Incarnation, lease,
+    order::{self, Ended, Role, Row, Stage, Step},
 };
 
+use state::{Daemon, Doing, Label, Message, Setup, State, Variant, name, start, wanted};
+
 use crate::{
     Case,
     explore::{Outcome, explore},
@@ -21,179 +24,6 @@
 const ON_THE_WAY: usize = 3;
 const BOUNDS: &str = "2 daemons, 1 engine, epochs to 3, orders to 2, 3 on the way, 2 ends, 1 crash";
 
-/// What is done wrong on purpose.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Variant {
-    Right,
-    /// The order is sent before its intent is committed.
-    IntentAfterSend,
-    /// A commit checks neither epoch nor row: the lease's term alone protects.
-    TermAlone,
-    /// A different order doesn't wait for the senders of open ones.
-    NoWait,
-    /// An order that may still strike after a lost call is taken for ended.
-    LostIsEnded,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Setup {
-    fences: bool,
-}
-
-/// What a daemon is about to do.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Doing {
-    Nothing,
-    /// It has read the rows and decided; the commit is not made yet.
-    Commit {
-        row: Row,
-        over: Option<Row>,
-    },
-    /// The intent is committed, or so it believes; the order is not sent yet.
-    Send(Row),
-    /// The order is on its way.
-    Await(Row),
-    /// The call has ended.
-    Finish(Row, Ended2),
-}
-
-/// [`Ended`] in a form that can be hashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Ended2 {
-    Reached,
-    NotReached,
-    Lost,
-}
-
-impl From<Ended2> for Ended {
-    fn from(ended: Ended2) -> Self {
-        match ended {
-            Ended2::Reached => Self::Reached,
-            Ended2::NotReached => Self::NotReached,
-            Ended2::Lost => Self::Lost,
-        }
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Daemon {
-    alive: bool,
-    epoch: Option<u64>,
-    doing: Doing,
-    /// Orders of its own that may still strike.
-    lost: Vec<u64>,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-struct Message {
-    number: u64,
-    wanted: Wanted,
-    from: usize,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct State {
-    lease: Option<Lease>,
-    row: Option<Row>,
-    daemons: [Daemon; DAEMONS],
-    /// Sorted.
-    network: Vec<Message>,
-    holds: Role,
-    highest: u64,
-    /// The highest number that took effect.
-    effective: u64,
-    crashes: u8,
-    broken: Option<&'static str>,
-}
-
-/// What happens.
-#[derive(Debug)]
-#[expect(dead_code, reason = "the fields are read by Debug")]
-enum Label {
-    TakesStewardship {
-        daemon: usize,
-        epoch: u64,
-    },
-    Decides {
-        daemon: usize,
-        number: u64,
-        role: Role,
-    },
-    CommitRefused {
-        daemon: usize,
-    },
-    CommitsIntent {
-        daemon: usize,
-        number: u64,
-        role: Role,
-    },
-    CommitAnswerLost {
-        daemon: usize,
-        number: u64,
-    },
-    Sends {
-        daemon: usize,
-        number: u64,
-    },
-    EngineTakes {
-        number: u64,
-        role: Role,
-        from: usize,
-    },
-    EngineRefuses {
-        number: u64,
-        from: usize,
-    },
-    CallIsLost {
-        daemon: usize,
-    },
-    CommitsOutcome {
-        daemon: usize,
-        number: u64,
-        stage: Stage,
-    },
-    OutcomeRefused {
-        daemon: usize,
-    },
-    Withdraws {
-        daemon: usize,
-    },
-    Crashes {
-        daemon: usize,
-    },
-}
-
-fn name(daemon: usize) -> Incarnation {
-    Incarnation(daemon as u64 + 1)
-}
-
-fn wanted(role: Role) -> Wanted {
-    Wanted {
-        role,
-        ..Wanted::default()
-    }
-}
-
-fn start() -> State {
-    let daemon = Daemon {
-        alive: true,
-        epoch: None,
-        doing: Doing::Nothing,
-        lost: Vec::new(),
-    };
-    State {
-        lease: None,
-        row: None,
-        daemons: [daemon.clone(), daemon],
-        network: Vec::new(),
-        holds: Role::Mixed,
-        highest: 0,
-        effective: 0,
-        crashes: 0,
-        broken: None,
-    }
-}
-
 fn next(state: &State, setup: Setup, variant: Variant) -> Vec<(Label, State)> {
     let mut steps = Vec::new();
     for at in 0..DAEMONS {
@@ -358,11 +188,11 @@
             // the call is cut; the order may still arrive
             let mut next = state.clone();
             let ended = if variant == Variant::LostIsEnded {
-                Ended2::NotReached
+                Ended::NotReached
             } else {
-                Ended2::Lost
+                Ended::Lost
             };
-            if ended == Ended2::Lost && !next.daemons[at].lost.contains(&row.number) {
+            if ended == Ended::Lost && !next.daemons[at].lost.contains(&row.number) {
                 next.daemons[at].lost.push(row.number);
             }
             next.daemons[at].doing = Doing::Finish(row, ended);
@@ -376,13 +206,13 @@
     state: &State,
     at: usize,
     row: &Row,
-    ended: Ended2,
+    ended: Ended,
     variant: Variant,
     steps: &mut Vec<(Label, State)>,
 ) {
     let mut next = state.clone();
     next.daemons[at].doing = Doing::Nothing;
-    let outcome = order::finish(row, ended.into());
+    let outcome = order::finish(row, ended);
     let stands = state
         .row
         .as_ref()
@@ -400,7 +230,7 @@
     let mut withdrawn = next.clone();
     steps.push((Label::OutcomeRefused { daemon: at }, next));
     // a former sender whose call has ended takes its name out
-    if let (Some(now), true) = (withdrawn.row.as_mut(), ended != Ended2::Lost)
+    if let (Some(now), true) = (withdrawn.row.as_mut(), ended != Ended::Lost)
         && now.number == row.number
         && now.earlier.contains(&name(at))
         && !state.daemons[at].lost.contains(&row.number)
@@ -437,7 +267,7 @@
                 number: message.number,
                 from: message.from,
             };
-            (label, Ended2::NotReached)
+            (label, Ended::NotReached)
         } else {
             strike(&mut next, message, setup);
             let label = Label::EngineTakes {
@@ -445,7 +275,7 @@
                 role: message.wanted.role,
                 from: message.from,
             };
-            (label, Ended2::Reached)
+            (label, Ended::Reached)
         };
         // the answer reaches a sender that still waits for it
         if let Doing::Await(row) = &state.daemons[message.from].doing
