--- a/examples/mixshift_parts/run.rs
+++ b/examples/mixshift_parts/run/mod.rs
@@ -1,73 +1,36 @@
 //! One run: arrivals, steps of engines, reports, digests and role decisions in order of time.
 
+mod options;
+mod roles;
+
 use std::{cmp::Reverse, collections::BinaryHeap};
 
 use policy::{
     count,
     learn::Rates,
     real,
-    role::{self, Bounds, Change, Demand, Split},
+    role::Demand,
     route::{Plan, Role, Weights},
     view::{self, Reading},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use standin::batch::{Job, Speed, Token};
 
-use super::{
+pub use options::Options;
+use options::weights;
+
+use crate::mixshift_parts::{
     decider::{Decider, Open},
     fleet::{Engine, State},
-    policies::{Policy, Roles, Routing},
+    policies::{Policy, Routing},
     report::Results,
-    workload::{Case, LENGTH, Request, Site, requests},
+    workload::{Case, LENGTH, Request, requests},
 };
 
-/// Options of a run.
-#[derive(Clone, Copy, Debug)]
-pub struct Options {
-    /// Whose sizes.
-    pub site: Site,
-    /// How many deciders share the arrivals.
-    pub deciders: usize,
-    /// How late reports are.
-    pub lag_ms: u64,
-    /// The routing window.
-    pub window_ms: u64,
-    /// Weight of the delay to those that write.
-    pub disturbance: f64,
-    /// The longest time between tokens that is aimed at.
-    pub pace_ms: u64,
-    /// Most requests that write at an engine.
-    pub most_writing: u64,
-    /// Weight of the delay by prompts behind.
-    pub held: f64,
-    /// The horizon of role decisions.
-    pub horizon_s: u64,
-    /// The seed.
-    pub seed: u64,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            site: Site::Association,
-            deciders: 3,
-            lag_ms: 300,
-            window_ms: Weights::default().window / 1_000,
-            disturbance: Weights::default().disturbance,
-            held: Weights::default().held,
-            most_writing: Weights::default().most_writing,
-            pace_ms: Weights::default().pace / 1_000,
-            horizon_s: 120,
-            seed: 1,
-        }
-    }
-}
-
 const ENGINES: usize = 12;
 const DIGEST_US: u64 = 500_000;
 const REPORT_US: u64 = 250_000;
 const ROLE_US: u64 = 2_000_000;
-const SPACING_US: u64 = 3_600_000_000 / 40;
 const CRASH_AT: u64 = 120_000_000;
 const WITHDRAW_AT: u64 = 240_000_000;
 /// How many groups are tried in turn, as in the daemon.
@@ -75,27 +38,6 @@
 /// Share of cache events that are lost.
 const GAPS: f64 = 0.2;
 
-fn weights(policy: Policy, options: Options) -> Weights {
-    let usual = Weights {
-        window: options.window_ms * 1_000,
-        disturbance: options.disturbance,
-        held: options.held,
-        most_writing: options.most_writing,
-        pace: options.pace_ms * 1_000,
-        ..Weights::default()
-    };
-    match policy.routing {
-        Routing::Plain => Weights {
-            disturbance: 0.0,
-            held: 0.0,
-            chunk: 0,
-            pace: u64::MAX,
-            ..usual
-        },
-        _ => usual,
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival(usize),
@@ -430,108 +372,6 @@
         }
     }
 
-    fn roles(&mut self) {
-        if self.now < count(LENGTH * 1e6) {
-            self.at(self.now + ROLE_US, Event::Roles);
-        }
-        let (read, write) = std::mem::take(&mut self.arrived);
-        self.demand.observe(self.now, read, write);
-        let change = match self.policy.roles {
-            Roles::Fixed => None,
-            Roles::Forecast => {
-                let bounds = Bounds {
-                    reserve: 1,
-                    horizon: self.options.horizon_s * 1_000_000,
-                    away: 10_000_000,
-                    spacing: SPACING_US,
-                };
-                let load = self.demand.forecast();
-                role::decide(self.split(), load, &bounds, self.now, self.changed)
-            }
-            Roles::Threshold => self.threshold(),
-        };
-        if let Some(change) = change {
-            self.change(change);
-        }
-    }
-
-    fn split(&self) -> Split {
-        let of = |role: Role| {
-            let engines = self.engines.iter();
-            let matching = engines.filter(|e| e.role == role && e.state == State::Open);
-            u32::try_from(matching.count()).expect("a few")
-        };
-        Split {
-            prefill: of(Role::Prefill),
-            decode: of(Role::Decode),
-            mixed: of(Role::Mixed),
-        }
-    }
-
-    /// The simple baseline: the phase with much the fuller engines gets one of the other's.
-    fn threshold(&self) -> Option<Change> {
-        let of = |role: Role| self.engines.iter().filter(move |e| e.role == role);
-        let reading: u64 = of(Role::Prefill)
-            .map(|e| e.batch.waiting_prompt_tokens())
-            .sum();
-        let writing: u64 = of(Role::Decode).map(|e| e.batch.requests() as u64).sum();
-        let readers = of(Role::Prefill).count().max(1) as u64;
-        let writers = of(Role::Decode).count().max(1) as u64;
-        let waits = reading / readers > 10_000;
-        let full = writing / writers > 40;
-        match (waits, full) {
-            (true, false) if writers > 1 => Some(Change::ToPrefill),
-            (false, true) if readers > 1 => Some(Change::ToDecode),
-            _ => None,
-        }
-    }
-
-    fn change(&mut self, change: Change) {
-        let (from, to) = match change {
-            Change::ToPrefill => (Role::Decode, Role::Prefill),
-            Change::ToDecode => (Role::Prefill, Role::Decode),
-        };
-        let candidates = (0..self.engines.len())
-            .filter(|at| self.engines[*at].role == from && self.engines[*at].state == State::Open);
-        let Some(engine) = candidates.min_by_key(|at| self.engines[*at].batch.requests()) else {
-            return;
-        };
-        self.engines[engine].state = State::Closing(to);
-        self.changed = Some(self.now);
-        self.results.changes += 1;
-        self.maybe_leave(engine);
-    }
-
-    fn maybe_leave(&mut self, engine: usize) {
-        if !matches!(self.engines[engine].state, State::Closing(_)) {
-            return;
-        }
-        // a split's second half may still be on its way to it
-        let expected = self
-            .flights
-            .iter()
-            .flatten()
-            .any(|flight| match flight.plan {
-                Plan::Whole { engine: one } => one == engine,
-                Plan::Split { prefill, decode } => prefill == engine || decode == engine,
-            });
-        if let (State::Closing(to), false) = (self.engines[engine].state, expected) {
-            self.engines[engine].state = State::Away(to);
-            let away = Speed::default().change_ms * 1_000;
-            self.at(self.now + away, Event::RoleDone(engine));
-        }
-    }
-
-    fn role_done(&mut self, engine: usize) {
-        if let State::Away(to) = self.engines[engine].state {
-            self.engines[engine] = Engine::new(to, Speed::default());
-            for decider in &mut self.deciders {
-                decider.seen[engine].blocks.clear();
-                decider.seen[engine].sequence = 0;
-            }
-        }
-    }
-
     /// An engine is gone; its requests start anew, as their daemons would have them.
     fn crash(&mut self, engine: usize) {
         self.engines[engine].state = State::Gone;
