Tell only neighbours often in large data centres, and look only at busy endpoints

Each gateway told each of 298 others some six times a second, locked all 3,000 endpoints a hundred times a second to find what it has under way there, kept a demand for the steward's plan whether or not it could become the steward, and wrote 3,000 lines at each start.

Ruled out: the store at a start of all.

Change: where a data centre has more than 32 peers, a gateway tells 16 of its own and 4 of each other one often, drawn by a hash of both; the others hear each second or less often, at once of what must be told to all, and often from readers, the steward and who comes next. A data centre is cut off when those of its peers that are heard often are silent. Endpoints with something under way are noted where they begin. Only the steward and the next two follow the demand. Of more than 100 new endpoints the log has one line.

Bytes between data centres remain the dearest price there.

--- a/components/gateway/src/endpoint/load.rs
+++ b/components/gateway/src/endpoint/load.rs
@@ -53,9 +53,9 @@
     /// Counts a prompt of so much work, and whether it gives way to all others.
     #[must_use]
     pub fn new(target: &Arc<Target>, work: u64, late: bool) -> Self {
-        target.with(|state| {
-            *state.own.work(late) += work;
-            state.own.prompts += 1;
+        target.begin(|own| {
+            *own.work(late) += work;
+            own.prompts += 1;
         });
         Self {
             target: Arc::clone(target),
@@ -91,9 +91,9 @@
     /// Counts a request, and whether its answer will be long.
     #[must_use]
     pub fn new(target: &Arc<Target>, long: bool) -> Self {
-        target.with(|state| {
-            state.own.writing += 1;
-            state.own.long += u64::from(long);
+        target.begin(|own| {
+            own.writing += 1;
+            own.long += u64::from(long);
         });
         Self {
             target: Arc::clone(target),
--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -3,6 +3,7 @@
 //! An endpoint here is one incarnation of a back end. A restarted back end is another endpoint, even
 //! at the same address, so nothing learnt of one is believed of the other.
 
+mod busy;
 mod health;
 mod link;
 mod load;
@@ -14,6 +15,7 @@
 
 use derive_more::Display;
 
+pub use busy::Busy;
 pub use health::{Health, Verdict};
 pub use link::{Link, NotOpened};
 pub use load::{Load, Reading, Writing};
--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -4,9 +4,13 @@
 
 use parking_lot::{Mutex, RwLock};
 
-use super::{Id, Profile, Target, subset};
+use super::{Busy, Id, Profile, Target, subset};
 use crate::{edge::Change, version::Configuration};
 
+/// The most endpoints that are new at once and have a line in the log each: the lists of the first
+/// deployments have 60. The thousands of a large one would push all other lines out of it at each start.
+const MOST_LINES: usize = 100;
+
 /// The endpoints of one service, sorted by name.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -39,6 +43,8 @@
     numbered: RwLock<Vec<(u32, Arc<Target>)>>,
     /// Which endpoints of large fleets this process uses.
     choice: subset::Choice,
+    /// Those with something under way.
+    busy: Arc<Busy>,
     /// Only one update at a time.
     updating: Mutex<()>,
 }
@@ -75,6 +81,12 @@
         Arc::clone(&self.targets.read())
     }
 
+    /// The endpoints at which this process has something under way, also those that have left the list.
+    #[must_use]
+    pub fn busy(&self) -> &Busy {
+        &self.busy
+    }
+
     /// Takes an update. With `whole` the changes are all that there is, and what isn't among them is
     /// gone.
     pub fn apply(&self, changes: &[Change], whole: bool, version: Option<&Configuration>) {
@@ -91,15 +103,46 @@
                 listed
             });
         }
+        let each = changes.len() <= MOST_LINES;
+        if !each {
+            log::info!(changes = changes.len(), whole, before = targets.len(); "many endpoints changed");
+        }
         for change in changes {
             match change {
-                Change::Present(profile) => present(&mut targets, profile, version),
+                Change::Present(profile) => self.present(&mut targets, profile, version, each),
                 Change::Gone(id) => gone(&mut targets, id),
             }
         }
         self.publish(targets);
     }
 
+    fn present(
+        &self,
+        targets: &mut Vec<Arc<Target>>,
+        profile: &Profile,
+        version: Option<&Configuration>,
+        tell: bool,
+    ) {
+        match targets.binary_search_by(|target| target.id.cmp(&profile.id)) {
+            Ok(at) => update(&targets[at], profile),
+            Err(at) => {
+                if tell {
+                    log::info!(
+                        endpoint = &*profile.id.0, service = &*profile.service, state:% = profile.state,
+                        address:% = profile.address, data_centre = &*profile.data_centre;
+                        "an endpoint is listed"
+                    );
+                }
+                let memory = version
+                    .and_then(|version| version.service(&profile.service))
+                    .and_then(|service| service.engines.as_ref())
+                    .map_or(0, |engines| engines.memory_tokens);
+                let target = Target::new(profile.clone(), memory, Arc::clone(&self.busy));
+                targets.insert(at, Arc::new(target));
+            }
+        }
+    }
+
     fn publish(&self, targets: Vec<Arc<Target>>) {
         let mut fleets: Vec<(Arc<str>, Vec<Arc<Target>>)> = Vec::new();
         for target in &targets {
@@ -132,25 +175,6 @@
     }
 }
 
-fn present(targets: &mut Vec<Arc<Target>>, profile: &Profile, version: Option<&Configuration>) {
-    match targets.binary_search_by(|target| target.id.cmp(&profile.id)) {
-        Ok(at) => update(&targets[at], profile),
-        Err(at) => {
-            log::info!(
-                endpoint = &*profile.id.0, service = &*profile.service, state:% = profile.state,
-                address:% = profile.address, data_centre = &*profile.data_centre;
-                "an endpoint is listed"
-            );
-            let memory = version
-                .and_then(|version| version.service(&profile.service))
-                .and_then(|service| service.engines.as_ref())
-                .map_or(0, |engines| engines.memory_tokens);
-            let target = Target::new(profile.clone(), memory);
-            targets.insert(at, Arc::new(target));
-        }
-    }
-}
-
 fn update(target: &Target, profile: &Profile) {
     let before = target.update(profile);
     if before.state != profile.state {
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -13,7 +13,7 @@
 use tokio::{sync::Notify, time::Instant};
 
 use super::{
-    Health, Id, Link, Load, NotOpened, Profile, Stage, State, Verdict,
+    Busy, Health, Id, Link, Load, NotOpened, Profile, Stage, State, Verdict,
     link::{self, Idle},
 };
 
@@ -29,6 +29,8 @@
     leave: Notify,
     /// Open connections, idle or in use.
     open: Arc<AtomicUsize>,
+    /// Where it is noted while it has something under way.
+    busy: Arc<Busy>,
 }
 
 /// What changes about an endpoint.
@@ -74,11 +76,12 @@
 impl Target {
     /// An endpoint that is new on the list.
     #[must_use]
-    pub fn new(profile: Profile, memory_tokens: u64) -> Self {
+    pub fn new(profile: Profile, memory_tokens: u64, busy: Arc<Busy>) -> Self {
         Self {
             id: profile.id.clone(),
             short: profile.id.short(),
             open: Arc::default(),
+            busy,
             leave: Notify::new(),
             state: Mutex::new(Inner {
                 profile,
@@ -100,6 +103,18 @@
         f(&mut self.state.lock())
     }
 
+    /// Counts something that begins.
+    pub(super) fn begin(self: &Arc<Self>, count: impl FnOnce(&mut Load)) {
+        let was_idle = self.with(|state| {
+            let was_idle = state.own == Load::default();
+            count(&mut state.own);
+            was_idle
+        });
+        if was_idle {
+            self.busy.add(self);
+        }
+    }
+
     /// It as a decision sees it; none while it takes nothing new.
     #[must_use]
     pub fn seen(&self, now: Instant, parts: &[Part]) -> Option<Seen> {
@@ -247,9 +262,4 @@
     pub fn forget_links(&self) {
         self.with(|state| state.idle.clear());
     }
-
-    /// Drops idle connections that are no longer of use.
-    pub fn tidy(&self, now: Instant) {
-        self.with(|state| state.idle.retain(|idle| idle.alive(now)));
-    }
 }
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -2,6 +2,7 @@
 //! heard at all. Soft state in datagrams; only the quality of choices depends on it.
 
 mod changes;
+mod reach;
 mod receive;
 mod register;
 mod send;
@@ -26,6 +27,8 @@
 const SILENT_BEATS: u32 = 4;
 /// A peer that was not heard for this long is forgotten. It sends a digest itself when it is back.
 const FORGOTTEN: Duration = Duration::from_secs(60);
+/// Peers that look for a store that is away as often as they can, in each data centre.
+const LOOKERS: usize = 2;
 /// The most placements that wait for the next digest; a hint that is lost costs little.
 const PLACED: usize = 64;
 /// The most changes of the endpoints in one message: it then stays within a datagram.
@@ -131,6 +134,18 @@
             .any(|peer| peer.store_answers && peer.is_live(now))
     }
 
+    /// Whether enough live peers of a data centre come before this process, by address, to look for a store
+    /// that fails all of them: one may be cut off for longer.
+    pub fn look_before(&self, own: SocketAddr, data_centre: &str) -> bool {
+        let now = Instant::now();
+        let known = self.known.lock();
+        let before = known
+            .iter()
+            .take_while(|peer| peer.address < own)
+            .filter(|peer| *peer.data_centre == *data_centre && peer.is_live(now));
+        before.count() >= LOOKERS
+    }
+
     /// Since when the store has answered each call of some live peer that reads the operators' lists.
     pub fn store_steady_since(&self) -> Option<Instant> {
         let now = Instant::now();
@@ -202,23 +217,32 @@
 
     /// The data centres that are cut off from here: peers there were heard once and none is now, while
     /// others still are. A process that hears nobody is cut off itself, and knows nothing of others.
+    ///
+    /// Some of a data centre's peers say often that they live, and those show it; the others are silent for
+    /// longer anyway.
     pub fn cut_off(&self) -> Vec<Arc<str>> {
         let now = Instant::now();
         let known = self.known.lock();
-        let heard = known.iter().filter(|peer| peer.heard.is_some());
-        let mut centres: Vec<(&Arc<str>, bool)> = Vec::new();
-        for peer in heard {
-            let live = peer.is_live(now);
-            match centres.binary_search_by(|(name, _)| (*name).cmp(&peer.data_centre)) {
-                Ok(at) => centres[at].1 |= live,
-                Err(at) => centres.insert(at, (&peer.data_centre, live)),
+        let mut centres: Vec<(&Arc<str>, Instant, Duration)> = Vec::new();
+        for peer in known.iter() {
+            let Some(heard) = peer.heard else {
+                continue;
+            };
+            match centres.binary_search_by(|(name, ..)| (*name).cmp(&peer.data_centre)) {
+                Ok(at) => {
+                    let (_, last, beat) = &mut centres[at];
+                    *last = heard.max(*last);
+                    *beat = peer.beat.min(*beat);
+                }
+                Err(at) => centres.insert(at, (&peer.data_centre, heard, peer.beat)),
             }
         }
-        if !centres.iter().any(|(_, live)| *live) {
+        let is_live = |(_, last, beat): &(_, Instant, Duration)| is_recent(*last, *beat, now);
+        if !centres.iter().any(is_live) {
             return Vec::new();
         }
-        let silent = centres.iter().filter(|(_, live)| !live);
-        silent.map(|(name, _)| Arc::clone(name)).collect()
+        let silent = centres.iter().filter(|centre| !is_live(centre));
+        silent.map(|(name, ..)| Arc::clone(name)).collect()
     }
 
     /// How many live peers come before this process, by address, of those that the store answers and that
@@ -266,15 +290,6 @@
             known.insert(at, Peer::new(address, data_centre));
         }
     }
-
-    /// The addresses of the peers in a data centre, and of all others.
-    fn addresses(&self, data_centre: &str) -> [Vec<SocketAddr>; 2] {
-        let known = self.known.lock();
-        let (near, far) = known
-            .iter()
-            .partition::<Vec<&Peer>, _>(|peer| *peer.data_centre == *data_centre);
-        [near, far].map(|peers| peers.iter().map(|peer| peer.address).collect())
-    }
 }
 
 impl Peer {
@@ -286,7 +301,7 @@
             number: 0,
             heard: None,
             since: Instant::now(),
-            beat: send::HEARTBEAT,
+            beat: reach::HEARTBEAT,
             reads: false,
             changed: [0; 2],
             loads: Vec::new(),
@@ -301,10 +316,15 @@
 
     fn is_live(&self, now: Instant) -> bool {
         self.heard
-            .is_some_and(|heard| now - heard < self.beat * SILENT_BEATS)
+            .is_some_and(|heard| is_recent(heard, self.beat, now))
     }
 }
 
+/// Whether who says so often that it lives, and was last heard then, is taken to live.
+fn is_recent(heard: Instant, beat: Duration, now: Instant) -> bool {
+    now - heard < beat * SILENT_BEATS
+}
+
 /// Talks with the peers as long as the process lives.
 pub async fn keep(gateway: Arc<Gateway>, socket: UdpSocket) {
     tokio::join!(
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -6,7 +6,7 @@
 use tokio::{net::UdpSocket, time::Instant};
 use wire::{Digest, Placed, ServiceDemand, StageTold};
 
-use super::{FORGOTTEN, Peer, TOLD, Told, ago, load, send::HEARTBEAT};
+use super::{FORGOTTEN, Peer, TOLD, Told, ago, load, reach::HEARTBEAT};
 use crate::{
     endpoint::{Load, Stage, Target},
     process::{Asked, Gateway},
--- a/components/gateway/src/peer/send.rs
+++ b/components/gateway/src/peer/send.rs
@@ -6,29 +6,25 @@
 use tokio::{net::UdpSocket, time::Instant};
 use wire::{Digest, EndpointChanges, Placed};
 
-use super::{PLACED, own, receive::heed, told};
+use super::{
+    PLACED, own,
+    reach::{HEARTBEAT, PACE, Reach},
+    receive::heed,
+    told,
+};
 use crate::{
     endpoint::Load,
     process::{Gateway, List},
+    steward,
 };
 
-/// The shortest time between two digests: twice the way between two data centres, and well below the
-/// time that a prompt takes to be read.
-const PACE: Duration = Duration::from_millis(10);
-/// What each peer adds to that time: a gateway then takes in some 600 digests a second from its data
-/// centre and as many from all others, however many there are. One gateway of many matters less to the
-/// others' choices, so what it tells may be older.
-const EACH: Duration = Duration::from_micros(1_600);
-/// A digest is sent at least this often, so that peers know that this process lives, unless they are very
-/// many.
-pub(super) const HEARTBEAT: Duration = Duration::from_millis(100);
 /// Placements in one digest; a datagram then stays below the usual size of a packet or two.
 const PLACED_AT_ONCE: usize = 24;
 
 /// Sends digests as long as the process lives.
 pub async fn keep(gateway: &Gateway, socket: &UdpSocket) {
     let mut number = 0;
-    let mut streams = [Stream::new(Reach::Near), Stream::new(Reach::Far)];
+    let mut streams = [Reach::Near, Reach::Far, Reach::Others].map(Stream::new);
     loop {
         tokio::time::sleep(PACE).await;
         let news = News::gather(gateway);
@@ -38,18 +34,18 @@
             if !stream.is_due(&news) {
                 continue;
             }
-            let [near, far] = gateway
-                .peers
-                .addresses(&gateway.settings.gateway.data_centre);
-            let peers = match stream.reach {
-                Reach::Near => near,
-                Reach::Far => far,
-            };
-            stream.beat = beat(peers.len());
-            stream.pace = pace(peers.len()).min(stream.beat);
+            let own = &gateway.settings.gateway;
+            let circle = gateway.peers.circle(
+                stream.reach,
+                own.peers,
+                &own.data_centre,
+                is_missed(gateway, &news),
+            );
+            stream.pace = circle.pace;
+            stream.beat = circle.beat;
             number += 1;
             let bytes = stream.digest(gateway, &news, number).encode_to_vec();
-            for address in peers {
+            for address in circle.peers {
                 if let Err(error) = socket.send_to(&bytes, address).await {
                     log::debug!(peer:% = address, error:%; "a digest was not sent");
                 }
@@ -58,13 +54,9 @@
     }
 }
 
-/// Which peers a stream of digests goes to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Reach {
-    /// Those in the same data centre.
-    Near,
-    /// All others: what goes there is paid for, and what they have under way matters less here.
-    Far,
+/// Whether others depend on this process and must notice its end soon.
+fn is_missed(gateway: &Gateway, news: &News) -> bool {
+    news.reads || steward::is_near(gateway)
 }
 
 /// What there is to tell at one moment.
@@ -82,7 +74,7 @@
 impl News {
     fn gather(gateway: &Gateway) -> Self {
         Self {
-            loads: loads(gateway),
+            loads: gateway.registry.busy().loads(),
             placed: std::mem::take(&mut *gateway.peers.placed.lock()),
             changing: gateway.steward.changing(),
             changes: std::mem::take(&mut *gateway.peers.news.lock()),
@@ -126,10 +118,12 @@
         }
     }
 
-    /// Keeps what must be told once.
+    /// Keeps what must be told once. Placements are hints, of use to those that are told of loads in time.
     fn add(&mut self, news: &News) {
-        let room = PLACED.saturating_sub(self.placed.len());
-        self.placed.extend(news.placed.iter().take(room).cloned());
+        if self.reach != Reach::Others {
+            let room = PLACED.saturating_sub(self.placed.len());
+            self.placed.extend(news.placed.iter().take(room).cloned());
+        }
         self.changes.extend_from_slice(&news.changes);
     }
 
@@ -164,27 +158,3 @@
         }
     }
 }
-
-/// The shortest time between two digests to so many peers, each of which sends as many.
-fn pace(peers: usize) -> Duration {
-    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-    PACE.max(EACH.saturating_mul(peers))
-}
-
-/// The longest time between two digests to so many peers: with very many the shortest one is longer than a
-/// heartbeat, and it is kept.
-fn beat(peers: usize) -> Duration {
-    HEARTBEAT.max(pace(peers))
-}
-
-/// What this process has under way, by endpoint.
-fn loads(gateway: &Gateway) -> Vec<(u32, Load)> {
-    let targets = gateway.registry.all();
-    let mut loads: Vec<(u32, Load)> = targets
-        .iter()
-        .map(|target| (target.short, target.with(|state| state.own)))
-        .filter(|(_, load)| *load != Load::default())
-        .collect();
-    loads.sort_unstable_by_key(|(short, _)| *short);
-    loads
-}
--- a/components/gateway/src/steward/mod.rs
+++ b/components/gateway/src/steward/mod.rs
@@ -109,6 +109,15 @@
     }
 }
 
+/// How many live peers may come before a process, by address, that follows what a steward must know: the
+/// first one after the steward takes over when that one ends.
+const SUCCESSORS: usize = 2;
+
+/// Whether this process is the steward, or one of those that come next.
+pub fn is_near(gateway: &Gateway) -> bool {
+    gateway.steward.holds() || gateway.peers.rank(gateway.settings.gateway.peers) < SUCCESSORS
+}
+
 /// Takes, keeps and uses the lease as long as the process lives.
 pub async fn keep(gateway: Arc<Gateway>) {
     let mut seat = Seat::default();
@@ -119,7 +128,9 @@
         tokio::time::sleep(TICK.mul_f64(jitter)).await;
         while changes.try_join_next().is_some() {}
         seat.visit(&gateway).await;
-        planner.observe(&gateway);
+        if is_near(&gateway) {
+            planner.observe(&gateway);
+        }
         let may = seat.may_order(Instant::now());
         gateway.steward.state.lock().until = seat.until();
         if !may {
--- /dev/null
+++ b/components/gateway/tests/busy.rs
@@ -0,0 +1,86 @@
+//! What is told of work under way: exactly what is, also after it has ended and begun again.
+
+use std::sync::Arc;
+
+use gateway::{
+    edge::Change,
+    endpoint::{Id, Load, Profile, Reading, Registry, State, Writing},
+};
+
+fn profile(name: &str) -> Profile {
+    Profile {
+        id: Id(Arc::from(name)),
+        service: Arc::from("engines"),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: Arc::from("here"),
+        state: State::Ready,
+        slots: 4,
+        stage: None,
+    }
+}
+
+fn registry(names: &[&str]) -> Registry {
+    let registry = Registry::new("g1", "here");
+    let changes: Vec<Change> = names
+        .iter()
+        .map(|name| Change::Present(profile(name)))
+        .collect();
+    registry.apply(&changes, true, None);
+    registry
+}
+
+fn writing(count: u64) -> Load {
+    Load {
+        writing: count,
+        ..Load::default()
+    }
+}
+
+#[test]
+fn loads_are_those_of_the_work_under_way() {
+    let registry = registry(&["e1", "e2", "e3"]);
+    let short = |name: &str| Id(Arc::from(name)).short();
+    let target = |name: &str| registry.find(short(name)).expect("listed");
+    assert_eq!(registry.busy().loads(), []);
+
+    let first = Writing::new(&target("e1"), false);
+    let second = Writing::new(&target("e1"), false);
+    let other = Reading::new(&target("e3"), 50, false);
+    let mut expected = vec![
+        (short("e1"), writing(2)),
+        (
+            short("e3"),
+            Load {
+                reading: 50,
+                prompts: 1,
+                ..Load::default()
+            },
+        ),
+    ];
+    expected.sort_unstable_by_key(|(short, _)| *short);
+    assert_eq!(registry.busy().loads(), expected);
+
+    drop((first, other));
+    assert_eq!(registry.busy().loads(), [(short("e1"), writing(1))]);
+    drop(second);
+    // it begins again before anybody has looked
+    let third = Writing::new(&target("e1"), false);
+    assert_eq!(registry.busy().loads(), [(short("e1"), writing(1))]);
+    drop(third);
+    assert_eq!(registry.busy().loads(), []);
+    let fourth = Writing::new(&target("e1"), false);
+    assert_eq!(registry.busy().loads(), [(short("e1"), writing(1))]);
+    drop(fourth);
+}
+
+#[test]
+fn an_endpoint_that_has_left_still_counts_while_it_answers() {
+    let registry = registry(&["e1"]);
+    let short = Id(Arc::from("e1")).short();
+    let target = registry.find(short).expect("listed");
+    let answer = Writing::new(&target, false);
+    registry.apply(&[Change::Gone(target.id.clone())], false, None);
+    assert_eq!(registry.busy().loads(), [(short, writing(1))]);
+    drop(answer);
+    assert_eq!(registry.busy().loads(), []);
+}
--- a/components/gateway/tests/lists.rs
+++ b/components/gateway/tests/gateway/fake.rs
@@ -1,4 +1,4 @@
-//! How the gateway asks for the operators' lists, against a fake of the edge that only notes it.
+//! A fake of the edge: lists that note how they are asked for, and a table that refuses.
 
 use std::{net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration};
 
@@ -16,16 +16,15 @@
 use parking_lot::Mutex;
 use prost::Message;
 use settings::gateway::{Bounds, Gateway, Resources, Settings, Store};
-use tokio::net::UdpSocket;
-use wire::{Digest, EndpointChanges};
+use wire::Digest;
 
 /// The revision that all answers have.
-const REVISION: u64 = 7;
+pub const REVISION: u64 = 7;
 
 /// Notes all calls, and fails some of them.
 #[derive(Debug)]
-struct Notes {
-    calls: Mutex<Vec<From>>,
+pub struct Notes {
+    pub calls: Mutex<Vec<From>>,
     /// The calls that fail, by their number from 1.
     fails: RangeInclusive<usize>,
 }
@@ -53,21 +52,21 @@
 }
 
 #[derive(Debug)]
-struct Fake {
-    endpoints: Notes,
-    configuration: Notes,
+pub struct Fake {
+    pub endpoints: Notes,
+    pub configuration: Notes,
 }
 
 impl Fake {
     /// Of each list the calls with these numbers fail.
-    fn failing(fails: RangeInclusive<usize>) -> Arc<Self> {
+    pub fn failing(fails: RangeInclusive<usize>) -> Arc<Self> {
         Arc::new(Self {
             endpoints: Notes::new(fails.clone()),
             configuration: Notes::new(fails),
         })
     }
 
-    fn edges(self: &Arc<Self>) -> Edges {
+    pub fn edges(self: &Arc<Self>) -> Edges {
         Edges {
             directory: Arc::clone(self) as Arc<dyn Directory>,
             dialect: Arc::clone(self) as Arc<dyn Dialect>,
@@ -170,7 +169,7 @@
     }
 }
 
-fn settings() -> Settings {
+pub fn settings() -> Settings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     Settings {
         gateway: Gateway {
@@ -193,79 +192,21 @@
     }
 }
 
-/// A call that a silent store swallowed must be noticed, and the list read again, within the three
-/// seconds after the store's return that operators grant.
-const GRANTED: Duration = Duration::from_secs(3);
+/// Longer than the test takes, in milliseconds: nobody is missed meanwhile.
+const LASTING: u32 = 60_000;
 
-#[tokio::test]
-async fn a_store_is_never_asked_to_wait_as_long_as_operators_grant() {
-    let fake = Fake::failing(2..=2);
-    let running = gateway::start(settings(), fake.edges())
-        .await
-        .expect("gateway");
-    for notes in [&fake.endpoints, &fake.configuration] {
-        while notes.calls.lock().len() < 4 {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        let asked = notes.calls.lock().clone();
-        assert_eq!(asked[0], From::Start);
-        let waits: Vec<Duration> = asked[1..]
-            .iter()
-            .map(|from| match from {
-                From::Start => panic!("read from the start again: {asked:?}"),
-                From::After { revision, wait } => {
-                    assert_eq!(*revision, REVISION);
-                    *wait
-                }
-            })
-            .collect();
-        assert!(
-            waits.iter().all(|wait| *wait < GRANTED * 4 / 5),
-            "{waits:?}"
-        );
-        // a store that failed is asked for a plain answer first
-        assert_eq!(waits[1], Duration::ZERO);
-        assert!(waits[2] > Duration::ZERO);
-    }
-    drop(running);
-}
-
-#[tokio::test]
-async fn a_store_that_fails_is_not_asked_to_wait_because_a_peer_tells_a_change() {
-    let fake = Fake::failing(2..=usize::MAX);
-    let running = gateway::start(settings(), fake.edges())
-        .await
-        .expect("gateway");
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
-    let told = Digest {
+/// A digest of a peer in the gateway's data centre, which the store answers if it `reads`.
+pub fn digest(address: SocketAddr, reads: bool) -> Vec<u8> {
+    let digest = Digest {
         incarnation: 1,
-        address: socket.local_addr().expect("an address").to_string(),
-        changes: vec![EndpointChanges {
-            after: REVISION,
-            to: REVISION + 1,
-            ..EndpointChanges::default()
-        }],
+        number: 1,
+        name: address.to_string(),
+        data_centre: "here".to_owned(),
+        address: address.to_string(),
+        beat_ms: LASTING,
+        store_answers: reads,
+        reads,
         ..Digest::default()
     };
-    let calls = || fake.endpoints.calls.lock().clone();
-    while calls().len() < 3 {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    let knows = |from: &From| matches!(from, From::After { revision, .. } if *revision > REVISION);
-    let mut number = 0;
-    while !calls().iter().any(knows) {
-        number += 1;
-        let digest = Digest {
-            number,
-            ..told.clone()
-        };
-        let to = running.addresses().peers;
-        let sent = socket.send_to(&digest.encode_to_vec(), to).await;
-        sent.expect("a digest is sent");
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    // the second call was made before the store had failed
-    for call in calls().iter().skip(2) {
-        assert_eq!(*call, call.at_once());
-    }
+    digest.encode_to_vec()
 }
--- /dev/null
+++ b/components/gateway/tests/gateway/lists.rs
@@ -0,0 +1,87 @@
+//! How the gateway asks for the operators' lists.
+
+use std::time::Duration;
+
+use gateway::edge::From;
+use prost::Message;
+use tokio::net::UdpSocket;
+use wire::{Digest, EndpointChanges};
+
+use crate::fake::{Fake, REVISION, settings};
+
+/// A call that a silent store swallowed must be noticed, and the list read again, within the three
+/// seconds after the store's return that operators grant.
+const GRANTED: Duration = Duration::from_secs(3);
+
+#[tokio::test]
+async fn a_store_is_never_asked_to_wait_as_long_as_operators_grant() {
+    let fake = Fake::failing(2..=2);
+    let running = gateway::start(settings(), fake.edges())
+        .await
+        .expect("gateway");
+    for notes in [&fake.endpoints, &fake.configuration] {
+        while notes.calls.lock().len() < 4 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let asked = notes.calls.lock().clone();
+        assert_eq!(asked[0], From::Start);
+        let waits: Vec<Duration> = asked[1..]
+            .iter()
+            .map(|from| match from {
+                From::Start => panic!("read from the start again: {asked:?}"),
+                From::After { revision, wait } => {
+                    assert_eq!(*revision, REVISION);
+                    *wait
+                }
+            })
+            .collect();
+        assert!(
+            waits.iter().all(|wait| *wait < GRANTED * 4 / 5),
+            "{waits:?}"
+        );
+        // a store that failed is asked for a plain answer first
+        assert_eq!(waits[1], Duration::ZERO);
+        assert!(waits[2] > Duration::ZERO);
+    }
+    drop(running);
+}
+
+#[tokio::test]
+async fn a_store_that_fails_is_not_asked_to_wait_because_a_peer_tells_a_change() {
+    let fake = Fake::failing(2..=usize::MAX);
+    let running = gateway::start(settings(), fake.edges())
+        .await
+        .expect("gateway");
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let told = Digest {
+        incarnation: 1,
+        address: socket.local_addr().expect("an address").to_string(),
+        changes: vec![EndpointChanges {
+            after: REVISION,
+            to: REVISION + 1,
+            ..EndpointChanges::default()
+        }],
+        ..Digest::default()
+    };
+    let calls = || fake.endpoints.calls.lock().clone();
+    while calls().len() < 3 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let knows = |from: &From| matches!(from, From::After { revision, .. } if *revision > REVISION);
+    let mut number = 0;
+    while !calls().iter().any(knows) {
+        number += 1;
+        let digest = Digest {
+            number,
+            ..told.clone()
+        };
+        let to = running.addresses().peers;
+        let sent = socket.send_to(&digest.encode_to_vec(), to).await;
+        sent.expect("a digest is sent");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    // the second call was made before the store had failed
+    for call in calls().iter().skip(2) {
+        assert_eq!(*call, call.at_once());
+    }
+}
