Look for a failing store less often beside others that do

Change: two gateways of a data centre look as often as before; the others with pauses of up to 1.5 s, which end as soon as the store answers any peer.

--- a/components/gateway/src/process/configuration.rs
+++ b/components/gateway/src/process/configuration.rs
@@ -56,7 +56,10 @@
                     From::After { revision, .. } => from = next(revision, false),
                 }
                 if !reachable {
-                    tokio::time::sleep(backoff.pause()).await;
+                    let pause = backoff.pause(&gateway);
+                    while let Some(rest) = pause.rest(&gateway) {
+                        tokio::time::sleep(rest).await;
+                    }
                 }
             }
         }
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -50,7 +50,10 @@
             }
             Err(failure) => {
                 list.lose(failure);
-                list.follow(backoff.pause()).await;
+                let pause = backoff.pause(&list.gateway);
+                while let Some(rest) = pause.rest(&list.gateway) {
+                    list.follow(rest).await;
+                }
             }
         }
     }
--- a/components/gateway/tests/gateway/lists.rs
+++ b/components/gateway/tests/gateway/lists.rs
@@ -1,13 +1,13 @@
 //! How the gateway asks for the operators' lists.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use gateway::edge::From;
 use prost::Message;
 use tokio::net::UdpSocket;
 use wire::{Digest, EndpointChanges};
 
-use crate::fake::{Fake, REVISION, settings};
+use crate::fake::{Fake, REVISION, digest, settings};
 
 /// A call that a silent store swallowed must be noticed, and the list read again, within the three
 /// seconds after the store's return that operators grant.
@@ -85,3 +85,31 @@
         assert_eq!(*call, call.at_once());
     }
 }
+
+/// Calls of a gateway that looks for the store alone, until the test compares.
+const ALONE: usize = 14;
+/// The most calls of one that is beside others meanwhile: after four quick tries its pauses are at least half
+/// as long again, whatever is drawn.
+const BESIDE: usize = 11;
+
+#[tokio::test]
+async fn a_gateway_beside_others_that_look_asks_a_failing_store_less_often() {
+    let (alone, beside) = (Fake::failing(2..=usize::MAX), Fake::failing(2..=usize::MAX));
+    let first = gateway::start(settings(), alone.edges());
+    let first = first.await.expect("gateway");
+    let second = gateway::start(settings(), beside.edges());
+    let second = second.await.expect("gateway");
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    for port in [1, 2] {
+        let peer = SocketAddr::from(([127, 0, 0, 1], port));
+        let to = second.addresses().peers;
+        let sent = socket.send_to(&digest(peer, false), to).await;
+        sent.expect("a digest is sent");
+    }
+    let calls = |fake: &Fake| fake.configuration.calls.lock().len();
+    while calls(&alone) < ALONE {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(calls(&beside) <= BESIDE, "{}", calls(&beside));
+    drop((first, second));
+}
