Don't ask for the lease while the store fails this gateway

Cause: who comes first after the steward is found among the peers that the store answers. For the same reason each would have told all others often during an outage in a large data centre.

Change: a gateway whose last call failed doesn't look for the lease; who tells often is decided by place alone, and among readers by whether the store answers.

--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -248,12 +248,20 @@
     /// How many live peers come before this process, by address, of those that the store answers and that
     /// aren't the steward.
     pub fn rank(&self, own: SocketAddr) -> usize {
+        self.before(own, |peer| peer.store_answers)
+    }
+
+    /// The same whether or not the store answers them.
+    pub fn place(&self, own: SocketAddr) -> usize {
+        self.before(own, |_| true)
+    }
+
+    fn before(&self, own: SocketAddr, counts: impl Fn(&Peer) -> bool) -> usize {
         let now = Instant::now();
         let known = self.known.lock();
-        known
-            .iter()
-            .filter(|peer| peer.address < own && peer.store_answers)
-            .filter(|peer| !peer.steward && peer.is_live(now))
+        let before = known.iter().take_while(|peer| peer.address < own);
+        before
+            .filter(|peer| counts(peer) && !peer.steward && peer.is_live(now))
             .count()
     }
 
--- a/components/gateway/src/peer/send.rs
+++ b/components/gateway/src/peer/send.rs
@@ -56,7 +56,8 @@
 
 /// Whether others depend on this process and must notice its end soon.
 fn is_missed(gateway: &Gateway, news: &News) -> bool {
-    news.reads || steward::is_near(gateway)
+    // while the store answers nobody all would read
+    (news.reads && gateway.store_answers()) || steward::is_near(gateway)
 }
 
 /// What there is to tell at one moment.
--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -83,6 +83,8 @@
                 self.lose(gateway, "the lease was not renewed in time");
             }
             Some(held) => self.renew(gateway, held, term).await,
+            // whoever follows the lists finds out when it is back
+            None if !gateway.store_answers() => {}
             None if may_stand(gateway) => self.stand(gateway, term, ceded).await,
             None => self.watch = None,
         }
--- a/components/gateway/tests/gateway/fake.rs
+++ b/components/gateway/tests/gateway/fake.rs
@@ -1,6 +1,14 @@
 //! A fake of the edge: lists that note how they are asked for, and a table that refuses.
 
-use std::{net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    ops::RangeInclusive,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use cloud::table::{Error, Outcome, Read, Row, Table, Transaction};
 use futures::{FutureExt, future::BoxFuture};
@@ -55,6 +63,8 @@
 pub struct Fake {
     pub endpoints: Notes,
     pub configuration: Notes,
+    /// Reads of the table so far.
+    pub reads: AtomicUsize,
 }
 
 impl Fake {
@@ -63,6 +73,7 @@
         Arc::new(Self {
             endpoints: Notes::new(fails.clone()),
             configuration: Notes::new(fails),
+            reads: AtomicUsize::new(0),
         })
     }
 
@@ -98,6 +109,7 @@
 
 impl Table for Fake {
     fn read(&self, _: Read) -> BoxFuture<'_, Result<Vec<Row>, Error>> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
         async { Err(Error::Refused) }.boxed()
     }
 
--- a/components/gateway/tests/gateway/lists.rs
+++ b/components/gateway/tests/gateway/lists.rs
@@ -1,6 +1,6 @@
 //! How the gateway asks for the operators' lists.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 use gateway::edge::From;
 use prost::Message;
@@ -113,3 +113,18 @@
     assert!(calls(&beside) <= BESIDE, "{}", calls(&beside));
     drop((first, second));
 }
+
+#[tokio::test]
+async fn a_gateway_that_the_store_fails_does_not_ask_for_the_lease() {
+    let fake = Fake::failing(2..=usize::MAX);
+    let running = gateway::start(settings(), fake.edges())
+        .await
+        .expect("gateway");
+    while fake.endpoints.calls.lock().len() < 10 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    // it may have looked once while the store still answered
+    let reads = fake.reads.load(Ordering::Relaxed);
+    assert!(reads <= 1, "{reads} reads");
+    drop(running);
+}
