Break an answer off whose next engine fails it

The same held for resumed streams.

Change: what goes on must be a success, or the attempt has failed and the answer is broken off.

--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -30,6 +30,20 @@
     pub target: Arc<Target>,
 }
 
+impl Answer {
+    /// The answer as one that goes on where another one stopped.
+    ///
+    /// # Errors
+    ///
+    /// [`Cause::Failed`] if the endpoint failed it: its words must not follow the other one's events.
+    pub fn continuing(self) -> Result<Self, Cause> {
+        match self.head.status {
+            status if status.is_success() => Ok(self),
+            status => Err(Cause::Failed(status.as_u16())),
+        }
+    }
+}
+
 /// Why an attempt gave no answer that can be handed on.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Cause {
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -87,10 +87,11 @@
         Plan::Split { decode, .. } => decode,
     };
     let resumed = run::whole(job, &view, engine, job.deadline, after).await;
-    resumed.map_err(|failed| {
-        if let Some(verdict) = failed.cause.verdict() {
-            failed.target.note(verdict, &job.ask.id);
-        }
-        failed.cause
-    })
+    let resumed = resumed
+        .map_err(|failed| failed.cause)
+        .and_then(|(answer, writing)| Ok((answer.continuing()?, writing)));
+    if let Err(Some(verdict)) = resumed.as_ref().map_err(|cause| cause.verdict()) {
+        view.targets[engine].note(verdict, &job.ask.id);
+    }
+    resumed
 }
--- a/components/gateway/src/request/generate/relocate.rs
+++ b/components/gateway/src/request/generate/relocate.rs
@@ -102,5 +102,5 @@
         ..Directive::default()
     };
     let answer = attempt::send(job, target, &directive, job.deadline).await?;
-    Ok((answer, writing))
+    Ok((answer.continuing()?, writing))
 }
