Decide by what engines are seen to do: pauses, signs of life, stages, pace, backlog

Cause: on a third fleet the gateway placed by figures of the first two fleets' engines.

Ruled out: full engines (400 of 1,156 prompt tokens a ms are read); large batches (a token takes 4.2 ms alone, 7.4 ms among 60). Test: policy/tests/place.rs (the pause rule fails on the former code) and stage.rs.

Left: engines that write run full while others read, and reads behind others.

--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -20,7 +20,7 @@
 pub use link::{Link, NotOpened};
 pub use load::{Load, Reading, Writing};
 pub use registry::{Fleet, Registry};
-pub use target::{Seen, Target};
+pub use target::{Paces, Seen, Target};
 
 /// The name of one incarnation of an endpoint; never used again.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -9,7 +9,7 @@
 };
 
 use parking_lot::Mutex;
-use policy::{learn::Pace, memory::Memory, prompt::Part};
+use policy::{backlog::Backlog, learn::Pace, memory::Memory, prompt::Part};
 use tokio::{sync::Notify, time::Instant};
 
 use super::{
@@ -56,6 +56,41 @@
     pub changing: Option<Instant>,
     /// How long it keeps an idle connection, as last told.
     keeps: Option<Duration>,
+    /// When it was last seen to get on with something, for this process or for a peer.
+    progressed: Instant,
+    /// What is left to read of the prompts under way.
+    backlog: Backlog,
+    /// When this process first knew of it: its own time starts there.
+    since: Instant,
+}
+
+/// How fast the engines of a service are on average.
+#[derive(Clone, Copy, Debug)]
+pub struct Paces {
+    /// Those that read.
+    pub readers: Pace,
+    /// Those that write.
+    pub writers: Pace,
+}
+
+impl Paces {
+    /// How fast engines are on average in a stage; an endpoint without one writes.
+    #[must_use]
+    pub fn of(&self, stage: Option<Stage>) -> Pace {
+        match stage {
+            Some(Stage::Prefill) => self.readers,
+            Some(Stage::Decode) | None => self.writers,
+        }
+    }
+}
+
+impl Default for Paces {
+    fn default() -> Self {
+        Self {
+            readers: Pace::of_reader(),
+            writers: Pace::of_writer(),
+        }
+    }
 }
 
 /// An endpoint at one moment, for a decision.
@@ -66,13 +101,40 @@
     /// All that is under way there.
     pub load: Load,
     /// How fast it is in its present stage.
-    pub pace: Option<Pace>,
+    pub pace: Pace,
     /// Tokens of the prompt asked about that it likely holds.
     pub held: u64,
     /// Part of its attempts that fail.
     pub failures: f64,
 }
 
+impl Inner {
+    /// All that is under way there.
+    pub fn load(&self) -> Load {
+        self.own.with(self.peers)
+    }
+
+    /// Work that is left to read there, if it reads at this pace unless its own is known.
+    pub fn left(&self, now: Instant, common: Pace) -> u64 {
+        let read_us = self.pace.unwrap_or(common).read_us;
+        let left = self
+            .backlog
+            .left(self.age(now), read_us, self.load().reading);
+        policy::count(left)
+    }
+
+    /// Notes work that is about to be sent there, by this process or a peer.
+    pub fn sends(&mut self, now: Instant, common: Pace, work: u64) {
+        let read_us = self.pace.unwrap_or(common).read_us;
+        let (age, under_way) = (self.age(now), self.load().reading);
+        self.backlog.add(age, read_us, under_way, work);
+    }
+
+    fn age(&self, now: Instant) -> policy::Micros {
+        policy::micros(now.saturating_duration_since(self.since))
+    }
+}
+
 impl Target {
     /// An endpoint that is new on the list.
     #[must_use]
@@ -94,10 +156,24 @@
                 idle: Vec::new(),
                 changing: None,
                 keeps: None,
+                progressed: Instant::now(),
+                backlog: Backlog::default(),
+                since: Instant::now(),
             }),
         }
     }
 
+    /// Notes that it got on with something.
+    pub fn progressed(&self) {
+        self.with(|state| state.progressed = Instant::now());
+    }
+
+    /// When it was last seen to get on with something.
+    #[must_use]
+    pub fn last_progress(&self) -> Instant {
+        self.with(|state| state.progressed)
+    }
+
     /// Reads or changes its state; the lock is held only for this.
     pub fn with<T>(&self, f: impl FnOnce(&mut Inner) -> T) -> T {
         f(&mut self.state.lock())
@@ -117,16 +193,20 @@
 
     /// It as a decision sees it; none while it takes nothing new.
     #[must_use]
-    pub fn seen(&self, now: Instant, parts: &[Part]) -> Option<Seen> {
+    pub fn seen(&self, now: Instant, parts: &[Part], common: &Paces) -> Option<Seen> {
         self.with(|state| {
             let open = state.listed
                 && state.profile.state == State::Ready
                 && state.health.takes(now)
                 && state.changing.is_none_or(|until| until <= now);
+            let common = common.of(state.profile.stage);
             open.then(|| Seen {
                 profile: state.profile.clone(),
-                load: state.own.with(state.peers),
-                pace: state.pace,
+                load: Load {
+                    reading: state.left(now, common),
+                    ..state.load()
+                },
+                pace: state.pace.unwrap_or(common),
                 held: state.memory.held(parts),
                 failures: state.health.failures(),
             })
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -163,7 +163,18 @@
         if old != new
             && let Some(target) = gateway.registry.find(short)
         {
-            target.with(|state| state.peers = replaced(state.peers, old, new));
+            let more = new.reading.saturating_sub(old.reading);
+            target.with(|state| {
+                if more > 0 {
+                    let paces = gateway.paces(&state.profile.service);
+                    let common = paces.of(state.profile.stage);
+                    state.sends(Instant::now(), common, more);
+                }
+                state.peers = replaced(state.peers, old, new);
+            });
+            if new.prompts < old.prompts || new.writing < old.writing {
+                target.progressed();
+            }
         }
     };
     for (short, _) in after {
--- a/components/gateway/src/process/ledger.rs
+++ b/components/gateway/src/process/ledger.rs
@@ -10,7 +10,7 @@
 };
 
 use super::Gateway;
-use crate::endpoint::{Stage, Target};
+use crate::endpoint::{Paces, Stage, Target};
 
 /// What callers asked of a service so far; only its growth means anything.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -51,7 +51,7 @@
     /// How much later than expected its answers begin.
     margin: Margin,
     /// How fast its engines read, and write, on average.
-    paces: [Pace; 2],
+    paces: Paces,
     /// The longest time between tokens with which each long answer so far could end in time, in
     /// microseconds.
     bearable: f64,
@@ -63,7 +63,7 @@
             repeats: Window::new(window),
             asked: Asked::default(),
             margin: Margin::default(),
-            paces: [Pace::of_reader(), Pace::of_writer()],
+            paces: Paces::default(),
             bearable: f64::MAX,
         }
     }
@@ -166,11 +166,9 @@
         self.with_ledger(service, |ledger| ledger.margin.learn(expected, took));
     }
 
-    /// How fast engines of a service are on average in a stage.
-    pub fn pace(&self, service: &Arc<str>, stage: Stage) -> Pace {
-        self.with_ledger(service, |ledger| {
-            ledger.paces[usize::from(stage == Stage::Decode)]
-        })
+    /// How fast the engines of a service are on average.
+    pub fn paces(&self, service: &Arc<str>) -> Paces {
+        self.with_ledger(service, |ledger| ledger.paces)
     }
 
     /// Learns how fast an engine is: its own pace, and its service's.
@@ -180,7 +178,10 @@
             (Arc::clone(&state.profile.service), stage)
         });
         let common = self.with_ledger(&service, |ledger| {
-            let pace = &mut ledger.paces[usize::from(stage == Stage::Decode)];
+            let pace = match stage {
+                Stage::Prefill => &mut ledger.paces.readers,
+                Stage::Decode => &mut ledger.paces.writers,
+            };
             learn(pace);
             *pace
         });
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -137,12 +137,48 @@
 /// Others may take any idle connection.
 const ANY: Duration = Duration::from_secs(3600);
 
+/// How long an answer is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// At the latest until then.
+    pub until: Instant,
+    /// The longest that the endpoint may get on with nothing, neither this request nor another one; none
+    /// if only the time counts. A forecast that was wrong is no sign that an endpoint is lost.
+    pub silence: Option<Duration>,
+}
+
+impl Patience {
+    /// Waits until then, whatever the endpoint does.
+    pub fn until(until: Instant) -> Self {
+        Self {
+            until,
+            silence: None,
+        }
+    }
+
+    /// Waits until the endpoint is given up on.
+    async fn over(self, target: &Target) {
+        let begun = Instant::now();
+        let Some(silence) = self.silence else {
+            return tokio::time::sleep_until(self.until).await;
+        };
+        loop {
+            let silent = begun.max(target.last_progress()) + silence;
+            let next = silent.min(self.until);
+            if next <= Instant::now() {
+                return;
+            }
+            tokio::time::sleep_until(next).await;
+        }
+    }
+}
+
 /// Sends a request to an endpoint and waits for the head of the answer.
 pub async fn send(
     job: &Job,
     target: &Arc<Target>,
     directive: &Directive,
-    until: Instant,
+    patience: Patience,
 ) -> Result<Answer, Cause> {
     let fresh = if job.route.kind.repeats() { ANY } else { FRESH };
     let mut link = target
@@ -160,9 +196,13 @@
     }
     let request = request(job, directive);
     let sending = link.sender().try_send_request(request);
-    let response = match tokio::time::timeout_at(until, sending).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(mut error)) => {
+    let answered = tokio::select! {
+        answered = sending => answered,
+        () = patience.over(target) => return Err(Cause::TimeOver),
+    };
+    let response = match answered {
+        Ok(response) => response,
+        Err(mut error) => {
             return Err(match error.take_message() {
                 // the connection had closed before a byte was written
                 Some(_) => Cause::NotSent,
@@ -170,8 +210,8 @@
                 None => Cause::Broken,
             });
         }
-        Err(_) => return Err(Cause::TimeOver),
     };
+    target.progressed();
     let (head, body) = response.into_parts();
     let told = job.gateway.edges.dialect.told(&job.ask.id, &head);
     target.keeps(told.keeps);
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -12,7 +12,7 @@
 use policy::place::Plan;
 
 use super::{
-    attempt::{Answer, Cause},
+    attempt::{Answer, Cause, Patience},
     effort::Effort,
     job::Job,
     pass::{self, Body},
@@ -49,8 +49,8 @@
         let outcome = match (timing, choice.plan) {
             (Timing::Late { prefill }, _) => run::split(&job, &view, prefill, &effort, None).await,
             (Timing::InTime, Plan::Whole { engine }) => {
-                let until = timing::patience(&job, &effort, &choice);
-                run::whole(&job, &view, engine, until, None).await
+                let patience = timing::patience(&job, &effort, choice.first);
+                run::whole(&job, &view, engine, patience, None).await
             }
             (Timing::InTime, Plan::Split { prefill, .. }) => {
                 run::split(&job, &view, prefill, &effort, Some(&choice)).await
@@ -86,7 +86,7 @@
         Plan::Whole { engine } => engine,
         Plan::Split { decode, .. } => decode,
     };
-    let resumed = run::whole(job, &view, engine, job.deadline, after).await;
+    let resumed = run::whole(job, &view, engine, Patience::until(job.deadline), after).await;
     let resumed = resumed
         .map_err(|failed| failed.cause)
         .and_then(|(answer, writing)| Ok((answer.continuing()?, writing)));
--- a/components/gateway/src/request/generate/read.rs
+++ b/components/gateway/src/request/generate/read.rs
@@ -16,7 +16,7 @@
     endpoint::{Reading, Target},
     process::Gateway,
     request::{
-        attempt::{self, Cause},
+        attempt::{self, Cause, Patience},
         effort::{Failed, Phase},
         job::Job,
     },
@@ -38,10 +38,20 @@
     let target = &view.targets[at];
     let engine = &view.engines[at];
     let held = engine.held + engine.fetch.tokens;
-    let ahead = target.with(|state| state.own.with(state.peers).reading);
+    let work = policy::prompt::work(ask(job).prompt, held);
+    let paces = job.gateway.paces(&job.service.name);
+    let now = Instant::now();
+    let ahead = target.with(|state| {
+        let common = paces.of(state.profile.stage);
+        let ahead = state.left(now, common);
+        if !late {
+            state.sends(now, common, work);
+        }
+        ahead
+    });
     use_parts(job, target);
     Counted {
-        guard: Reading::new(target, policy::prompt::work(ask(job).prompt, held), late),
+        guard: Reading::new(target, work, late),
         ahead,
     }
 }
@@ -74,10 +84,11 @@
         urgency: Some(if late { Urgency::Low } else { Urgency::Normal }),
         ..Directive::default()
     };
-    let until = choice.map_or(job.deadline, |choice| {
-        (begun + timing::longest(choice)).min(job.deadline)
-    });
-    let answer = match attempt::send(job, target, &directive, until).await {
+    let patience = Patience {
+        until: job.deadline,
+        silence: choice.map(|choice| timing::longest(job, choice.first)),
+    };
+    let answer = match attempt::send(job, target, &directive, patience).await {
         Ok(answer) => answer,
         Err(cause) => {
             job.arrivals.read_failed(job);
@@ -102,6 +113,11 @@
         learn(job, target, counted.ahead + counted.guard.work(), begun);
     }
     target.give_back(answer.link);
+    log::info!(
+        request = job.ask.id, endpoint = &*target.id.0, late, ahead = counted.ahead,
+        work = counted.guard.work(), took_us = policy::micros(begun.elapsed());
+        "a prompt was read"
+    );
     Ok(Kept {
         handle,
         target: Arc::clone(target),
--- a/components/gateway/src/request/generate/relocate.rs
+++ b/components/gateway/src/request/generate/relocate.rs
@@ -13,7 +13,7 @@
     edge::{Directive, Handle},
     endpoint::{Target, Writing},
     request::{
-        attempt::{self, Answer, Cause},
+        attempt::{self, Answer, Cause, Patience},
         job::Job,
     },
 };
@@ -54,7 +54,7 @@
     let since = Instant::now();
     let view = View::new(job, std::slice::from_ref(from));
     let weights = Weights::default();
-    let at = place::choose_writer(&view.engines, &ask(job), &weights, rand::random())?;
+    let at = place::choose_writer(&view.engines, &ask(job), &weights)?;
     let to = &view.targets[at];
     let address = |target: &Target| target.with(|state| state.profile.address);
     let dialect = &job.gateway.edges.dialect;
@@ -101,6 +101,6 @@
         resume_after: after,
         ..Directive::default()
     };
-    let answer = attempt::send(job, target, &directive, job.deadline).await?;
+    let answer = attempt::send(job, target, &directive, Patience::until(job.deadline)).await?;
     Ok((answer.continuing()?, writing))
 }
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -6,15 +6,14 @@
 use tokio::time::Instant;
 
 use super::{
-    read,
-    timing::GRACE,
+    read, timing,
     view::{View, ask, is_long},
 };
 use crate::{
     edge::Directive,
     endpoint::{Target, Verdict, Writing},
     request::{
-        attempt::{self, Answer, Cause},
+        attempt::{self, Answer, Cause, Patience},
         effort::{Effort, Failed, Phase},
         job::Job,
     },
@@ -37,7 +36,7 @@
     job: &Job,
     view: &View,
     at: usize,
-    until: Instant,
+    patience: Patience,
     resume_after: Option<u64>,
 ) -> Attempted {
     let target = &view.targets[at];
@@ -51,7 +50,7 @@
         ..Directive::default()
     };
     let writing = Writing::new(target, is_long(job));
-    let sent = attempt::send(job, target, &directive, until).await;
+    let sent = attempt::send(job, target, &directive, patience).await;
     let answer = sent.map_err(|cause| failed(target, cause, Phase::Run))?;
     read::learn(job, target, ahead + reading.guard.work(), begun);
     Ok((answer, writing))
@@ -69,12 +68,7 @@
     let handle = read::keep(job, view, prefill, choice).await?;
     let prefill = &view.targets[prefill];
     let view = View::new(job, effort.tried());
-    let Some(at) = place::choose_writer(
-        &view.engines,
-        &ask(job),
-        &Weights::default(),
-        rand::random(),
-    ) else {
+    let Some(at) = place::choose_writer(&view.engines, &ask(job), &Weights::default()) else {
         return Err(failed(prefill, Cause::NoWriter, Phase::Read));
     };
     let decode = &view.targets[at];
@@ -87,12 +81,8 @@
     };
     read::use_parts(job, decode);
     let begun = Instant::now();
-    let until = if effort.may_repeat_after_next(job) {
-        (begun + GRACE * 2).min(job.deadline)
-    } else {
-        job.deadline
-    };
-    match attempt::send(job, decode, &directive, until).await {
+    let patience = timing::patience(job, effort, view.engines[at].pace.start_us);
+    match attempt::send(job, decode, &directive, patience).await {
         Ok(answer) => {
             let took = policy::micros(begun.elapsed());
             job.gateway.learn_pace(decode, |pace| pace.began(took));
--- a/components/gateway/src/request/generate/timing.rs
+++ b/components/gateway/src/request/generate/timing.rs
@@ -7,6 +7,7 @@
 
 use super::view::{View, ask};
 use crate::request::{
+    attempt::Patience,
     effort::Effort,
     job::Job,
     refusal::{Reason, SOON},
@@ -17,11 +18,13 @@
 const LATE_READ: f64 = 0.2;
 /// The part of the time left after which a caller that is refused is not asked to come back.
 const LATEST: u32 = 2;
-/// How many times as long as expected an engine may take before it is taken to be silent, and how much
-/// longer besides: expectations are wrong by less.
+/// How many times as long as expected an engine may get on with nothing before it is taken to be lost. A
+/// prompt that is read alone gives no sign of life for as long as it takes, and expectations are wrong by
+/// less than this.
 const EXPECTED_TIMES: u32 = 3;
-/// See [`EXPECTED_TIMES`].
-pub const GRACE: Duration = Duration::from_millis(250);
+/// The part of the time left for which an engine is always waited for. What is sent again is read twice
+/// and counts as a repeat, so an engine is not given up on while there is ample time for another one.
+const WAITED_FOR: u32 = 4;
 
 /// Whether an answer will begin in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,18 +56,21 @@
     Err(Reason::Late(over.max(SOON).min(job.time_left() / LATEST)))
 }
 
-/// How long an answer is waited for: where another attempt may follow, only as long as an engine that
-/// works would take.
-pub fn patience(job: &Job, effort: &Effort, choice: &Choice) -> Instant {
-    if !effort.may_repeat_after_next(job) {
-        return job.deadline;
+/// How long an answer is waited for that is expected to begin after so long: where another attempt may
+/// follow, only as long as its engine shows that it lives.
+pub fn patience(job: &Job, effort: &Effort, expected: f64) -> Patience {
+    let may = effort.may_repeat_after_next(job);
+    Patience {
+        until: job.deadline,
+        silence: may.then(|| longest(job, expected)),
     }
-    (Instant::now() + longest(choice)).min(job.deadline)
 }
 
-/// The longest that an engine that works takes to begin.
-pub fn longest(choice: &Choice) -> Duration {
-    Duration::from_micros(policy::count(choice.first)) * EXPECTED_TIMES + GRACE
+/// The longest that an engine which works gets on with nothing.
+pub fn longest(job: &Job, expected: f64) -> Duration {
+    let expected = expected + job.gateway.margin(&job.service.name);
+    let longest = Duration::from_micros(policy::count(expected)) * EXPECTED_TIMES;
+    longest.max(job.time_left() / WAITED_FOR)
 }
 
 /// How much longer than expected an answer may take where it must not be cut.
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -48,14 +48,15 @@
             .map_or(&[][..], |prompt| &prompt.parts);
         let near = &job.gateway.settings.gateway.data_centre;
         let cut_off = job.gateway.peers.cut_off();
+        let paces = job.gateway.paces(&job.service.name);
         let (targets, engines) = fleet
             .used()
             .iter()
             .filter(|target| !tried.iter().any(|other| other.id == target.id))
             .filter_map(|target| {
-                let seen = target.seen(now, parts)?;
+                let seen = target.seen(now, parts, &paces)?;
                 let reached = !cut_off.contains(&seen.profile.data_centre);
-                reached.then(|| (Arc::clone(target), engine(job, &seen, near)))
+                reached.then(|| (Arc::clone(target), engine(&seen, near, order(job, target))))
             })
             .unzip();
         let mut view = Self {
@@ -115,8 +116,7 @@
 
     /// Where the request is best placed.
     pub fn choose(&self, job: &Job) -> Option<Choice> {
-        let draw = rand::random();
-        place::choose(&self.engines, &ask(job), &Weights::default(), draw)
+        place::choose(&self.engines, &ask(job), &Weights::default())
     }
 
     /// The work for an engine that reads; none if the prompt is short.
@@ -157,9 +157,14 @@
     }
 }
 
-fn engine(job: &Job, seen: &Seen, near: &str) -> place::Engine {
+/// The place of an endpoint in this process's own order.
+fn order(job: &Job, target: &Target) -> u64 {
+    let seed = job.gateway.incarnation;
+    xxhash_rust::xxh3::xxh3_64_with_seed(&target.short.to_le_bytes(), seed)
+}
+
+fn engine(seen: &Seen, near: &str, order: u64) -> place::Engine {
     let stage = seen.profile.stage.unwrap_or(Stage::Decode);
-    let common = || job.gateway.pace(&job.service.name, stage);
     place::Engine {
         stage: match stage {
             Stage::Prefill => place::Stage::Prefill,
@@ -172,13 +177,14 @@
         slots: seen.profile.slots,
         held: seen.held,
         fetch: place::Fetch::default(),
-        pace: seen.pace.unwrap_or_else(common),
+        pace: seen.pace,
         distance: if *seen.profile.data_centre == *near {
             0
         } else {
             FAR
         },
         failures: seen.failures,
+        order,
     }
 }
 
@@ -194,14 +200,23 @@
         pace: policy::real(policy::micros(job.time_left()))
             / policy::real(prompt.most_output.max(1)),
         bearable: bearable(job),
+        event: event_tokens(job),
+        pause: job
+            .pause
+            .map_or(f64::MAX, |pause| policy::real(policy::micros(pause))),
     }
 }
 
+/// Tokens in one event of an answer.
+fn event_tokens(job: &Job) -> u64 {
+    let engines = job.service.engines.as_ref();
+    engines.map_or(1, |engines| engines.event_tokens.max(1))
+}
+
 /// The longest time between two tokens that long answers of a request's service bear, in microseconds.
 fn bearable(job: &Job) -> f64 {
     let whole = job.gateway.bearable(&job.service.name);
-    let engines = job.service.engines.as_ref();
-    let event = engines.map_or(1, |engines| engines.event_tokens.max(1));
+    let event = event_tokens(job);
     let pause = job.pause.map_or(f64::MAX, |pause| {
         policy::real(policy::micros(pause)) / policy::real(event)
     });
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -81,6 +81,8 @@
     link: Link,
     target: Arc<Target>,
     last: Option<Instant>,
+    /// Whether its engine was reading prompts when the last event came.
+    reads: bool,
     _writing: Writing,
 }
 
@@ -91,6 +93,7 @@
             link: answer.link,
             target: answer.target,
             last: None,
+            reads: false,
             _writing: writing,
         }
     }
@@ -196,6 +199,11 @@
             return;
         };
         let gap = source.last.replace(now).map(|last| now - last);
+        let reads = source
+            .target
+            .with(|state| state.own.with(state.peers).prompts > 0);
+        let before = std::mem::replace(&mut source.reads, reads);
+        source.target.progressed();
         self.longest = self.longest.max(gap.unwrap_or_default());
         let event = self
             .job
@@ -204,13 +212,14 @@
             .as_ref()
             .map(|engines| engines.event_tokens);
         if let (Some(gap), Some(event)) = (gap, event) {
-            let prompts = source
-                .target
-                .with(|state| state.own.with(state.peers).prompts);
-            if prompts == 0 {
-                let gap = policy::micros(gap);
-                let gateway = &self.job.gateway;
-                gateway.learn_pace(&source.target, |pace| pace.wrote(event, gap));
+            let gap = policy::micros(gap);
+            let gateway = &self.job.gateway;
+            match (reads, before) {
+                (false, false) => gateway.learn_pace(&source.target, |pace| pace.wrote(event, gap)),
+                (true, true) => {
+                    gateway.learn_pace(&source.target, |pace| pace.wrote_reading(event, gap));
+                }
+                _ => {}
             }
         }
     }
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::{
-    attempt::{self, Answer, Cause},
+    attempt::{self, Answer, Cause, Patience},
     effort::{Effort, Failed, Phase},
     job::Job,
     pass::{self, Body},
@@ -14,7 +14,7 @@
 };
 use crate::{
     edge::Directive,
-    endpoint::{Target, Verdict, Writing},
+    endpoint::{Paces, Target, Verdict, Writing},
 };
 
 /// What an endpoint in another data centre counts against a near one, in slots' worth of load.
@@ -68,7 +68,7 @@
         if tried.iter().any(|other| other.id == target.id) {
             continue;
         }
-        let Some(seen) = target.seen(now, &[]) else {
+        let Some(seen) = target.seen(now, &[], &Paces::default()) else {
             continue;
         };
         if cut_off.contains(&seen.profile.data_centre) {
@@ -100,7 +100,8 @@
     } else {
         job.deadline
     };
-    attempt::send(job, target, &directive, until.min(job.deadline)).await
+    let patience = Patience::until(until.min(job.deadline));
+    attempt::send(job, target, &directive, patience).await
 }
 
 /// Whether an endpoint's own failure is not the caller's answer yet: the request may run again, there
--- a/components/gateway/src/steward/plan.rs
+++ b/components/gateway/src/steward/plan.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use policy::stage::{self, Change, Demand, Fleet, Weights};
+use policy::stage::{self, Change, Demand, Fleet, Sample, Weights};
 
 use crate::{
     endpoint::{Stage, State, Target},
@@ -40,11 +40,26 @@
     stage: Stage,
     data_centre: Arc<str>,
     reading: u64,
+    prompts: u64,
     writing: u64,
     long: u64,
     slots: u64,
 }
 
+impl Engine {
+    /// Slots that it takes, or that what it reads will take at another engine.
+    fn slots_taken(&self) -> u64 {
+        match self.stage {
+            Stage::Prefill => self.writing + self.prompts,
+            Stage::Decode => self.writing,
+        }
+    }
+}
+
+fn number(count: usize) -> f64 {
+    policy::real(u64::try_from(count).unwrap_or(u64::MAX))
+}
+
 impl Planner {
     /// Looks at what was asked for since the last look.
     pub fn observe(&mut self, gateway: &Gateway) {
@@ -79,15 +94,18 @@
             };
             let known = &mut self.services[at];
             let new = asked.since(std::mem::replace(&mut known.asked, asked));
-            let reader = gateway.pace(&service.name, Stage::Prefill);
-            let writer = gateway.pace(&service.name, Stage::Decode);
-            let taken: u64 = engines.iter().map(|engine| engine.writing).sum();
-            known.demand.observe(
-                now,
-                policy::real(new.reading) * reader.read_us,
-                policy::real(new.writing) * writer.step_us,
-                policy::real(taken),
-            );
+            let paces = gateway.paces(&service.name);
+            let taken: u64 = engines.iter().map(Engine::slots_taken).sum();
+            let readers = || engines.iter().filter(|e| e.stage == Stage::Prefill);
+            let busy = readers().filter(|engine| engine.reading > 0);
+            let sample = Sample {
+                reading: policy::real(new.reading) * paces.readers.read_us,
+                writing: policy::real(new.writing) * paces.writers.step_us,
+                taken: policy::real(taken),
+                busy: number(busy.count()),
+                readers: number(readers().count()),
+            };
+            known.demand.observe(now, &sample);
         }
     }
 
@@ -182,6 +200,7 @@
                     stage,
                     data_centre: Arc::clone(&state.profile.data_centre),
                     reading: load.reading,
+                    prompts: load.prompts,
                     writing: load.writing,
                     long: load.long,
                     slots: state.profile.slots,
--- a/components/policy/src/learn.rs
+++ b/components/policy/src/learn.rs
@@ -80,18 +80,36 @@
     pub read_us: f64,
     /// Time between two tokens of an answer while no prompt is read.
     pub step_us: f64,
+    /// The longest that this mostly is while prompts are read all the time: all but one event in
+    /// [`SLOWER_ONE_IN`] come faster. None before that was seen.
+    pub slowed_us: Option<f64>,
+    /// How many samples each of the first three was learnt from.
+    pub samples: Samples,
+}
+
+/// Numbers of samples; what has few of them is still a guess.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Samples {
+    /// Of the time besides reading.
+    pub start: u32,
+    /// Of the time to read a token.
+    pub read: u32,
+    /// Of the time between tokens.
+    pub step: u32,
 }
 
 impl Pace {
-    /// A guess for an engine that only reads: faster than any known so far. An engine that looks fast
-    /// is tried, and what it does corrects the guess; one that looks too slow for every request would
-    /// never be tried.
+    /// A guess for an engine that only reads, until the first prompt has been read somewhere: faster than
+    /// any engine known. One that looks fast is tried, and one that looks too slow for every request would
+    /// never be.
     #[must_use]
     pub fn of_reader() -> Self {
         Self {
             start_us: 3_000.0,
             read_us: 2.0,
             step_us: 500.0,
+            slowed_us: None,
+            samples: Samples::default(),
         }
     }
 
@@ -105,8 +123,13 @@
     }
 }
 
-/// Weight of a new sample of a pace. Samples are noisy, as the work ahead is known only roughly.
+/// Least weight of a new sample of a pace. Samples are noisy, as the work ahead is known only roughly.
 const PACE_WEIGHT: f64 = 0.1;
+/// Samples from which on one that is far off is not believed whole.
+const SETTLED: u32 = 4;
+/// One event in so many may come more slowly while prompts are read than [`Pace::slowed_us`] says: an answer
+/// of some ten events is to have none that is too late.
+const SLOWER_ONE_IN: f64 = 10.0;
 /// Prompts up to this many tokens tell of the time besides reading, longer ones of reading.
 const SHORT: u64 = 512;
 
@@ -116,26 +139,66 @@
         let reading = real(work) * self.read_us;
         if work <= SHORT {
             let sample = (real(took) - reading).max(0.0);
-            blend_by(PACE_WEIGHT, &mut self.start_us, sample);
+            average(&mut self.samples.start, &mut self.start_us, sample);
         } else {
             let sample = (real(took) - self.start_us).max(0.0) / real(work);
-            blend_by(PACE_WEIGHT, &mut self.read_us, sample);
+            median(&mut self.samples.read, &mut self.read_us, sample);
         }
     }
 
     /// Learns from an answer that began after so long, its prompt having been read elsewhere.
     pub fn began(&mut self, took: Micros) {
-        blend_by(PACE_WEIGHT, &mut self.start_us, real(took));
+        average(&mut self.samples.start, &mut self.start_us, real(took));
     }
 
     /// Learns from so many tokens that came in a time in which no prompt was read.
     pub fn wrote(&mut self, tokens: u64, took: Micros) {
         if tokens > 0 {
-            blend_by(PACE_WEIGHT, &mut self.step_us, real(took) / real(tokens));
+            let sample = real(took) / real(tokens);
+            average(&mut self.samples.step, &mut self.step_us, sample);
+        }
+    }
+
+    /// Learns from so many tokens that came in a time in which prompts were read throughout.
+    pub fn wrote_reading(&mut self, tokens: u64, took: Micros) {
+        if tokens > 0 {
+            let sample = real(took) / real(tokens);
+            let slowed = self.slowed_us.get_or_insert(sample);
+            let step = *slowed * PACE_WEIGHT;
+            *slowed += if sample > *slowed {
+                step
+            } else {
+                -step / (SLOWER_ONE_IN - 1.0)
+            };
         }
     }
 }
 
+/// Moves a median that starts at a guess: the first sample replaces it, and each further one moves it by a
+/// part of itself. A prompt that waited behind work that nobody here knew of took several times its time,
+/// which says nothing of the pace; an average would follow it.
+fn median(seen: &mut u32, rate: &mut f64, sample: f64) {
+    let weight = (PACE_WEIGHT / 2.0).max(1.0 / (f64::from(*seen) + 2.0));
+    *rate = match *seen {
+        0 => sample,
+        _ if sample > *rate => sample.min(*rate * (1.0 + weight)),
+        _ => sample.max(*rate / (1.0 + weight)),
+    };
+    *seen = seen.saturating_add(1);
+}
+
+/// Takes a sample into an average that starts at a guess: the first sample replaces it, the next ones count
+/// alike, and later ones at least [`PACE_WEIGHT`], so that it follows what changes.
+fn average(seen: &mut u32, rate: &mut f64, sample: f64) {
+    let weight = PACE_WEIGHT.max(1.0 / (f64::from(*seen) + 1.0));
+    if *seen < SETTLED {
+        *rate += weight * (sample - *rate);
+    } else {
+        blend_by(weight, rate, sample);
+    }
+    *seen = seen.saturating_add(1);
+}
+
 /// The time by which most things happen that were expected at another time: how far beyond the
 /// expectation all but one in [`ONE_IN`] are there.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Pure: decisions take views and a time, read no clock and do no input or output. The daemon runs
 //! this code and so does the measurement `mixshift`. See `docs/DESIGN.md#decisions`.
 
+pub mod backlog;
 pub mod fair;
 pub mod learn;
 pub mod memory;
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -41,6 +41,8 @@
     pub distance: Micros,
     /// Part of its attempts that fail, from 0 to 1.
     pub failures: f64,
+    /// Its place in this decider's own order; deciders have different ones.
+    pub order: u64,
 }
 
 /// What an engine can fetch of a prompt from another one.
@@ -66,6 +68,10 @@
     /// The longest time between two tokens that long answers of the service bear, in microseconds:
     /// events must not come too far apart, and the last one must come in time.
     pub bearable: f64,
+    /// Tokens that come together in one event of an answer.
+    pub event: u64,
+    /// The longest time between two events that answers of the service bear, in microseconds.
+    pub pause: f64,
 }
 
 /// What the decision weighs.
@@ -80,13 +86,17 @@
     /// How much longer a step takes while a prompt is read between two tokens. An engine reads a
     /// quarter of a chunk at half its speed then, which is some three steps' time.
     pub stretch: f64,
-    /// How much a delay of a long answer that is under way counts against a delay of this request.
+    /// How much a delay of an answer that is under way counts against a delay of this request: of each answer
+    /// where one more prompt may bring it to pause for too long, of each long one elsewhere.
     pub disturbance: f64,
     /// What it counts to put the first long answer on an engine, in microseconds: it is lost for
     /// reading then.
     pub opening: f64,
     /// Part of the longest bearable time between tokens that reading may bring answers to.
     pub bearable: f64,
+    /// The same where it isn't reading all the time that is borne, but only what waits now: other
+    /// deciders may send a prompt there at the same moment, and more may follow within one event.
+    pub room: f64,
     /// Part of an engine's slots up to which long answers go together. The rest is for short ones, which
     /// are soon over: a prompt that was read must find a slot.
     pub together: f64,
@@ -99,8 +109,9 @@
     /// Part of an engine's slots that answers may take, so that it keeps room for those that are on
     /// their way from other deciders.
     pub fill: f64,
-    /// Placements this close to the best one, in microseconds, are drawn by chance: several deciders
-    /// with old views would all take the same one otherwise.
+    /// Among placements this close to the best one, in microseconds, a decider takes the first in its own
+    /// order: several with views a few milliseconds old would all take the same one otherwise, and by chance
+    /// they do so more often than where each fills engines of its own first.
     pub tie: f64,
 }
 
@@ -113,6 +124,7 @@
             disturbance: 0.2,
             opening: 20_000.0,
             bearable: 0.85,
+            room: 0.3,
             together: 0.75,
             remote: 6_000.0,
             failure: 200_000.0,
@@ -149,20 +161,18 @@
 }
 
 /// Chooses the plan that costs least; none if no engine can take it at all.
-///
-/// `draw` is a random number that breaks ties.
 #[must_use]
-pub fn choose(engines: &[Engine], ask: &Ask, weights: &Weights, draw: u64) -> Option<Choice> {
-    let whole = cheapest(engines, weights, draw, |engine| {
+pub fn choose(engines: &[Engine], ask: &Ask, weights: &Weights) -> Option<Choice> {
+    let whole = cheapest(engines, weights, |engine| {
         let open = engine.stage == Stage::Decode
             && has_slot(engine, ask, weights)
             && bears_reading(engine, ask, weights);
         open.then(|| read_and_write(engine, ask, weights))
     });
-    let reads = cheapest(engines, weights, draw >> 16, |engine| {
+    let reads = cheapest(engines, weights, |engine| {
         (engine.stage == Stage::Prefill).then(|| read(engine, ask, weights))
     });
-    let writes = cheapest(engines, weights, draw >> 32, |engine| {
+    let writes = cheapest(engines, weights, |engine| {
         let open = engine.stage == Stage::Decode && has_slot(engine, ask, weights);
         open.then(|| write(engine, ask, weights))
     });
@@ -194,7 +204,7 @@
 /// don't; none if it would not be read within `time`, in microseconds.
 #[must_use]
 pub fn choose_late(engines: &[Engine], ask: &Ask, weights: &Weights, time: f64) -> Option<usize> {
-    let found = cheapest(engines, weights, 0, |engine| {
+    let found = cheapest(engines, weights, |engine| {
         if engine.stage != Stage::Prefill {
             return None;
         }
@@ -210,8 +220,8 @@
 
 /// Chooses an engine that writes, for a prompt that another engine has read already.
 #[must_use]
-pub fn choose_writer(engines: &[Engine], ask: &Ask, weights: &Weights, draw: u64) -> Option<usize> {
-    let found = cheapest(engines, weights, draw, |engine| {
+pub fn choose_writer(engines: &[Engine], ask: &Ask, weights: &Weights) -> Option<usize> {
+    let found = cheapest(engines, weights, |engine| {
         let open = engine.stage == Stage::Decode && has_slot(engine, ask, weights);
         open.then(|| write(engine, ask, weights))
     });
@@ -253,12 +263,44 @@
     prompt::work(ask.prompt, engine.held + engine.fetch.tokens)
 }
 
-/// Whether the long answers that an engine writes bear that it reads prompts, at worst one between any
-/// two tokens.
+/// Whether the answers that an engine writes bear that it reads the prompt between their tokens: none
+/// may pause for too long, and long ones must end in time.
 fn bears_reading(engine: &Engine, ask: &Ask, weights: &Weights) -> bool {
+    let backlog = event_us(engine, ask) + reading_us(engine, work(engine, ask));
+    let bears_pause = backlog <= ask.pause * weights.room || bears_all(engine, ask, weights);
     let slowest = engine.pace.step_us * weights.stretch;
     let reads_long = unread(engine, ask) > weights.short_prompt;
-    engine.long == 0 || !reads_long || slowest <= ask.bearable * weights.bearable
+    let ends = engine.long == 0 || !reads_long || slowest <= ask.bearable * weights.bearable;
+    engine.writing == 0 || (bears_pause && ends)
+}
+
+/// Whether no answer there pauses for too long, however much the engine reads.
+fn bears_all(engine: &Engine, ask: &Ask, weights: &Weights) -> bool {
+    let slowed = sustained_us(engine, ask).map(|more| event_us(engine, ask) + more);
+    slowed.is_some_and(|pause| pause <= ask.pause * weights.bearable)
+}
+
+/// Time of one event of an answer while nothing is read.
+fn event_us(engine: &Engine, ask: &Ask) -> f64 {
+    real(ask.event) * engine.pace.step_us
+}
+
+/// How much longer one event takes if the engine reads what waits there and so much more work: no
+/// longer than that reading takes, and no longer than each of its tokens is held up by.
+fn held_up(engine: &Engine, ask: &Ask, more: u64) -> f64 {
+    let reading = reading_us(engine, more);
+    sustained_us(engine, ask).map_or(reading, |sustained| reading.min(sustained))
+}
+
+/// Time to read what waits at an engine and so much more work.
+fn reading_us(engine: &Engine, more: u64) -> f64 {
+    real(engine.reading + more) * engine.pace.read_us
+}
+
+/// How much longer one event takes while prompts are read all the time; none before that was seen.
+fn sustained_us(engine: &Engine, ask: &Ask) -> Option<f64> {
+    let slowed = engine.pace.slowed_us?;
+    Some((slowed - engine.pace.step_us).max(0.0) * real(ask.event))
 }
 
 /// Only reads the prompt.
@@ -275,14 +317,10 @@
     }
 }
 
-/// Only writes, the prompt being read elsewhere. The first token waits for at most one piece of a
-/// prompt that is being read.
+/// Only writes, the prompt being read elsewhere. The tokens of the first event wait for the prompts that
+/// the engine reads.
 fn write(engine: &Engine, ask: &Ask, weights: &Weights) -> Cost {
-    let held_up = if engine.reading > 0 {
-        engine.pace.step_us * weights.stretch
-    } else {
-        0.0
-    };
+    let held_up = held_up(engine, ask, 0);
     let first = real(engine.distance) + engine.pace.start_us + held_up;
     Cost {
         first,
@@ -298,7 +336,12 @@
     let ahead = real(engine.reading) * engine.pace.read_us;
     let start = engine.pace.start_us + engine.fetch.time;
     let first = real(engine.distance) + start + ahead + own;
-    let held_up = own * real(engine.long) * weights.disturbance;
+    let disturbed = if bears_all(engine, ask, weights) {
+        engine.long
+    } else {
+        engine.writing
+    };
+    let held_up = own * real(disturbed) * weights.disturbance;
     Cost {
         first,
         weighed: first + held_up + answering(engine, ask, weights) + besides(engine, weights),
@@ -330,11 +373,10 @@
     remote + engine.failures * weights.failure
 }
 
-/// The cheapest engine, or by chance one that is hardly dearer.
+/// The first engine in the decider's own order of those that are hardly dearer than the cheapest.
 fn cheapest(
     engines: &[Engine],
     weights: &Weights,
-    draw: u64,
     cost: impl Fn(&Engine) -> Option<Cost>,
 ) -> Option<Found> {
     let costs: Vec<(usize, Cost)> = engines
@@ -347,16 +389,14 @@
         .map(|(_, cost)| cost.weighed)
         .min_by(f64::total_cmp)?;
     let bound = least + weights.tie;
-    let ties: Vec<&(usize, Cost)> = costs
+    costs
         .iter()
         .filter(|(_, cost)| cost.weighed <= bound)
-        .collect();
-    let count = u64::try_from(ties.len()).unwrap_or(1).max(1);
-    let nth = usize::try_from((draw & u64::from(u16::MAX)) % count).unwrap_or(0);
-    ties.get(nth).map(|(at, cost)| Found {
-        at: *at,
-        first: cost.first,
-        weighed: cost.weighed,
-        unread: cost.unread,
-    })
+        .min_by_key(|(at, _)| engines[*at].order)
+        .map(|(at, cost)| Found {
+            at: *at,
+            first: cost.first,
+            weighed: cost.weighed,
+            unread: cost.unread,
+        })
 }
--- a/components/policy/src/stage.rs
+++ b/components/policy/src/stage.rs
@@ -24,24 +24,56 @@
 /// Time constant of the shorter average: a few of the steward's looks.
 const LATELY: f64 = 1_000_000.0;
 
+/// What was seen of a service since the last look.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sample {
+    /// Time that reading engines need for what arrived, in microseconds.
+    pub reading: f64,
+    /// Time that slots of writing engines need for it, in microseconds.
+    pub writing: f64,
+    /// Slots that are taken now, or will be once prompts that are being read have been read.
+    pub taken: f64,
+    /// Reading engines that have something to read now.
+    pub busy: f64,
+    /// All reading engines.
+    pub readers: f64,
+}
+
+/// Part of the reading engines that are busy at one moment, from which on more may be asked of them than
+/// they can do: with fewer, prompts find an engine that is idle, and the busy ones are all that is needed.
+const ALL_BUSY: f64 = 0.9;
+
+impl Sample {
+    /// Reading engines that would be busy. The time that prompts are expected to take counts only while
+    /// engines can't show it: it grows with each delay of a full fleet, and would then ask for ever more
+    /// readers.
+    fn readers_needed(&self, span: f64) -> f64 {
+        if self.busy < self.readers * ALL_BUSY {
+            self.busy
+        } else {
+            (self.reading / span).max(self.busy)
+        }
+    }
+}
+
 impl Demand {
-    /// Takes what arrived since the last call: time to read it on reading engines and time to write it
-    /// on writing ones, in microseconds; and the slots that are taken now.
+    /// Takes what was seen since the last call.
     ///
     /// The slots never count for less than now: an answer that finds none is lost, and so is the
     /// prompt that was read for it.
-    pub fn observe(&mut self, now: Micros, reading: f64, writing: f64, taken: f64) {
+    pub fn observe(&mut self, now: Micros, sample: &Sample) {
         let Some(seen) = self.seen.replace(now) else {
-            self.writing = taken;
+            self.writing = sample.taken;
             return;
         };
         let span = real(now.saturating_sub(seen)).max(1.0);
         let part = (span / MEMORY).min(1.0);
         let lately = (span / LATELY).min(1.0);
-        self.reading += part * (reading / span - self.reading);
-        self.reading_lately += lately * (reading / span - self.reading_lately);
-        self.writing += part * (writing / span - self.writing);
-        self.writing = self.writing.max(taken);
+        let reading = sample.readers_needed(span);
+        self.reading += part * (reading - self.reading);
+        self.reading_lately += lately * (reading - self.reading_lately);
+        self.writing += part * (sample.writing / span - self.writing);
+        self.writing = self.writing.max(sample.taken);
     }
 }
 
--- /dev/null
+++ b/components/policy/tests/place.rs
@@ -0,0 +1,194 @@
+//! Where generations are placed, by what callers get of it.
+
+use policy::{
+    learn::Pace,
+    place::{Ask, Engine, Fetch, Plan, Stage, Weights, choose},
+};
+use proptest::prelude::*;
+
+/// Milliseconds in microseconds.
+const MS: f64 = 1_000.0;
+
+/// A writer of large steps: nine tokens come together, and a token takes 4 ms.
+fn writer(writing: u64) -> Engine {
+    Engine {
+        stage: Stage::Decode,
+        reading: 0,
+        late: 0,
+        writing,
+        long: 0,
+        slots: 64,
+        held: 0,
+        fetch: Fetch::default(),
+        pace: Pace {
+            start_us: 40.0 * MS,
+            read_us: 30.0,
+            step_us: 4.0 * MS,
+            ..Pace::of_writer()
+        },
+        distance: 0,
+        failures: 0.0,
+        order: 0,
+    }
+}
+
+fn reader(reading: u64) -> Engine {
+    let pace = Pace {
+        start_us: 3.0 * MS,
+        read_us: 15.0,
+        ..Pace::of_reader()
+    };
+    Engine {
+        stage: Stage::Prefill,
+        reading,
+        pace,
+        ..writer(0)
+    }
+}
+
+/// A prompt of so many tokens whose answer comes in events of nine tokens, at most 200 ms apart.
+fn ask(prompt: u64) -> Ask {
+    Ask {
+        prompt,
+        output: 120,
+        within: 600_000,
+        pace: 50.0 * MS,
+        bearable: 22.0 * MS,
+        event: 9,
+        pause: 200.0 * MS,
+    }
+}
+
+fn place(engines: &[Engine], ask: &Ask) -> Option<Plan> {
+    choose(engines, ask, &Weights::default()).map(|choice| choice.plan)
+}
+
+#[test]
+fn a_prompt_is_not_read_between_tokens_that_it_would_hold_up_for_too_long() {
+    // 9,000 tokens take 270 ms: the answers there would pause for 306 ms
+    let engines = [writer(1), reader(40_000)];
+    let split = Plan::Split {
+        prefill: 1,
+        decode: 0,
+    };
+    assert_eq!(place(&engines, &ask(9_000)), Some(split));
+    assert_eq!(place(&engines[..1], &ask(9_000)), None);
+    // nobody is held up where nothing is written
+    assert_eq!(
+        place(&[writer(0)], &ask(9_000)),
+        Some(Plan::Whole { engine: 0 })
+    );
+}
+
+#[test]
+fn short_prompts_on_their_way_to_a_writer_hold_its_answers_up_as_well() {
+    // each takes 30 ms: one fits into the pause, and so does a second, but not a fifth
+    let short = ask(1_000);
+    assert!(place(&[writer(3)], &short).is_some());
+    let busy = |ahead: u64| Engine {
+        reading: 1_000 * ahead,
+        ..writer(3)
+    };
+    assert!(place(&[busy(1)], &short).is_some());
+    assert_eq!(place(&[busy(4)], &short), None);
+}
+
+#[test]
+fn a_writer_that_reads_in_small_pieces_reads_as_much_as_comes() {
+    // each token is held up by 3 ms, however much waits: 63 ms between events
+    let pace = Pace {
+        slowed_us: Some(7.0 * MS),
+        ..writer(0).pace
+    };
+    let fine = Engine {
+        pace,
+        reading: 20_000,
+        ..writer(20)
+    };
+    assert!(place(&[fine], &ask(9_000)).is_some());
+}
+
+#[test]
+fn an_answer_is_expected_after_the_prompts_that_its_writer_reads() {
+    let busy = Engine {
+        reading: 4_000,
+        ..writer(3)
+    };
+    let first = |writer: Engine| {
+        let choice = choose(&[writer, reader(0)], &ask(9_000), &Weights::default());
+        choice.expect("a reader and a writer are there").first
+    };
+    let later = first(busy) - first(writer(3));
+    assert!((later - 120.0 * MS).abs() < MS, "{later}");
+}
+
+fn any_engine() -> impl Strategy<Value = Engine> {
+    let pace = (0.0..100_000.0, 1.0..200.0, 100.0..20_000.0, 1.0..4.0).prop_map(
+        |(start_us, read_us, step_us, slower)| Pace {
+            start_us,
+            read_us,
+            step_us,
+            slowed_us: (slower > 1.5).then_some(step_us * slower),
+            ..Pace::of_writer()
+        },
+    );
+    let load = (0_u64..200_000, 0_u64..50_000, 0_u64..80, 1_u64..100);
+    (any::<bool>(), pace, load, 0_u64..30_000, 0.0..1.0).prop_map(
+        |(reads, pace, (reading, late, writing, slots), held, failures)| Engine {
+            stage: if reads { Stage::Prefill } else { Stage::Decode },
+            reading,
+            late,
+            writing,
+            long: writing / 3,
+            slots,
+            held,
+            fetch: Fetch::default(),
+            pace,
+            distance: 0,
+            failures,
+            order: held,
+        },
+    )
+}
+
+proptest! {
+    /// Whatever is seen, a plan names engines of the stages that it needs, with a slot for the answer, and
+    /// promises no first event before the prompt can have been read.
+    #[test]
+    fn a_plan_can_be_carried_out(
+        engines in prop::collection::vec(any_engine(), 0..12),
+        prompt in 1_u64..40_000,
+    ) {
+        let ask = ask(prompt);
+        let Some(choice) = choose(&engines, &ask, &Weights::default()) else {
+            return Ok(());
+        };
+        let (reads, writes) = match choice.plan {
+            Plan::Whole { engine } => (engine, engine),
+            Plan::Split { prefill, decode } => (prefill, decode),
+        };
+        let (reads, writes) = (&engines[reads], &engines[writes]);
+        prop_assert_eq!(writes.stage, Stage::Decode);
+        prop_assert!(writes.writing < writes.slots);
+        if !std::ptr::eq(reads, writes) {
+            prop_assert_eq!(reads.stage, Stage::Prefill);
+        }
+        let unread = policy::real(prompt.saturating_sub(reads.held));
+        prop_assert!(choice.first >= unread * reads.pace.read_us);
+    }
+
+    /// Work that others have takes nothing away from a caller for whom there was room without it elsewhere.
+    #[test]
+    fn load_at_one_engine_refuses_nobody_that_another_one_takes(
+        engines in prop::collection::vec(any_engine(), 1..8),
+        prompt in 1_u64..40_000,
+        more in 1_u64..100_000,
+    ) {
+        let ask = ask(prompt);
+        let others = &engines[1..];
+        let alone = place(others, &ask).is_some();
+        let mut all = engines.clone();
+        all[0].reading += more;
+        prop_assert!(!alone || place(&all, &ask).is_some());
+    }
+}
--- a/components/policy/tests/stage.rs
+++ b/components/policy/tests/stage.rs
@@ -2,7 +2,7 @@
 
 use policy::{
     count,
-    stage::{Change, Demand, Fleet, Weights, change, most_changing, readers},
+    stage::{Change, Demand, Fleet, Sample, Weights, change, most_changing, readers},
 };
 
 /// Twelve engines of 48 answers each, so many of which read.
@@ -26,11 +26,20 @@
 /// Longer than the averages remember, in microseconds.
 const LONG: f64 = 60_000_000.0;
 
+/// What is seen of a fleet whose readers are all busy.
+fn full(reading: f64, writing: f64) -> Sample {
+    Sample {
+        reading,
+        writing,
+        ..Sample::default()
+    }
+}
+
 /// A steady demand: engines that reading keeps busy, and slots that writing takes.
 fn demand(reading: f64, writing: f64) -> Demand {
     let mut demand = Demand::default();
-    demand.observe(0, 0.0, 0.0, 0.0);
-    demand.observe(count(LONG), reading * LONG, writing * LONG, 0.0);
+    demand.observe(0, &Sample::default());
+    demand.observe(count(LONG), &full(reading * LONG, writing * LONG));
     demand
 }
 
@@ -90,7 +99,7 @@
 fn a_leap_in_reading_counts_before_the_longer_average_shows_it() {
     let mut leap = demand(1.0, 40.0);
     let second = 1_000_000.0;
-    leap.observe(count(LONG + second), 8.0 * second, 40.0 * second, 0.0);
+    leap.observe(count(LONG + second), &full(8.0 * second, 40.0 * second));
     assert!(leap.reading < 3.0);
     assert_eq!(plan(&leap, &small(3)), Some(Change::MoreReaders));
 }
@@ -99,3 +108,19 @@
 fn a_quarter_of_a_fleet_may_change_at_once() {
     assert_eq!([1, 3, 12, 300].map(most_changing), [1, 1, 3, 75]);
 }
+
+#[test]
+fn readers_of_which_some_are_idle_show_what_is_needed() {
+    let mut demand = Demand::default();
+    demand.observe(0, &Sample::default());
+    // prompts that took three times as long as they should have, behind a change of stages
+    let sample = Sample {
+        reading: 12.0 * LONG,
+        writing: 40.0 * LONG,
+        busy: 4.0,
+        readers: 9.0,
+        ..Sample::default()
+    };
+    demand.observe(count(LONG), &sample);
+    assert_eq!(plan(&demand, &small(9)), None);
+}
