Let requests wait for room to write, the more urgent ones first

Engines left over went to reading in proportion, so that two or three wrote when others left.

Change: a request that finds no room, or whose prompt has been read, waits in line by rank and deadline for at most half of its time left; only the first looks for room. It is refused at once if the line is longer than all slots. Engines left over by both stages' needs are shared evenly.

--- a/components/gateway/src/process/ledger.rs
+++ b/components/gateway/src/process/ledger.rs
@@ -10,7 +10,10 @@
 };
 
 use super::Gateway;
-use crate::endpoint::{Paces, Stage, Target};
+use crate::{
+    endpoint::{Paces, Stage, Target},
+    request::Line,
+};
 
 /// What callers asked of a service so far; only its growth means anything.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -55,6 +58,8 @@
     /// The longest time between tokens with which each long answer so far could end in time, in
     /// microseconds.
     bearable: f64,
+    /// Requests that wait for room.
+    line: Arc<Line>,
 }
 
 impl Ledger {
@@ -65,6 +70,7 @@
             margin: Margin::default(),
             paces: Paces::default(),
             bearable: f64::MAX,
+            line: Arc::default(),
         }
     }
 }
@@ -166,6 +172,11 @@
         self.with_ledger(service, |ledger| ledger.margin.learn(expected, took));
     }
 
+    /// The requests of a service that wait for room.
+    pub fn line(&self, service: &Arc<str>) -> Arc<Line> {
+        self.with_ledger(service, |ledger| Arc::clone(&ledger.line))
+    }
+
     /// How fast the engines of a service are on average.
     pub fn paces(&self, service: &Arc<str>) -> Paces {
         self.with_ledger(service, |ledger| ledger.paces)
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -1,5 +1,6 @@
 //! Generations: placed on engines that read prompts and engines that write answers.
 
+mod line;
 mod read;
 pub mod relocate;
 mod run;
@@ -9,7 +10,7 @@
 use std::sync::Arc;
 
 use hyper::Response;
-use policy::place::Plan;
+use policy::place::{Choice, Plan};
 
 use super::{
     attempt::{Answer, Cause, Patience},
@@ -22,6 +23,7 @@
 use timing::Timing;
 use view::View;
 
+pub use line::Line;
 pub use view::is_long;
 
 /// Serves a generation.
@@ -29,14 +31,7 @@
     let mut effort = Effort::default();
     let mut may_split = true;
     loop {
-        let mut view = View::new(&job, effort.tried());
-        if effort.is_fresh() {
-            view::count(&job, &view);
-        }
-        if !may_split {
-            view.only_writers();
-        }
-        let choice = view.choose(&job).ok_or_else(|| effort.give_up())?;
+        let (view, choice) = place(&job, &effort, may_split).await?;
         if !timing::ends_before_stop(&job, &view, &choice) {
             return Err(Reason::Stopping);
         }
@@ -74,6 +69,37 @@
     }
 }
 
+/// Places a request, and waits for room if no engine has any just now.
+async fn place(job: &Job, effort: &Effort, may_split: bool) -> Result<(View, Choice), Reason> {
+    let look = || {
+        let mut view = View::new(job, effort.tried());
+        if !may_split {
+            view.only_writers();
+        }
+        let choice = view.choose(job);
+        (view, choice)
+    };
+    let line = job.gateway.line(&job.service.name);
+    let (view, choice) = look();
+    if effort.is_fresh() {
+        view::count(job, &view);
+    }
+    // others who wait go first
+    if let Some(choice) = choice.filter(|_| line.len() == 0) {
+        return Ok((view, choice));
+    }
+    if !view.may_get_room(line.len()) {
+        return Err(effort.give_up());
+    }
+    let ticket = line.join(job);
+    while ticket.turn().await {
+        if let (view, Some(choice)) = look() {
+            return Ok((view, choice));
+        }
+    }
+    Err(effort.give_up())
+}
+
 /// Goes on with a stream that broke, on another engine.
 pub async fn resume(
     job: &Job,
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -56,6 +56,26 @@
     Ok((answer, writing))
 }
 
+/// The engine that writes the answer to a prompt that has been read; waits for one with room.
+async fn writer(job: &Job, effort: &Effort) -> Option<(View, usize)> {
+    let look = || {
+        let view = View::new(job, effort.tried());
+        let at = place::choose_writer(&view.engines, &ask(job), &Weights::default())?;
+        Some((view, at))
+    };
+    if let Some(found) = look() {
+        return Some(found);
+    }
+    let line = job.gateway.line(&job.service.name);
+    let ticket = line.join(job);
+    while ticket.turn().await {
+        if let Some(found) = look() {
+            return Some(found);
+        }
+    }
+    None
+}
+
 /// One engine reads, another one writes. Which one writes is decided when the prompt has been read,
 /// as much has changed until then. Without a choice the prompt is late and gives way to others.
 pub async fn split(
@@ -67,8 +87,7 @@
 ) -> Attempted {
     let handle = read::keep(job, view, prefill, choice).await?;
     let prefill = &view.targets[prefill];
-    let view = View::new(job, effort.tried());
-    let Some(at) = place::choose_writer(&view.engines, &ask(job), &Weights::default()) else {
+    let Some((view, at)) = writer(job, effort).await else {
         return Err(failed(prefill, Cause::NoWriter, Phase::Read));
     };
     let decode = &view.targets[at];
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -119,6 +119,15 @@
         place::choose(&self.engines, &ask(job), &Weights::default())
     }
 
+    /// Whether a request that finds no room, behind so many others, may get some before its time is over: the
+    /// line is no longer than the slots that answers leave one after the other.
+    pub fn may_get_room(&self, waiting: usize) -> bool {
+        let writers = self.engines.iter();
+        let writers = writers.filter(|engine| engine.stage == place::Stage::Decode);
+        let slots: u64 = writers.map(|engine| engine.slots).sum();
+        u64::try_from(waiting).is_ok_and(|waiting| waiting < slots)
+    }
+
     /// The work for an engine that reads; none if the prompt is short.
     fn to_read(&self, job: &Job) -> u64 {
         let prompt = ask(job).prompt;
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -22,6 +22,7 @@
     process::{Gateway, Phase},
 };
 pub use attempt::call;
+pub use generate::Line;
 use job::Job;
 use pass::Body;
 use refusal::Reason;
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -124,7 +124,7 @@
             disturbance: 0.2,
             opening: 20_000.0,
             bearable: 0.85,
-            room: 0.3,
+            room: 0.5,
             together: 0.75,
             remote: 6_000.0,
             failure: 200_000.0,
--- a/components/policy/src/stage.rs
+++ b/components/policy/src/stage.rs
@@ -148,9 +148,15 @@
     let least = real(weights.least_writing.min(fleet.engines));
     let reading = reading / weights.busy;
     let writing = writing / (real(fleet.slots.max(1)) * weights.full);
-    let share = reading / (reading + writing.max(least));
+    let writing = writing.max(least);
+    let over = all - reading - writing;
+    let wanted = if over > 0.0 {
+        reading + over / 2.0
+    } else {
+        all * reading / (reading + writing)
+    };
     let most = all - writing.clamp(least, (all / 2.0).max(least));
-    (all * share).min(most).clamp(1.0, (all - least).max(1.0))
+    wanted.min(most).clamp(1.0, (all - least).max(1.0))
 }
 
 /// A change that the plan asks for.
