Wait for room only as long as callers do, and count offered prompts where readers are busy

Readers that were seen busy also asked for too few readers there, since prompts that are refused keep nobody busy.

Change: a request waits for a quarter of its time and four objectives at most; short prompts that are late go where they are answered; what is offered counts where seven of ten readers are busy; late prompts may be read within half of the time left.

--- a/components/gateway/src/request/generate/line.rs
+++ b/components/gateway/src/request/generate/line.rs
@@ -17,7 +17,9 @@
 const LOOK: Duration = Duration::from_millis(10);
 /// The part of the time left for which a request waits: what has waited longer would hardly be whole before its
 /// time is over, and its caller could have gone elsewhere meanwhile.
-const WAITS: u32 = 2;
+const WAITS: u32 = 4;
+/// The same in objectives: a caller whose answer is several times late has likely left.
+const OBJECTIVES: u32 = 4;
 
 /// A place in line: by rank, then by the end of its time, then by number.
 type Place = (u32, Instant, u64);
@@ -61,7 +63,7 @@
         Ticket {
             line: self,
             place,
-            until: Instant::now() + job.time_left() / WAITS,
+            until: Instant::now() + (job.time_left() / WAITS).min(job.route.objective * OBJECTIVES),
         }
     }
 }
--- a/components/gateway/src/request/generate/timing.rs
+++ b/components/gateway/src/request/generate/timing.rs
@@ -15,7 +15,7 @@
 
 /// The part of the time left in which the prompt of a late answer must be read: the rest is for
 /// writing, and for what was expected wrongly.
-const LATE_READ: f64 = 0.2;
+const LATE_READ: f64 = 0.5;
 /// The part of the time left after which a caller that is refused is not asked to come back.
 const LATEST: u32 = 2;
 /// How many times as long as expected an engine may get on with nothing before it is taken to be lost. A
@@ -47,6 +47,10 @@
         view.tell(job, choice, "placed");
         return Ok(Timing::InTime);
     }
+    if view.reads_in_passing(job, choice) {
+        view.tell(job, choice, "placed late");
+        return Ok(Timing::InTime);
+    }
     let time = policy::real(policy::micros(job.time_left())) * LATE_READ;
     if let Some(prefill) = place::choose_late(&view.engines, &ask(job), &Weights::default(), time) {
         view.tell(job, choice, "placed late");
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -128,6 +128,17 @@
         u64::try_from(waiting).is_ok_and(|waiting| waiting < slots)
     }
 
+    /// Whether the plan reads a prompt so short where it is answered that it makes no difference to anybody: then
+    /// a request that is late goes there too.
+    pub fn reads_in_passing(&self, job: &Job, choice: &Choice) -> bool {
+        match choice.plan {
+            Plan::Whole { engine } => {
+                place::is_short(&self.engines[engine], &ask(job), &Weights::default())
+            }
+            Plan::Split { .. } => false,
+        }
+    }
+
     /// The work for an engine that reads; none if the prompt is short.
     fn to_read(&self, job: &Job) -> u64 {
         let prompt = ask(job).prompt;
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -255,6 +255,12 @@
     writing < slots * weights.together && ends
 }
 
+/// Whether an engine would read so little of the prompt that it is read where it is answered.
+#[must_use]
+pub fn is_short(engine: &Engine, ask: &Ask, weights: &Weights) -> bool {
+    unread(engine, ask) <= weights.short_prompt
+}
+
 fn unread(engine: &Engine, ask: &Ask) -> u64 {
     ask.prompt.saturating_sub(engine.held + engine.fetch.tokens)
 }
--- a/components/policy/src/stage.rs
+++ b/components/policy/src/stage.rs
@@ -40,8 +40,9 @@
 }
 
 /// Part of the reading engines that are busy at one moment, from which on more may be asked of them than
-/// they can do: with fewer, prompts find an engine that is idle, and the busy ones are all that is needed.
-const ALL_BUSY: f64 = 0.9;
+/// they can do in time: with fewer, prompts find an engine that is idle, and the busy ones are all that is
+/// needed. The same as [`Weights::busy`].
+const ALL_BUSY: f64 = 0.7;
 
 impl Sample {
     /// Reading engines that would be busy. The time that prompts are expected to take counts only while
