Tell an endpoint's lives apart by its start, and believe no entry of another writer

A gateway kept what it had learnt, believed and counted of the former life; an entry that could not be read was passed over, so that the endpoint which it replaced stayed in use; an unknown state counted as leaving, missing fields as empty.

Change: an entry's start makes another incarnation of it: the former one's pace, memory, loads, failures and connections go, what was under way there is broken off 50 ms later or resumed, peers tell of each by a number of its own, and a change of stage that was meant for the former one is given up. An entry in which any field that endpoints write is missing or of another type, or has an unknown word, takes the endpoint out at once, also after an outage.

--- a/components/gateway/src/edge/mod.rs
+++ b/components/gateway/src/edge/mod.rs
@@ -82,6 +82,8 @@
     Present(Profile),
     /// The endpoint is no longer listed.
     Gone(Id),
+    /// An entry that names no endpoint to use stands in its place.
+    Unusable(Id),
 }
 
 /// The operators' lists: endpoints and the configuration.
@@ -223,6 +225,8 @@
     pub busy: bool,
     /// How many orders it has accepted since it started.
     pub orders: u64,
+    /// When it was started, see [`Profile::started`].
+    pub started: Option<u64>,
 }
 
 /// A call of the gateway's own to an endpoint.
@@ -277,7 +281,7 @@
     pub fn id(&self) -> &Id {
         match self {
             Self::Present(profile) => &profile.id,
-            Self::Gone(id) => id,
+            Self::Gone(id) | Self::Unusable(id) => id,
         }
     }
 
@@ -286,7 +290,7 @@
     pub fn present(&self) -> Option<&Id> {
         match self {
             Self::Present(profile) => Some(&profile.id),
-            Self::Gone(_) => None,
+            Self::Gone(_) | Self::Unusable(_) => None,
         }
     }
 }
--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -1,7 +1,7 @@
 //! Endpoints: what the platform says of them, what this process has sent them, and how they do.
 //!
 //! An endpoint here is one incarnation of a back end. A restarted back end is another endpoint, even
-//! at the same address, so nothing learnt of one is believed of the other.
+//! under the same name or at the same address, so nothing learnt of one is believed of the other.
 
 mod busy;
 mod health;
@@ -22,20 +22,11 @@
 pub use registry::{Fleet, Registry};
 pub use target::{Paces, Seen, Target};
 
-/// The name of one incarnation of an endpoint; never used again.
+/// The name of an endpoint. It may start again under the same name, see [`Profile::started`].
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 #[display("{_0}")]
 pub struct Id(pub Arc<str>);
 
-impl Id {
-    /// A short number for it, the same in every process. Two endpoints of a fleet of thousands
-    /// share one with a chance of about one in a thousand, which would only blur their loads.
-    #[must_use]
-    pub fn short(&self) -> u32 {
-        short(&self.0)
-    }
-}
-
 /// A short number for a name, the same in every process.
 #[must_use]
 pub fn short(name: &str) -> u32 {
@@ -80,4 +71,40 @@
     pub slots: u64,
     /// What it does, if it is an engine.
     pub stage: Option<Stage>,
+    /// When it was started, in Unix milliseconds by its own clock, if it says so. With its name it tells one
+    /// incarnation from the next.
+    pub started: Option<u64>,
+}
+
+/// What an entry says of an endpoint that was known before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// It is the same incarnation.
+    Same,
+    /// It has started again: nothing that was known of it holds.
+    Next,
+    /// The entry is one of an earlier incarnation.
+    Former,
+}
+
+impl Profile {
+    /// A short number for the incarnation, the same in every process. Two endpoints of a fleet of thousands
+    /// share one with a chance of about one in a thousand, which would only blur their loads.
+    #[must_use]
+    pub fn short(&self) -> u32 {
+        match self.started {
+            None => short(&self.id.0),
+            Some(started) => short(&format!("{} {started}", self.id)),
+        }
+    }
+
+    /// What a newer entry says of this incarnation.
+    #[must_use]
+    pub fn life(&self, newer: &Self) -> Life {
+        match (self.started, newer.started) {
+            (Some(known), Some(told)) if told > known => Life::Next,
+            (Some(known), Some(told)) if told < known => Life::Former,
+            _ => Life::Same,
+        }
+    }
 }
--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -4,7 +4,7 @@
 
 use parking_lot::{Mutex, RwLock};
 
-use super::{Busy, Id, Profile, Target, subset};
+use super::{Busy, Id, Life, Profile, Target, subset};
 use crate::{edge::Change, version::Configuration};
 
 /// The most endpoints that are new at once and have a line in the log each: the lists of the first
@@ -110,7 +110,7 @@
         for change in changes {
             match change {
                 Change::Present(profile) => self.present(&mut targets, profile, version, each),
-                Change::Gone(id) => gone(&mut targets, id),
+                Change::Gone(id) | Change::Unusable(id) => gone(&mut targets, id),
             }
         }
         self.publish(targets);
@@ -124,7 +124,22 @@
         tell: bool,
     ) {
         match targets.binary_search_by(|target| target.id.cmp(&profile.id)) {
-            Ok(at) => update(&targets[at], profile),
+            Ok(at) => match targets[at].with(|state| state.profile.life(profile)) {
+                Life::Same => update(&targets[at], profile),
+                Life::Former => log::info!(
+                    endpoint = &*profile.id.0, started = profile.started;
+                    "an entry of an earlier incarnation is passed over"
+                ),
+                Life::Next => {
+                    let former = std::mem::replace(&mut targets[at], self.target(profile, version));
+                    log::info!(
+                        endpoint = &*profile.id.0, started = profile.started, address:% = profile.address;
+                        "an endpoint has started again"
+                    );
+                    leave(&former);
+                    former.end();
+                }
+            },
             Err(at) => {
                 if tell {
                     log::info!(
@@ -133,16 +148,20 @@
                         "an endpoint is listed"
                     );
                 }
-                let memory = version
-                    .and_then(|version| version.service(&profile.service))
-                    .and_then(|service| service.engines.as_ref())
-                    .map_or(0, |engines| engines.memory_tokens);
-                let target = Target::new(profile.clone(), memory, Arc::clone(&self.busy));
-                targets.insert(at, Arc::new(target));
+                targets.insert(at, self.target(profile, version));
             }
         }
     }
 
+    /// An incarnation of which nothing is known yet.
+    fn target(&self, profile: &Profile, version: Option<&Configuration>) -> Arc<Target> {
+        let memory = version
+            .and_then(|version| version.service(&profile.service))
+            .and_then(|service| service.engines.as_ref())
+            .map_or(0, |engines| engines.memory_tokens);
+        Arc::new(Target::new(profile.clone(), memory, Arc::clone(&self.busy)))
+    }
+
     fn publish(&self, targets: Vec<Arc<Target>>) {
         let mut fleets: Vec<(Arc<str>, Vec<Arc<Target>>)> = Vec::new();
         for target in &targets {
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -27,6 +27,8 @@
     state: Mutex<Inner>,
     /// Told when long answers should go on elsewhere.
     leave: Notify,
+    /// Told when this incarnation has ended.
+    end: Notify,
     /// Open connections, idle or in use.
     open: Arc<AtomicUsize>,
     /// Where it is noted while it has something under way.
@@ -40,6 +42,8 @@
     pub profile: Profile,
     /// Whether it is still listed.
     pub listed: bool,
+    /// Whether this incarnation has certainly ended, as a later one is listed.
+    ended: bool,
     /// This process's requests.
     pub own: Load,
     /// Peers' requests, as of their last digests.
@@ -141,13 +145,15 @@
     pub fn new(profile: Profile, memory_tokens: u64, busy: Arc<Busy>) -> Self {
         Self {
             id: profile.id.clone(),
-            short: profile.id.short(),
+            short: profile.short(),
             open: Arc::default(),
             busy,
             leave: Notify::new(),
+            end: Notify::new(),
             state: Mutex::new(Inner {
                 profile,
                 listed: true,
+                ended: false,
                 own: Load::default(),
                 peers: Load::default(),
                 health: Health::default(),
@@ -252,6 +258,23 @@
         }
     }
 
+    /// Notes that this incarnation has ended: what was under way there is over.
+    pub fn end(&self) {
+        self.with(|state| state.ended = true);
+        self.end.notify_waiters();
+    }
+
+    /// Waits until this incarnation has ended.
+    pub async fn ended(&self) {
+        loop {
+            let told = self.end.notified();
+            if self.with(|state| state.ended) {
+                return;
+            }
+            told.await;
+        }
+    }
+
     /// Leaves it alone until then, as it is changing its stage.
     pub fn leave_alone(&self, until: Instant) {
         let now = Instant::now();
--- a/components/gateway/src/peer/changes.rs
+++ b/components/gateway/src/peer/changes.rs
@@ -52,9 +52,16 @@
             gone: true,
             ..EndpointChange::default()
         },
+        Change::Unusable(id) => EndpointChange {
+            id: id.to_string(),
+            unusable: true,
+            ..EndpointChange::default()
+        },
         Change::Present(profile) => EndpointChange {
             id: profile.id.to_string(),
             gone: false,
+            unusable: false,
+            started: profile.started,
             service: profile.service.to_string(),
             address: profile.address.to_string(),
             data_centre: profile.data_centre.to_string(),
@@ -74,6 +81,9 @@
     if change.gone {
         return Some(Change::Gone(id));
     }
+    if change.unusable {
+        return Some(Change::Unusable(id));
+    }
     Some(Change::Present(Profile {
         id,
         service: Arc::from(change.service.as_str()),
@@ -90,5 +100,6 @@
             EndpointStage::Prefill => Some(Stage::Prefill),
             EndpointStage::Decode => Some(Stage::Decode),
         },
+        started: change.started,
     }))
 }
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -209,6 +209,11 @@
                 self.missing.add(id);
                 false
             }
+            // it has not lapsed: what stands there was written
+            Change::Unusable(id) => {
+                self.missing.forget(id);
+                true
+            }
         });
     }
 
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -173,6 +173,16 @@
     }
 }
 
+/// What an endpoint that has started again had sent before may still come within this time: several times the way
+/// between two data centres.
+pub const LAST_WORDS: Duration = Duration::from_millis(50);
+
+/// Waits until nothing more can come from an incarnation of an endpoint.
+pub async fn ended(target: &Target) {
+    target.ended().await;
+    tokio::time::sleep(LAST_WORDS).await;
+}
+
 /// Sends a request to an endpoint and waits for the head of the answer.
 pub async fn send(
     job: &Job,
@@ -199,6 +209,7 @@
     let answered = tokio::select! {
         answered = sending => answered,
         () = patience.over(target) => return Err(Cause::TimeOver),
+        () = ended(target) => return Err(Cause::Broken),
     };
     let response = match answered {
         Ok(response) => response,
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use super::{
-    attempt::Answer,
+    attempt::{self, Answer},
     events::Splitter,
     generate::{
         self, is_long,
@@ -148,7 +148,14 @@
             let until = self.job.deadline + LAST_BYTES;
             let moves = self.next.is_none() && self.moves < MOVES && is_long(&self.job);
             let frame = tokio::select! {
+                biased;
                 frame = tokio::time::timeout_at(until, source.body.frame()) => frame,
+                () = attempt::ended(&source.target) => {
+                    if self.resume().await {
+                        continue;
+                    }
+                    return Err(self.fail(Broken::Endpoint));
+                }
                 () = source.target.left(), if moves => {
                     self.leave().await;
                     continue;
--- a/components/gateway/src/steward/change.rs
+++ b/components/gateway/src/steward/change.rs
@@ -82,6 +82,9 @@
             tokio::time::sleep(LOOK).await;
             continue;
         };
+        if is_another(&wish.target, &report) {
+            return false;
+        }
         if report.stage == wish.stage {
             return true;
         }
@@ -135,6 +138,9 @@
             return true;
         }
         let report = report(gateway, &wish.target).await;
+        if report.is_some_and(|report| is_another(&wish.target, &report)) {
+            return false;
+        }
         if report.is_some_and(|report| report.stage == wish.stage && !report.busy) {
             wish.target.take_stage(wish.stage);
             gateway.steward.tell(wish.target.short, wish.stage);
@@ -145,6 +151,20 @@
     false
 }
 
+/// Whether a report comes from another incarnation than the one that a change is meant for. What it counts has
+/// begun anew, so an order made out for the former one could hold there.
+fn is_another(target: &Target, report: &Report) -> bool {
+    let started = target.with(|state| state.profile.started);
+    let another = started.is_some() && report.started.is_some() && started != report.started;
+    if another {
+        log::info!(
+            engine = &*target.id.0, started = report.started;
+            "an engine has started again under a change of stage"
+        );
+    }
+    another
+}
+
 /// How long the engine is away, as the operators say.
 fn switch(gateway: &Gateway, target: &Target) -> Duration {
     let service = target.with(|state| Arc::clone(&state.profile.service));
--- a/components/gateway/tests/busy.rs
+++ b/components/gateway/tests/busy.rs
@@ -16,6 +16,7 @@
         state: State::Ready,
         slots: 4,
         stage: None,
+        started: None,
     }
 }
 
@@ -39,7 +40,7 @@
 #[test]
 fn loads_are_those_of_the_work_under_way() {
     let registry = registry(&["e1", "e2", "e3"]);
-    let short = |name: &str| Id(Arc::from(name)).short();
+    let short = |name: &str| profile(name).short();
     let target = |name: &str| registry.find(short(name)).expect("listed");
     assert_eq!(registry.busy().loads(), []);
 
@@ -76,7 +77,7 @@
 #[test]
 fn an_endpoint_that_has_left_still_counts_while_it_answers() {
     let registry = registry(&["e1"]);
-    let short = Id(Arc::from("e1")).short();
+    let short = profile("e1").short();
     let target = registry.find(short).expect("listed");
     let answer = Writing::new(&target, false);
     registry.apply(&[Change::Gone(target.id.clone())], false, None);
--- a/components/gateway/tests/registry.rs
+++ b/components/gateway/tests/registry.rs
@@ -4,7 +4,7 @@
 
 use gateway::{
     edge::Change,
-    endpoint::{Id, Profile, Registry, Stage, State},
+    endpoint::{Id, Load, Profile, Registry, Stage, State, Target, Writing, short},
 };
 
 /// Data centres over which the endpoints are spread.
@@ -19,6 +19,7 @@
         state: State::Ready,
         slots: 16,
         stage: Some(Stage::Decode),
+        started: None,
     })
 }
 
@@ -93,5 +94,71 @@
         assert_eq!(found.id, target.id);
     }
     registry.apply(&[Change::Gone(Id(Arc::from("e0007")))], false, None);
-    assert!(registry.find(Id(Arc::from("e0007")).short()).is_none());
+    assert!(registry.find(short("e0007")).is_none());
+}
+
+/// The only endpoint, started then.
+fn started(at: Option<u64>) -> Change {
+    let Change::Present(profile) = endpoint(0) else {
+        panic!("an endpoint is present");
+    };
+    Change::Present(Profile {
+        started: at,
+        ..profile
+    })
+}
+
+fn only(registry: &Registry) -> Arc<Target> {
+    let fleet = registry.fleet("engines");
+    assert_eq!(fleet.targets().len(), 1);
+    Arc::clone(&fleet.targets()[0])
+}
+
+#[tokio::test]
+async fn an_endpoint_that_starts_again_under_its_name_is_another_one() {
+    let registry = Registry::new("g1", "a");
+    registry.apply(&[started(Some(1_000))], true, None);
+    let former = only(&registry);
+    let parts = [policy::prompt::Part {
+        key: 1,
+        tokens: 100,
+    }];
+    former.with(|state| {
+        state.memory = policy::memory::Memory::new(1_000);
+        state.memory.used(&parts);
+        state.pace = Some(policy::learn::Pace::of_writer());
+        state.peers.writing = 5;
+    });
+    let _under_way = Writing::new(&former, false);
+    registry.apply(&[started(Some(2_000))], false, None);
+    let next = only(&registry);
+    assert!(!Arc::ptr_eq(&former, &next));
+    // what was under way there is over
+    former.ended().await;
+    next.with(|state| {
+        assert_eq!((state.own, state.peers), (Load::default(), Load::default()));
+        assert_eq!((state.pace, state.memory.held(&parts)), (None, 0));
+    });
+    // peers that have not heard of it yet tell of the former one
+    assert_ne!(former.short, next.short);
+    assert!(registry.find(former.short).is_none());
+}
+
+#[test]
+fn an_entry_of_an_earlier_start_changes_nothing() {
+    let registry = Registry::new("g1", "a");
+    registry.apply(&[started(Some(2_000))], true, None);
+    let known = only(&registry);
+    for entry in [started(Some(1_000)), started(Some(2_000)), started(None)] {
+        registry.apply(&[entry], false, None);
+        assert!(Arc::ptr_eq(&known, &only(&registry)));
+    }
+}
+
+#[test]
+fn an_entry_that_names_no_endpoint_takes_its_place() {
+    let registry = Registry::new("g1", "a");
+    registry.apply(&[started(None), endpoint(1)], true, None);
+    registry.apply(&[Change::Unusable(Id(Arc::from("e0000")))], false, None);
+    assert_eq!(used(&registry), [Id(Arc::from("e0001"))]);
 }
