Fetch only parts of prompts that have been read

Cause: an engine was taken to hold a prompt's parts from the moment it was sent them, so that others were told to fetch from it what it was still reading, and read it again. Change: a part can be fetched once its engine has read what was ahead of it.

--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -108,6 +108,8 @@
     pub pace: Pace,
     /// Tokens of the prompt asked about that it likely holds.
     pub held: u64,
+    /// Tokens of it that other engines can likely fetch there.
+    pub fetchable: u64,
     /// Part of its attempts that fail.
     pub failures: f64,
 }
@@ -134,6 +136,19 @@
         self.backlog.add(age, read_us, under_way, work);
     }
 
+    /// Notes that it uses a prompt, which it reads after what it has left to read, or holds at once if it is
+    /// `fetched`.
+    pub fn uses(&mut self, now: Instant, common: Pace, parts: &[Part], fetched: bool) {
+        let read_us = self.pace.unwrap_or(common).read_us;
+        let left = if fetched {
+            0
+        } else {
+            self.left(now, common)
+        };
+        let read_at = self.age(now) + policy::count(policy::real(left) * read_us);
+        self.memory.used(parts, read_at);
+    }
+
     fn age(&self, now: Instant) -> policy::Micros {
         policy::micros(now.saturating_duration_since(self.since))
     }
@@ -214,6 +229,7 @@
                 },
                 pace: state.pace.unwrap_or(common),
                 held: state.memory.held(parts),
+                fetchable: state.memory.fetchable(parts, state.age(now)),
                 failures: state.health.failures(),
             })
         })
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -164,9 +164,10 @@
             && let Some(target) = gateway.registry.find(short)
         {
             let more = new.reading.saturating_sub(old.reading);
+            let service = target.with(|state| Arc::clone(&state.profile.service));
+            let paces = gateway.paces(&service);
             target.with(|state| {
                 if more > 0 {
-                    let paces = gateway.paces(&state.profile.service);
                     let common = paces.of(state.profile.stage);
                     state.sends(Instant::now(), common, more);
                 }
@@ -206,12 +207,12 @@
 fn remember(gateway: &Gateway, placed: &[Placed]) {
     for placed in placed {
         if let Some(target) = gateway.registry.find(placed.endpoint) {
-            used(&target, placed);
+            used(gateway, &target, placed);
         }
     }
 }
 
-fn used(target: &Target, placed: &Placed) {
+fn used(gateway: &Gateway, target: &Target, placed: &Placed) {
     let parts: Vec<policy::prompt::Part> = placed
         .parts
         .iter()
@@ -221,7 +222,14 @@
             tokens: u64::from(*tokens),
         })
         .collect();
-    target.with(|state| state.memory.used(&parts));
+    let service = target.with(|state| Arc::clone(&state.profile.service));
+    let paces = gateway.paces(&service);
+    target.with(|state| {
+        // an engine that writes has mostly fetched it
+        let fetched = state.profile.stage == Some(Stage::Decode);
+        let common = paces.of(state.profile.stage);
+        state.uses(Instant::now(), common, &parts, fetched);
+    });
 }
 
 /// Counts no longer what peers had under way that are not heard any more.
--- a/components/gateway/src/request/generate/read.rs
+++ b/components/gateway/src/request/generate/read.rs
@@ -49,17 +49,21 @@
         }
         ahead
     });
-    use_parts(job, target);
+    use_parts(job, target, false);
     Counted {
         guard: Reading::new(target, work, late),
         ahead,
     }
 }
 
-/// Notes that an engine will hold the parts of a prompt.
-pub fn use_parts(job: &Job, target: &Arc<Target>) {
+/// Notes that an engine will hold the parts of a prompt: soon if it is `fetched`, or else once it is read.
+pub fn use_parts(job: &Job, target: &Arc<Target>, fetched: bool) {
     if let Some(prompt) = &job.ask.prompt {
-        target.with(|state| state.memory.used(&prompt.parts));
+        let paces = job.gateway.paces(&job.service.name);
+        target.with(|state| {
+            let common = paces.of(state.profile.stage);
+            state.uses(Instant::now(), common, &prompt.parts, fetched);
+        });
         job.gateway.peers.placed(target.short, &prompt.parts);
     }
 }
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -98,7 +98,7 @@
         handle: Some(handle.handle.clone()),
         ..Directive::default()
     };
-    read::use_parts(job, decode);
+    read::use_parts(job, decode, true);
     let begun = Instant::now();
     let patience = timing::patience(job, effort, view.engines[at].pace.start_us);
     match attempt::send(job, decode, &directive, patience).await {
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -49,22 +49,27 @@
         let near = &job.gateway.settings.gateway.data_centre;
         let cut_off = job.gateway.peers.cut_off();
         let paces = job.gateway.paces(&job.service.name);
-        let (targets, engines) = fleet
+        let found: Vec<(Arc<Target>, (place::Engine, u64))> = fleet
             .used()
             .iter()
             .filter(|target| !tried.iter().any(|other| other.id == target.id))
             .filter_map(|target| {
                 let seen = target.seen(now, parts, &paces)?;
                 let reached = !cut_off.contains(&seen.profile.data_centre);
-                reached.then(|| (Arc::clone(target), engine(&seen, near, order(job, target))))
+                reached.then(|| {
+                    let engine = engine(&seen, near, order(job, target));
+                    (Arc::clone(target), (engine, seen.fetchable))
+                })
             })
-            .unzip();
+            .collect();
+        let (targets, engines): (Vec<_>, Vec<_>) = found.into_iter().unzip();
+        let (engines, fetchable): (Vec<_>, Vec<_>) = engines.into_iter().unzip();
         let mut view = Self {
             targets,
             engines,
             source: None,
         };
-        view.add_fetches(job);
+        view.add_fetches(job, &fetchable);
         view
     }
 
@@ -82,16 +87,14 @@
         }
     }
 
-    /// Finds what engines that lack parts of the prompt can fetch from the one that holds the most.
-    fn add_fetches(&mut self, job: &Job) {
+    /// Finds what engines that lack parts of the prompt can fetch from the one that has the most to give: a part
+    /// that is still being read there would be read again.
+    fn add_fetches(&mut self, job: &Job, fetchable: &[u64]) {
         let Some(engines) = &job.service.engines else {
             return;
         };
-        let most = self.engines.iter().enumerate();
-        let Some((at, held)) = most
-            .map(|(at, engine)| (at, engine.held))
-            .max_by_key(|(_, held)| *held)
-        else {
+        let most = fetchable.iter().copied().enumerate();
+        let Some((at, held)) = most.max_by_key(|(_, held)| *held) else {
             return;
         };
         let token_us = engines.move_token.as_secs_f64() * MICROS;
--- a/components/gateway/tests/registry.rs
+++ b/components/gateway/tests/registry.rs
@@ -125,7 +125,7 @@
     }];
     former.with(|state| {
         state.memory = policy::memory::Memory::new(1_000);
-        state.memory.used(&parts);
+        state.memory.used(&parts, 0);
         state.pace = Some(policy::learn::Pace::of_writer());
         state.peers.writing = 5;
     });
