Count a peer's silence as no sign of an engine's life

Cause: read again as a newcomer would: what a silent peer had under way was taken out of the sums, and that fall counted as if engines had got on with it. Measured: formatter and linter clean.

--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -140,11 +140,7 @@
     /// `fetched`.
     pub fn uses(&mut self, now: Instant, common: Pace, parts: &[Part], fetched: bool) {
         let read_us = self.pace.unwrap_or(common).read_us;
-        let left = if fetched {
-            0
-        } else {
-            self.left(now, common)
-        };
+        let left = if fetched { 0 } else { self.left(now, common) };
         let read_at = self.age(now) + policy::count(policy::real(left) * read_us);
         self.memory.used(parts, read_at);
     }
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -82,6 +82,7 @@
         gateway.peers.add_demand(service, asked);
     }
     recount(gateway, &before, &after);
+    note_progress(gateway, &before, &after);
     remember(gateway, &digest.placed);
     take_changes(gateway, digest);
     heed(gateway, &digest.changing, &digest.stages);
@@ -173,9 +174,6 @@
                 }
                 state.peers = replaced(state.peers, old, new);
             });
-            if new.prompts < old.prompts || new.writing < old.writing {
-                target.progressed();
-            }
         }
     };
     for (short, _) in after {
@@ -191,6 +189,19 @@
     }
 }
 
+/// Notes which engines have got on with what a peer has under way there: some of it has ended. Both lists are
+/// sorted by endpoint.
+fn note_progress(gateway: &Gateway, before: &[(u32, Load)], after: &[(u32, Load)]) {
+    for (short, old) in before {
+        let at = after.binary_search_by_key(short, |(short, _)| *short);
+        let new = at.map(|at| after[at].1).unwrap_or_default();
+        let ended = new.prompts < old.prompts || new.writing < old.writing;
+        if let Some(target) = gateway.registry.find(*short).filter(|_| ended) {
+            target.progressed();
+        }
+    }
+}
+
 /// A sum in which one part is replaced. An endpoint that was listed after a peer told of it starts
 /// at nothing, so a part may be missing in the sum.
 fn replaced(sum: Load, old: Load, new: Load) -> Load {
