--- /dev/null
+++ b/components/policy/tests/engines.rs
@@ -0,0 +1,113 @@
+//! What is learnt and believed of engines: how fast they are, what they still have to do, what they hold.
+
+use policy::{backlog::Backlog, learn::Pace, memory::Memory, prompt::Part};
+use proptest::prelude::*;
+
+#[test]
+fn a_first_prompt_says_more_than_the_guess() {
+    let mut pace = Pace::of_reader();
+    // 15 us a token, where 2 us were guessed
+    pace.read(10_000, 153_000);
+    assert!((pace.read_us - 15.0).abs() < 0.1, "{}", pace.read_us);
+}
+
+#[test]
+fn prompts_behind_work_that_nobody_knew_of_do_not_slow_an_engine_down() {
+    let mut pace = Pace::of_reader();
+    for n in 0..200_u64 {
+        // every third one waited for ten times as long as it took
+        let waited = if n % 3 == 0 { 1_500_000 } else { 0 };
+        pace.read(10_000, 153_000 + waited);
+    }
+    assert!((14.0..17.0).contains(&pace.read_us), "{}", pace.read_us);
+}
+
+#[test]
+fn an_engine_that_has_become_slower_is_known_to_be() {
+    let mut pace = Pace::of_reader();
+    for _ in 0..50 {
+        pace.read(10_000, 153_000);
+    }
+    for _ in 0..50 {
+        pace.read(10_000, 603_000);
+    }
+    assert!((55.0..65.0).contains(&pace.read_us), "{}", pace.read_us);
+}
+
+#[test]
+fn pauses_while_reading_are_those_that_most_events_stay_below() {
+    let mut pace = Pace::of_writer();
+    for n in 0..400_u64 {
+        // one event in ten takes 36 ms a token, the others 10
+        let step = if n % 10 == 0 { 36 } else { 10 };
+        pace.wrote_reading(9, 9 * step * 1_000);
+    }
+    let slowed = pace.slowed_us.expect("events were seen");
+    assert!(slowed > 15_000.0, "{slowed}");
+}
+
+#[test]
+fn what_waits_drains_between_words_of_it_and_what_is_overdue_stays_in_part() {
+    let mut backlog = Backlog::default();
+    // 10,000 tokens of 10 us each: 100 ms
+    backlog.add(0, 10.0, 0, 10_000);
+    let left = |now| backlog.left(now, 10.0, 10_000);
+    assert!((left(0) - 10_000.0).abs() < 1.0);
+    assert!((left(50_000) - 5_000.0).abs() < 1.0);
+    // it should have ended, and nobody said that it has
+    assert!((left(500_000) - 3_000.0).abs() < 1.0);
+    // somebody did
+    assert!(backlog.left(60_000, 10.0, 0) < 1.0);
+}
+
+proptest! {
+    /// Whatever comes in whatever order, no more is left than is under way, and never less than nothing.
+    #[test]
+    fn a_backlog_stays_within_what_is_under_way(
+        steps in prop::collection::vec((0_u64..200_000, 0_u64..50_000, 0_u64..50_000), 1..40),
+        read_us in 0.0..100.0,
+    ) {
+        let mut backlog = Backlog::default();
+        let mut now = 0;
+        for (span, work, under_way) in steps {
+            now += span;
+            let left = backlog.left(now, read_us, under_way);
+            prop_assert!((0.0..=policy::real(under_way)).contains(&left));
+            backlog.add(now, read_us, under_way, work);
+        }
+    }
+}
+
+const SHARED: Part = Part {
+    key: 1,
+    tokens: 1_000,
+};
+const OWN: Part = Part {
+    key: 2,
+    tokens: 100,
+};
+
+#[test]
+fn a_part_can_be_fetched_once_it_has_been_read() {
+    let mut memory = Memory::new(100_000);
+    memory.used(&[SHARED, OWN], 50_000);
+    // the engine itself will have it when the next prompt's turn comes
+    assert_eq!(memory.held(&[SHARED]), 1_000);
+    assert_eq!(memory.fetchable(&[SHARED], 49_999), 0);
+    assert_eq!(memory.fetchable(&[SHARED], 50_000), 1_000);
+    // using it again while it is held does not make it unread
+    memory.used(&[SHARED], 90_000);
+    assert_eq!(memory.fetchable(&[SHARED], 60_000), 1_000);
+}
+
+#[test]
+fn parts_yield_to_what_passed_through_the_engine_since() {
+    let mut memory = Memory::new(10_000);
+    memory.used(&[SHARED], 0);
+    let other = Part {
+        key: 9,
+        tokens: 9_000,
+    };
+    memory.used(&[other], 0);
+    assert_eq!(memory.held(&[SHARED]), 0);
+}
