Say how much of the store's answer came, and which gateways are behind

Cause: the lines of a gateway that kept an older configuration said once that an answer was lost, not how much had come, how long it took or how often it was tried.

--- a/components/daemon/src/process/steward/mod.rs
+++ b/components/daemon/src/process/steward/mod.rs
@@ -10,7 +10,10 @@
 };
 
 use cloud::table::{Outcome, Read, Row, Transaction};
-use protocol::lease::{self, Lease, Renewal, Watch};
+use protocol::{
+    lease::{self, Lease, Renewal, Watch},
+    millis,
+};
 use settings::tree::resolve::Kind as ServiceKind;
 use telemetry::timeline::Kind;
 
@@ -333,7 +336,3 @@
         log::info!("gave up the stewardship of {}", held.service);
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/components/gateway/src/edge/mod.rs
+++ b/components/gateway/src/edge/mod.rs
@@ -28,6 +28,12 @@
     /// No answer came: the call may have had an effect, or may have one later.
     #[display("the store's answer was lost")]
     Lost,
+    /// An answer began and did not come whole: the call had its effect.
+    #[display("of the store's answer only {bytes} bytes came")]
+    Partial {
+        /// What came of its body, in bytes.
+        bytes: usize,
+    },
     /// The changes since the revision asked for are no longer kept; read everything again.
     #[display("the store no longer has the history asked for")]
     HistoryGone,
--- a/components/gateway/src/process/status.rs
+++ b/components/gateway/src/process/status.rs
@@ -9,7 +9,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpListener, task::JoinSet};
 
-use super::Gateway;
+use super::{Gateway, List};
 
 /// An answer.
 type Answer = Response<Full<Bytes>>;
@@ -59,6 +59,9 @@
     let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
     let version = gateway.configuration().map_or(0, |version| version.version);
     set(&metrics.configuration, version);
+    let list = List::Configuration;
+    set(&metrics.configuration_read, gateway.changed.get(list));
+    set(&metrics.configuration_told, gateway.peers.changed(list));
     set(&metrics.connections, count(*gateway.connections.borrow()));
     set(&metrics.under_way, count(*gateway.under_way.borrow()));
     set(&metrics.peers, gateway.peers.count());
--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -6,6 +6,7 @@
 use protocol::{
     Incarnation,
     lease::{self, Lease, Renewal, Watch},
+    millis,
 };
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::Instant;
@@ -259,10 +260,6 @@
     sent + Duration::from_millis(lease::until(0, millis(term)))
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn json<T: Serialize>(value: &T) -> String {
     // rows of plain fields always have a JSON form
     serde_json::to_string(value).unwrap_or_default()
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -9,9 +9,17 @@
 pub mod order;
 pub mod stream;
 
+use std::time::Duration;
+
 use derive_more::{Display, From, Into};
 use serde::{Deserialize, Serialize};
 
+/// A span of time in milliseconds, as rows and lines tell it.
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// One life of one process: random at start, never reused.
 #[derive(
     Clone,
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -29,6 +29,10 @@
     pub whole: HistogramVec,
     /// The version of the configuration in force.
     pub configuration: IntGauge,
+    /// The revision of the last change of the configuration that was read.
+    pub configuration_read: IntGauge,
+    /// The revision of its newest change that peers have told; above the other one while this process is behind.
+    pub configuration_told: IntGauge,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Requests under way.
@@ -76,6 +80,8 @@
             first: histogram("first_seconds", "Time to the first bytes.", &["service"])?,
             whole: histogram("request_seconds", "Time to the end.", &["service"])?,
             configuration: gauge("configuration_version", "Configuration in force.")?,
+            configuration_read: gauge("configuration_read_revision", "Last change read.")?,
+            configuration_told: gauge("configuration_told_revision", "Last change peers told.")?,
             connections: gauge("connections", "Open connections of callers.")?,
             under_way: gauge("requests_under_way", "Requests under way.")?,
             peers: gauge("peers", "Peers that are heard.")?,
@@ -109,6 +115,8 @@
         }
         for gauge in [
             &self.configuration,
+            &self.configuration_read,
+            &self.configuration_told,
             &self.connections,
             &self.under_way,
             &self.peers,
