--- a/components/standin/src/link/mod.rs
+++ b/components/standin/src/link/mod.rs
@@ -22,6 +22,8 @@
     Cut,
     /// It forwards everything so much later.
     Slow(Duration),
+    /// It forwards so many bytes a second, each way of each connection by itself.
+    Narrow(u32),
     /// It takes connections and bytes and forwards nothing. What is held up comes when it heals.
     Silent,
     /// It forwards requests, and holds answers up.
@@ -126,6 +128,12 @@
     }
 }
 
+/// How long so many bytes take at a rate of bytes a second.
+fn span(bytes: usize, rate: u32) -> Duration {
+    let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+    Duration::from_secs(1) * bytes / rate.max(1)
+}
+
 /// One way of a connection.
 struct Carrier {
     from: OwnedReadHalf,
@@ -144,8 +152,10 @@
         while let Ok(length @ 1..) = self.from.read(&mut buffer).await {
             self.let_through().await;
             let now = self.condition.borrow().state;
-            if let State::Slow(time) = now {
-                tokio::time::sleep(time).await;
+            match now {
+                State::Slow(time) => tokio::time::sleep(time).await,
+                State::Narrow(rate) => tokio::time::sleep(span(length, rate)).await,
+                State::Open | State::Cut | State::Silent | State::NoAnswers => {}
             }
             if self.to.write_all(&buffer[..length]).await.is_err() {
                 return;
@@ -163,7 +173,7 @@
             _ if condition.silenced > born => true,
             State::Silent => true,
             State::NoAnswers => answers,
-            State::Open | State::Cut | State::Slow(_) => false,
+            State::Open | State::Cut | State::Slow(_) | State::Narrow(_) => false,
         };
         // the link lives longer than its connections, or they end with it
         let _ = self
