Read answers whole for as long as they go on coming

Cause: each call to the store had one bound for its whole time, 600 ms without a wait, body included. How long an answer takes follows from its size and the link: a configuration of 2,848 routes (680 KB) takes about that long at 10 Mbit/s, one of 4,248 routes longer. What had come was thrown away and asked for again, without end. Change: a call bounds the time to its head, and the silence between two pieces of its body; in one place for all clients (call::whole), so also for the daemon's table and its list of VMs, whose answers grow with the fleet.

--- /dev/null
+++ b/components/call/src/body.rs
@@ -0,0 +1,56 @@
+//! Bodies that are read whole.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use derive_more::{Display, Error};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+
+/// Why a body was not read whole.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Unread {
+    /// It is larger than is taken.
+    #[display("larger than {most} bytes")]
+    TooLarge {
+        /// The most that is taken, in bytes.
+        most: usize,
+    },
+    /// It broke off, or nothing more came.
+    #[display("ended after {bytes} bytes")]
+    Partial {
+        /// What had come, in bytes.
+        bytes: usize,
+    },
+}
+
+/// Reads a body whole, however long that takes, as long as no pause in it is longer than `silence`.
+///
+/// How long a body takes follows from its size and the link, which nobody bounds. A bound on the whole time throws
+/// away what has come and asks for it again: a configuration of 680 KB over 10 Mbit/s never came within 600 ms, and
+/// each try cost the link as much as a success.
+///
+/// # Errors
+///
+/// [`Unread`] when it is larger than `most` bytes, breaks off or falls silent.
+pub async fn whole<B>(body: B, most: usize, silence: Duration) -> Result<Bytes, Unread>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut body = body;
+    let mut bytes = BytesMut::new();
+    loop {
+        let partial = Unread::Partial { bytes: bytes.len() };
+        let frame = match tokio::time::timeout(silence, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => return Ok(bytes.freeze()),
+            Ok(Some(Err(_))) | Err(_) => return Err(partial),
+        };
+        // trailers carry nothing that is read
+        let data = frame.into_data().unwrap_or_default();
+        if bytes.len() + data.len() > most {
+            return Err(Unread::TooLarge { most });
+        }
+        bytes.extend_from_slice(&data);
+    }
+}
--- a/components/call/src/lib.rs
+++ b/components/call/src/lib.rs
@@ -1,12 +1,14 @@
 //! One JSON call over HTTP, with what is known of its effect when it fails; and what forwarders share.
 
+mod body;
 pub mod headers;
 
-use std::{future::Future, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
+pub use body::{Unread, whole};
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Method, Request, Response, body::Incoming, header};
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
@@ -93,7 +95,8 @@
         })
     }
 
-    /// Posts a JSON body and reads a JSON answer.
+    /// Posts a JSON body and reads a JSON answer: its head within `silence`, and its body whole as long as it goes
+    /// on coming, see [`whole`].
     ///
     /// # Errors
     ///
@@ -103,6 +106,7 @@
         address: SocketAddr,
         path: &str,
         body: &B,
+        silence: Duration,
     ) -> Result<A, Error> {
         let body = serde_json::to_vec(body).map_err(|_| Error::NotSent)?;
         let request = Request::builder()
@@ -111,27 +115,16 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|_| Error::NotSent)?;
-        let response = self.send(request).await?;
+        let response = tokio::time::timeout(silence, self.send(request))
+            .await
+            .unwrap_or(Err(Error::Lost))?;
         let status = response.status();
         if !status.is_success() {
             return Err(Error::Status(status.as_u16()));
         }
-        let whole = Limited::new(response.into_body(), ANSWER_BYTES).collect();
-        let bytes = whole.await.map_err(|_| Error::Lost)?.to_bytes();
+        let bytes = whole(response.into_body(), ANSWER_BYTES, silence)
+            .await
+            .map_err(|_| Error::Lost)?;
         serde_json::from_slice(&bytes).map_err(|_| Error::Garbage)
     }
 }
-
-/// Bounds a call in time; a call cut off may have had an effect.
-///
-/// # Errors
-///
-/// The call's own [`Error`], or [`Error::Lost`] when the time is over.
-pub async fn within<A>(
-    timeout: Duration,
-    call: impl Future<Output = Result<A, Error>>,
-) -> Result<A, Error> {
-    tokio::time::timeout(timeout, call)
-        .await
-        .unwrap_or(Err(Error::Lost))
-}
--- a/components/cloud/src/table/adapter.rs
+++ b/components/cloud/src/table/adapter.rs
@@ -12,17 +12,17 @@
 pub struct Http {
     client: Client,
     address: SocketAddr,
-    timeout: Duration,
+    silence: Duration,
 }
 
 impl Http {
-    /// An adapter to a service; each call waits at most `timeout`.
+    /// An adapter to a service; a call ends when nothing comes for `silence`.
     #[must_use]
-    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+    pub fn new(address: SocketAddr, silence: Duration) -> Self {
         Self {
             client: Client::default(),
             address,
-            timeout,
+            silence,
         }
     }
 }
@@ -39,8 +39,10 @@
 impl Table for Http {
     fn read(&self, read: Read) -> BoxFuture<'_, Result<Vec<Row>, Error>> {
         async move {
-            let call = self.client.post(self.address, "/table/read", &read);
-            Ok(call::within(self.timeout, call).await?)
+            let call = self
+                .client
+                .post(self.address, "/table/read", &read, self.silence);
+            Ok(call.await?)
         }
         .boxed()
     }
@@ -49,8 +51,8 @@
         async move {
             let call = self
                 .client
-                .post(self.address, "/table/commit", &transaction);
-            Ok(call::within(self.timeout, call).await?)
+                .post(self.address, "/table/commit", &transaction, self.silence);
+            Ok(call.await?)
         }
         .boxed()
     }
--- a/components/cloud/src/vms/mod.rs
+++ b/components/cloud/src/vms/mod.rs
@@ -57,17 +57,17 @@
 pub struct Http {
     client: Client,
     address: SocketAddr,
-    timeout: Duration,
+    silence: Duration,
 }
 
 impl Http {
-    /// An adapter to a list; each call waits at most `timeout`.
+    /// An adapter to a list; a call ends when nothing comes for `silence`.
     #[must_use]
-    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+    pub fn new(address: SocketAddr, silence: Duration) -> Self {
         Self {
             client: Client::default(),
             address,
-            timeout,
+            silence,
         }
     }
 }
@@ -75,8 +75,8 @@
 impl List for Http {
     fn read(&self) -> BoxFuture<'_, Result<Vec<Vm>, Unread>> {
         async move {
-            let call = self.client.post(self.address, "/vms", &());
-            call::within(self.timeout, call).await.map_err(|_| Unread)
+            let call = self.client.post(self.address, "/vms", &(), self.silence);
+            call.await.map_err(|_| Unread)
         }
         .boxed()
     }
--- a/components/daemon/src/request/generate/attempt.rs
+++ b/components/daemon/src/request/generate/attempt.rs
@@ -38,7 +38,7 @@
         let (address, attempt) = (self.address, self.attempt);
         tokio::spawn(async move {
             // an engine that can't be reached ends the attempt by its broken stream
-            let _ = tokio::time::timeout(CANCEL, engine.cancel(address, attempt)).await;
+            let _ = engine.cancel(address, attempt, CANCEL).await;
         });
     }
 }
--- a/components/endpoint/src/engine/adapter.rs
+++ b/components/endpoint/src/engine/adapter.rs
@@ -50,9 +50,14 @@
     ///
     /// # Errors
     ///
-    /// [`Failure`] when the engine did not answer.
-    pub async fn cancel(&self, address: SocketAddr, attempt: u64) -> Result<(), Failure> {
-        Ok(self.client.post(address, "/cancel", &attempt).await?)
+    /// [`Failure`] when the engine did not answer within `wait`.
+    pub async fn cancel(
+        &self,
+        address: SocketAddr,
+        attempt: u64,
+        wait: Duration,
+    ) -> Result<(), Failure> {
+        Ok(self.client.post(address, "/cancel", &attempt, wait).await?)
     }
 
     /// Sends an order and waits for its outcome, at most `wait`.
@@ -66,8 +71,7 @@
         order: &Order,
         wait: Duration,
     ) -> Result<(), Failure> {
-        let call = self.client.post(address, "/order", order);
-        Ok(call::within(wait, call).await?)
+        Ok(self.client.post(address, "/order", order, wait).await?)
     }
 
     /// Reads the engine's load report.
@@ -76,8 +80,7 @@
     ///
     /// [`Failure`] when none came within `wait`.
     pub async fn report(&self, address: SocketAddr, wait: Duration) -> Result<Report, Failure> {
-        let call = self.client.post(address, "/report", &());
-        Ok(call::within(wait, call).await?)
+        Ok(self.client.post(address, "/report", &(), wait).await?)
     }
 
     /// Reads the cache events after a sequence number.
@@ -91,8 +94,7 @@
         after: u64,
         wait: Duration,
     ) -> Result<Vec<CacheEvent>, Failure> {
-        let call = self.client.post(address, "/cache", &after);
-        Ok(call::within(wait, call).await?)
+        Ok(self.client.post(address, "/cache", &after, wait).await?)
     }
 }
 
--- a/components/gateway/src/edge/mod.rs
+++ b/components/gateway/src/edge/mod.rs
@@ -37,6 +37,12 @@
     /// The changes since the revision asked for are no longer kept; read everything again.
     #[display("the store no longer has the history asked for")]
     HistoryGone,
+    /// The answer is larger than is taken.
+    #[display("the store's answer is larger than {most} bytes")]
+    TooLarge {
+        /// The most that is taken, in bytes.
+        most: usize,
+    },
     /// The answer could not be read.
     #[display("the store's answer could not be read")]
     Garbled,
--- a/components/standin/src/link/mod.rs
+++ b/components/standin/src/link/mod.rs
@@ -1,6 +1,13 @@
 //! A link that forwards bytes and fails on demand, to stand for the network between two processes.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -44,6 +51,7 @@
 pub struct Link {
     address: SocketAddr,
     condition: Arc<watch::Sender<Condition>>,
+    carried: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -58,15 +66,18 @@
         let address = listener.local_addr()?;
         let condition = Arc::new(watch::Sender::default());
         let watching = Arc::clone(&condition);
+        let carried = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&carried);
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let condition = watching.subscribe();
-                tokio::spawn(async move { forward(stream, target, condition).await });
+                let (condition, counter) = (watching.subscribe(), Arc::clone(&counter));
+                tokio::spawn(async move { forward(stream, target, condition, counter).await });
             }
         });
         Ok(Self {
             address,
             condition,
+            carried,
             task,
         })
     }
@@ -77,6 +88,12 @@
         self.address
     }
 
+    /// Bytes of answers that it has carried so far, on all connections.
+    #[must_use]
+    pub fn carried(&self) -> u64 {
+        self.carried.load(Ordering::Relaxed)
+    }
+
     /// Cuts the link, or heals it.
     pub fn cut(&self, cut: bool) {
         self.set(if cut { State::Cut } else { State::Open });
@@ -101,7 +118,12 @@
     }
 }
 
-async fn forward(near: TcpStream, target: SocketAddr, mut condition: watch::Receiver<Condition>) {
+async fn forward(
+    near: TcpStream,
+    target: SocketAddr,
+    mut condition: watch::Receiver<Condition>,
+    carried: Arc<AtomicU64>,
+) {
     let born = *condition.borrow();
     if born.state == State::Cut {
         return;
@@ -119,6 +141,7 @@
         condition: condition.clone(),
         born: born.silenced,
         answers,
+        carried: Arc::clone(&carried),
     };
     let there = carry(near_read, far_write, false).run();
     let back = carry(far_read, near_write, true).run();
@@ -143,6 +166,8 @@
     born: u64,
     /// Whether it carries answers.
     answers: bool,
+    /// Bytes of answers so far.
+    carried: Arc<AtomicU64>,
 }
 
 impl Carrier {
@@ -160,6 +185,10 @@
             if self.to.write_all(&buffer[..length]).await.is_err() {
                 return;
             }
+            if self.answers {
+                let length = u64::try_from(length).unwrap_or(u64::MAX);
+                self.carried.fetch_add(length, Ordering::Relaxed);
+            }
         }
         self.let_through().await;
         // the other side may be gone already
