--- a/components/standin/src/link/mod.rs
+++ b/components/standin/src/link/mod.rs
@@ -29,8 +29,6 @@
     Cut,
     /// It forwards everything so much later.
     Slow(Duration),
-    /// It forwards so many bytes a second, each way of each connection by itself.
-    Narrow(u32),
     /// It takes connections and bytes and forwards nothing. What is held up comes when it heals.
     Silent,
     /// It forwards requests, and holds answers up.
@@ -41,6 +39,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Condition {
     state: State,
+    /// Bytes a second that each way of each connection carries; none if there is no bound.
+    rate: Option<u32>,
     /// How often all open connections went silent for good: those that were made before the last time
     /// forward nothing any more.
     silenced: u64,
@@ -105,6 +105,12 @@
             .send_modify(|condition| condition.state = state);
     }
 
+    /// Has it carry so many bytes a second from now on, whatever else is done to it.
+    pub fn narrow(&self, rate: u32) {
+        self.condition
+            .send_modify(|condition| condition.rate = Some(rate));
+    }
+
     /// Has all open connections go silent for good, without a reset; new ones work.
     pub fn silence(&self) {
         self.condition
@@ -176,11 +182,12 @@
         let mut buffer = vec![0; 16 << 10];
         while let Ok(length @ 1..) = self.from.read(&mut buffer).await {
             self.let_through().await;
-            let now = self.condition.borrow().state;
-            match now {
-                State::Slow(time) => tokio::time::sleep(time).await,
-                State::Narrow(rate) => tokio::time::sleep(span(length, rate)).await,
-                State::Open | State::Cut | State::Silent | State::NoAnswers => {}
+            let now = *self.condition.borrow();
+            if let State::Slow(time) = now.state {
+                tokio::time::sleep(time).await;
+            }
+            if let Some(rate) = now.rate {
+                tokio::time::sleep(span(length, rate)).await;
             }
             if self.to.write_all(&buffer[..length]).await.is_err() {
                 return;
@@ -202,7 +209,7 @@
             _ if condition.silenced > born => true,
             State::Silent => true,
             State::NoAnswers => answers,
-            State::Open | State::Cut | State::Slow(_) | State::Narrow(_) => false,
+            State::Open | State::Cut | State::Slow(_) => false,
         };
         // the link lives longer than its connections, or they end with it
         let _ = self
