--- a/components/settings/src/process/mod.rs
+++ b/components/settings/src/process/mod.rs
@@ -115,7 +115,7 @@
     /// Term of a stewardship.
     #[serde_as(as = "DisplayFromStr")]
     pub lease_term: humantime::Duration,
-    /// Longest wait for one answer of the table.
+    /// Longest wait for the beginning of an answer of the table, and longest pause in it.
     #[serde_as(as = "DisplayFromStr")]
     pub table_timeout: humantime::Duration,
     /// Longest wait for all daemons to close an endpoint.
