Let nothing wait for room that a planned stop would cut

A request for which no engine has room waits, and whether it can end before the stop was asked only once there was room. Change: it is asked before the wait, for the wait. Where an attempt may have run already, the refusal no longer says that nothing has (by reading, no test).

--- a/components/gateway/src/request/effort.rs
+++ b/components/gateway/src/request/effort.rs
@@ -121,6 +121,16 @@
         }
     }
 
+    /// What is true when the process stops before another attempt would end: that nothing has run only if nothing may
+    /// have.
+    pub fn stop(&self) -> Reason {
+        if self.runs == 0 {
+            Reason::Stopping
+        } else {
+            self.reason(true)
+        }
+    }
+
     fn reason(&self, left: bool) -> Reason {
         match (self.runs, left) {
             (0, true) => Reason::NotTaken(SOON),
--- a/components/gateway/src/request/generate/line.rs
+++ b/components/gateway/src/request/generate/line.rs
@@ -47,6 +47,11 @@
     until: Instant,
 }
 
+/// How long a request waits at most.
+pub fn longest_wait(job: &Job) -> Duration {
+    (job.time_left() / WAITS).min(job.route.objective * OBJECTIVES)
+}
+
 impl Line {
     /// How many wait.
     pub fn len(&self) -> usize {
@@ -63,7 +68,7 @@
         Ticket {
             line: self,
             place,
-            until: Instant::now() + (job.time_left() / WAITS).min(job.route.objective * OBJECTIVES),
+            until: Instant::now() + longest_wait(job),
         }
     }
 }
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -33,7 +33,7 @@
     loop {
         let (view, choice) = place(&job, &effort, may_split).await?;
         if !timing::ends_before_stop(&job, &view, &choice) {
-            return Err(Reason::Stopping);
+            return Err(effort.stop());
         }
         let timing = if effort.is_fresh() {
             timing::decide(&job, &view, &choice)?
@@ -91,6 +91,10 @@
     if !view.may_get_room(line.len()) {
         return Err(effort.give_up());
     }
+    // what waits when the process ends gets no answer at all
+    if !job.ends_before_stop(line::longest_wait(job)) {
+        return Err(effort.stop());
+    }
     let ticket = line.join(job);
     while ticket.turn().await {
         if let (view, Some(choice)) = look() {
