Take the size of engines' memory from the configuration in force at each look

Cause: the size was taken when an endpoint was listed, from the configuration in force then. Ruled out on the way: hints of peers that are lost (two gateways beside each other, one knew all and the other nothing).

Change: the size comes with each look and each use; the registry no longer needs a configuration. Two tests in test files call apply with one argument less, nothing else of them changed.

--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -20,7 +20,7 @@
 pub use link::{Link, NotOpened};
 pub use load::{Load, Reading, Writing};
 pub use registry::{Fleet, Registry};
-pub use target::{Paces, Seen, Target};
+pub use target::{Common, Paces, Seen, Target};
 
 /// The name of an endpoint. It may start again under the same name, see [`Profile::started`].
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -5,7 +5,7 @@
 use parking_lot::{Mutex, RwLock};
 
 use super::{Busy, Id, Life, Profile, Target, subset};
-use crate::{edge::Change, version::Configuration};
+use crate::edge::Change;
 
 /// The most endpoints that are new at once and have a line in the log each: the lists of the first
 /// deployments have 60. The thousands of a large one would push all other lines out of it at each start.
@@ -89,7 +89,7 @@
 
     /// Takes an update. With `whole` the changes are all that there is, and what isn't among them is
     /// gone.
-    pub fn apply(&self, changes: &[Change], whole: bool, version: Option<&Configuration>) {
+    pub fn apply(&self, changes: &[Change], whole: bool) {
         let _updating = self.updating.lock();
         let mut targets: Vec<Arc<Target>> = self.targets.read().as_ref().clone();
         if whole {
@@ -109,20 +109,14 @@
         }
         for change in changes {
             match change {
-                Change::Present(profile) => self.present(&mut targets, profile, version, each),
+                Change::Present(profile) => self.present(&mut targets, profile, each),
                 Change::Gone(id) | Change::Unusable(id) => gone(&mut targets, id),
             }
         }
         self.publish(targets);
     }
 
-    fn present(
-        &self,
-        targets: &mut Vec<Arc<Target>>,
-        profile: &Profile,
-        version: Option<&Configuration>,
-        tell: bool,
-    ) {
+    fn present(&self, targets: &mut Vec<Arc<Target>>, profile: &Profile, tell: bool) {
         match targets.binary_search_by(|target| target.id.cmp(&profile.id)) {
             Ok(at) => match targets[at].with(|state| state.profile.life(profile)) {
                 Life::Same => update(&targets[at], profile),
@@ -131,7 +125,7 @@
                     "an entry of an earlier incarnation is passed over"
                 ),
                 Life::Next => {
-                    let former = std::mem::replace(&mut targets[at], self.target(profile, version));
+                    let former = std::mem::replace(&mut targets[at], self.target(profile));
                     log::info!(
                         endpoint = &*profile.id.0, started = profile.started, address:% = profile.address;
                         "an endpoint has started again"
@@ -148,18 +142,14 @@
                         "an endpoint is listed"
                     );
                 }
-                targets.insert(at, self.target(profile, version));
+                targets.insert(at, self.target(profile));
             }
         }
     }
 
     /// An incarnation of which nothing is known yet.
-    fn target(&self, profile: &Profile, version: Option<&Configuration>) -> Arc<Target> {
-        let memory = version
-            .and_then(|version| version.service(&profile.service))
-            .and_then(|service| service.engines.as_ref())
-            .map_or(0, |engines| engines.memory_tokens);
-        Arc::new(Target::new(profile.clone(), memory, Arc::clone(&self.busy)))
+    fn target(&self, profile: &Profile) -> Arc<Target> {
+        Arc::new(Target::new(profile.clone(), Arc::clone(&self.busy)))
     }
 
     fn publish(&self, targets: Vec<Arc<Target>>) {
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -97,6 +97,18 @@
     }
 }
 
+/// What is known of all engines of a service alike.
+///
+/// The size of their memory is that of the configuration in force, and comes with each look and each use: an
+/// endpoint may be listed before the first configuration is known, and a later one may change it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Common {
+    /// How fast they are.
+    pub paces: Paces,
+    /// Tokens that the memory of each holds; zero for plain services.
+    pub memory_tokens: u64,
+}
+
 /// An endpoint at one moment, for a decision.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -138,9 +150,11 @@
 
     /// Notes that it uses a prompt, which it reads after what it has left to read, or holds at once if it is
     /// `fetched`.
-    pub fn uses(&mut self, now: Instant, common: Pace, parts: &[Part], fetched: bool) {
-        let read_us = self.pace.unwrap_or(common).read_us;
-        let left = if fetched { 0 } else { self.left(now, common) };
+    pub fn uses(&mut self, now: Instant, common: Common, parts: &[Part], fetched: bool) {
+        let pace = common.paces.of(self.profile.stage);
+        self.memory.resize(common.memory_tokens);
+        let read_us = self.pace.unwrap_or(pace).read_us;
+        let left = if fetched { 0 } else { self.left(now, pace) };
         let read_at = self.age(now) + policy::count(policy::real(left) * read_us);
         self.memory.used(parts, read_at);
     }
@@ -153,7 +167,7 @@
 impl Target {
     /// An endpoint that is new on the list.
     #[must_use]
-    pub fn new(profile: Profile, memory_tokens: u64, busy: Arc<Busy>) -> Self {
+    pub fn new(profile: Profile, busy: Arc<Busy>) -> Self {
         Self {
             id: profile.id.clone(),
             short: profile.short(),
@@ -169,7 +183,7 @@
                 peers: Load::default(),
                 health: Health::default(),
                 pace: None,
-                memory: Memory::new(memory_tokens),
+                memory: Memory::default(),
                 idle: Vec::new(),
                 changing: None,
                 keeps: None,
@@ -210,13 +224,14 @@
 
     /// It as a decision sees it; none while it takes nothing new.
     #[must_use]
-    pub fn seen(&self, now: Instant, parts: &[Part], common: &Paces) -> Option<Seen> {
+    pub fn seen(&self, now: Instant, parts: &[Part], common: &Common) -> Option<Seen> {
         self.with(|state| {
+            state.memory.resize(common.memory_tokens);
             let open = state.listed
                 && state.profile.state == State::Ready
                 && state.health.takes(now)
                 && state.changing.is_none_or(|until| until <= now);
-            let common = common.of(state.profile.stage);
+            let common = common.paces.of(state.profile.stage);
             open.then(|| Seen {
                 profile: state.profile.clone(),
                 load: Load {
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -234,11 +234,10 @@
         })
         .collect();
     let service = target.with(|state| Arc::clone(&state.profile.service));
-    let paces = gateway.paces(&service);
+    let common = gateway.common(&service);
     target.with(|state| {
         // an engine that writes has mostly fetched it
         let fetched = state.profile.stage == Some(Stage::Decode);
-        let common = paces.of(state.profile.stage);
         state.uses(Instant::now(), common, &parts, fetched);
     });
 }
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -182,11 +182,8 @@
                 self.missing.forget(change.id());
             }
         }
-        let version = self.gateway.configuration();
         // what a whole list lacks after an outage has been put off
-        self.gateway
-            .registry
-            .apply(&changes, whole && !returned, version.as_deref());
+        self.gateway.registry.apply(&changes, whole && !returned);
         self.gateway.endpoints_read.send_replace(true);
         self.drop_missing();
     }
@@ -222,9 +219,6 @@
         if gone.is_empty() {
             return;
         }
-        let version = self.gateway.configuration();
-        self.gateway
-            .registry
-            .apply(&gone, false, version.as_deref());
+        self.gateway.registry.apply(&gone, false);
     }
 }
--- a/components/gateway/src/process/ledger.rs
+++ b/components/gateway/src/process/ledger.rs
@@ -11,7 +11,7 @@
 
 use super::Gateway;
 use crate::{
-    endpoint::{Paces, Stage, Target},
+    endpoint::{Common, Paces, Stage, Target},
     request::Line,
 };
 
@@ -182,6 +182,18 @@
         self.with_ledger(service, |ledger| ledger.paces)
     }
 
+    /// What is known of all engines of a service alike.
+    pub fn common(&self, service: &Arc<str>) -> Common {
+        let version = self.configuration();
+        let engines = version
+            .as_ref()
+            .and_then(|version| version.service(service)?.engines.as_ref());
+        Common {
+            paces: self.paces(service),
+            memory_tokens: engines.map_or(0, |engines| engines.memory_tokens),
+        }
+    }
+
     /// Learns how fast an engine is: its own pace, and its service's.
     pub fn learn_pace(&self, target: &Target, learn: impl Fn(&mut Pace)) {
         let (service, stage) = target.with(|state| {
--- a/components/gateway/src/request/generate/read.rs
+++ b/components/gateway/src/request/generate/read.rs
@@ -59,11 +59,8 @@
 /// Notes that an engine will hold the parts of a prompt: soon if it is `fetched`, or else once it is read.
 pub fn use_parts(job: &Job, target: &Arc<Target>, fetched: bool) {
     if let Some(prompt) = &job.ask.prompt {
-        let paces = job.gateway.paces(&job.service.name);
-        target.with(|state| {
-            let common = paces.of(state.profile.stage);
-            state.uses(Instant::now(), common, &prompt.parts, fetched);
-        });
+        let common = job.gateway.common(&job.service.name);
+        target.with(|state| state.uses(Instant::now(), common, &prompt.parts, fetched));
         job.gateway.peers.placed(target.short, &prompt.parts);
     }
 }
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -48,13 +48,13 @@
             .map_or(&[][..], |prompt| &prompt.parts);
         let near = &job.gateway.settings.gateway.data_centre;
         let cut_off = job.gateway.peers.cut_off();
-        let paces = job.gateway.paces(&job.service.name);
+        let common = job.gateway.common(&job.service.name);
         let found: Vec<(Arc<Target>, (place::Engine, u64))> = fleet
             .used()
             .iter()
             .filter(|target| !tried.iter().any(|other| other.id == target.id))
             .filter_map(|target| {
-                let seen = target.seen(now, parts, &paces)?;
+                let seen = target.seen(now, parts, &common)?;
                 let reached = !cut_off.contains(&seen.profile.data_centre);
                 reached.then(|| {
                     let engine = engine(&seen, near, order(job, target));
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     edge::Directive,
-    endpoint::{Paces, Target, Verdict, Writing},
+    endpoint::{Common, Target, Verdict, Writing},
 };
 
 /// What an endpoint in another data centre counts against a near one, in slots' worth of load.
@@ -68,7 +68,7 @@
         if tried.iter().any(|other| other.id == target.id) {
             continue;
         }
-        let Some(seen) = target.seen(now, &[], &Paces::default()) else {
+        let Some(seen) = target.seen(now, &[], &Common::default()) else {
             continue;
         };
         if cut_off.contains(&seen.profile.data_centre) {
--- a/components/gateway/tests/busy.rs
+++ b/components/gateway/tests/busy.rs
@@ -26,7 +26,7 @@
         .iter()
         .map(|name| Change::Present(profile(name)))
         .collect();
-    registry.apply(&changes, true, None);
+    registry.apply(&changes, true);
     registry
 }
 
@@ -80,7 +80,7 @@
     let short = profile("e1").short();
     let target = registry.find(short).expect("listed");
     let answer = Writing::new(&target, false);
-    registry.apply(&[Change::Gone(target.id.clone())], false, None);
+    registry.apply(&[Change::Gone(target.id.clone())], false);
     assert_eq!(registry.busy().loads(), [(short, writing(1))]);
     drop(answer);
     assert_eq!(registry.busy().loads(), []);
--- a/components/gateway/tests/registry.rs
+++ b/components/gateway/tests/registry.rs
@@ -26,7 +26,7 @@
 fn registry(process: &str, endpoints: usize) -> Registry {
     let registry = Registry::new(process, "a");
     let changes: Vec<Change> = (0..endpoints).map(endpoint).collect();
-    registry.apply(&changes, true, None);
+    registry.apply(&changes, true);
     registry
 }
 
@@ -62,7 +62,7 @@
 fn a_change_of_one_endpoint_changes_the_part_by_one_at_most() {
     let registry = registry("g1", 3_000);
     let before = used(&registry);
-    registry.apply(&[Change::Gone(before[10].clone())], false, None);
+    registry.apply(&[Change::Gone(before[10].clone())], false);
     let after = used(&registry);
     assert_eq!(after.len(), before.len());
     let kept = after.iter().filter(|id| before.contains(id)).count();
@@ -93,7 +93,7 @@
         let found = registry.find(target.short).expect("an endpoint");
         assert_eq!(found.id, target.id);
     }
-    registry.apply(&[Change::Gone(Id(Arc::from("e0007")))], false, None);
+    registry.apply(&[Change::Gone(Id(Arc::from("e0007")))], false);
     assert!(registry.find(short("e0007")).is_none());
 }
 
@@ -117,7 +117,7 @@
 #[tokio::test]
 async fn an_endpoint_that_starts_again_under_its_name_is_another_one() {
     let registry = Registry::new("g1", "a");
-    registry.apply(&[started(Some(1_000))], true, None);
+    registry.apply(&[started(Some(1_000))], true);
     let former = only(&registry);
     let parts = [policy::prompt::Part {
         key: 1,
@@ -130,7 +130,7 @@
         state.peers.writing = 5;
     });
     let _under_way = Writing::new(&former, false);
-    registry.apply(&[started(Some(2_000))], false, None);
+    registry.apply(&[started(Some(2_000))], false);
     let next = only(&registry);
     assert!(!Arc::ptr_eq(&former, &next));
     // what was under way there is over
@@ -147,10 +147,10 @@
 #[test]
 fn an_entry_of_an_earlier_start_changes_nothing() {
     let registry = Registry::new("g1", "a");
-    registry.apply(&[started(Some(2_000))], true, None);
+    registry.apply(&[started(Some(2_000))], true);
     let known = only(&registry);
     for entry in [started(Some(1_000)), started(Some(2_000)), started(None)] {
-        registry.apply(&[entry], false, None);
+        registry.apply(&[entry], false);
         assert!(Arc::ptr_eq(&known, &only(&registry)));
     }
 }
@@ -158,7 +158,7 @@
 #[test]
 fn an_entry_that_names_no_endpoint_takes_its_place() {
     let registry = Registry::new("g1", "a");
-    registry.apply(&[started(None), endpoint(1)], true, None);
-    registry.apply(&[Change::Unusable(Id(Arc::from("e0000")))], false, None);
+    registry.apply(&[started(None), endpoint(1)], true);
+    registry.apply(&[Change::Unusable(Id(Arc::from("e0000")))], false);
     assert_eq!(used(&registry), [Id(Arc::from("e0001"))]);
 }
--- a/components/policy/src/memory.rs
+++ b/components/policy/src/memory.rs
@@ -37,11 +37,14 @@
     /// An empty memory of so many tokens.
     #[must_use]
     pub fn new(tokens: u64) -> Self {
-        Self {
-            capacity: tokens * FREE / PERCENT,
-            passed: 0,
-            parts: Vec::new(),
-        }
+        let mut memory = Self::default();
+        memory.resize(tokens);
+        memory
+    }
+
+    /// Takes that it holds so many tokens, whatever was thought before.
+    pub fn resize(&mut self, tokens: u64) {
+        self.capacity = tokens * FREE / PERCENT;
     }
 
     /// Tokens of a prompt that it likely holds, or will when its turn comes there: the parts up to the first one
--- a/components/policy/tests/engines.rs
+++ b/components/policy/tests/engines.rs
@@ -111,3 +111,12 @@
     memory.used(&[other], 0);
     assert_eq!(memory.held(&[SHARED]), 0);
 }
+
+#[test]
+fn a_memory_whose_size_is_told_later_holds_what_was_used_before() {
+    let mut memory = Memory::default();
+    memory.used(&[SHARED, OWN], 0);
+    assert_eq!(memory.held(&[SHARED]), 0);
+    memory.resize(100_000);
+    assert_eq!(memory.held(&[SHARED]), 1_000);
+}
