Learn no pace of nothing, and what reading does to answers only where it filled the time

(2) Any gap between two events with some prompt under way counted as one that reading filled, so engines looked as if their answers bore any reading: of answers with four or more prompts of 10,000 tokens and more read beside them 55 % paused for over 200 ms.

Change: a sample below the guess teaches nothing; a gap counts if what was left to read took all of it. The decision is policy's now.

Tests: a_prompt_that_was_held_already_teaches_no_pace, only_a_time_that_was_filled_with_reading_tells_what_reading_does_to_answers; by construction red before, not run there, as the second one's function is new. An older test calls the new function, with the same bound.

--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -141,6 +141,14 @@
         policy::count(left)
     }
 
+    /// The time that it still takes for the prompts under way there, in microseconds; none if there are none.
+    pub fn time_to_read(&self, now: Instant, common: &Common) -> Option<policy::Micros> {
+        let pace = common.paces.of(self.profile.stage);
+        let read_us = self.pace.unwrap_or(pace).read_us;
+        let time = policy::real(self.left(now, pace)) * read_us;
+        (self.load().prompts > 0).then(|| policy::count(time))
+    }
+
     /// Notes work that is about to be sent there, by this process or a peer.
     pub fn sends(&mut self, now: Instant, common: Pace, work: u64) {
         let read_us = self.pace.unwrap_or(common).read_us;
@@ -150,7 +158,7 @@
 
     /// Notes that it uses a prompt, which it reads after what it has left to read, or holds at once if it is
     /// `fetched`.
-    pub fn uses(&mut self, now: Instant, common: Common, parts: &[Part], fetched: bool) {
+    pub fn uses(&mut self, now: Instant, common: &Common, parts: &[Part], fetched: bool) {
         let pace = common.paces.of(self.profile.stage);
         self.memory.resize(common.memory_tokens);
         let read_us = self.pace.unwrap_or(pace).read_us;
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -238,7 +238,7 @@
     target.with(|state| {
         // an engine that writes has mostly fetched it
         let fetched = state.profile.stage == Some(Stage::Decode);
-        state.uses(Instant::now(), common, &parts, fetched);
+        state.uses(Instant::now(), &common, &parts, fetched);
     });
 }
 
--- a/components/gateway/src/request/generate/read.rs
+++ b/components/gateway/src/request/generate/read.rs
@@ -60,7 +60,7 @@
 pub fn use_parts(job: &Job, target: &Arc<Target>, fetched: bool) {
     if let Some(prompt) = &job.ask.prompt {
         let common = job.gateway.common(&job.service.name);
-        target.with(|state| state.uses(Instant::now(), common, &prompt.parts, fetched));
+        target.with(|state| state.uses(Instant::now(), &common, &prompt.parts, fetched));
         job.gateway.peers.placed(target.short, &prompt.parts);
     }
 }
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -81,8 +81,8 @@
     link: Link,
     target: Arc<Target>,
     last: Option<Instant>,
-    /// Whether its engine was reading prompts when the last event came.
-    reads: bool,
+    /// The time that the prompts under way there would still take when the last event came, in microseconds.
+    left: Option<policy::Micros>,
     _writing: Writing,
 }
 
@@ -93,7 +93,7 @@
             link: answer.link,
             target: answer.target,
             last: None,
-            reads: false,
+            left: None,
             _writing: writing,
         }
     }
@@ -206,28 +206,18 @@
             return;
         };
         let gap = source.last.replace(now).map(|last| now - last);
-        let reads = source
-            .target
-            .with(|state| state.own.with(state.peers).prompts > 0);
-        let before = std::mem::replace(&mut source.reads, reads);
+        let gateway = &self.job.gateway;
+        let common = gateway.common(&self.job.service.name);
+        let left = source.target.with(|state| state.time_to_read(now, &common));
+        let before = std::mem::replace(&mut source.left, left);
         source.target.progressed();
         self.longest = self.longest.max(gap.unwrap_or_default());
-        let event = self
-            .job
-            .service
-            .engines
-            .as_ref()
-            .map(|engines| engines.event_tokens);
-        if let (Some(gap), Some(event)) = (gap, event) {
+        let engines = self.job.service.engines.as_ref();
+        if let (Some(gap), Some(engines)) = (gap, engines) {
             let gap = policy::micros(gap);
-            let gateway = &self.job.gateway;
-            match (reads, before) {
-                (false, false) => gateway.learn_pace(&source.target, |pace| pace.wrote(event, gap)),
-                (true, true) => {
-                    gateway.learn_pace(&source.target, |pace| pace.wrote_reading(event, gap));
-                }
-                _ => {}
-            }
+            gateway.learn_pace(&source.target, |pace| {
+                pace.event(engines.event_tokens, gap, before, left);
+            });
         }
     }
 
--- a/components/policy/src/learn.rs
+++ b/components/policy/src/learn.rs
@@ -106,7 +106,7 @@
     pub fn of_reader() -> Self {
         Self {
             start_us: 3_000.0,
-            read_us: 2.0,
+            read_us: FASTEST_US,
             step_us: 500.0,
             slowed_us: None,
             samples: Samples::default(),
@@ -123,6 +123,9 @@
     }
 }
 
+/// The shortest time to read a token, in microseconds, below that of any engine known. What seems to be read
+/// faster was held by the engine already: a pace of nothing would make every line look short, and never grow.
+const FASTEST_US: f64 = 2.0;
 /// Least weight of a new sample of a pace. Samples are noisy, as the work ahead is known only roughly.
 const PACE_WEIGHT: f64 = 0.1;
 /// Samples from which on one that is far off is not believed whole.
@@ -142,7 +145,9 @@
             average(&mut self.samples.start, &mut self.start_us, sample);
         } else {
             let sample = (real(took) - self.start_us).max(0.0) / real(work);
-            median(&mut self.samples.read, &mut self.read_us, sample);
+            if sample >= FASTEST_US {
+                median(&mut self.samples.read, &mut self.read_us, sample);
+            }
         }
     }
 
@@ -151,26 +156,38 @@
         average(&mut self.samples.start, &mut self.start_us, real(took));
     }
 
-    /// Learns from so many tokens that came in a time in which no prompt was read.
-    pub fn wrote(&mut self, tokens: u64, took: Micros) {
-        if tokens > 0 {
-            let sample = real(took) / real(tokens);
-            average(&mut self.samples.step, &mut self.step_us, sample);
+    /// Learns from an event of so many tokens that came so long after the one before it. `before` and `after` are
+    /// the times that the prompts under way at the two would still take; none where no prompt was.
+    ///
+    /// What reading does to answers shows only where there was enough to read for the whole time. A time in which
+    /// a short prompt was read for a moment made engines look as if their answers bore any reading: with such
+    /// samples 55 % of the answers beside 10,000 tokens or more paused for over 200 ms.
+    pub fn event(
+        &mut self,
+        tokens: u64,
+        gap: Micros,
+        before: Option<Micros>,
+        after: Option<Micros>,
+    ) {
+        if tokens == 0 {
+            return;
+        }
+        let sample = real(gap) / real(tokens);
+        match (before, after) {
+            (None, None) => average(&mut self.samples.step, &mut self.step_us, sample),
+            (Some(left), _) if left >= gap => self.slowed(sample),
+            _ => {}
         }
     }
 
-    /// Learns from so many tokens that came in a time in which prompts were read throughout.
-    pub fn wrote_reading(&mut self, tokens: u64, took: Micros) {
-        if tokens > 0 {
-            let sample = real(took) / real(tokens);
-            let slowed = self.slowed_us.get_or_insert(sample);
-            let step = *slowed * PACE_WEIGHT;
-            *slowed += if sample > *slowed {
-                step
-            } else {
-                -step / (SLOWER_ONE_IN - 1.0)
-            };
-        }
+    fn slowed(&mut self, sample: f64) {
+        let slowed = self.slowed_us.get_or_insert(sample);
+        let step = *slowed * PACE_WEIGHT;
+        *slowed += if sample > *slowed {
+            step
+        } else {
+            -step / (SLOWER_ONE_IN - 1.0)
+        };
     }
 }
 
--- a/components/policy/tests/engines.rs
+++ b/components/policy/tests/engines.rs
@@ -40,7 +40,7 @@
     for n in 0..400_u64 {
         // one event in ten takes 36 ms a token, the others 10
         let step = if n % 10 == 0 { 36 } else { 10 };
-        pace.wrote_reading(9, 9 * step * 1_000);
+        pace.event(9, 9 * step * 1_000, Some(u64::MAX), Some(u64::MAX));
     }
     let slowed = pace.slowed_us.expect("events were seen");
     assert!(slowed > 15_000.0, "{slowed}");
@@ -120,3 +120,30 @@
     memory.resize(100_000);
     assert_eq!(memory.held(&[SHARED]), 1_000);
 }
+
+/// An engine that reads a token in 15 us, met by a process that does not know what it holds.
+#[test]
+fn a_prompt_that_was_held_already_teaches_no_pace() {
+    let mut pace = Pace::of_reader();
+    // nothing of it was read: the time besides reading is all that it took
+    pace.read(17_000, 3_000);
+    for _ in 0..20 {
+        pace.read(10_000, 153_000);
+    }
+    assert!((14.0..16.0).contains(&pace.read_us), "{pace:?}");
+}
+
+#[test]
+fn only_a_time_that_was_filled_with_reading_tells_what_reading_does_to_answers() {
+    let mut pace = Pace::of_writer();
+    // a short prompt was read for 5 of 50 ms
+    pace.event(9, 50_000, Some(5_000), Some(5_000));
+    assert_eq!(pace.slowed_us, None);
+    // there was more to read than the whole time took
+    pace.event(9, 324_000, Some(400_000), None);
+    let slowed = pace.slowed_us.expect("reading filled the time");
+    assert!((35_000.0..=36_000.0).contains(&slowed), "{slowed}");
+    // nothing was read
+    pace.event(9, 45_000, None, None);
+    assert!((pace.step_us - 5_000.0).abs() < 1.0, "{pace:?}");
+}
