Count what holds prompts up, and read no late prompt for a caller that will have left

Change: one late prompt of average length is ahead of all others where there are any, and peers are told how many there are. Routes say after what silence callers leave (the adapter reads it off their objective and pause); a late prompt is accepted if it is expected to be read within 0.9 of that time, where what is expected is stretched by what late prompts were seen to take, also those whose callers left.

--- a/components/gateway/src/endpoint/load.rs
+++ b/components/gateway/src/endpoint/load.rs
@@ -13,6 +13,8 @@
     pub late: u64,
     /// Prompts that are sent and not read yet.
     pub prompts: u64,
+    /// Those of them that give way to all others.
+    pub late_prompts: u64,
     /// Requests that are answered, or will be once their prompts are read.
     pub writing: u64,
     /// Those of them whose answers are long.
@@ -35,6 +37,7 @@
             reading: self.reading + other.reading,
             late: self.late + other.late,
             prompts: self.prompts + other.prompts,
+            late_prompts: self.late_prompts + other.late_prompts,
             writing: self.writing + other.writing,
             long: self.long + other.long,
         }
@@ -56,6 +59,7 @@
         target.begin(|own| {
             *own.work(late) += work;
             own.prompts += 1;
+            own.late_prompts += u64::from(late);
         });
         Self {
             target: Arc::clone(target),
@@ -76,6 +80,7 @@
         self.target.with(|state| {
             *state.own.work(self.late) -= self.work;
             state.own.prompts -= 1;
+            state.own.late_prompts -= u64::from(self.late);
         });
     }
 }
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -348,6 +348,7 @@
         reading: u64::from(told.reading),
         late: u64::from(told.late),
         prompts: u64::from(told.prompts),
+        late_prompts: u64::from(told.late_prompts),
         writing: u64::from(told.writing),
         long: u64::from(told.long),
     };
@@ -361,6 +362,7 @@
         reading: narrow(load.reading),
         late: narrow(load.late),
         prompts: narrow(load.prompts),
+        late_prompts: narrow(load.late_prompts),
         writing: narrow(load.writing),
         long: narrow(load.long),
     }
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -209,6 +209,7 @@
         reading: sum.reading.saturating_sub(old.reading) + new.reading,
         late: sum.late.saturating_sub(old.late) + new.late,
         prompts: sum.prompts.saturating_sub(old.prompts) + new.prompts,
+        late_prompts: sum.late_prompts.saturating_sub(old.late_prompts) + new.late_prompts,
         writing: sum.writing.saturating_sub(old.writing) + new.writing,
         long: sum.long.saturating_sub(old.long) + new.long,
     }
--- a/components/gateway/src/process/ledger.rs
+++ b/components/gateway/src/process/ledger.rs
@@ -5,7 +5,7 @@
 
 use parking_lot::Mutex;
 use policy::{
-    learn::{Margin, Pace},
+    learn::{Margin, Pace, Stretch},
     retry::Window,
 };
 
@@ -53,6 +53,8 @@
     asked: Asked,
     /// How much later than expected its answers begin.
     margin: Margin,
+    /// How many times as long as expected its late prompts wait.
+    stretch: Stretch,
     /// How fast its engines read, and write, on average.
     paces: Paces,
     /// The longest time between tokens with which each long answer so far could end in time, in
@@ -68,6 +70,7 @@
             repeats: Window::new(window),
             asked: Asked::default(),
             margin: Margin::default(),
+            stretch: Stretch::default(),
             paces: Paces::default(),
             bearable: f64::MAX,
             line: Arc::default(),
@@ -172,6 +175,16 @@
         self.with_ledger(service, |ledger| ledger.margin.learn(expected, took));
     }
 
+    /// How many times as long as expected late prompts of a service wait.
+    pub fn stretch(&self, service: &Arc<str>) -> Stretch {
+        self.with_ledger(service, |ledger| ledger.stretch)
+    }
+
+    /// Learns from a late prompt of a service.
+    pub fn learn_stretch(&self, service: &Arc<str>, learn: impl FnOnce(&mut Stretch)) {
+        self.with_ledger(service, |ledger| learn(&mut ledger.stretch));
+    }
+
     /// The requests of a service that wait for room.
     pub fn line(&self, service: &Arc<str>) -> Arc<Line> {
         self.with_ledger(service, |ledger| Arc::clone(&ledger.line))
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -42,13 +42,17 @@
             Timing::InTime
         };
         let outcome = match (timing, choice.plan) {
-            (Timing::Late { prefill }, _) => run::split(&job, &view, prefill, &effort, None).await,
+            (Timing::Late(late), _) => {
+                let wanted = read::Wanted::Late(late.read);
+                run::split(&job, &view, late.engine, &effort, wanted).await
+            }
             (Timing::InTime, Plan::Whole { engine }) => {
                 let patience = timing::patience(&job, &effort, choice.first);
                 run::whole(&job, &view, engine, patience, None).await
             }
             (Timing::InTime, Plan::Split { prefill, .. }) => {
-                run::split(&job, &view, prefill, &effort, Some(&choice)).await
+                let wanted = read::Wanted::InTime(choice.first);
+                run::split(&job, &view, prefill, &effort, wanted).await
             }
         };
         match outcome {
--- a/components/gateway/src/request/generate/read.rs
+++ b/components/gateway/src/request/generate/read.rs
@@ -1,9 +1,9 @@
 //! Prompts being read, and their KV caches that wait to be fetched.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use http_body_util::{BodyExt, Limited};
-use policy::place::Choice;
+use policy::learn::Stretch;
 use tokio::time::Instant;
 
 use super::{
@@ -43,7 +43,9 @@
     let now = Instant::now();
     let ahead = target.with(|state| {
         let common = paces.of(state.profile.stage);
-        let ahead = state.left(now, common);
+        let load = state.load();
+        let left = state.left(now, common);
+        let ahead = policy::place::ahead(left, load.late, load.late_prompts);
         if !late {
             state.sends(now, common, work);
         }
@@ -65,15 +67,73 @@
     }
 }
 
+/// When a prompt is wanted, with the time in microseconds that is expected.
+#[derive(Clone, Copy, Debug)]
+pub enum Wanted {
+    /// Its answer is to begin in time, after so long.
+    InTime(f64),
+    /// Its answer is late, and it gives way to others; it is read after so long.
+    Late(f64),
+}
+
+impl Wanted {
+    /// The longest that an engine which works gets on with nothing; a late prompt may wait.
+    fn silence(self, job: &Job) -> Option<Duration> {
+        match self {
+            Self::InTime(first) => Some(timing::longest(job, first)),
+            Self::Late(_) => None,
+        }
+    }
+}
+
+/// A prompt that is waited for. What a late one shows of its line is learnt also if its caller leaves before it is
+/// read.
+struct Wait<'a> {
+    job: &'a Job,
+    /// The time expected of a late prompt, until it is known how long it took.
+    expected: Option<f64>,
+    begun: Instant,
+}
+
+impl<'a> Wait<'a> {
+    fn new(job: &'a Job, wanted: Wanted) -> Self {
+        let expected = match wanted {
+            Wanted::InTime(_) => None,
+            Wanted::Late(read) => Some(read),
+        };
+        Self {
+            job,
+            expected,
+            begun: Instant::now(),
+        }
+    }
+
+    /// Takes that the prompt has been read.
+    fn end(&mut self) {
+        self.learn(Stretch::learn);
+    }
+
+    fn learn(&mut self, learn: impl FnOnce(&mut Stretch, f64, policy::Micros)) {
+        if let Some(expected) = self.expected.take() {
+            let took = policy::micros(self.begun.elapsed());
+            let gateway = &self.job.gateway;
+            gateway.learn_stretch(&self.job.service.name, |stretch| {
+                learn(stretch, expected, took);
+            });
+        }
+    }
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.learn(Stretch::give_up);
+    }
+}
+
 /// Has a prompt read at an engine, which keeps its KV cache for another one.
-pub async fn keep(
-    job: &Job,
-    view: &View,
-    at: usize,
-    choice: Option<&Choice>,
-) -> Result<Kept, Failed> {
+pub async fn keep(job: &Job, view: &View, at: usize, wanted: Wanted) -> Result<Kept, Failed> {
     let target = &view.targets[at];
-    let late = choice.is_none();
+    let late = matches!(wanted, Wanted::Late(_));
     let failed = |cause| failed(target, cause, Phase::Read);
     let counted = begin(job, view, at, late);
     let begun = Instant::now();
@@ -87,8 +147,9 @@
     };
     let patience = Patience {
         until: job.deadline,
-        silence: choice.map(|choice| timing::longest(job, choice.first)),
+        silence: wanted.silence(job),
     };
+    let mut wait = Wait::new(job, wanted);
     let answer = match attempt::send(job, target, &directive, patience).await {
         Ok(answer) => answer,
         Err(cause) => {
@@ -107,6 +168,7 @@
         return Err(failed(Cause::Failed(status.as_u16())));
     }
     job.arrivals.accepted();
+    wait.end();
     let address = target.with(|state| state.profile.address);
     let handle = job.gateway.edges.dialect.handle(address, &body);
     let handle = handle.ok_or_else(|| failed(Cause::Foreign))?;
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use policy::place::{self, Choice, Weights};
+use policy::place::{self, Weights};
 use tokio::time::Instant;
 
 use super::{
@@ -77,15 +77,15 @@
 }
 
 /// One engine reads, another one writes. Which one writes is decided when the prompt has been read,
-/// as much has changed until then. Without a choice the prompt is late and gives way to others.
+/// as much has changed until then.
 pub async fn split(
     job: &Job,
     view: &View,
     prefill: usize,
     effort: &Effort,
-    choice: Option<&Choice>,
+    wanted: read::Wanted,
 ) -> Attempted {
-    let handle = read::keep(job, view, prefill, choice).await?;
+    let handle = read::keep(job, view, prefill, wanted).await?;
     let prefill = &view.targets[prefill];
     let Some((view, at)) = writer(job, effort).await else {
         return Err(failed(prefill, Cause::NoWriter, Phase::Read));
--- a/components/gateway/src/request/generate/timing.rs
+++ b/components/gateway/src/request/generate/timing.rs
@@ -16,6 +16,9 @@
 /// The part of the time left in which the prompt of a late answer must be read: the rest is for
 /// writing, and for what was expected wrongly.
 const LATE_READ: f64 = 0.5;
+/// The part of the time until its caller leaves in which a late prompt must be read: then it is still fetched by
+/// an engine that writes.
+const BEGINS: f64 = 0.9;
 /// The part of the time left after which a caller that is refused is not asked to come back.
 const LATEST: u32 = 2;
 /// How many times as long as expected an engine may get on with nothing before it is taken to be lost. A
@@ -27,15 +30,12 @@
 const WAITED_FOR: u32 = 4;
 
 /// Whether an answer will begin in time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Timing {
     /// It will.
     InTime,
-    /// It won't, but there is time for a late one; its prompt is read when no other one waits.
-    Late {
-        /// The engine that reads it.
-        prefill: usize,
-    },
+    /// It won't, but there is time for a late one; its prompt is read there when no other one waits.
+    Late(place::Late),
 }
 
 /// Decides whether a request is served in time, late or not at all, which is said at once.
@@ -51,15 +51,25 @@
         view.tell(job, choice, "placed late");
         return Ok(Timing::InTime);
     }
-    let time = policy::real(policy::micros(job.time_left())) * LATE_READ;
-    if let Some(prefill) = place::choose_late(&view.engines, &ask(job), &Weights::default(), time) {
+    let ask = ask(job);
+    if let Some(late) = place::choose_late(&view.engines, &ask, &Weights::default(), late_time(job))
+    {
         view.tell(job, choice, "placed late");
-        return Ok(Timing::Late { prefill });
+        return Ok(Timing::Late(late));
     }
     let over = Duration::from_micros(expected - left);
     Err(Reason::Late(over.max(SOON).min(job.time_left() / LATEST)))
 }
 
+/// The time that the prompt of a late answer may be expected to take, in microseconds: its caller must not have
+/// left by then, and there must be time to write.
+fn late_time(job: &Job) -> f64 {
+    let begin = policy::real(policy::micros(job.time_to_begin()));
+    let whole = policy::real(policy::micros(job.time_left())) * LATE_READ;
+    let stretch = job.gateway.stretch(&job.service.name).times();
+    (begin * BEGINS / stretch).min(whole)
+}
+
 /// How long an answer is waited for that is expected to begin after so long: where another attempt may
 /// follow, only as long as its engine shows that it lives.
 pub fn patience(job: &Job, effort: &Effort, expected: f64) -> Patience {
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -195,6 +195,7 @@
         },
         reading: seen.load.reading,
         late: seen.load.late,
+        late_prompts: seen.load.late_prompts,
         writing: seen.load.writing,
         long: seen.load.long,
         slots: seen.profile.slots,
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -93,6 +93,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// The time until its caller leaves if nothing has come.
+    pub fn time_to_begin(&self) -> Duration {
+        let silence = self.route.silence.map(|silence| self.arrived + silence);
+        let latest = silence.map_or(self.deadline, |leaves| leaves.min(self.deadline));
+        latest.saturating_duration_since(Instant::now())
+    }
+
     /// Whether it will have ended before this process does: after so long by
     /// expectation. What comes when the balancer sends nothing any more must not be cut even if its
     /// endpoint falls silent, so its whole time has to fit.
--- a/components/gateway/src/version/mod.rs
+++ b/components/gateway/src/version/mod.rs
@@ -58,6 +58,9 @@
     pub objective: Duration,
     /// The longest pause between two events of a stream that still counts as on time.
     pub pause: Option<Duration>,
+    /// The longest silence that callers of a stream bear, also before its first event: then they leave. None if
+    /// they wait until their time is over.
+    pub silence: Option<Duration>,
     /// Its rank; 0 goes first.
     pub rank: u32,
     /// Endpoints to which one request may be sent.
--- a/components/policy/src/learn.rs
+++ b/components/policy/src/learn.rs
@@ -249,3 +249,51 @@
         self.us
     }
 }
+
+/// How many times as long as expected most things take that wait behind others: what is expected of a long line
+/// is off by a factor rather than by a time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stretch {
+    times: f64,
+}
+
+/// One in so many may take longer than the stretch says.
+const LONGER_ONE_IN: f64 = 4.0;
+/// How far the stretch moves, as a part of itself, with a sample that is beyond it: it doubles with seven.
+const STRETCH_STEP: f64 = 0.1;
+/// The largest stretch. With a larger one nothing would be let in that could show that it is too large.
+const LARGEST: f64 = 4.0;
+
+impl Default for Stretch {
+    fn default() -> Self {
+        Self { times: 1.0 }
+    }
+}
+
+impl Stretch {
+    /// Learns from something that was expected to take one time and took another.
+    pub fn learn(&mut self, expected: f64, took: Micros) {
+        if real(took) > expected * self.times {
+            self.beyond();
+        } else {
+            self.times = (self.times * (1.0 - STRETCH_STEP / (LONGER_ONE_IN - 1.0))).max(1.0);
+        }
+    }
+
+    /// Learns from something that was given up after a time, and would have taken longer.
+    pub fn give_up(&mut self, expected: f64, after: Micros) {
+        if real(after) > expected * self.times {
+            self.beyond();
+        }
+    }
+
+    fn beyond(&mut self) {
+        self.times = (self.times * (1.0 + STRETCH_STEP)).min(LARGEST);
+    }
+
+    /// How many times as long.
+    #[must_use]
+    pub fn times(&self) -> f64 {
+        self.times
+    }
+}
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -25,6 +25,8 @@
     pub reading: u64,
     /// Work of the prompts that give way to all others there.
     pub late: u64,
+    /// How many prompts those are.
+    pub late_prompts: u64,
     /// Answers that it writes, or will write once their prompts are read.
     pub writing: u64,
     /// Those of them that are long, see [`Weights::long_answer`].
@@ -200,22 +202,35 @@
     }
 }
 
+/// Where a prompt is read that gives way to all others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Late {
+    /// The engine, by its index in the view.
+    pub engine: usize,
+    /// Time until it is read, in microseconds.
+    pub read: f64,
+}
+
 /// Chooses an engine that reads, for a prompt that comes too late anyway and gives way to all that
 /// don't; none if it would not be read within `time`, in microseconds.
 #[must_use]
-pub fn choose_late(engines: &[Engine], ask: &Ask, weights: &Weights, time: f64) -> Option<usize> {
+pub fn choose_late(engines: &[Engine], ask: &Ask, weights: &Weights, time: f64) -> Option<Late> {
     let found = cheapest(engines, weights, |engine| {
         if engine.stage != Stage::Prefill {
             return None;
         }
         let cost = read(engine, ask, weights);
-        let late = real(engine.late) * engine.pace.read_us;
+        let late = real(engine.late + engine.reading - before(engine)) * engine.pace.read_us;
         (cost.first + late <= time).then_some(Cost {
+            first: cost.first + late,
             weighed: cost.weighed + late,
             ..cost
         })
     });
-    found.map(|found| found.at)
+    found.map(|found| Late {
+        engine: found.at,
+        read: found.first,
+    })
 }
 
 /// Chooses an engine that writes, for a prompt that another engine has read already.
@@ -261,6 +276,17 @@
     unread(engine, ask) <= weights.short_prompt
 }
 
+/// Work that is done before a prompt is read: all that goes before it, and one prompt that gives way, as an
+/// engine that has begun to read one reads it to its end.
+#[must_use]
+pub fn ahead(reading: u64, late: u64, late_prompts: u64) -> u64 {
+    reading + late.checked_div(late_prompts).unwrap_or(0)
+}
+
+fn before(engine: &Engine) -> u64 {
+    ahead(engine.reading, engine.late, engine.late_prompts)
+}
+
 fn unread(engine: &Engine, ask: &Ask) -> u64 {
     ask.prompt.saturating_sub(engine.held + engine.fetch.tokens)
 }
@@ -315,7 +341,7 @@
     let first = real(engine.distance)
         + engine.pace.start_us
         + engine.fetch.time
-        + real(engine.reading + work(engine, ask)) * engine.pace.read_us;
+        + real(before(engine) + work(engine, ask)) * engine.pace.read_us;
     Cost {
         first,
         weighed: first + besides(engine, weights),
@@ -339,7 +365,7 @@
 fn read_and_write(engine: &Engine, ask: &Ask, weights: &Weights) -> Cost {
     let unread = unread(engine, ask);
     let own = real(work(engine, ask)) * engine.pace.read_us;
-    let ahead = real(engine.reading) * engine.pace.read_us;
+    let ahead = real(before(engine)) * engine.pace.read_us;
     let start = engine.pace.start_us + engine.fetch.time;
     let first = real(engine.distance) + start + ahead + own;
     let disturbed = if bears_all(engine, ask, weights) {
--- a/components/policy/tests/engines.rs
+++ b/components/policy/tests/engines.rs
@@ -1,6 +1,11 @@
 //! What is learnt and believed of engines: how fast they are, what they still have to do, what they hold.
 
-use policy::{backlog::Backlog, learn::Pace, memory::Memory, prompt::Part};
+use policy::{
+    backlog::Backlog,
+    learn::{Pace, Stretch},
+    memory::Memory,
+    prompt::Part,
+};
 use proptest::prelude::*;
 
 #[test]
@@ -147,3 +152,45 @@
     pace.event(9, 45_000, None, None);
     assert!((pace.step_us - 5_000.0).abs() < 1.0, "{pace:?}");
 }
+
+/// Late prompts that wait three times as long as expected, then as long as expected again.
+#[test]
+fn a_stretch_follows_what_late_prompts_wait() {
+    let mut stretch = Stretch::default();
+    assert!((stretch.times() - 1.0).abs() < f64::EPSILON);
+    for _ in 0..20 {
+        stretch.learn(100_000.0, 300_000);
+    }
+    assert!((2.8..3.4).contains(&stretch.times()), "{stretch:?}");
+    for _ in 0..60 {
+        stretch.learn(100_000.0, 100_000);
+    }
+    assert!(stretch.times() < 1.2, "{stretch:?}");
+}
+
+/// A caller that leaves shows how long its prompt had waited at least: more than was expected, or nothing.
+#[test]
+fn a_caller_that_leaves_teaches_no_shorter_wait() {
+    let mut stretch = Stretch::default();
+    stretch.give_up(100_000.0, 200_000);
+    let longer = stretch.times();
+    assert!(longer > 1.0);
+    stretch.give_up(100_000.0, 10_000);
+    assert!((stretch.times() - longer).abs() < f64::EPSILON);
+}
+
+proptest! {
+    /// Whatever is seen, a stretch stays between nothing and its largest.
+    #[test]
+    fn a_stretch_is_bounded(steps in prop::collection::vec((1.0..1e7, 0_u64..100_000_000, any::<bool>()), 0..200)) {
+        let mut stretch = Stretch::default();
+        for (expected, took, left) in steps {
+            if left {
+                stretch.give_up(expected, took);
+            } else {
+                stretch.learn(expected, took);
+            }
+            prop_assert!((1.0..=4.0).contains(&stretch.times()));
+        }
+    }
+}
--- a/components/policy/tests/place.rs
+++ b/components/policy/tests/place.rs
@@ -2,7 +2,7 @@
 
 use policy::{
     learn::Pace,
-    place::{Ask, Engine, Fetch, Plan, Stage, Weights, choose},
+    place::{Ask, Engine, Fetch, Late, Plan, Stage, Weights, choose, choose_late},
 };
 use proptest::prelude::*;
 
@@ -15,6 +15,7 @@
         stage: Stage::Decode,
         reading: 0,
         late: 0,
+        late_prompts: 0,
         writing,
         long: 0,
         slots: 64,
@@ -138,6 +139,7 @@
             stage: if reads { Stage::Prefill } else { Stage::Decode },
             reading,
             late,
+            late_prompts: late.div_ceil(10_000),
             writing,
             long: writing / 3,
             slots,
@@ -192,3 +194,45 @@
         prop_assert!(!alone || place(&all, &ask).is_some());
     }
 }
+
+/// An engine with so many prompts that give way, of 30,000 tokens each.
+fn late_reader(reading: u64, late_prompts: u64) -> Engine {
+    Engine {
+        late: 30_000 * late_prompts,
+        late_prompts,
+        ..reader(reading)
+    }
+}
+
+#[test]
+fn a_prompt_that_gives_way_is_in_the_way_once_it_is_being_read() {
+    // 5,000 tokens are read in 75 ms, and 30,000 in 450 ms, to whose end the engine reads
+    let engines = [writer(0), late_reader(0, 1), reader(5_000)];
+    let split = Plan::Split {
+        prefill: 2,
+        decode: 0,
+    };
+    assert_eq!(place(&engines, &ask(9_000)), Some(split));
+}
+
+#[test]
+fn prompts_that_give_way_count_as_one_however_many_wait() {
+    let first = |engine| {
+        let engines = [writer(0), engine];
+        choose(&engines, &ask(9_000), &Weights::default()).map(|choice| choice.first)
+    };
+    assert_eq!(first(late_reader(0, 20)), first(late_reader(0, 1)));
+    assert!(first(late_reader(0, 1)) > first(reader(0)));
+}
+
+#[test]
+fn a_late_prompt_waits_for_all_others() {
+    let engines = [late_reader(10_000, 2)];
+    let late = |time| choose_late(&engines, &ask(10_000), &Weights::default(), time);
+    // 80,000 tokens ahead and with it take 1.2 s, 3 ms besides, and attention for the prompt's own length
+    let Some(Late { engine: 0, read }) = late(1_300.0 * MS) else {
+        panic!("it is read within 1.3 s");
+    };
+    assert!((1_200.0 * MS..1_260.0 * MS).contains(&read), "{read}");
+    assert_eq!(late(1_200.0 * MS), None);
+}
