Tell what stood before prompts and why shared parts were read again

examples/outcomes reads all gateways' lines and tells, for prompts that engines read for others, what stood before them and which part of them was slow, and for shared parts whether they were held or why they were read. The line of a placement names the prompt's parts.

--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -171,7 +171,7 @@
             expected_us = policy::count(choice.first),
             margin_us = policy::count(job.gateway.margin(&job.service.name)), left_us = ask.within,
             prompt = ask.prompt, held = reader.held, fetched = reader.fetch.tokens, output = ask.output,
-            reading = reader.reading, writing = writer.writing,
+            parts = parts(job), reading = reader.reading, writing = writer.writing,
             long = writer.long, start_us = policy::count(writer.pace.start_us),
             read_ns = policy::count(reader.pace.read_us * NANOS),
             step_us = policy::count(writer.pace.step_us), late = reader.late;
@@ -180,6 +180,16 @@
     }
 }
 
+/// The parts of a request's prompt as a line of the log names them.
+fn parts(job: &Job) -> String {
+    let prompt = job.ask.prompt.iter();
+    let parts = prompt.flat_map(|prompt| &prompt.parts);
+    let named: Vec<String> = parts
+        .map(|part| format!("{:x}:{}", part.key, part.tokens))
+        .collect();
+    named.join(" ")
+}
+
 /// The place of an endpoint in this process's own order.
 fn order(job: &Job, target: &Target) -> u64 {
     let seed = job.gateway.incarnation;
--- a/examples/outcomes.rs
+++ b/examples/outcomes.rs
@@ -10,11 +10,18 @@
     io::{self, BufRead, BufReader},
 };
 
+mod outcomes_parts;
+
 use bpaf::Bpaf;
 use derive_more::Display;
 use hdrhistogram::Histogram;
 use serde::Deserialize;
 
+use outcomes_parts::{
+    lines::{Lines, Read},
+    parts::Parts,
+};
+
 /// What came of placements, read from gateways' log lines.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
@@ -44,6 +51,11 @@
     longest_gap_us: Option<u64>,
     cause: Option<String>,
     reason: Option<String>,
+    /// The gateway.
+    process: Option<String>,
+    time_ms: Option<u64>,
+    /// The parts of the prompt, as `KEY:TOKENS`.
+    parts: Option<String>,
 }
 
 /// Bounds of unread tokens that are told of together; longer prompts come last.
@@ -109,6 +121,8 @@
     placed: BTreeMap<String, Placed>,
     outcomes: BTreeMap<Kind, Outcome>,
     losses: BTreeMap<String, u64>,
+    lines: Lines,
+    parts: Parts,
     unread: u64,
 }
 
@@ -135,6 +149,14 @@
         };
         match line.message.as_str() {
             "placed" | "placed late" => self.place(line),
+            "started" => {
+                let gateway = line.process.unwrap_or_default();
+                self.parts.start(&gateway, line.time_ms.unwrap_or(0));
+            }
+            "a prompt was read" => {
+                let request = line.request.unwrap_or_default();
+                self.lines.read(&request, line.time_ms.unwrap_or(0));
+            }
             "answered" => self.answer(&line, pause_ms)?,
             "an attempt failed" => self.lose("attempt", line.cause),
             "refused" => self.lose("refused", line.reason),
@@ -170,6 +192,23 @@
                 .unwrap_or(u64::MAX),
             ahead: line.reading.unwrap_or(0) > 0,
         };
+        let gateway = line.process.unwrap_or_default();
+        let placed_ms = line.time_ms.unwrap_or(0);
+        let parts = line.parts.unwrap_or_default();
+        self.parts.place(&gateway, placed_ms, &parts, held);
+        if kind.plan == Plan::Split {
+            let read = Read {
+                gateway,
+                placed_ms,
+                done_ms: None,
+                unread,
+                late: kind.late,
+                expected_us: line.expected_us.unwrap_or(0),
+                believed: line.reading.unwrap_or(0),
+            };
+            let engine = line.reads.unwrap_or_default();
+            self.lines.place(&request, &engine, read);
+        }
         let placed = Placed {
             kind,
             expected_us: line.expected_us.unwrap_or(0),
@@ -224,6 +263,8 @@
                 spread(&outcome.pause)
             )?;
         }
+        self.lines.tell(to)?;
+        self.parts.tell(to)?;
         for (loss, count) in &self.losses {
             writeln!(to, "{count:>8} {loss}")?;
         }
