--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,6 +1,12 @@
 //! A short run of the soak: a few seeds, and each seed that ever broke a promise.
 
-use std::path::PathBuf;
+use std::{
+    fs::File,
+    io::Read,
+    path::{Path, PathBuf},
+    process::Command,
+    time::Duration,
+};
 
 use futures::{StreamExt, stream};
 use soak::{Options, play};
@@ -45,3 +51,46 @@
         assert!(report.served > 0, "{report:#?}");
     }
 }
+
+/// A seed in which a gateway's process is stopped and started again within two seconds.
+const RESTARTS: u64 = 3;
+/// How long no process can be started in that run: well over what counts as standing still.
+const SLOW_START: Duration = Duration::from_secs(10);
+
+/// Puts pipes where logs of second starts go: a start that opens one waits until somebody reads from it.
+fn hold_starts(folder: &Path, gateways: usize) {
+    for gateway in 0..gateways {
+        let pipe = folder.join(format!("g{gateway}-1.log"));
+        let made = Command::new("mkfifo").arg(&pipe).status();
+        assert!(made.is_ok_and(|made| made.success()), "a pipe is made");
+        std::thread::spawn(move || {
+            std::thread::sleep(SLOW_START);
+            let mut pipe = File::open(pipe).expect("the pipe is there");
+            // what is logged is of no use here; its end is the process's
+            let _ = pipe.read_to_end(&mut Vec::new());
+        });
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_that_is_slow_to_start_holds_no_stand_in_up() {
+    let folder = std::env::temp_dir().join(format!("slow-start-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let options = Options {
+        daemon: PathBuf::from(env!("CARGO_BIN_EXE_wrenrampd")),
+        gateways: 3,
+        seconds: 5,
+        logs: Some(folder.clone()),
+    };
+    hold_starts(&folder, options.gateways);
+    let report = play(RESTARTS, &options).await.expect("the fleet is set up");
+    let told = |what: &str| {
+        report
+            .moments
+            .iter()
+            .any(|moment| moment.what.contains(what))
+    };
+    std::fs::remove_dir_all(&folder).expect("the folder is there");
+    assert!(told("the start of a process took"), "{report:#?}");
+    assert!(!told("stood still"), "{report:#?}");
+}
