Learn also from events that reading held up for longer than it took

Cause: what reading does to answers was learnt from gaps that reading filled whole, so the events that it held up most were left out, and engines with up to 15 answers were sent prompts of 5,000 to 20,000 tokens. Change: an event also counts if as much was left to read as such an event is thought to take. Test: red before (4.4 ms a token after 30 events of 25 ms).

--- a/components/policy/src/learn.rs
+++ b/components/policy/src/learn.rs
@@ -1,6 +1,6 @@
 //! Rates of an engine, learnt from what it did.
 
-use crate::{Micros, real};
+use crate::{Micros, count, real};
 
 /// What is known of an engine's speed.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -159,9 +159,11 @@
     /// Learns from an event of so many tokens that came so long after the one before it. `before` and `after` are
     /// the times that the prompts under way at the two would still take; none where no prompt was.
     ///
-    /// What reading does to answers shows only where there was enough to read for the whole time. A time in which
-    /// a short prompt was read for a moment made engines look as if their answers bore any reading: with such
-    /// samples 55 % of the answers beside 10,000 tokens or more paused for over 200 ms.
+    /// What reading does to answers shows only where there was enough to read for the whole time, or for as long as
+    /// such an event is thought to take. A time in which a short prompt was read for a moment made engines look as
+    /// if their answers bore any reading: with such samples 55 % of the answers beside 10,000 tokens or more paused
+    /// for over 200 ms. Where only what filled the whole time counted, the events that reading held up most were
+    /// left out, and engines with 15 answers were sent prompts of 5,000 to 20,000 tokens one after the other.
     pub fn event(
         &mut self,
         tokens: u64,
@@ -175,11 +177,17 @@
         let sample = real(gap) / real(tokens);
         match (before, after) {
             (None, None) => average(&mut self.samples.step, &mut self.step_us, sample),
-            (Some(left), _) if left >= gap => self.slowed(sample),
+            (Some(left), _) if left >= gap.min(self.slowed_event(tokens)) => self.slowed(sample),
             _ => {}
         }
     }
 
+    /// The time that an event of so many tokens is thought to take while prompts are read.
+    fn slowed_event(&self, tokens: u64) -> Micros {
+        self.slowed_us
+            .map_or(Micros::MAX, |slowed| count(slowed * real(tokens)))
+    }
+
     fn slowed(&mut self, sample: f64) {
         let slowed = self.slowed_us.get_or_insert(sample);
         let step = *slowed * PACE_WEIGHT;
--- a/components/policy/tests/engines.rs
+++ b/components/policy/tests/engines.rs
@@ -153,6 +153,22 @@
     assert!((pace.step_us - 5_000.0).abs() < 1.0, "{pace:?}");
 }
 
+/// An engine that takes 36 ms a token while it reads and 4 ms else, and hands out nine at once. What was left to read
+/// when an event came is known beforehand, how long the next one takes is not: reading that was over sooner than that
+/// must not leave out the events that it held up most.
+#[test]
+fn events_that_reading_held_up_for_longer_than_it_took_are_learnt_from() {
+    let mut pace = Pace::of_writer();
+    // what was thought to be read was held already
+    pace.event(9, 40_000, Some(45_000), None);
+    for _ in 0..30 {
+        // six pieces of a prompt are read, between the first of its tokens
+        pace.event(9, 229_000, Some(190_000), None);
+    }
+    let slowed = pace.slowed_us.expect("events were seen");
+    assert!(slowed > 20_000.0, "{slowed}");
+}
+
 /// Late prompts that wait three times as long as expected, then as long as expected again.
 #[test]
 fn a_stretch_follows_what_late_prompts_wait() {
