Have gateways tell each other how fast engines are

Change: a digest tells what is learnt while it is new, and to new peers; it is taken where less was seen.

--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -69,7 +69,7 @@
 }
 
 /// How fast the engines of a service are on average.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Paces {
     /// Those that read.
     pub readers: Pace,
@@ -86,6 +86,14 @@
             Some(Stage::Decode) | None => self.writers,
         }
     }
+
+    /// The same, to learn.
+    pub fn of_mut(&mut self, stage: Stage) -> &mut Pace {
+        match stage {
+            Stage::Prefill => &mut self.readers,
+            Stage::Decode => &mut self.writers,
+        }
+    }
 }
 
 impl Default for Paces {
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -2,6 +2,7 @@
 //! heard at all. Soft state in datagrams; only the quality of choices depends on it.
 
 mod changes;
+mod paces;
 mod reach;
 mod receive;
 mod register;
@@ -27,6 +28,8 @@
 const SILENT_BEATS: u32 = 4;
 /// A peer that was not heard for this long is forgotten. It sends a digest itself when it is back.
 const FORGOTTEN: Duration = Duration::from_secs(60);
+/// A peer is new for this long: a few heartbeats also of peers that are not neighbours.
+const NEW: Duration = Duration::from_secs(3);
 /// Peers that look for a store that is away as often as they can, in each data centre: as many as read the
 /// lists at least, so that one may be cut off for longer than the store is away.
 const LOOKERS: usize = 2;
@@ -49,6 +52,8 @@
     heard: Option<Instant>,
     /// When it was first heard of.
     since: Instant,
+    /// When its present incarnation was first heard.
+    begun: Instant,
     /// How often it says that it lives.
     beat: Duration,
     /// Whether it reads the operators' lists itself.
@@ -111,6 +116,14 @@
         u64::try_from(heard).unwrap_or(0)
     }
 
+    /// Whether a live peer has started lately, and may not know yet what others have learnt.
+    fn has_newcomer(&self) -> bool {
+        let now = Instant::now();
+        let known = self.known.lock();
+        let new = |peer: &Peer| peer.is_live(now) && now - peer.begun < NEW;
+        known.iter().any(new)
+    }
+
     /// Notes a prompt that was placed on an engine, to be told to the peers.
     pub fn placed(&self, endpoint: u32, parts: &[Part]) {
         let mut placed = self.placed.lock();
@@ -310,6 +323,7 @@
             number: 0,
             heard: None,
             since: Instant::now(),
+            begun: Instant::now(),
             beat: reach::HEARTBEAT,
             reads: false,
             changed: [0; 2],
@@ -401,6 +415,7 @@
         endpoints_changed: gateway.changed.get(List::Endpoints),
         configuration_changed: gateway.changed.get(List::Configuration),
         changes: Vec::new(),
+        paces: Vec::new(),
         beat_ms: 0,
         answered_ms: gateway.store_steady_since().map_or(0, age_ms),
         ceded: gateway.steward.ceded(),
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -6,7 +6,7 @@
 use tokio::{net::UdpSocket, time::Instant};
 use wire::{Digest, Placed, ServiceDemand, StageTold};
 
-use super::{FORGOTTEN, Peer, TOLD, Told, ago, load, reach::HEARTBEAT};
+use super::{FORGOTTEN, Peer, TOLD, Told, ago, load, paces, reach::HEARTBEAT};
 use crate::{
     endpoint::{Load, Stage, Target},
     process::{Asked, Gateway},
@@ -61,6 +61,9 @@
     if !peer.is_live(now) {
         log::info!(peer = digest.name, data_centre = digest.data_centre; "a peer is heard");
     }
+    if restarted {
+        peer.begun = now;
+    }
     peer.incarnation = digest.incarnation;
     peer.number = digest.number;
     peer.heard = Some(now);
@@ -85,6 +88,7 @@
     note_progress(gateway, &before, &after);
     remember(gateway, &digest.placed);
     take_changes(gateway, digest);
+    paces::take(gateway, &digest.paces);
     heed(gateway, &digest.changing, &digest.stages);
 }
 
--- a/components/gateway/src/peer/send.rs
+++ b/components/gateway/src/peer/send.rs
@@ -7,7 +7,7 @@
 use wire::{Digest, EndpointChanges, Placed};
 
 use super::{
-    PLACED, own,
+    PLACED, own, paces,
     reach::{HEARTBEAT, PACE, Reach},
     receive::heed,
     told,
@@ -21,6 +21,9 @@
 /// Placements in one digest; a datagram then stays below the usual size of a packet or two.
 const PLACED_AT_ONCE: usize = 24;
 
+/// Between two digests of a stream that tell how fast engines are: it takes several prompts to learn more.
+const PACES_EVERY: Duration = Duration::from_millis(50);
+
 /// Sends digests as long as the process lives.
 pub async fn keep(gateway: &Gateway, socket: &UdpSocket) {
     let mut number = 0;
@@ -102,6 +105,8 @@
     /// What none has told yet.
     placed: Vec<Placed>,
     changes: Vec<EndpointChanges>,
+    /// When one last told how fast engines are.
+    told_paces: Instant,
 }
 
 impl Stream {
@@ -116,6 +121,7 @@
             revisions: [0; 2],
             placed: Vec::new(),
             changes: Vec::new(),
+            told_paces: Instant::now(),
         }
     }
 
@@ -146,7 +152,14 @@
         self.changing.clone_from(&news.changing);
         self.revisions = news.revisions;
         let count = self.placed.len().min(PLACED_AT_ONCE);
+        let paces = if self.told_paces.elapsed() < PACES_EVERY {
+            Vec::new()
+        } else {
+            self.told_paces = self.sent;
+            paces::own(gateway, gateway.peers.has_newcomer())
+        };
         Digest {
+            paces,
             loads: news
                 .loads
                 .iter()
--- a/components/gateway/src/process/ledger.rs
+++ b/components/gateway/src/process/ledger.rs
@@ -15,6 +15,9 @@
     request::Line,
 };
 
+/// Nanoseconds in a microsecond.
+const NANOS: f64 = 1e3;
+
 /// What callers asked of a service so far; only its growth means anything.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Asked {
@@ -214,10 +217,7 @@
             (Arc::clone(&state.profile.service), stage)
         });
         let common = self.with_ledger(&service, |ledger| {
-            let pace = match stage {
-                Stage::Prefill => &mut ledger.paces.readers,
-                Stage::Decode => &mut ledger.paces.writers,
-            };
+            let pace = ledger.paces.of_mut(stage);
             learn(pace);
             *pace
         });
@@ -227,6 +227,40 @@
         });
     }
 
+    /// How fast the engines of each service are, as far as this process has learnt anything; with `all` also what is
+    /// no news to peers that have learnt it themselves.
+    pub fn own_paces(&self, all: bool) -> Vec<(Arc<str>, Paces)> {
+        let ledgers = self.ledgers.0.lock();
+        let told = ledgers.iter().filter(|(_, ledger)| {
+            let Paces { readers, writers } = &ledger.paces;
+            readers.is_new() || writers.is_new() || (all && ledger.paces != Paces::default())
+        });
+        told.map(|(service, ledger)| (Arc::clone(service), ledger.paces))
+            .collect()
+    }
+
+    /// Takes what a peer has learnt of the engines of a service in one stage. A process that starts would place its
+    /// first prompts by a guess: 44,958 tokens were expected to be read in 0.3 s, and took 1.9 s.
+    pub fn adopt_pace(&self, service: &Arc<str>, stage: Stage, told: &Pace) {
+        let adopted = self.with_ledger(service, |ledger| ledger.paces.of_mut(stage).adopt(told));
+        if !adopted {
+            return;
+        }
+        for target in self.registry.fleet(service).used() {
+            target.with(|state| match &mut state.pace {
+                Some(pace) if state.profile.stage == Some(stage) => {
+                    pace.adopt(told);
+                }
+                Some(_) | None => {}
+            });
+        }
+        log::info!(
+            service = &**service, stage:%, read_ns = policy::count(told.read_us * NANOS),
+            step_us = policy::count(told.step_us), samples = told.samples.read;
+            "took a pace from a peer"
+        );
+    }
+
     fn with_ledger<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut Ledger) -> T) -> T {
         let mut ledgers = self.ledgers.0.lock();
         let at = match ledgers.binary_search_by(|(name, _)| name.cmp(service)) {
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -174,7 +174,8 @@
             parts = parts(job), reading = reader.reading, writing = writer.writing,
             long = writer.long, start_us = policy::count(writer.pace.start_us),
             read_ns = policy::count(reader.pace.read_us * NANOS),
-            step_us = policy::count(writer.pace.step_us), late = reader.late;
+            step_us = policy::count(writer.pace.step_us), late = reader.late,
+            slowed_us = writer.pace.slowed_us.map(policy::count);
             "{how}"
         );
     }
--- a/components/policy/src/learn.rs
+++ b/components/policy/src/learn.rs
@@ -133,6 +133,9 @@
 /// One event in so many may come more slowly while prompts are read than [`Pace::slowed_us`] says: an answer
 /// of some ten events is to have none that is too late.
 const SLOWER_ONE_IN: f64 = 10.0;
+/// Samples from which on others are not told unless they are new: a rate has then moved by all that a wrong guess
+/// was off, see [`PACE_WEIGHT`].
+const LEARNT: u32 = 32;
 /// Prompts up to this many tokens tell of the time besides reading, longer ones of reading.
 const SHORT: u64 = 512;
 
@@ -151,6 +154,35 @@
         }
     }
 
+    /// Takes what another decider has learnt, as far as it has seen more and this one little. Says whether anything
+    /// was taken.
+    ///
+    /// What is taken counts as a few samples, so that own ones soon show whether it holds here.
+    pub fn adopt(&mut self, told: &Self) -> bool {
+        let before = *self;
+        take(
+            (&mut self.samples.start, &mut self.start_us),
+            (told.samples.start, told.start_us),
+        );
+        take(
+            (&mut self.samples.read, &mut self.read_us),
+            (told.samples.read, told.read_us.max(FASTEST_US)),
+        );
+        take(
+            (&mut self.samples.step, &mut self.step_us),
+            (told.samples.step, told.step_us),
+        );
+        *self != before
+    }
+
+    /// Whether it is still being learnt, so that what one decider sees is news to others.
+    #[must_use]
+    pub fn is_new(&self) -> bool {
+        let Samples { start, read, step } = self.samples;
+        let seen = [start, read, step];
+        seen.iter().any(|seen| *seen > 0) && seen.iter().any(|seen| *seen < LEARNT)
+    }
+
     /// Learns from an answer that began after so long, its prompt having been read elsewhere.
     pub fn began(&mut self, took: Micros) {
         average(&mut self.samples.start, &mut self.start_us, real(took));
@@ -199,6 +231,15 @@
     }
 }
 
+/// Takes a rate that is told with the number of its samples, if it has more of them and the own one few.
+fn take((seen, rate): (&mut u32, &mut f64), (told, other): (u32, f64)) {
+    let told = told.min(SETTLED);
+    if told > *seen && other.is_finite() && other > 0.0 {
+        *seen = told;
+        *rate = other;
+    }
+}
+
 /// Moves a median that starts at a guess: the first sample replaces it, and each further one moves it by a
 /// part of itself. A prompt that waited behind work that nobody here knew of took several times its time,
 /// which says nothing of the pace; an average would follow it.
--- a/components/policy/tests/engines.rs
+++ b/components/policy/tests/engines.rs
@@ -210,3 +210,35 @@
         }
     }
 }
+
+#[test]
+fn a_pace_that_others_learnt_holds_until_own_samples_say_otherwise() {
+    let mut told = Pace::of_reader();
+    for _ in 0..100 {
+        told.read(10_000, 153_000);
+    }
+    let mut pace = Pace::of_reader();
+    assert!(pace.adopt(&told));
+    assert!((14.0..16.0).contains(&pace.read_us), "{pace:?}");
+    // nothing new is told
+    assert!(!pace.adopt(&told));
+    // the engines that this process reaches are four times as slow
+    for _ in 0..40 {
+        pace.read(10_000, 603_000);
+    }
+    assert!((55.0..65.0).contains(&pace.read_us), "{pace:?}");
+    assert!(!pace.adopt(&told), "own samples are enough");
+}
+
+#[test]
+fn no_pace_is_taken_that_could_not_be() {
+    let mut pace = Pace::of_reader();
+    let mut told = pace;
+    told.samples.read = 9;
+    told.samples.start = 9;
+    told.read_us = 0.0;
+    told.start_us = f64::NAN;
+    pace.adopt(&told);
+    assert!(pace.read_us >= 2.0, "{pace:?}");
+    assert!(pace.start_us.is_finite(), "{pace:?}");
+}
