Ask engines what they hold when a gateway starts

Cause: what engines hold is guessed from what gateways placed; after all lost power nobody was left who had placed anything, and engines read again what they held. Change: a gateway that starts asks its share of the engines (a hash of both) and tells its peers, again after a second. Paces that are told no longer have a field for what reading does to answers.

--- a/components/gateway/src/edge/mod.rs
+++ b/components/gateway/src/edge/mod.rs
@@ -226,6 +226,12 @@
 
     /// Reads an engine's answer to an inquiry.
     fn report(&self, body: &[u8]) -> Option<Report>;
+
+    /// The call that asks an engine which parts of prompts it holds.
+    fn listing(&self) -> Call;
+
+    /// Reads an engine's answer to a listing: the parts in no order, under the keys that callers' prompts have.
+    fn held(&self, body: &[u8]) -> Option<Vec<prompt::Part>>;
 }
 
 /// What an engine says of itself, some hundred milliseconds late.
--- /dev/null
+++ b/components/gateway/src/peer/held.rs
@@ -0,0 +1,98 @@
+//! What engines hold when a process starts: asked of the engines, as all gateways may have started at once.
+//!
+//! A list delays its engine's work, so each engine is asked by one of the processes that start, which tells its peers.
+//! From then on what is placed tells what engines hold. See `docs/PLATFORM.md#what-engines-hold`.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures::future::join_all;
+use policy::prompt::Part;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Peers;
+use crate::{
+    endpoint::{State, Target},
+    process::Gateway,
+    request::call,
+};
+
+/// Between two looks at whether this process knows the configuration and the endpoints.
+const LOOK: Duration = Duration::from_millis(20);
+/// After so long peers are told again: some of those that start at the same time have not heard the first time.
+const AGAIN: Duration = Duration::from_secs(1);
+/// Parts that are told together, so that a digest stays within a packet or two.
+const TOGETHER: usize = 96;
+
+/// Asks this process's share of the engines what they hold, and tells the peers.
+pub(super) async fn learn(gateway: &Gateway) {
+    while !gateway.is_ready() {
+        tokio::time::sleep(LOOK).await;
+    }
+    let all = gateway.registry.all();
+    let share = all.iter().filter(|target| is_asked_here(gateway, target));
+    let told = join_all(share.map(|target| ask(gateway, target))).await;
+    let told: Vec<(u32, Vec<Part>)> = told.into_iter().flatten().collect();
+    tell(gateway, &told);
+    tokio::time::sleep(AGAIN).await;
+    tell(gateway, &told);
+}
+
+fn tell(gateway: &Gateway, told: &[(u32, Vec<Part>)]) {
+    for (engine, parts) in told {
+        for parts in parts.chunks(TOGETHER) {
+            gateway.peers.placed(*engine, parts);
+        }
+    }
+}
+
+/// Asks an engine what it holds, and notes it.
+async fn ask(gateway: &Gateway, target: &Arc<Target>) -> Option<(u32, Vec<Part>)> {
+    let answer = call(target, gateway.edges.dialect.listing()).await;
+    let held = answer
+        .filter(|(status, _)| status.is_success())
+        .and_then(|(_, body)| gateway.edges.dialect.held(&body));
+    let label = if held.is_some() { "yes" } else { "no" };
+    gateway.metrics.listings.with_label_values(&[label]).inc();
+    let Some(parts) = held else {
+        log::info!(endpoint = &*target.id.0; "an engine did not tell what it holds");
+        return None;
+    };
+    let tokens: u64 = parts.iter().map(|part| part.tokens).sum();
+    log::info!(endpoint = &*target.id.0, parts = parts.len(), tokens; "an engine told what it holds");
+    let service = target.with(|state| Arc::clone(&state.profile.service));
+    let common = gateway.common(&service);
+    target.with(|state| state.uses(Instant::now(), &common, &parts, true));
+    Some((target.short, parts))
+}
+
+/// Whether this process asks an engine.
+fn is_asked_here(gateway: &Gateway, target: &Target) -> bool {
+    let (is_engine, data_centre) = target.with(|state| {
+        let is_engine = state.profile.stage.is_some() && state.profile.state == State::Ready;
+        (is_engine, Arc::clone(&state.profile.data_centre))
+    });
+    let own = &gateway.settings.gateway;
+    is_engine
+        && gateway
+            .peers
+            .is_first_for(target.short, &data_centre, (own.peers, &own.data_centre))
+}
+
+impl Peers {
+    /// Whether a process is the one of all known that an engine falls to: of those in its data centre, or of all
+    /// where none is there. A process that is away leaves its share unasked; what is placed tells it in time.
+    fn is_first_for(&self, engine: u32, data_centre: &str, own: (SocketAddr, &str)) -> bool {
+        let known = self.known.lock();
+        let others = known.iter().filter(|peer| !peer.data_centre.is_empty());
+        let others = others.map(|peer| (peer.address, &*peer.data_centre));
+        let all: Vec<(SocketAddr, &str)> = others.chain([own]).collect();
+        let has_near = all.iter().any(|(_, centre)| *centre == data_centre);
+        let first = all
+            .iter()
+            .filter(|(_, centre)| !has_near || *centre == data_centre)
+            .map(|(address, _)| *address)
+            .max_by_key(|address| xxh3_64_with_seed(address.to_string().as_bytes(), engine.into()));
+        first == Some(own.0)
+    }
+}
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -2,6 +2,7 @@
 //! heard at all. Soft state in datagrams; only the quality of choices depends on it.
 
 mod changes;
+mod held;
 mod paces;
 mod reach;
 mod receive;
--- a/components/gateway/src/peer/paces.rs
+++ b/components/gateway/src/peer/paces.rs
@@ -54,7 +54,6 @@
         start_us: narrow(pace.start_us),
         read_us: narrow(pace.read_us),
         step_us: narrow(pace.step_us),
-        slowed_us: pace.slowed_us.map(narrow),
         start_samples: pace.samples.start,
         read_samples: pace.samples.read,
         step_samples: pace.samples.step,
@@ -66,7 +65,8 @@
         start_us: told.start_us.into(),
         read_us: told.read_us.into(),
         step_us: told.step_us.into(),
-        slowed_us: told.slowed_us.map(f64::from),
+        // one wrong sample of it would reach all gateways at once
+        slowed_us: None,
         samples: Samples {
             start: told.start_samples,
             read: told.read_samples,
--- a/components/gateway/src/peer/register.rs
+++ b/components/gateway/src/peer/register.rs
@@ -6,6 +6,7 @@
 use cloud::table::{Read, Transaction};
 use serde::{Deserialize, Serialize};
 
+use super::held;
 use crate::process::Gateway;
 
 /// Rows of gateways begin so.
@@ -26,9 +27,15 @@
 pub async fn keep(gateway: &Gateway) {
     gateway.peers.learn_seeds(&gateway.settings);
     let mut written = false;
+    let mut asked = false;
     loop {
         written = written || write(gateway).await;
         let read = written && read(gateway).await;
+        if read && !asked {
+            // the others are known now, and which engines fall to this process
+            asked = true;
+            held::learn(gateway).await;
+        }
         tokio::time::sleep(if read { REFRESH } else { AGAIN }).await;
     }
 }
--- a/components/gateway/tests/gateway/fake.rs
+++ b/components/gateway/tests/gateway/fake.rs
@@ -170,6 +170,14 @@
     fn report(&self, _: &[u8]) -> Option<Report> {
         None
     }
+
+    fn listing(&self) -> Call {
+        call()
+    }
+
+    fn held(&self, _: &[u8]) -> Option<Vec<policy::prompt::Part>> {
+        None
+    }
 }
 
 fn call() -> Call {
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -21,6 +21,8 @@
     pub moves: IntCounterVec,
     /// Orders to engines, by outcome.
     pub orders: IntCounterVec,
+    /// Engines asked for what they hold, by whether they told.
+    pub listings: IntCounterVec,
     /// Calls to the platform's store, by what they were for and whether the store answered.
     pub calls: IntCounterVec,
     /// Time to the first bytes of an answer, by service.
@@ -72,6 +74,11 @@
                 &["outcome"],
             )?,
             orders: counters("orders_total", "Orders to engines.", &["outcome"])?,
+            listings: counters(
+                "engine_listings_total",
+                "Engines asked for what they hold.",
+                &["answered"],
+            )?,
             calls: counters(
                 "store_calls_total",
                 "Calls to the store.",
@@ -106,6 +113,7 @@
             &self.repeats,
             &self.moves,
             &self.orders,
+            &self.listings,
             &self.calls,
         ] {
             self.registry.register(Box::new(counters.clone()))?;
