--- a/components/policy/src/stage.rs
+++ b/components/policy/src/stage.rs
@@ -206,8 +206,8 @@
 /// Whether a data centre can serve its callers alone if it is cut off: an engine there writes. One that writes can
 /// read too, so readers are not needed. A single engine is left to the plan for the whole fleet.
 ///
-/// Without this a data centre of four engines that all read refused each request for the six seconds that it was cut
-/// off, some 250 of 1,700 of the fleet.
+/// Without this a data centre of four engines that all read refused each request while it was cut off: 250 of the 742 that
+/// came to the whole fleet in those six seconds.
 #[must_use]
 pub fn serves_alone(members: &[Member], data_centre: &str) -> bool {
     let near = || {
