Log each request for a repeat with what the budget held

Cause: operators saw repeats beyond the budget. Change: a line for each repeat that is requested and for each that is sent without asking, with requests, repeats, limit, sharers and slack; a counter of requests by service. No decision changes.

--- a/components/gateway/src/process/ledger.rs
+++ b/components/gateway/src/process/ledger.rs
@@ -81,6 +81,17 @@
     }
 }
 
+/// This process's part of the operators' bounds on repeats.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Share {
+    /// Repeats for each request.
+    ratio: f64,
+    /// Repeats beside these in a window.
+    slack: f64,
+    /// Processes that share the slack.
+    sharers: u64,
+}
+
 /// What is counted and learnt of all services, sorted by service.
 #[derive(Debug, Default)]
 pub struct Ledgers(Mutex<Vec<(Arc<str>, Ledger)>>);
@@ -89,32 +100,45 @@
     /// Counts a request to a service, which allows for repeats.
     pub fn count_request(&self, service: &Arc<str>) {
         let now = self.micros();
+        self.metrics.requests.with_label_values(&[service]).inc();
         self.with_ledger(service, |ledger| ledger.repeats.request(now));
     }
 
-    /// Takes one repeat out of the service's budget, if there is one.
-    pub fn spend_repeat(&self, service: &Arc<str>) -> bool {
+    /// Takes one repeat of a request out of its service's budget, if there is one.
+    pub fn spend_repeat(&self, service: &Arc<str>, request: &str) -> bool {
         let now = self.micros();
-        let (ratio, slack) = self.repeat_bounds();
-        let allowed = self.with_ledger(service, |ledger| ledger.repeats.spend(now, ratio, slack));
+        let share = self.repeat_share();
+        let usage = self.with_ledger(service, |ledger| {
+            ledger.repeats.spend(now, share.ratio, share.slack)
+        });
+        let allowed = usage.has_room();
         let labels = [&**service, if allowed { "yes" } else { "no" }];
         self.metrics.repeats.with_label_values(&labels).inc();
+        log::info!(
+            request, service = &**service, allowed, requests = usage.requests, repeats = usage.repeats,
+            limit = usage.allowed, sharers = share.sharers, slack = share.slack;
+            "a repeat was requested"
+        );
         allowed
     }
 
-    /// Counts a repeat that nobody asked whether it may be.
-    pub fn force_repeat(&self, service: &Arc<str>) {
+    /// Counts a repeat that was sent without asking the budget.
+    pub fn force_repeat(&self, service: &Arc<str>, request: &str) {
         let now = self.micros();
         let labels = [&**service, "unasked"];
         self.metrics.repeats.with_label_values(&labels).inc();
         self.with_ledger(service, |ledger| ledger.repeats.force(now));
+        log::info!(request, service = &**service; "a repeat was sent without a budget");
     }
 
     /// Whether there is a repeat left in the service's budget.
     pub fn may_repeat(&self, service: &Arc<str>) -> bool {
         let now = self.micros();
-        let (ratio, slack) = self.repeat_bounds();
-        self.with_ledger(service, |ledger| ledger.repeats.has(now, ratio, slack))
+        let share = self.repeat_share();
+        let usage = self.with_ledger(service, |ledger| {
+            ledger.repeats.usage(now, share.ratio, share.slack)
+        });
+        usage.has_room()
     }
 
     /// This process's part of the operators' bounds on repeats.
@@ -122,16 +146,20 @@
     /// Peers that are gone keep their part for a while: what they have sent still counts, and those that are
     /// only cut off go on sending. After a restart this process's own part grows from nothing over the time
     /// that repeats are counted, as the process before it may have used it.
-    fn repeat_bounds(&self) -> (f64, f64) {
+    fn repeat_share(&self) -> Share {
         let bounds = self.bounds.read();
-        let sharers = policy::real(self.peers.heard() + 1);
+        let sharers = self.peers.heard() + 1;
         let window = bounds.retry_window_s.as_secs_f64();
         let grown = if self.settings.gateway.restarted {
             (self.started.elapsed().as_secs_f64() / window).min(1.0)
         } else {
             1.0
         };
-        (bounds.retry_ratio, bounds.retry_slack * grown / sharers)
+        Share {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack * grown / policy::real(sharers),
+            sharers,
+        }
     }
 
     /// Counts what a service is asked for.
--- a/components/gateway/src/request/effort.rs
+++ b/components/gateway/src/request/effort.rs
@@ -167,7 +167,7 @@
                 (runs > 0 || failed_read, &self.runs)
             }
         };
-        let allowed = !repeat || job.gateway.spend_repeat(&job.service.name);
+        let allowed = !repeat || job.gateway.spend_repeat(&job.service.name, &job.ask.id);
         if allowed {
             count.fetch_add(1, Ordering::Relaxed);
         }
@@ -185,7 +185,7 @@
         self.accepted.store(false, Ordering::Relaxed);
         let first = self.reads.load(Ordering::Relaxed) == 1;
         if first && self.runs.load(Ordering::Relaxed) > 0 {
-            job.gateway.force_repeat(&job.service.name);
+            job.gateway.force_repeat(&job.service.name, &job.ask.id);
         }
     }
 }
--- a/components/policy/src/retry.rs
+++ b/components/policy/src/retry.rs
@@ -70,6 +70,25 @@
     allowed && attempts < ATTEMPTS && left > needed && budget.spend()
 }
 
+/// What a window counts, and the repeats that it allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usage {
+    /// Requests in the window.
+    pub requests: u64,
+    /// Repeats in the window.
+    pub repeats: u64,
+    /// The most repeats that it may hold.
+    pub allowed: f64,
+}
+
+impl Usage {
+    /// Whether one more repeat is allowed.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        real(self.repeats) + 1.0 <= self.allowed
+    }
+}
+
 /// Repeats that several deciders share without asking each other: each keeps to its own requests'
 /// part and to its share of the slack, over a window that slides.
 #[derive(Clone, Debug)]
@@ -102,21 +121,25 @@
         self.requests.push_back(now);
     }
 
-    /// Whether there is a repeat left.
-    pub fn has(&mut self, now: Micros, ratio: f64, slack: f64) -> bool {
+    /// What the window counts, and what is allowed in it.
+    pub fn usage(&mut self, now: Micros, ratio: f64, slack: f64) -> Usage {
         self.slide(now);
-        let count = |times: &VecDeque<Micros>| real(u64::try_from(times.len()).unwrap_or(u64::MAX));
-        let allowed = (count(&self.requests) * ratio + slack) * USED;
-        count(&self.repeats) + 1.0 <= allowed
+        let count = |times: &VecDeque<Micros>| u64::try_from(times.len()).unwrap_or(u64::MAX);
+        let requests = count(&self.requests);
+        Usage {
+            requests,
+            repeats: count(&self.repeats),
+            allowed: (real(requests) * ratio + slack) * USED,
+        }
     }
 
-    /// Takes one repeat, if there is one left.
-    pub fn spend(&mut self, now: Micros, ratio: f64, slack: f64) -> bool {
-        let enough = self.has(now, ratio, slack);
-        if enough {
+    /// Takes one repeat, if there is one left. Says what the window held before it.
+    pub fn spend(&mut self, now: Micros, ratio: f64, slack: f64) -> Usage {
+        let usage = self.usage(now, ratio, slack);
+        if usage.has_room() {
             self.repeats.push_back(now);
         }
-        enough
+        usage
     }
 
     /// Takes a repeat that has happened already.
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -9,6 +9,8 @@
 #[derive(Clone, Debug)]
 pub struct Metrics {
     registry: Registry,
+    /// Requests that were read and found their route, by service.
+    pub requests: IntCounterVec,
     /// Requests that an endpoint answered, by service and how the answer ended.
     pub answers: IntCounterVec,
     /// Refusals, by reason.
@@ -56,6 +58,7 @@
     pub fn new() -> prometheus::Result<Self> {
         let metrics = Self {
             registry: Registry::new(),
+            requests: counters("requests_total", "Requests.", &["service"])?,
             answers: counters("answers_total", "Answers.", &["service", "outcome"])?,
             refusals: counters("refusals_total", "Refusals.", &["reason"])?,
             failures: counters(
@@ -107,6 +110,7 @@
 
     fn register(&self) -> prometheus::Result<()> {
         for counters in [
+            &self.requests,
             &self.answers,
             &self.refusals,
             &self.failures,
