Take a read after a run from the budget before it is sent

What callers saw: an overloaded service of engines got more repeats than its operators allow, which slows the answers of everybody. Cause: the first read of a prompt is free if its engine accepts it, so it was sent without asking the budget. If a run had been rejected before and the read was rejected too, a repeat had been sent that nothing had allowed. A read for which the budget had nothing left was also counted, though it was never sent. Why the fix works: whether a read is free is known only afterwards, so a repeat is taken first and given back when the engine accepts.

--- a/components/gateway/src/process/ledger.rs
+++ b/components/gateway/src/process/ledger.rs
@@ -81,6 +81,13 @@
     }
 }
 
+/// A repeat that the budget of a service allowed.
+#[derive(Debug)]
+pub struct Repeat {
+    /// When it was taken from the budget.
+    taken: policy::Micros,
+}
+
 /// This process's part of the operators' bounds on repeats.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Share {
@@ -104,8 +111,8 @@
         self.with_ledger(service, |ledger| ledger.repeats.request(now));
     }
 
-    /// Takes one repeat of a request out of its service's budget, if there is one.
-    pub fn spend_repeat(&self, service: &Arc<str>, request: &str) -> bool {
+    /// Takes one repeat of a request out of its service's budget; none if none is left.
+    pub fn spend_repeat(&self, service: &Arc<str>, request: &str) -> Option<Repeat> {
         let now = self.micros();
         let share = self.repeat_share();
         let usage = self.with_ledger(service, |ledger| {
@@ -119,16 +126,14 @@
             limit = usage.allowed, sharers = share.sharers, slack = share.slack;
             "a repeat was requested"
         );
-        allowed
+        allowed.then_some(Repeat { taken: now })
     }
 
-    /// Counts a repeat that was sent without asking the budget.
-    pub fn force_repeat(&self, service: &Arc<str>, request: &str) {
-        let now = self.micros();
-        let labels = [&**service, "unasked"];
+    /// Gives back a repeat that turned out to be none.
+    pub fn give_back_repeat(&self, service: &Arc<str>, repeat: &Repeat) {
+        let labels = [&**service, "given-back"];
         self.metrics.repeats.with_label_values(&labels).inc();
-        self.with_ledger(service, |ledger| ledger.repeats.force(now));
-        log::info!(request, service = &**service; "a repeat was sent without a budget");
+        self.with_ledger(service, |ledger| ledger.repeats.give_back(repeat.taken));
     }
 
     /// Whether there is a repeat left in the service's budget.
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -11,7 +11,7 @@
 mod stop;
 
 pub use follow::List;
-pub use ledger::Asked;
+pub use ledger::{Asked, Repeat};
 pub use stop::Stop;
 
 use std::{net::SocketAddr, sync::Arc};
--- a/components/gateway/src/request/effort.rs
+++ b/components/gateway/src/request/effort.rs
@@ -1,17 +1,16 @@
 //! What a request has cost so far: endpoints tried, what may have run, and arrivals that count as
 //! repeats. Decides whether another attempt may follow, and otherwise what is true to tell the caller.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU32, Ordering},
-};
+use std::sync::Arc;
+
+use parking_lot::Mutex;
 
 use super::{
     attempt::Cause,
     job::Job,
     refusal::{Reason, SOON},
 };
-use crate::endpoint::Target;
+use crate::{endpoint::Target, process::Repeat};
 
 /// What an attempt is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -143,49 +142,65 @@
 
 /// Arrivals of one request at endpoints, as the operators' budget of repeats counts them.
 ///
-/// The first call that has the prompt read is free if an engine accepts it; one that an engine rejects or
-/// fails counts like a run, and so does each further one. Of all that count the first is the request
-/// itself, and the rest are repeats.
+/// The first read of the prompt that an engine accepts is free; one that an engine rejects or fails counts
+/// like a run, and so does each further one. Of all that count the first is the request itself, and the rest
+/// are repeats. Whether a read is free is known only when it has been accepted, so one that may become a
+/// repeat is taken from the budget first and given back then.
+#[derive(Debug, Default)]
+pub struct Arrivals(Mutex<Counts>);
+
 #[derive(Debug, Default)]
-pub struct Arrivals {
-    runs: AtomicU32,
-    reads: AtomicU32,
-    /// Whether the last read was accepted.
-    accepted: AtomicBool,
+struct Counts {
+    /// Arrivals that count.
+    counted: u32,
+    /// Whether the free read has been accepted.
+    read: bool,
+    /// A read under way that is free if it is accepted.
+    pending: Option<Pending>,
+}
+
+#[derive(Debug)]
+struct Pending {
+    /// What was taken from the budget in case it is not.
+    repeat: Option<Repeat>,
 }
 
 impl Arrivals {
     /// Counts an arrival that is about to be. Says whether the budget allows it.
     pub fn begin(&self, job: &Job, phase: Phase) -> bool {
-        let reads = self.reads.load(Ordering::Relaxed);
-        let runs = self.runs.load(Ordering::Relaxed);
-        let (repeat, count) = match phase {
-            Phase::Read => (reads > 0, &self.reads),
-            // a read that failed has arrived before it
-            Phase::Run => {
-                let failed_read = reads > 0 && !self.accepted.load(Ordering::Relaxed);
-                (runs > 0 || failed_read, &self.runs)
-            }
+        let mut counts = self.0.lock();
+        let repeat = if counts.counted > 0 {
+            let Some(repeat) = job.gateway.spend_repeat(&job.service.name, &job.ask.id) else {
+                return false;
+            };
+            Some(repeat)
+        } else {
+            None
         };
-        let allowed = !repeat || job.gateway.spend_repeat(&job.service.name, &job.ask.id);
-        if allowed {
-            count.fetch_add(1, Ordering::Relaxed);
+        if phase == Phase::Read && !counts.read {
+            counts.pending = Some(Pending { repeat });
+        } else {
+            counts.counted += 1;
         }
-        allowed
+        true
     }
 
     /// Takes that an engine accepted to read the prompt.
-    pub fn accepted(&self) {
-        self.accepted.store(true, Ordering::Relaxed);
+    pub fn accepted(&self, job: &Job) {
+        let mut counts = self.0.lock();
+        let Some(pending) = counts.pending.take() else {
+            return;
+        };
+        counts.read = true;
+        if let Some(repeat) = pending.repeat {
+            job.gateway.give_back_repeat(&job.service.name, &repeat);
+        }
     }
 
-    /// Takes that the last read failed. A first one was thought to be free, and is a repeat if a run has
-    /// arrived before it.
-    pub fn read_failed(&self, job: &Job) {
-        self.accepted.store(false, Ordering::Relaxed);
-        let first = self.reads.load(Ordering::Relaxed) == 1;
-        if first && self.runs.load(Ordering::Relaxed) > 0 {
-            job.gateway.force_repeat(&job.service.name, &job.ask.id);
-        }
+    /// Takes that a read failed, or was never sent.
+    pub fn read_failed(&self) {
+        let mut counts = self.0.lock();
+        let pending = counts.pending.take();
+        counts.counted += u32::from(pending.is_some());
     }
 }
--- a/components/gateway/src/request/generate/read.rs
+++ b/components/gateway/src/request/generate/read.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, Collected, Limited};
 use policy::learn::Stretch;
 use tokio::time::Instant;
 
@@ -153,7 +153,7 @@
     let answer = match attempt::send(job, target, &directive, patience).await {
         Ok(answer) => answer,
         Err(cause) => {
-            job.arrivals.read_failed(job);
+            job.arrivals.read_failed();
             return Err(failed(match cause {
                 Cause::TimeOver if late => Cause::GaveWay,
                 cause => cause,
@@ -162,12 +162,19 @@
     };
     let status = answer.head.status;
     let body = Limited::new(answer.body, HANDLE_BYTES).collect().await;
-    let body = body.map_err(|_| failed(Cause::Broken))?.to_bytes();
-    if !status.is_success() {
-        job.arrivals.read_failed(job);
-        return Err(failed(Cause::Failed(status.as_u16())));
-    }
-    job.arrivals.accepted();
+    let body = body.map(Collected::to_bytes);
+    let body = match body {
+        Ok(body) if status.is_success() => body,
+        Ok(_) => {
+            job.arrivals.read_failed();
+            return Err(failed(Cause::Failed(status.as_u16())));
+        }
+        Err(_) => {
+            job.arrivals.read_failed();
+            return Err(failed(Cause::Broken));
+        }
+    };
+    job.arrivals.accepted(job);
     wait.end();
     let address = target.with(|state| state.profile.address);
     let handle = job.gateway.edges.dialect.handle(address, &body);
--- a/components/policy/src/retry.rs
+++ b/components/policy/src/retry.rs
@@ -142,10 +142,11 @@
         usage
     }
 
-    /// Takes a repeat that has happened already.
-    pub fn force(&mut self, now: Micros) {
-        self.slide(now);
-        self.repeats.push_back(now);
+    /// Gives a repeat back that was taken at this time and did not become one.
+    pub fn give_back(&mut self, taken: Micros) {
+        if let Ok(at) = self.repeats.binary_search(&taken) {
+            self.repeats.remove(at);
+        }
     }
 
     fn slide(&mut self, now: Micros) {
