Count what a killed gateway repeated when it starts again

What callers saw: repeats to engines beyond the operators' budget for ten seconds after gateways were killed while engines rejected requests. Cause: a gateway that starts has an empty window. The one before it may have used its whole part a moment ago. Its part of the requests came at once and that of the slack grew within ten seconds, so both together could use nearly twice of what one may. Why the fix works: a process uses at most 0.8 of its part. For one window after a restart it takes none of the slack and 0.2 of that 0.8 of the ratio, so with the process before it the sum is at most 0.96 of the ratio and 0.8 of the slack, whatever either did. Nothing has to survive the restart.

--- a/components/gateway/src/process/ledger.rs
+++ b/components/gateway/src/process/ledger.rs
@@ -68,9 +68,9 @@
 }
 
 impl Ledger {
-    fn new(window: policy::Micros) -> Self {
+    fn new(repeats: Window) -> Self {
         Self {
-            repeats: Window::new(window),
+            repeats,
             asked: Asked::default(),
             margin: Margin::default(),
             stretch: Stretch::default(),
@@ -146,23 +146,27 @@
         usage.has_room()
     }
 
+    /// The window of a service of which nothing has been counted yet.
+    fn empty_window(&self) -> Window {
+        let span = policy::micros(self.bounds.read().retry_window_s);
+        if self.settings.gateway.restarted {
+            // this process's clock starts with it
+            Window::restarted(span, 0)
+        } else {
+            Window::new(span)
+        }
+    }
+
     /// This process's part of the operators' bounds on repeats.
     ///
     /// Peers that are gone keep their part for a while: what they have sent still counts, and those that are
-    /// only cut off go on sending. After a restart this process's own part grows from nothing over the time
-    /// that repeats are counted, as the process before it may have used it.
+    /// only cut off go on sending.
     fn repeat_share(&self) -> Share {
         let bounds = self.bounds.read();
         let sharers = self.peers.heard() + 1;
-        let window = bounds.retry_window_s.as_secs_f64();
-        let grown = if self.settings.gateway.restarted {
-            (self.started.elapsed().as_secs_f64() / window).min(1.0)
-        } else {
-            1.0
-        };
         Share {
             ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack * grown / policy::real(sharers),
+            slack: bounds.retry_slack / policy::real(sharers),
             sharers,
         }
     }
@@ -299,8 +303,8 @@
         let at = match ledgers.binary_search_by(|(name, _)| name.cmp(service)) {
             Ok(at) => at,
             Err(at) => {
-                let window = policy::micros(self.bounds.read().retry_window_s);
-                ledgers.insert(at, (Arc::clone(service), Ledger::new(window)));
+                let ledger = Ledger::new(self.empty_window());
+                ledgers.insert(at, (Arc::clone(service), ledger));
                 at
             }
         };
--- a/components/policy/src/retry.rs
+++ b/components/policy/src/retry.rs
@@ -98,11 +98,17 @@
     requests: VecDeque<Micros>,
     /// Times of repeats in the window, the oldest first.
     repeats: VecDeque<Micros>,
+    /// Until then repeats of a process before this one may still be in the window.
+    inherited: Micros,
 }
 
 /// The part of what is allowed that is used: the deciders' windows don't slide together, and a
 /// repeat arrives later than it was counted.
 const USED: f64 = 0.8;
+/// The part of the ratio that a restarted process uses while repeats of the one before it may be in the window, and
+/// nothing of the slack. That one may have used all of its part, so both together must stay within the whole:
+/// `USED * (1 + RESTARTED) < 1`.
+const RESTARTED: f64 = 0.2;
 
 impl Window {
     /// An empty window of a span.
@@ -112,6 +118,16 @@
             span,
             requests: VecDeque::new(),
             repeats: VecDeque::new(),
+            inherited: 0,
+        }
+    }
+
+    /// The window of a process that starts where another one ran until now.
+    #[must_use]
+    pub fn restarted(span: Micros, now: Micros) -> Self {
+        Self {
+            inherited: now + span,
+            ..Self::new(span)
         }
     }
 
@@ -126,6 +142,11 @@
         self.slide(now);
         let count = |times: &VecDeque<Micros>| u64::try_from(times.len()).unwrap_or(u64::MAX);
         let requests = count(&self.requests);
+        let (ratio, slack) = if now < self.inherited {
+            (ratio * RESTARTED, 0.0)
+        } else {
+            (ratio, slack)
+        };
         Usage {
             requests,
             repeats: count(&self.repeats),
