Share the slack for repeats among all gateways that the register names

Cause: the slack was shared among the peers from which a digest had been received. A gateway that starts behind a cut has received fewer than there are. Evidence: all nine gateways killed during an outage of the store: lines of repeats with 4 sharers and a slack of 14.5; during a cut between data centres 402 lines with 6 sharers (9.67); 9 and 6.44 are right. Why the fix works: until a peer that is silent would have been forgotten, a process that starts counts all gateways of the register, and takes nothing of the slack before it has read it.

--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -11,7 +11,14 @@
 
 pub use changes::Told;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use parking_lot::Mutex;
 use policy::prompt::Part;
@@ -99,6 +106,8 @@
     told_more: Notify,
     /// What peers' callers asked of services since the peers were first heard, sorted by service.
     demands: Mutex<Vec<(u32, Asked)>>,
+    /// Whether the register of all gateways has been read.
+    registered: AtomicBool,
 }
 
 impl Peers {
@@ -110,11 +119,19 @@
         u64::try_from(live).unwrap_or(0)
     }
 
-    /// How many peers there are, with those that were heard once and are silent until they are forgotten.
-    pub fn heard(&self) -> u64 {
+    /// How many peers share with this process what is allowed to all of them together; none while it can't know.
+    ///
+    /// Peers that fell silent count until they are forgotten. A process that has just started may not have received
+    /// a digest of peers that are cut off from it, so for as long as a peer takes to be forgotten it also counts
+    /// those that are only known by name, and knows them once it has read the register.
+    pub fn sharers(&self, uptime: Duration) -> Option<u64> {
+        let starting = uptime < FORGOTTEN;
+        if starting && !self.registered.load(Ordering::Relaxed) {
+            return None;
+        }
         let known = self.known.lock();
-        let heard = known.iter().filter(|peer| peer.heard.is_some()).count();
-        u64::try_from(heard).unwrap_or(0)
+        let sharers = known.iter().filter(|peer| starting || peer.heard.is_some());
+        u64::try_from(sharers.count()).ok()
     }
 
     /// Whether a live peer has started lately, and may not know yet what others have learnt.
--- a/components/gateway/src/peer/register.rs
+++ b/components/gateway/src/peer/register.rs
@@ -1,7 +1,7 @@
 //! How gateways find each other: each writes a row of its own and reads the others'. Of two that
 //! start together at least one sees the other's row, and says so in its digests.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 use cloud::table::{Read, Transaction};
 use serde::{Deserialize, Serialize};
@@ -98,5 +98,6 @@
             Err(error) => log::warn!(key = row.key, error:%; "a gateway's row can't be read"),
         }
     }
+    gateway.peers.registered.store(true, Ordering::Relaxed);
     true
 }
--- a/components/gateway/src/process/ledger.rs
+++ b/components/gateway/src/process/ledger.rs
@@ -95,8 +95,8 @@
     ratio: f64,
     /// Repeats beside these in a window.
     slack: f64,
-    /// Processes that share the slack.
-    sharers: u64,
+    /// Processes that share the slack, if that is known.
+    sharers: Option<u64>,
 }
 
 /// What is counted and learnt of all services, sorted by service.
@@ -163,10 +163,16 @@
     /// only cut off go on sending.
     fn repeat_share(&self) -> Share {
         let bounds = self.bounds.read();
-        let sharers = self.peers.heard() + 1;
+        let sharers = match self.peers.sharers(self.started.elapsed()) {
+            Some(sharers) => Some(sharers + 1),
+            // all start together then, and learn of each other before callers come
+            None if !self.settings.gateway.restarted => Some(self.peers.count() + 1),
+            None => None,
+        };
+        let slack = sharers.map_or(0.0, |sharers| bounds.retry_slack / policy::real(sharers));
         Share {
             ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack / policy::real(sharers),
+            slack,
             sharers,
         }
     }
