Stop a long answer for a move only with repeats in hand to go on

What callers saw: nothing reported. A long answer that was stopped to move off an engine that leaves broke off if the budget of repeats was used up by then: it ended after 3 of 600 events in the test. Cause: an answer that goes on elsewhere is an arrival more and asked the budget only when it had stopped already. Test: a_long_answer_is_not_stopped_for_a_move_that_no_repeat_is_left_for, red before, with nothing left and with one repeat for the two arrivals that a rejected move takes. Why the fix works: both repeats are taken before the answer stops, and those not needed are given back. Without them it stays where it is.

--- a/components/gateway/src/request/effort.rs
+++ b/components/gateway/src/request/effort.rs
@@ -157,6 +157,8 @@
     read: bool,
     /// A read under way that is free if it is accepted.
     pending: Option<Pending>,
+    /// Repeats taken from the budget for arrivals to come.
+    reserved: Vec<Repeat>,
 }
 
 #[derive(Debug)]
@@ -169,13 +171,12 @@
     /// Counts an arrival that is about to be. Says whether the budget allows it.
     pub fn begin(&self, job: &Job, phase: Phase) -> bool {
         let mut counts = self.0.lock();
-        let repeat = if counts.counted > 0 {
-            let Some(repeat) = job.gateway.spend_repeat(&job.service.name, &job.ask.id) else {
-                return false;
-            };
-            Some(repeat)
-        } else {
-            None
+        let repeat = match counts.counted {
+            0 => None,
+            _ => match counts.reserved.pop().or_else(|| take(job)) {
+                None => return false,
+                repeat => repeat,
+            },
         };
         if phase == Phase::Read && !counts.read {
             counts.pending = Some(Pending { repeat });
@@ -185,6 +186,25 @@
         true
     }
 
+    /// Takes so many repeats from the budget before they are needed. Says whether it has them all; it takes none
+    /// otherwise.
+    pub fn reserve(&self, job: &Job, repeats: usize) -> bool {
+        let taken: Vec<Repeat> = (0..repeats).map_while(|_| take(job)).collect();
+        let enough = taken.len() == repeats;
+        self.0.lock().reserved.extend(taken);
+        if !enough {
+            self.release(job);
+        }
+        enough
+    }
+
+    /// Gives back the repeats that were reserved and not needed.
+    pub fn release(&self, job: &Job) {
+        for repeat in self.0.lock().reserved.drain(..) {
+            job.gateway.give_back_repeat(&job.service.name, &repeat);
+        }
+    }
+
     /// Takes that an engine accepted to read the prompt.
     pub fn accepted(&self, job: &Job) {
         let mut counts = self.0.lock();
@@ -204,3 +224,7 @@
         counts.counted += u32::from(pending.is_some());
     }
 }
+
+fn take(job: &Job) -> Option<Repeat> {
+    job.gateway.spend_repeat(&job.service.name, &job.ask.id)
+}
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -46,6 +46,9 @@
 
 /// How often an answer goes on elsewhere because its engine is left: each time is an arrival more.
 const MOVES: u32 = 2;
+/// Arrivals beyond the first that a move may take: where the answer goes on, and where it stopped if that engine
+/// turns it away. An answer that has stopped must not find the budget used up.
+const ARRIVALS: usize = 2;
 
 /// A body that is whole.
 pub fn whole(bytes: Bytes) -> Body {
@@ -250,11 +253,23 @@
         let Some(source) = &self.source else {
             return;
         };
+        if !self.job.arrivals.reserve(&self.job, ARRIVALS) {
+            return;
+        }
         self.next = relocate::stop(&self.job, &source.target).await;
+        if self.next.is_none() {
+            self.job.arrivals.release(&self.job);
+        }
     }
 
     /// Goes on where a stopped answer was moved to, or else where it stopped. Says whether that worked.
     async fn go_on(&mut self, stopped: Stopped) -> bool {
+        let goes_on = self.go_on_at(stopped).await;
+        self.job.arrivals.release(&self.job);
+        goes_on
+    }
+
+    async fn go_on_at(&mut self, stopped: Stopped) -> bool {
         let Some(splitter) = &mut self.splitter else {
             return false;
         };
