--- a/components/gateway/src/process/ledger.rs
+++ b/components/gateway/src/process/ledger.rs
@@ -130,10 +130,11 @@
     }
 
     /// Gives back a repeat that turned out to be none.
-    pub fn give_back_repeat(&self, service: &Arc<str>, repeat: &Repeat) {
+    pub fn give_back_repeat(&self, service: &Arc<str>, request: &str, repeat: &Repeat) {
         let labels = [&**service, "given-back"];
         self.metrics.repeats.with_label_values(&labels).inc();
         self.with_ledger(service, |ledger| ledger.repeats.give_back(repeat.taken));
+        log::info!(request, service = &**service; "a repeat was given back");
     }
 
     /// Whether there is a repeat left in the service's budget.
--- a/components/gateway/src/request/effort.rs
+++ b/components/gateway/src/request/effort.rs
@@ -201,7 +201,7 @@
     /// Gives back the repeats that were reserved and not needed.
     pub fn release(&self, job: &Job) {
         for repeat in self.0.lock().reserved.drain(..) {
-            job.gateway.give_back_repeat(&job.service.name, &repeat);
+            give_back(job, &repeat);
         }
     }
 
@@ -213,7 +213,7 @@
         };
         counts.read = true;
         if let Some(repeat) = pending.repeat {
-            job.gateway.give_back_repeat(&job.service.name, &repeat);
+            give_back(job, &repeat);
         }
     }
 
@@ -228,3 +228,8 @@
 fn take(job: &Job) -> Option<Repeat> {
     job.gateway.spend_repeat(&job.service.name, &job.ask.id)
 }
+
+fn give_back(job: &Job, repeat: &Repeat) {
+    let gateway = &job.gateway;
+    gateway.give_back_repeat(&job.service.name, &job.ask.id, repeat);
+}
