Claim the addresses of a soak's fleet, so that two soaks share none

Cause: addresses followed from the process's number times seven plus the fleet's; two soaks whose numbers are two apart used the same ones from the fourteenth fleet on, and requests have the same names in each fleet. Change: a fleet holds a port of its addresses, and takes the next ones if they are held. Test: two_soaks_side_by_side_share_no_address.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,7 +9,7 @@
 };
 
 use futures::{StreamExt, stream};
-use soak::{Options, play};
+use soak::{Addresses, Options, play};
 
 /// Seeds that are played at a time: each has three daemons and ends with a planned stop's wait.
 const AT_ONCE: usize = 3;
@@ -30,6 +30,14 @@
     &[8040],
 ];
 
+#[test]
+fn two_soaks_side_by_side_share_no_address() {
+    let from = std::process::id() * 7;
+    let first = Addresses::claim(from).expect("addresses");
+    let second = Addresses::claim(from).expect("addresses");
+    assert_ne!(first.gateway(0), second.gateway(0));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_short_soak_breaks_no_promise() {
     let options = Options {
