Log which requests were under way at an endpoint that ended

Callers saw: requests that end each engine went on to the next one. The logs could not tell the hypotheses apart: an attempt's name is new each time, and a broken connection and an ended endpoint looked alike.

Requests have a content now (method, host, path, query, body), which lines of placements and answers carry. When a connection breaks, the endpoint is asked for a new one: what has ended refuses it. Then, or when the entry of an endpoint goes that had not said it leaves, one line names the contents that were under way there.

--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -8,6 +8,7 @@
 mod link;
 mod load;
 mod registry;
+mod runs;
 mod subset;
 mod target;
 
@@ -20,6 +21,7 @@
 pub use link::{Link, NotOpened};
 pub use load::{Load, Reading, Writing};
 pub use registry::{Fleet, Registry};
+pub use runs::{Run, Runs};
 pub use target::{Common, Paces, Seen, Target};
 
 /// The name of an endpoint. It may start again under the same name, see [`Profile::started`].
--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -4,7 +4,7 @@
 
 use parking_lot::{Mutex, RwLock};
 
-use super::{Busy, Id, Life, Profile, Target, subset};
+use super::{Busy, Id, Life, Profile, State, Target, subset};
 use crate::edge::Change;
 
 /// The most endpoints that are new at once and have a line in the log each: the lists of the first
@@ -88,20 +88,16 @@
     }
 
     /// Takes an update. With `whole` the changes are all that there is, and what isn't among them is
-    /// gone.
-    pub fn apply(&self, changes: &[Change], whole: bool) {
+    /// gone. Gives the endpoints that are gone and had not said that they leave.
+    pub fn apply(&self, changes: &[Change], whole: bool) -> Vec<Arc<Target>> {
         let _updating = self.updating.lock();
         let mut targets: Vec<Arc<Target>> = self.targets.read().as_ref().clone();
+        let mut gone = Vec::new();
         if whole {
             let mut present: Vec<&Id> = changes.iter().filter_map(Change::present).collect();
             present.sort_unstable();
-            targets.retain(|target| {
-                let listed = present.binary_search(&&target.id).is_ok();
-                if !listed {
-                    leave(target);
-                }
-                listed
-            });
+            let is_present = |target: &Arc<Target>| present.binary_search(&&target.id).is_ok();
+            gone.extend(targets.extract_if(.., |target| !is_present(target)));
         }
         let each = changes.len() <= MOST_LINES;
         if !each {
@@ -109,14 +105,27 @@
         }
         for change in changes {
             match change {
-                Change::Present(profile) => self.present(&mut targets, profile, each),
-                Change::Gone(id) | Change::Unusable(id) => gone(&mut targets, id),
+                Change::Present(profile) => gone.extend(self.present(&mut targets, profile, each)),
+                Change::Gone(id) | Change::Unusable(id) => gone.extend(remove(&mut targets, id)),
             }
         }
+        for target in &gone {
+            leave(target);
+        }
         self.publish(targets);
+        let stayed =
+            |target: &Arc<Target>| target.with(|state| state.profile.state == State::Ready);
+        gone.retain(stayed);
+        gone
     }
 
-    fn present(&self, targets: &mut Vec<Arc<Target>>, profile: &Profile, tell: bool) {
+    /// Takes an entry. Gives the incarnation in whose place it comes.
+    fn present(
+        &self,
+        targets: &mut Vec<Arc<Target>>,
+        profile: &Profile,
+        tell: bool,
+    ) -> Option<Arc<Target>> {
         match targets.binary_search_by(|target| target.id.cmp(&profile.id)) {
             Ok(at) => match targets[at].with(|state| state.profile.life(profile)) {
                 Life::Same => update(&targets[at], profile),
@@ -130,8 +139,8 @@
                         endpoint = &*profile.id.0, started = profile.started, address:% = profile.address;
                         "an endpoint has started again"
                     );
-                    leave(&former);
                     former.end();
+                    return Some(former);
                 }
             },
             Err(at) => {
@@ -145,6 +154,7 @@
                 targets.insert(at, self.target(profile));
             }
         }
+        None
     }
 
     /// An incarnation of which nothing is known yet.
@@ -199,10 +209,9 @@
     }
 }
 
-fn gone(targets: &mut Vec<Arc<Target>>, id: &Id) {
-    if let Ok(at) = targets.binary_search_by(|target| target.id.cmp(id)) {
-        leave(&targets.remove(at));
-    }
+fn remove(targets: &mut Vec<Arc<Target>>, id: &Id) -> Option<Arc<Target>> {
+    let at = targets.binary_search_by(|target| target.id.cmp(id)).ok()?;
+    Some(targets.remove(at))
 }
 
 fn leave(target: &Target) {
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -10,12 +10,20 @@
 
 use parking_lot::Mutex;
 use policy::{backlog::Backlog, learn::Pace, memory::Memory, prompt::Part};
-use tokio::{sync::Notify, time::Instant};
+use tokio::{
+    sync::{Mutex as AsyncMutex, Notify},
+    time::Instant,
+};
 
 use super::{
-    Busy, Health, Id, Link, Load, NotOpened, Profile, Stage, State, Verdict,
+    Busy, Health, Id, Link, Load, NotOpened, Profile, Runs, Stage, State, Verdict,
     link::{self, Idle},
 };
+use crate::request::Content;
+
+/// How long it is taken to be known whether an endpoint still listens: its connections break within some milliseconds
+/// of each other when it ends.
+const CHECKED: Duration = Duration::from_millis(100);
 
 /// An endpoint: lives as long as anything is under way there, also after it has left the list.
 #[derive(Debug)]
@@ -33,6 +41,8 @@
     open: Arc<AtomicUsize>,
     /// Where it is noted while it has something under way.
     busy: Arc<Busy>,
+    /// Held while it is found out whether it still listens.
+    checking: AsyncMutex<()>,
 }
 
 /// What changes about an endpoint.
@@ -66,6 +76,10 @@
     backlog: Backlog,
     /// When this process first knew of it: its own time starts there.
     since: Instant,
+    /// This process's requests by what they ask for.
+    pub runs: Runs,
+    /// When it was last found out whether it still listens.
+    checked: Option<Instant>,
 }
 
 /// How fast the engines of a service are on average.
@@ -191,6 +205,7 @@
             busy,
             leave: Notify::new(),
             end: Notify::new(),
+            checking: AsyncMutex::new(()),
             state: Mutex::new(Inner {
                 profile,
                 listed: true,
@@ -206,6 +221,8 @@
                 progressed: Instant::now(),
                 backlog: Backlog::default(),
                 since: Instant::now(),
+                runs: Runs::default(),
+                checked: None,
             }),
         }
     }
@@ -385,6 +402,33 @@
         link::open(address, &self.open).await
     }
 
+    /// Takes what was under way there lately if it no longer listens; nothing if it does, if it is leaving anyway, or
+    /// if that has been found out since `broke`. An endpoint that resets connections still takes new ones, one that
+    /// has ended refuses them.
+    pub async fn take_if_ended(&self, broke: Instant) -> Vec<Content> {
+        let _checking = self.checking.lock().await;
+        let (address, due) = self.with(|state| {
+            let stays = state.listed && state.profile.state == State::Ready;
+            let known = |checked: Instant| checked + CHECKED > broke;
+            (
+                state.profile.address,
+                stays && !state.checked.is_some_and(known),
+            )
+        });
+        if !due {
+            return Vec::new();
+        }
+        let now = Instant::now();
+        let opened = link::open(address, &self.open).await;
+        self.with(|state| {
+            state.checked = Some(now);
+            match opened {
+                Err(NotOpened::Refused) => state.runs.take(now),
+                Ok(_) | Err(_) => Vec::new(),
+            }
+        })
+    }
+
     /// Takes a connection back that may serve another request.
     pub fn give_back(&self, link: Link) {
         let now = Instant::now();
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -12,6 +12,7 @@
 };
 use crate::{
     edge::{Change, Failure, From, Update},
+    endpoint::Target,
     peer::Told,
 };
 
@@ -183,7 +184,8 @@
             }
         }
         // what a whole list lacks after an outage has been put off
-        self.gateway.registry.apply(&changes, whole && !returned);
+        let lapsed = self.gateway.registry.apply(&changes, whole && !returned);
+        self.note_lapsed(&lapsed);
         self.gateway.endpoints_read.send_replace(true);
         self.drop_missing();
     }
@@ -219,6 +221,13 @@
         if gone.is_empty() {
             return;
         }
-        self.gateway.registry.apply(&gone, false);
+        let lapsed = self.gateway.registry.apply(&gone, false);
+        self.note_lapsed(&lapsed);
+    }
+
+    fn note_lapsed(&self, lapsed: &[Arc<Target>]) {
+        for target in lapsed {
+            self.gateway.note_lapsed(target);
+        }
     }
 }
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod configuration;
 mod endpoints;
+mod ends;
 mod follow;
 mod lapse;
 mod ledger;
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -15,7 +15,7 @@
 use super::{effort::Phase, job::Job};
 use crate::{
     edge::{Call, Directive},
-    endpoint::{Link, NotOpened, Target, Verdict},
+    endpoint::{Link, NotOpened, Run, Target, Verdict},
 };
 
 /// What an endpoint answered.
@@ -28,6 +28,8 @@
     pub link: Link,
     /// Who answers.
     pub target: Arc<Target>,
+    /// The request under way there.
+    pub run: Run,
 }
 
 impl Answer {
@@ -39,7 +41,10 @@
     pub fn continuing(self) -> Result<Self, Cause> {
         match self.head.status {
             status if status.is_success() => Ok(self),
-            status => Err(Cause::Failed(status.as_u16())),
+            status => {
+                self.run.answered();
+                Err(Cause::Failed(status.as_u16()))
+            }
         }
     }
 }
@@ -205,6 +210,7 @@
         return Err(Cause::NoBudget);
     }
     let request = request(job, directive);
+    let run = Run::new(target, job.content);
     let sending = link.sender().try_send_request(request);
     let answered = tokio::select! {
         answered = sending => answered,
@@ -216,9 +222,16 @@
         Err(mut error) => {
             return Err(match error.take_message() {
                 // the connection had closed before a byte was written
-                Some(_) => Cause::NotSent,
+                Some(_) => {
+                    run.answered();
+                    Cause::NotSent
+                }
                 None if error.error().is_parse() => Cause::Foreign,
-                None => Cause::Broken,
+                None => {
+                    run.broke();
+                    job.gateway.look_for_end(target, &job.ask.id).await;
+                    Cause::Broken
+                }
             });
         }
     };
@@ -229,6 +242,7 @@
     match () {
         () if !told.ours => Err(Cause::Foreign),
         () if told.not_run => {
+            run.answered();
             give_back_after(target, link, body);
             Err(Cause::NotRun(head.status.as_u16()))
         }
@@ -237,6 +251,7 @@
             body,
             link,
             target: Arc::clone(target),
+            run,
         }),
     }
 }
--- /dev/null
+++ b/components/gateway/src/request/content.rs
@@ -0,0 +1,29 @@
+//! What a request asks for, whoever sends it and whenever it comes again.
+
+use derive_more::{Display, From, Into};
+use hyper::{Method, Uri};
+use xxhash_rust::xxh3::Xxh3;
+
+/// A number for what a request asks for, the same in every process: its method, host, path, query and body. The name
+/// that a caller gives it is left out, as each try has another one.
+#[derive(Clone, Copy, Debug, Display, From, Into, PartialEq, Eq, PartialOrd, Ord)]
+#[display("{_0:016x}")]
+pub struct Content(u64);
+
+impl Content {
+    /// The number of a request.
+    #[must_use]
+    pub fn of(method: &Method, host: &str, uri: &Uri, body: &[u8]) -> Self {
+        let path = uri
+            .path_and_query()
+            .map_or(uri.path(), |path| path.as_str());
+        let mut hasher = Xxh3::new();
+        for part in [method.as_str().as_bytes(), host.as_bytes(), path.as_bytes()] {
+            hasher.update(part);
+            // no part can run into the next one
+            hasher.update(&[0]);
+        }
+        hasher.update(body);
+        Self(hasher.digest())
+    }
+}
--- a/components/gateway/src/request/generate/read.rs
+++ b/components/gateway/src/request/generate/read.rs
@@ -166,14 +166,18 @@
     let body = match body {
         Ok(body) if status.is_success() => body,
         Ok(_) => {
+            answer.run.answered();
             job.arrivals.read_failed();
             return Err(failed(Cause::Failed(status.as_u16())));
         }
         Err(_) => {
             job.arrivals.read_failed();
+            answer.run.broke();
+            job.gateway.look_for_end(target, &job.ask.id).await;
             return Err(failed(Cause::Broken));
         }
     };
+    answer.run.answered();
     job.arrivals.accepted(job);
     wait.end();
     let address = target.with(|state| state.profile.address);
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -171,7 +171,7 @@
             expected_us = policy::count(choice.first),
             margin_us = policy::count(job.gateway.margin(&job.service.name)), left_us = ask.within,
             prompt = ask.prompt, held = reader.held, fetched = reader.fetch.tokens, output = ask.output,
-            parts = parts(job), reading = reader.reading, writing = writer.writing,
+            content:% = job.content, parts = parts(job), reading = reader.reading, writing = writer.writing,
             long = writer.long, start_us = policy::count(writer.pace.start_us),
             read_ns = policy::count(reader.pace.read_us * NANOS),
             step_us = policy::count(writer.pace.step_us), late = reader.late,
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, Method, Uri, http::request::Parts};
 use tokio::time::Instant;
 
-use super::effort::Arrivals;
+use super::{content::Content, effort::Arrivals};
 use crate::{
     connection::Counted,
     edge::Ask,
@@ -37,6 +37,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// What it asks for.
+    pub content: Content,
     /// When it arrived.
     pub arrived: Instant,
     /// When its time is over: the caller's, or the route's if that is shorter.
@@ -70,6 +72,7 @@
             .configuration()
             .and_then(|version| version.shortest_pause(&service.name));
         let under_way = Counted::new(&gateway.under_way);
+        let content = Content::of(&head.method, super::host(&head), &head.uri, &body);
         Self {
             gateway,
             route,
@@ -79,6 +82,7 @@
             uri: head.uri,
             headers,
             body,
+            content,
             arrived,
             deadline,
             objective,
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -4,6 +4,7 @@
 
 mod attempt;
 mod body;
+mod content;
 mod effort;
 mod events;
 mod generate;
@@ -22,6 +23,7 @@
     process::{Gateway, Phase},
 };
 pub use attempt::call;
+pub use content::Content;
 pub use generate::Line;
 use job::Job;
 use pass::Body;
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -23,7 +23,7 @@
     job::Job,
 };
 use crate::{
-    endpoint::{Id, Link, Target, Verdict, Writing},
+    endpoint::{Id, Link, Run, Target, Verdict, Writing},
     version::Kind,
 };
 
@@ -87,6 +87,8 @@
     /// The time that the prompts under way there would still take when the last event came, in microseconds.
     left: Option<policy::Micros>,
     _writing: Writing,
+    /// The request under way there; none once its connection broke.
+    run: Option<Run>,
 }
 
 impl Source {
@@ -98,6 +100,7 @@
             last: None,
             left: None,
             _writing: writing,
+            run: Some(answer.run),
         }
     }
 }
@@ -200,6 +203,17 @@
         }
     }
 
+    /// Notes that the endpoint broke off, and finds out whether it has ended.
+    async fn broke(&mut self) {
+        if let Some(source) = &mut self.source {
+            if let Some(run) = source.run.take() {
+                run.broke();
+            }
+            let gateway = &self.job.gateway;
+            gateway.look_for_end(&source.target, &self.job.ask.id).await;
+        }
+    }
+
     /// Learns the engine's pace from the time between two events.
     fn learn(&mut self) {
         let now = Instant::now();
@@ -229,6 +243,9 @@
         let rest = self.splitter.as_mut().and_then(Splitter::finish);
         self.tell("answered");
         if let Some(source) = self.source.take() {
+            if let Some(run) = source.run {
+                run.answered();
+            }
             source.target.note(Verdict::Fine, &self.job.ask.id);
             source.target.give_back(source.link);
         }
@@ -297,6 +314,7 @@
 
     /// Goes on at another endpoint after the last whole event. Says whether that worked.
     async fn resume(&mut self) -> bool {
+        self.broke().await;
         if self.job.route.kind != Kind::ResumableStream {
             return false;
         }
@@ -346,7 +364,7 @@
         log::info!(
             request = self.job.ask.id, route = &*self.job.route.name, status = self.status.as_u16(),
             attempts = self.attempts, moves = self.moves, events = self.events, first_us,
-            endpoint = &*self.endpoint.0,
+            endpoint = &*self.endpoint.0, content:% = self.job.content,
             longest_gap_us = policy::micros(self.longest),
             took_us = policy::micros(self.job.arrived.elapsed());
             "{outcome}"
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -39,7 +39,10 @@
         let writing = Writing::new(&target, false);
         let outcome = attempt(&job, &target, &effort).await;
         match outcome {
-            Ok(answer) if another_may_do_better(&job, &answer, &effort) => effort.ran(target),
+            Ok(answer) if another_may_do_better(&job, &answer, &effort) => {
+                answer.run.answered();
+                effort.ran(target);
+            }
             Ok(answer) => return Ok(pass::hand_on(job, answer, writing, effort.runs() + 1)),
             Err(cause) => {
                 drop(writing);
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -19,6 +19,8 @@
     pub failures: IntCounterVec,
     /// Repeats, by service and whether the budget allowed them.
     pub repeats: IntCounterVec,
+    /// Endpoints that ended with requests under way, by service.
+    pub ends: IntCounterVec,
     /// Long answers that left their engine, by outcome.
     pub moves: IntCounterVec,
     /// Orders to engines, by outcome.
@@ -71,6 +73,11 @@
                 "Arrivals at endpoints beyond the first.",
                 &["service", "allowed"],
             )?,
+            ends: counters(
+                "endpoint_ends_total",
+                "Endpoints that ended with requests under way.",
+                &["service"],
+            )?,
             moves: counters(
                 "moves_total",
                 "Answers that left their engine.",
@@ -115,6 +122,7 @@
             &self.refusals,
             &self.failures,
             &self.repeats,
+            &self.ends,
             &self.moves,
             &self.orders,
             &self.listings,
