Withhold a request after three endpoints have ended under it

Callers saw: a request that ends each endpoint that runs it was passed on for as long as it came, by all gateways, and took down what else ran there.

Cause: a failure was only ever a property of an endpoint. What was asked for had no identity beyond one try, so neither a gateway nor its peers could see that three endpoints had ended under the same.

Each request under way at an endpoint that ends is a suspect now, by its content. Gateways tell each other at once and again each second; who is served is cleared; after the third endpoint a request is refused at once (503, not run, when to come back), by any gateway, for five minutes, and again at once if another endpoint ends under it then. Suspects are placed where the fewest other suspects are, so that one that another took down does not go down with it again. 1,024 are remembered.

It works as each of the three crashes, wherever it was seen, is known to all within a digest.

--- a/components/gateway/src/endpoint/load.rs
+++ b/components/gateway/src/endpoint/load.rs
@@ -19,6 +19,8 @@
     pub writing: u64,
     /// Those of them whose answers are long.
     pub long: u64,
+    /// Requests that endpoints have ended under.
+    pub suspects: u64,
 }
 
 impl Load {
@@ -40,6 +42,7 @@
             late_prompts: self.late_prompts + other.late_prompts,
             writing: self.writing + other.writing,
             long: self.long + other.long,
+            suspects: self.suspects + other.suspects,
         }
     }
 }
--- a/components/gateway/src/endpoint/runs.rs
+++ b/components/gateway/src/endpoint/runs.rs
@@ -104,15 +104,18 @@
 pub struct Run {
     target: Arc<Target>,
     number: u64,
+    suspect: bool,
 }
 
 impl Run {
-    /// Notes a request that is about to be sent to an endpoint.
+    /// Notes a request that is about to be sent to an endpoint, and whether other endpoints have ended under it.
     #[must_use]
-    pub fn new(target: &Arc<Target>, content: Content) -> Self {
+    pub fn new(target: &Arc<Target>, content: Content, suspect: bool) -> Self {
+        target.begin(|own| own.suspects += u64::from(suspect));
         Self {
             target: Arc::clone(target),
             number: target.with(|state| state.runs.begin(content)),
+            suspect,
         }
     }
 
@@ -135,5 +138,7 @@
 impl Drop for Run {
     fn drop(&mut self) {
         self.leave(Left::GivenUp);
+        self.target
+            .with(|state| state.own.suspects -= u64::from(self.suspect));
     }
 }
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -8,6 +8,7 @@
 mod receive;
 mod register;
 mod send;
+mod suspects;
 
 pub use changes::Told;
 
@@ -383,6 +384,7 @@
         late_prompts: u64::from(told.late_prompts),
         writing: u64::from(told.writing),
         long: u64::from(told.long),
+        suspects: u64::from(told.suspects),
     };
     (told.endpoint, load)
 }
@@ -397,6 +399,7 @@
         late_prompts: narrow(load.late_prompts),
         writing: narrow(load.writing),
         long: narrow(load.long),
+        suspects: narrow(load.suspects),
     }
 }
 
@@ -434,6 +437,7 @@
         configuration_changed: gateway.changed.get(List::Configuration),
         changes: Vec::new(),
         paces: Vec::new(),
+        suspects: Vec::new(),
         beat_ms: 0,
         answered_ms: gateway.store_steady_since().map_or(0, age_ms),
         ceded: gateway.steward.ceded(),
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -6,7 +6,7 @@
 use tokio::{net::UdpSocket, time::Instant};
 use wire::{Digest, Placed, ServiceDemand, StageTold};
 
-use super::{FORGOTTEN, Peer, TOLD, Told, ago, load, paces, reach::HEARTBEAT};
+use super::{FORGOTTEN, Peer, TOLD, Told, ago, load, paces, reach::HEARTBEAT, suspects};
 use crate::{
     endpoint::{Load, Stage, Target},
     process::{Asked, Gateway},
@@ -89,6 +89,7 @@
     remember(gateway, &digest.placed);
     take_changes(gateway, digest);
     paces::take(gateway, &digest.paces);
+    suspects::take(gateway, &digest.suspects, &digest.name);
     heed(gateway, &digest.changing, &digest.stages);
 }
 
@@ -216,6 +217,7 @@
         late_prompts: sum.late_prompts.saturating_sub(old.late_prompts) + new.late_prompts,
         writing: sum.writing.saturating_sub(old.writing) + new.writing,
         long: sum.long.saturating_sub(old.long) + new.long,
+        suspects: sum.suspects.saturating_sub(old.suspects) + new.suspects,
     }
 }
 
--- a/components/gateway/src/peer/send.rs
+++ b/components/gateway/src/peer/send.rs
@@ -4,13 +4,13 @@
 
 use prost::Message;
 use tokio::{net::UdpSocket, time::Instant};
-use wire::{Digest, EndpointChanges, Placed};
+use wire::{Digest, EndpointChanges, Placed, Suspect};
 
 use super::{
     PLACED, own, paces,
     reach::{HEARTBEAT, PACE, Reach},
     receive::heed,
-    told,
+    suspects, told,
 };
 use crate::{
     endpoint::Load,
@@ -21,6 +21,9 @@
 /// Placements in one digest; a datagram then stays below the usual size of a packet or two.
 const PLACED_AT_ONCE: usize = 24;
 
+/// Requests that endpoints ended under in one digest, for the same reason.
+const SUSPECTS_AT_ONCE: usize = 24;
+
 /// Between two digests of a stream that tell how fast engines are: it takes several prompts to learn more.
 const PACES_EVERY: Duration = Duration::from_millis(50);
 
@@ -73,6 +76,7 @@
     revisions: [u64; 2],
     /// Whether this process reads the operators' lists itself.
     reads: bool,
+    suspects: Vec<Suspect>,
 }
 
 impl News {
@@ -84,6 +88,11 @@
             changes: std::mem::take(&mut *gateway.peers.news.lock()),
             revisions: [List::Endpoints, List::Configuration].map(|list| gateway.changed.get(list)),
             reads: gateway.reads_lists(),
+            suspects: gateway
+                .suspects_to_tell()
+                .iter()
+                .map(|(content, record)| suspects::encode(*content, record, gateway.moment()))
+                .collect(),
         }
     }
 }
@@ -105,6 +114,7 @@
     /// What none has told yet.
     placed: Vec<Placed>,
     changes: Vec<EndpointChanges>,
+    suspects: Vec<Suspect>,
     /// When one last told how fast engines are.
     told_paces: Instant,
 }
@@ -121,6 +131,7 @@
             revisions: [0; 2],
             placed: Vec::new(),
             changes: Vec::new(),
+            suspects: Vec::new(),
             told_paces: Instant::now(),
         }
     }
@@ -132,6 +143,7 @@
             self.placed.extend(news.placed.iter().take(room).cloned());
         }
         self.changes.extend_from_slice(&news.changes);
+        self.suspects.extend_from_slice(&news.suspects);
     }
 
     /// Whether a digest is to be sent now.
@@ -139,6 +151,7 @@
         let since = self.sent.elapsed();
         // what a follower knows its readers have told
         let urgent = !self.changes.is_empty()
+            || !self.suspects.is_empty()
             || news.changing != self.changing
             || (news.reads && news.revisions != self.revisions);
         let changed = news.loads != self.loads || !self.placed.is_empty();
@@ -152,6 +165,7 @@
         self.changing.clone_from(&news.changing);
         self.revisions = news.revisions;
         let count = self.placed.len().min(PLACED_AT_ONCE);
+        let suspects = self.suspects.len().min(SUSPECTS_AT_ONCE);
         let paces = if self.told_paces.elapsed() < PACES_EVERY {
             Vec::new()
         } else {
@@ -168,6 +182,7 @@
             placed: self.placed.drain(..count).collect(),
             beat_ms: u32::try_from(self.beat.as_millis()).unwrap_or(u32::MAX),
             changes: std::mem::take(&mut self.changes),
+            suspects: self.suspects.drain(..suspects).collect(),
             ..own(gateway, number)
         }
     }
--- /dev/null
+++ b/components/gateway/src/peer/suspects.rs
@@ -0,0 +1,52 @@
+//! Requests that endpoints ended under, as peers tell each other.
+
+use policy::suspect::{End, Moment, Record};
+use wire::{EndpointEnd, Suspect};
+
+use crate::{process::Gateway, request::Content};
+
+/// Microseconds in a millisecond.
+const MILLI: Moment = 1_000;
+
+/// The message for a request.
+pub(super) fn encode(content: Content, record: &Record, now: Moment) -> Suspect {
+    let ends = record.ends.iter().map(|end| EndpointEnd {
+        endpoint: end.endpoint,
+        ago_ms: age_ms(end.at, now),
+    });
+    Suspect {
+        content: content.into(),
+        ends: ends.collect(),
+        served_ms: record.served.map_or(0, |served| age_ms(served, now)),
+    }
+}
+
+/// Takes what a peer tells.
+pub(super) fn take(gateway: &Gateway, told: &[Suspect], peer: &str) {
+    for suspect in told {
+        let record = decode(suspect, gateway.moment());
+        gateway.add_suspect(suspect.content.into(), &record, peer);
+    }
+}
+
+fn decode(told: &Suspect, now: Moment) -> Record {
+    let ago = |age_ms: u32| now - Moment::from(age_ms) * MILLI;
+    let mut ends: Vec<End> = told
+        .ends
+        .iter()
+        .map(|end| End {
+            endpoint: end.endpoint,
+            at: ago(end.ago_ms),
+        })
+        .collect();
+    ends.sort_unstable_by_key(|end| end.at);
+    Record {
+        ends,
+        served: (told.served_ms > 0).then(|| ago(told.served_ms)),
+    }
+}
+
+/// How long ago something was, in milliseconds; at least one, as zero stands for never.
+fn age_ms(at: Moment, now: Moment) -> u32 {
+    u32::try_from((now - at) / MILLI).unwrap_or(u32::MAX).max(1)
+}
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod reload;
 mod status;
 mod stop;
+mod suspects;
 
 pub use follow::List;
 pub use ledger::{Asked, Repeat};
@@ -26,6 +27,7 @@
 use backoff::{Backoff, next};
 use follow::Changed;
 use ledger::Ledgers;
+use suspects::Suspects;
 
 use crate::{
     connection,
@@ -95,6 +97,8 @@
     pub changed: Changed,
     /// What is counted and learnt of each service, sorted by service.
     ledgers: Ledgers,
+    /// Requests that endpoints ended under.
+    suspects: Suspects,
     started: Instant,
 }
 
@@ -284,6 +288,7 @@
         answered_since: Mutex::default(),
         changed: Changed::default(),
         ledgers: Ledgers::default(),
+        suspects: Suspects::default(),
         started: Instant::now(),
         settings,
     })
--- a/components/gateway/src/process/status.rs
+++ b/components/gateway/src/process/status.rs
@@ -66,5 +66,12 @@
     set(&metrics.under_way, count(*gateway.under_way.borrow()));
     set(&metrics.peers, gateway.peers.count());
     set(&metrics.endpoints, count(gateway.registry.all().len()));
+    let suspects = gateway.all_suspects();
+    set(&metrics.suspects, count(suspects.len()));
+    let now = gateway.moment();
+    let withheld = suspects
+        .iter()
+        .filter(|(_, record)| record.withheld(now).is_some());
+    set(&metrics.withheld, count(withheld.count()));
     Response::new(Full::new(Bytes::from(metrics.text())))
 }
--- /dev/null
+++ b/components/gateway/src/process/suspects.rs
@@ -0,0 +1,161 @@
+//! Requests that endpoints ended under, as this process knows them from what it saw and from what peers tell. See
+//! `docs/DESIGN.md#requests-that-end-endpoints`.
+
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use policy::suspect::{self, End, Moment, Record};
+use tokio::time::Instant;
+
+use super::Gateway;
+use crate::request::Content;
+
+/// Peers are told again of a request this often: a datagram may be lost, and a peer may start or have been cut off.
+const AGAIN: Duration = Duration::from_secs(1);
+/// For how long they are told again of a request that one endpoint ended under; of others as long as they are known.
+const FRESH: Moment = 5_000_000;
+/// The most requests that they are told again of at once, the last ones first: a datagram stays within a packet.
+const MOST_AGAIN: usize = 32;
+
+/// What this process knows of requests that endpoints ended under.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    known: Mutex<suspect::Suspects>,
+    /// Whether there are any: most of the time there are none, and each request asks.
+    any: AtomicBool,
+    news: Mutex<News>,
+}
+
+#[derive(Debug, Default)]
+struct News {
+    /// What peers have not been told yet.
+    records: Vec<(Content, Record)>,
+    /// When they were last told again.
+    told: Option<Instant>,
+}
+
+impl Gateway {
+    /// Whether an endpoint ended under a request since it was last served.
+    pub fn is_suspect(&self, content: Content) -> bool {
+        self.suspect(content)
+            .is_some_and(|record| !record.ends.is_empty())
+    }
+
+    /// For how much longer a request gets to no endpoint; none if it may.
+    pub fn withheld(&self, content: Content) -> Option<Duration> {
+        let left = self.suspect(content)?.withheld(self.moment())?;
+        u64::try_from(left).ok().map(Duration::from_micros)
+    }
+
+    /// What is known of a request that endpoints ended under.
+    pub fn suspect(&self, content: Content) -> Option<Record> {
+        let any = self.suspects.any.load(Ordering::Relaxed);
+        any.then(|| self.suspects.known.lock().get(content.into()).cloned())
+            .flatten()
+    }
+
+    /// All requests that endpoints ended under.
+    pub fn all_suspects(&self) -> Vec<(Content, Record)> {
+        let known = self.suspects.known.lock();
+        let records = known.records().iter();
+        records
+            .map(|(content, record)| (Content::from(*content), record.clone()))
+            .collect()
+    }
+
+    /// Notes that an endpoint ended under requests.
+    pub fn note_ended(&self, endpoint: u32, contents: &[Content]) {
+        let at = self.moment();
+        for content in contents {
+            let record = Record {
+                ends: vec![End { endpoint, at }],
+                served: None,
+            };
+            self.learn_suspect(*content, &record);
+        }
+    }
+
+    /// Notes that a request was served.
+    pub fn note_served(&self, content: Content) {
+        if self.is_suspect(content) {
+            let record = Record {
+                ends: Vec::new(),
+                served: Some(self.moment()),
+            };
+            self.learn_suspect(content, &record);
+        }
+    }
+
+    /// Takes what this process saw itself.
+    fn learn_suspect(&self, content: Content, record: &Record) {
+        if self.add_suspect(content, record, "this process") {
+            let known = self.suspect(content).unwrap_or_default();
+            self.suspects.news.lock().records.push((content, known));
+        }
+    }
+
+    /// Takes what is known of a request, and says whether it is news.
+    pub fn add_suspect(&self, content: Content, record: &Record, source: &str) -> bool {
+        let now = self.moment();
+        let before = self.withheld(content).is_some();
+        let news = {
+            let mut known = self.suspects.known.lock();
+            let news = known.add(content.into(), record, now);
+            let any = !known.records().is_empty();
+            self.suspects.any.store(any, Ordering::Relaxed);
+            news
+        };
+        let after = self.suspect(content).unwrap_or_default();
+        match (before, after.withheld(now)) {
+            (false, Some(left)) => log::warn!(
+                content:%, source, ends = ends(&after), lapses_ms = left / 1_000;
+                "a request is withheld from endpoints"
+            ),
+            (true, None) => log::info!(content:%, source; "a request is no longer withheld"),
+            (false, None) | (true, Some(_)) => {}
+        }
+        news
+    }
+
+    /// What peers are to be told now.
+    pub fn suspects_to_tell(&self) -> Vec<(Content, Record)> {
+        let mut news = self.suspects.news.lock();
+        let mut records = std::mem::take(&mut news.records);
+        if news.told.is_none_or(|told| told.elapsed() >= AGAIN) {
+            news.told = Some(Instant::now());
+            records.extend(self.suspects_to_repeat());
+        }
+        records
+    }
+
+    fn suspects_to_repeat(&self) -> Vec<(Content, Record)> {
+        if !self.suspects.any.load(Ordering::Relaxed) {
+            return Vec::new();
+        }
+        let now = self.moment();
+        let mut records = self.all_suspects();
+        let fresh = |record: &Record| record.last().is_some_and(|last| now - last < FRESH);
+        records.retain(|(_, record)| record.ends.len() > 1 || fresh(record));
+        records.sort_by_key(|(_, record)| std::cmp::Reverse(record.last()));
+        records.truncate(MOST_AGAIN);
+        records
+    }
+
+    /// Now, by the clock of suspects.
+    pub fn moment(&self) -> Moment {
+        Moment::try_from(self.micros()).unwrap_or(Moment::MAX)
+    }
+}
+
+/// The endpoints of a record as a line of the log names them, by their short numbers.
+fn ends(record: &Record) -> String {
+    let ends: Vec<String> = record
+        .ends
+        .iter()
+        .map(|end| format!("{:08x}", end.endpoint))
+        .collect();
+    ends.join(" ")
+}
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -64,6 +64,9 @@
     /// The budget of repeats is used up.
     #[display("the budget of repeats is used up")]
     NoBudget,
+    /// Too many endpoints have ended under the request.
+    #[display("endpoints have ended under the request")]
+    Withheld,
     /// An engine could not fetch the KV cache of the prompt from the engine that had read it.
     #[display("the prompt's KV cache could not be fetched")]
     NoHandle,
@@ -96,6 +99,7 @@
                 | Self::NotSent
                 | Self::NoWriter
                 | Self::NoBudget
+                | Self::Withheld
                 | Self::NoHandle
                 | Self::NotRun(_)
         )
@@ -108,6 +112,7 @@
             Self::NotSent => "not-sent",
             Self::NoWriter => "no-writer",
             Self::NoBudget => "no-budget",
+            Self::Withheld => "withheld",
             Self::NoHandle => "no-handle",
             Self::GaveWay => "gave-way",
             Self::NotRun(_) => "not-run",
@@ -130,6 +135,7 @@
             | Self::NotSent
             | Self::NoWriter
             | Self::NoBudget
+            | Self::Withheld
             | Self::NoHandle
             | Self::GaveWay => None,
         }
@@ -195,6 +201,9 @@
     directive: &Directive,
     patience: Patience,
 ) -> Result<Answer, Cause> {
+    if job.gateway.withheld(job.content).is_some() {
+        return Err(Cause::Withheld);
+    }
     let fresh = if job.route.kind.repeats() { ANY } else { FRESH };
     let mut link = target
         .connect(fresh, job.most_links())
@@ -210,7 +219,8 @@
         return Err(Cause::NoBudget);
     }
     let request = request(job, directive);
-    let run = Run::new(target, job.content);
+    let suspect = job.gateway.is_suspect(job.content);
+    let run = Run::new(target, job.content, suspect);
     let sending = link.sender().try_send_request(request);
     let answered = tokio::select! {
         answered = sending => answered,
--- a/components/gateway/src/request/effort.rs
+++ b/components/gateway/src/request/effort.rs
@@ -96,6 +96,7 @@
         let left = !job.time_left().is_zero();
         let attempts = self.runs < job.route.attempts;
         let budget = failed.cause != Cause::NoBudget;
+        let withheld = job.gateway.withheld(job.content);
         log::info!(
             request = job.ask.id, endpoint = &*failed.target.id.0, cause:% = failed.cause,
             phase:? = failed.phase, runs = self.runs, not_run, repeats, left;
@@ -105,10 +106,11 @@
         if failed.cause != Cause::NoHandle {
             self.tried.push(failed.target);
         }
-        if repeats && left && attempts && budget {
-            return Ok(());
+        match withheld {
+            None if repeats && left && attempts && budget => Ok(()),
+            Some(lapses) if self.runs == 0 => Err(Reason::Withheld(lapses)),
+            None | Some(_) => Err(self.reason(left)),
         }
-        Err(self.reason(left))
     }
 
     /// What is true when nothing more is tried.
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -49,21 +49,24 @@
         let near = &job.gateway.settings.gateway.data_centre;
         let cut_off = job.gateway.peers.cut_off();
         let common = job.gateway.common(&job.service.name);
-        let found: Vec<(Arc<Target>, (place::Engine, u64))> = fleet
+        let mut found: Vec<(Arc<Target>, Seen)> = fleet
             .used()
             .iter()
             .filter(|target| !tried.iter().any(|other| other.id == target.id))
-            .filter_map(|target| {
-                let seen = target.seen(now, parts, &common)?;
-                let reached = !cut_off.contains(&seen.profile.data_centre);
-                reached.then(|| {
-                    let engine = engine(&seen, near, order(job, target));
-                    (Arc::clone(target), (engine, seen.fetchable))
-                })
-            })
+            .filter_map(|target| Some((Arc::clone(target), target.seen(now, parts, &common)?)))
+            .filter(|(_, seen)| !cut_off.contains(&seen.profile.data_centre))
             .collect();
-        let (targets, engines): (Vec<_>, Vec<_>) = found.into_iter().unzip();
-        let (engines, fetchable): (Vec<_>, Vec<_>) = engines.into_iter().unzip();
+        if job.gateway.is_suspect(job.content) {
+            keep_apart(&mut found);
+        }
+        let fetchable: Vec<u64> = found.iter().map(|(_, seen)| seen.fetchable).collect();
+        let (targets, engines) = found
+            .into_iter()
+            .map(|(target, seen)| {
+                let engine = engine(&seen, near, order(job, &target));
+                (target, engine)
+            })
+            .unzip();
         let mut view = Self {
             targets,
             engines,
@@ -181,6 +184,16 @@
     }
 }
 
+/// Keeps of each stage the engines with the fewest suspects. Of two requests that end endpoints, or seem to, each must
+/// be seen for itself: one that another one took down with it would otherwise go down with it again.
+fn keep_apart(found: &mut Vec<(Arc<Target>, Seen)>) {
+    for stage in [Some(Stage::Prefill), Some(Stage::Decode)] {
+        let of_stage = found.iter().filter(|(_, seen)| seen.profile.stage == stage);
+        let least = of_stage.map(|(_, seen)| seen.load.suspects).min();
+        found.retain(|(_, seen)| seen.profile.stage != stage || Some(seen.load.suspects) == least);
+    }
+}
+
 /// The parts of a request's prompt as a line of the log names them.
 fn parts(job: &Job) -> String {
     let prompt = job.ask.prompt.iter();
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -86,6 +86,14 @@
         arrived,
     );
     gateway.count_request(&job.service.name);
+    if let Some(lapses) = gateway.withheld(job.content) {
+        log::info!(
+            request = job.ask.id, content:% = job.content,
+            lapses_ms = policy::micros(lapses) / 1_000;
+            "a request is withheld"
+        );
+        return Err(Reason::Withheld(lapses));
+    }
     match (&job.service.engines, &job.ask.prompt) {
         (Some(_), Some(_)) => generate::serve(job).await,
         _ => plain::serve(job).await,
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -246,6 +246,9 @@
             if let Some(run) = source.run {
                 run.answered();
             }
+            if self.status.is_success() {
+                self.job.gateway.note_served(self.job.content);
+            }
             source.target.note(Verdict::Fine, &self.job.ask.id);
             source.target.give_back(source.link);
         }
@@ -270,7 +273,8 @@
         let Some(source) = &self.source else {
             return;
         };
-        if !self.job.arrivals.reserve(&self.job, ARRIVALS) {
+        let withheld = self.job.gateway.withheld(self.job.content).is_some();
+        if withheld || !self.job.arrivals.reserve(&self.job, ARRIVALS) {
             return;
         }
         self.next = relocate::stop(&self.job, &source.target).await;
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -22,6 +22,10 @@
 /// What an endpoint counts that fails every attempt, in slots' worth of load.
 const FAILURES: f64 = 4.0;
 
+/// What another suspect at an endpoint counts for a request that endpoints have ended under, in slots' worth of load:
+/// an idle endpoint elsewhere is better than one that may end under the other.
+const SUSPECTS: f64 = 2.0;
+
 /// The part of the objective after which a silent endpoint is given up on, if the request may run
 /// again: an endpoint that works answers sooner, and the rest is enough for another one.
 const PATIENCE: u32 = 2;
@@ -66,6 +70,7 @@
     let fleet = job.gateway.registry.fleet(&job.service.name);
     let near = &job.gateway.settings.gateway.data_centre;
     let cut_off = job.gateway.peers.cut_off();
+    let suspect = job.gateway.is_suspect(job.content);
     let mut best: Option<(f64, &Arc<Target>)> = None;
     for target in fleet.used() {
         if tried.iter().any(|other| other.id == target.id) {
@@ -83,7 +88,8 @@
         } else {
             REMOTE
         };
-        let cost = load + remote + seen.failures * FAILURES;
+        let suspects = policy::real(if suspect { seen.load.suspects } else { 0 });
+        let cost = load + remote + seen.failures * FAILURES + suspects * SUSPECTS;
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, target));
         }
--- a/components/gateway/src/request/refusal.rs
+++ b/components/gateway/src/request/refusal.rs
@@ -52,6 +52,9 @@
     /// Endpoints were asked, and none took it.
     #[display("no endpoint took the request")]
     NotTaken(Duration),
+    /// Endpoints have ended under requests for the same.
+    #[display("endpoints have ended under requests for the same")]
+    Withheld(Duration),
     /// An endpoint may have run it.
     #[display("the endpoint's answer was lost")]
     AnswerLost,
@@ -87,6 +90,7 @@
             Self::Late(_) => "late",
             Self::NoEndpoint(_) => "no-endpoint",
             Self::NotTaken(_) => "not-taken",
+            Self::Withheld(_) => "withheld",
             Self::AnswerLost => "answer-lost",
             Self::TooLate => "too-late",
             Self::DeadlinePassed => "deadline-passed",
@@ -103,6 +107,7 @@
             | Self::Late(_)
             | Self::NoEndpoint(_)
             | Self::NotTaken(_)
+            | Self::Withheld(_)
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
@@ -112,7 +117,10 @@
     /// When trying again may help; none where it can't.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Late(after) | Self::NoEndpoint(after) | Self::NotTaken(after) => Some(after),
+            Self::Late(after)
+            | Self::NoEndpoint(after)
+            | Self::NotTaken(after)
+            | Self::Withheld(after) => Some(after),
             Self::NotReady => Some(SOON),
             // another process takes it at once
             Self::Stopping => Some(Duration::ZERO),
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod role;
 pub mod route;
 pub mod stage;
+pub mod suspect;
 pub mod view;
 
 /// Microseconds of the decider's own monotonic clock, or a span of them.
--- /dev/null
+++ b/components/policy/tests/suspect.rs
@@ -0,0 +1,111 @@
+//! Which requests are withheld from endpoints.
+
+use policy::suspect::{ENDS, End, KEPT, MOST, Moment, Record, Suspects, WITHHELD};
+use proptest::prelude::*;
+
+const SECOND: Moment = 1_000_000;
+
+fn ended(endpoint: u32, at: Moment) -> Record {
+    Record {
+        ends: vec![End { endpoint, at }],
+        served: None,
+    }
+}
+
+fn served(at: Moment) -> Record {
+    Record {
+        ends: Vec::new(),
+        served: Some(at),
+    }
+}
+
+fn withheld(suspects: &Suspects, content: u64, now: Moment) -> bool {
+    let record = suspects.get(content);
+    record.is_some_and(|record| record.withheld(now).is_some())
+}
+
+#[test]
+fn a_request_is_withheld_after_the_third_endpoint_and_not_for_good() {
+    let mut suspects = Suspects::default();
+    for endpoint in 1..=3 {
+        assert!(!withheld(&suspects, 7, SECOND));
+        suspects.add(7, &ended(endpoint, SECOND), SECOND);
+    }
+    assert!(withheld(&suspects, 7, 2 * SECOND));
+    assert!(!withheld(&suspects, 8, 2 * SECOND), "others are not");
+    let later = SECOND + WITHHELD;
+    assert!(!withheld(&suspects, 7, later), "it is tried again");
+    suspects.add(7, &ended(4, later), later);
+    assert!(withheld(&suspects, 7, later), "one more end is enough then");
+}
+
+#[test]
+fn an_endpoint_that_several_tell_of_counts_once() {
+    let mut suspects = Suspects::default();
+    for at in 0..5 {
+        suspects.add(7, &ended(1, at), SECOND);
+    }
+    assert!(!withheld(&suspects, 7, SECOND));
+    assert_eq!(suspects.get(7), Some(&ended(1, 0)));
+}
+
+#[test]
+fn a_request_that_is_served_is_no_suspect_any_more() {
+    let mut suspects = Suspects::default();
+    suspects.add(7, &ended(1, SECOND), SECOND);
+    suspects.add(7, &ended(2, 2 * SECOND), 2 * SECOND);
+    suspects.add(7, &served(3 * SECOND), 3 * SECOND);
+    // what a peer tells late is from before
+    suspects.add(7, &ended(3, 2 * SECOND), 4 * SECOND);
+    suspects.add(7, &ended(4, 5 * SECOND), 5 * SECOND);
+    assert_eq!(suspects.get(7).map(|record| record.ends.len()), Some(1));
+}
+
+#[test]
+fn suspects_are_forgotten_in_time_and_never_too_many() {
+    let mut suspects = Suspects::default();
+    for endpoint in 1..=3 {
+        suspects.add(0, &ended(endpoint, 0), 0);
+    }
+    let contents = 1..=u64::try_from(2 * MOST).expect("a small number");
+    for content in contents {
+        suspects.add(content, &ended(1, SECOND), SECOND);
+    }
+    assert_eq!(suspects.records().len(), MOST);
+    assert!(withheld(&suspects, 0, SECOND), "what is withheld stays");
+    suspects.add(1, &ended(1, KEPT + 2 * SECOND), KEPT + 2 * SECOND);
+    assert_eq!(suspects.records().len(), 1);
+}
+
+fn records() -> impl Strategy<Value = Vec<Record>> {
+    let end = (0..6_u32, 0..20_i64).prop_map(|(endpoint, at)| End { endpoint, at });
+    let record = (
+        prop::collection::vec(end, 0..4),
+        prop::option::of(0..20_i64),
+    );
+    let record = record.prop_map(|(ends, served)| Record { ends, served });
+    prop::collection::vec(record, 1..6)
+}
+
+proptest! {
+    #[test]
+    fn a_request_is_withheld_only_if_three_endpoints_ended_since_it_was_served(told in records()) {
+        let mut suspects = Suspects::default();
+        for record in &told {
+            suspects.add(7, record, 20);
+        }
+        if withheld(&suspects, 7, 20) {
+            let record = suspects.get(7).expect("it is known");
+            let since = record.served.unwrap_or(-1);
+            let mut endpoints: Vec<u32> = told
+                .iter()
+                .flat_map(|record| &record.ends)
+                .filter(|end| end.at > since)
+                .map(|end| end.endpoint)
+                .collect();
+            endpoints.sort_unstable();
+            endpoints.dedup();
+            prop_assert!(endpoints.len() >= ENDS);
+        }
+    }
+}
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -47,6 +47,10 @@
     pub peers: IntGauge,
     /// Endpoints that are listed.
     pub endpoints: IntGauge,
+    /// Requests, by what they ask for, that endpoints have ended under.
+    pub suspects: IntGauge,
+    /// Those of them that get to no endpoint.
+    pub withheld: IntGauge,
     /// Times that the settings file was read again.
     pub reloads: IntCounter,
 }
@@ -103,6 +107,8 @@
             under_way: gauge("requests_under_way", "Requests under way.")?,
             peers: gauge("peers", "Peers that are heard.")?,
             endpoints: gauge("endpoints", "Endpoints that are listed.")?,
+            suspects: gauge("requests_suspected", "Requests that endpoints ended under.")?,
+            withheld: gauge("requests_withheld", "Those that get to no endpoint.")?,
             reloads: IntCounter::new("wrenramp_reloads_total", "Reads of changed settings.")?,
         };
         metrics.register()?;
@@ -141,6 +147,8 @@
             &self.under_way,
             &self.peers,
             &self.endpoints,
+            &self.suspects,
+            &self.withheld,
         ] {
             self.registry.register(Box::new(gauge.clone()))?;
         }
