Keep withheld requests in the store through restarts of all gateways

Callers saw: after all gateways were killed at once the same request ended three more endpoints, and as many after each further kill.

Cause: what is known of a request lived in the gateways' memory alone.

A request that is withheld has a row in the store, written by the gateway that saw the last endpoint end; a gateway reads all rows when it starts, tries again until the store answers, and removes rows that are old. Ages in rows are by the time of day, as no steady clock lives through a restart of everything; the seconds by which it may be off are small beside five minutes.

--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -11,6 +11,7 @@
 mod status;
 mod stop;
 mod suspects;
+mod withheld;
 
 pub use follow::List;
 pub use ledger::{Asked, Repeat};
@@ -267,6 +268,8 @@
     tasks.spawn(connection::accept(Arc::clone(&gateway), callers));
     tasks.spawn(steward::keep(Arc::clone(&gateway)));
     tasks.spawn(stop::carry_out(Arc::clone(&gateway)));
+    let keeper = Arc::clone(&gateway);
+    tasks.spawn(async move { withheld::keep(&keeper).await });
     Ok(Running { gateway, tasks })
 }
 
--- a/components/gateway/src/process/suspects.rs
+++ b/components/gateway/src/process/suspects.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 use policy::suspect::{self, End, Moment, Record};
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use super::Gateway;
 use crate::request::Content;
@@ -27,6 +27,23 @@
     /// Whether there are any: most of the time there are none, and each request asks.
     any: AtomicBool,
     news: Mutex<News>,
+    /// Requests that are withheld because of what this process saw, until they are in the store.
+    withheld: Mutex<Vec<Content>>,
+    /// Told when there is one more.
+    withheld_more: Notify,
+}
+
+impl Suspects {
+    /// Waits for a request that is withheld because of what this process saw.
+    pub async fn newly_withheld(&self) -> Content {
+        loop {
+            let more = self.withheld_more.notified();
+            if let Some(content) = self.withheld.lock().pop() {
+                return content;
+            }
+            more.await;
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -91,9 +108,15 @@
 
     /// Takes what this process saw itself.
     fn learn_suspect(&self, content: Content, record: &Record) {
-        if self.add_suspect(content, record, "this process") {
-            let known = self.suspect(content).unwrap_or_default();
-            self.suspects.news.lock().records.push((content, known));
+        let before = self.withheld(content).is_some();
+        if !self.add_suspect(content, record, "this process") {
+            return;
+        }
+        let known = self.suspect(content).unwrap_or_default();
+        self.suspects.news.lock().records.push((content, known));
+        if !before && self.withheld(content).is_some() {
+            self.suspects.withheld.lock().push(content);
+            self.suspects.withheld_more.notify_one();
         }
     }
 
