Count leases, deadlines and ages through suspensions of the machine

What callers and operators could see: a gateway whose machine was suspended for some seconds went on as if no time had passed. A steward whose lease had lapsed ordered, a request was held beyond its deadline and its endpoint granted more time than was left, peers and endpoints of before counted as just heard, and the window of repeats held what was older than it.

Cause: all of these were counted on the steady clock, which misses that time. Class: a bound that an outside party counts in real time, kept on a clock that can stand still.

The gateway's clock and timers are those of the component clock now: a suspension is to it what a freeze of its process always was. A line tells each one. What stays on the steady clock: timeouts of calls to the store and the HTTP library's idle time of callers' connections, which last longer by what was missed and bound nothing that others count.

--- a/components/gateway/src/connection/mod.rs
+++ b/components/gateway/src/connection/mod.rs
@@ -31,7 +31,7 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!(error:%; "a connection was not accepted");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                clock::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
--- a/components/gateway/src/endpoint/health.rs
+++ b/components/gateway/src/endpoint/health.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
+use clock::Instant;
 use derive_more::Display;
-use tokio::time::Instant;
 
 /// How an attempt ended, as far as it tells of the endpoint.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
--- a/components/gateway/src/endpoint/link.rs
+++ b/components/gateway/src/endpoint/link.rs
@@ -10,12 +10,13 @@
 };
 
 use bytes::Bytes;
+use clock::Instant;
 use derive_more::{Display, Error};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::JoinHandle, time::Instant};
+use tokio::{net::TcpStream, task::JoinHandle};
 
 /// The longest that a new connection may take. Data centres are a few milliseconds apart; a first
 /// packet that is lost is sent again after a second, by when another endpoint has served.
@@ -73,7 +74,7 @@
 /// Makes a connection; `open` counts it as long as it lives.
 pub(super) async fn open(address: SocketAddr, open: &Arc<AtomicUsize>) -> Result<Link, NotOpened> {
     let connecting = TcpStream::connect(address);
-    let stream = match tokio::time::timeout(CONNECT, connecting).await {
+    let stream = match clock::timeout(CONNECT, connecting).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(_)) => return Err(NotOpened::Refused),
         Err(_) => return Err(NotOpened::Silent),
--- a/components/gateway/src/endpoint/runs.rs
+++ b/components/gateway/src/endpoint/runs.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use tokio::time::Instant;
+use clock::Instant;
 
 use super::Target;
 use crate::request::Content;
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -8,12 +8,10 @@
     time::Duration,
 };
 
+use clock::Instant;
 use parking_lot::Mutex;
 use policy::{backlog::Backlog, learn::Pace, memory::Memory, prompt::Part};
-use tokio::{
-    sync::{Mutex as AsyncMutex, Notify},
-    time::Instant,
-};
+use tokio::sync::{Mutex as AsyncMutex, Notify};
 
 use super::{
     Busy, Health, Id, Link, Load, NotOpened, Profile, Runs, Stage, State, Verdict,
--- a/components/gateway/src/peer/held.rs
+++ b/components/gateway/src/peer/held.rs
@@ -5,9 +5,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use clock::Instant;
 use futures::future::join_all;
 use policy::prompt::Part;
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Peers;
@@ -27,7 +27,7 @@
 /// Asks this process's share of the engines what they hold, and tells the peers.
 pub(super) async fn learn(gateway: &Gateway) {
     while !gateway.is_ready() {
-        tokio::time::sleep(LOOK).await;
+        clock::sleep(LOOK).await;
     }
     let all = gateway.registry.all();
     let share = all.iter().filter(|target| is_asked_here(gateway, target));
@@ -37,7 +37,7 @@
         Some((target, parts))
     });
     let lists = join_all(lists).await;
-    tokio::time::sleep(AGAIN).await;
+    clock::sleep(AGAIN).await;
     for (target, parts) in lists.into_iter().flatten() {
         tell(gateway, target, &parts);
     }
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -21,10 +21,11 @@
     time::Duration,
 };
 
+use clock::Instant;
 use parking_lot::Mutex;
 use policy::prompt::Part;
 use settings::gateway::Settings;
-use tokio::{net::UdpSocket, sync::Notify, time::Instant};
+use tokio::{net::UdpSocket, sync::Notify};
 use wire::{Digest, EndpointChanges, EndpointLoad, Placed, ServiceDemand, StageTold};
 
 use crate::{
@@ -127,7 +128,7 @@
     /// those that are only known by name, and knows them once it has read the register.
     pub fn sharers(&self, uptime: Duration) -> Option<u64> {
         let starting = uptime < FORGOTTEN;
-        if starting && !self.registered.load(Ordering::Relaxed) {
+        if starting && !self.are_registered() {
             return None;
         }
         let known = self.known.lock();
@@ -135,6 +136,11 @@
         u64::try_from(sharers.count()).ok()
     }
 
+    /// Whether the register of all gateways has been read.
+    pub fn are_registered(&self) -> bool {
+        self.registered.load(Ordering::Relaxed)
+    }
+
     /// Whether a live peer has started lately, and may not know yet what others have learnt.
     fn has_newcomer(&self) -> bool {
         let now = Instant::now();
@@ -199,7 +205,7 @@
         let last = known.iter().max_by_key(|peer| peer.ceded)?;
         // one that never gave an order has given none that could matter
         let never = Duration::from_secs(3600);
-        (last.ceded > 0).then(|| last.ordered.map_or(never, |ordered| ordered.elapsed()))
+        (last.ceded > 0).then(|| last.ordered.map_or(never, Instant::elapsed))
     }
 
     /// The live peers that read the operators' lists and are answered: in a data centre those with lower
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -2,8 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use clock::Instant;
 use prost::Message;
-use tokio::{net::UdpSocket, time::Instant};
+use tokio::net::UdpSocket;
 use wire::{Digest, Placed, ServiceDemand, StageTold};
 
 use super::{FORGOTTEN, Peer, TOLD, Told, ago, load, paces, reach::HEARTBEAT, suspects};
@@ -22,7 +23,7 @@
     let mut buffer = vec![0; DATAGRAM];
     let mut tidied = Instant::now();
     loop {
-        let received = tokio::time::timeout(HEARTBEAT, socket.recv_from(&mut buffer)).await;
+        let received = clock::timeout(HEARTBEAT, socket.recv_from(&mut buffer)).await;
         match received {
             Ok(Ok((length, _))) => match Digest::decode(&buffer[..length]) {
                 Ok(digest) => take(gateway, &digest),
--- a/components/gateway/src/peer/register.rs
+++ b/components/gateway/src/peer/register.rs
@@ -48,7 +48,7 @@
             // nobody waits any more if the process ends
             let _ = known.send(());
         }
-        tokio::time::sleep(if read { REFRESH } else { AGAIN }).await;
+        clock::sleep(if read { REFRESH } else { AGAIN }).await;
     }
 }
 
--- a/components/gateway/src/peer/send.rs
+++ b/components/gateway/src/peer/send.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use clock::Instant;
 use prost::Message;
-use tokio::{net::UdpSocket, time::Instant};
+use tokio::net::UdpSocket;
 use wire::{Digest, EndpointChanges, Placed, Suspect};
 
 use super::{
@@ -32,7 +33,7 @@
     let mut number = 0;
     let mut streams = [Reach::Near, Reach::Far, Reach::Others].map(Stream::new);
     loop {
-        tokio::time::sleep(PACE).await;
+        clock::sleep(PACE).await;
         let news = News::gather(gateway);
         heed(gateway, &news.changing, &[]);
         for stream in &mut streams {
--- a/components/gateway/src/process/configuration.rs
+++ b/components/gateway/src/process/configuration.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use clock::Instant;
 use protocol::millis;
-use tokio::time::Instant;
 
 use super::{
     Backoff, Gateway,
@@ -26,7 +26,7 @@
             Turn::Read => {}
             Turn::CatchUp => from = from.at_once(),
             Turn::Rest => {
-                tokio::time::sleep(Wait::pause()).await;
+                clock::sleep(Wait::pause()).await;
                 continue;
             }
         }
@@ -51,7 +51,7 @@
                 }
                 let pause = backoff.pause(&gateway);
                 while let Some(rest) = pause.rest(&gateway) {
-                    tokio::time::sleep(rest).await;
+                    clock::sleep(rest).await;
                 }
             }
         }
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::Instant;
+use clock::Instant;
 
 use super::{
     Backoff, Gateway,
@@ -91,7 +91,7 @@
     /// Takes what peers tell, for so long.
     async fn follow(&mut self, time: Duration) {
         let until = Instant::now() + time;
-        while tokio::time::timeout_at(until, self.hear()).await.is_ok() {}
+        while clock::timeout_at(until, self.hear()).await.is_ok() {}
     }
 
     /// Waits for what peers tell, or for the next look at what is missing, and takes it.
@@ -103,7 +103,7 @@
                     self.take_told(told);
                 }
             }
-            () = tokio::time::sleep_until(self.missing.next_look()) => self.drop_missing(),
+            () = clock::sleep_until(self.missing.next_look()) => self.drop_missing(),
         }
     }
 
--- a/components/gateway/src/process/ends.rs
+++ b/components/gateway/src/process/ends.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use tokio::time::Instant;
+use clock::Instant;
 
 use super::Gateway;
 use crate::{endpoint::Target, request::Content};
--- a/components/gateway/src/process/follow.rs
+++ b/components/gateway/src/process/follow.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use tokio::time::Instant;
+use clock::Instant;
 
 use super::Gateway;
 use crate::{edge::From, peer::Reader};
--- a/components/gateway/src/process/lapse.rs
+++ b/components/gateway/src/process/lapse.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
+use clock::Instant;
 
 use super::Gateway;
 use crate::{edge::Change, endpoint::Id};
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -19,11 +19,12 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use clock::Instant;
 use cloud::table::Table;
 use parking_lot::{Mutex, RwLock};
 use settings::gateway::{Bounds, Settings};
 use telemetry::metrics::gateway::Metrics;
-use tokio::{net::TcpListener, net::UdpSocket, sync::watch, task::JoinSet, time::Instant};
+use tokio::{net::TcpListener, net::UdpSocket, sync::watch, task::JoinSet};
 
 use backoff::{Backoff, next};
 use follow::Changed;
@@ -256,6 +257,10 @@
         data_centre = gateway.settings.gateway.data_centre; "started"
     );
     let mut tasks = JoinSet::new();
+    tasks.spawn(clock::watch(|missed| {
+        let missed_ms = policy::micros(missed) / 1_000;
+        log::warn!(missed_ms; "the machine was suspended");
+    }));
     tasks.spawn(configuration::keep(Arc::clone(&gateway)));
     tasks.spawn(endpoints::keep(Arc::clone(&gateway)));
     tasks.spawn(peer::keep(Arc::clone(&gateway), peers));
--- a/components/gateway/src/process/stop.rs
+++ b/components/gateway/src/process/stop.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::Instant;
+use clock::Instant;
 
 use super::{Gateway, Phase};
 
@@ -49,7 +49,7 @@
     });
     let under_way = *gateway.under_way.borrow();
     log::info!(under_way; "planned stop begins");
-    tokio::time::sleep_until(stop.quiet).await;
+    clock::sleep_until(stop.quiet).await;
     let mut under_way = gateway.under_way.subscribe();
     let mut connections = gateway.connections.subscribe();
     let empty = async {
@@ -57,7 +57,7 @@
         let _ = under_way.wait_for(|count| *count == 0).await;
         let _ = connections.wait_for(|count| *count == 0).await;
     };
-    let cut = match tokio::time::timeout_at(stop.end, empty).await {
+    let cut = match clock::timeout_at(stop.end, empty).await {
         Ok(()) => 0,
         Err(_) => *gateway.under_way.borrow(),
     };
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use clock::Instant;
 use derive_more::Display;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -10,7 +11,6 @@
     body::{Body as _, Incoming},
     http::response,
 };
-use tokio::time::Instant;
 
 use super::{effort::Phase, job::Job};
 use crate::{
@@ -171,7 +171,7 @@
     async fn over(self, target: &Target) {
         let begun = Instant::now();
         let Some(silence) = self.silence else {
-            return tokio::time::sleep_until(self.until).await;
+            return clock::sleep_until(self.until).await;
         };
         loop {
             let silent = begun.max(target.last_progress()) + silence;
@@ -179,7 +179,7 @@
             if next <= Instant::now() {
                 return;
             }
-            tokio::time::sleep_until(next).await;
+            clock::sleep_until(next).await;
         }
     }
 }
@@ -191,7 +191,7 @@
 /// Waits until nothing more can come from an incarnation of an endpoint.
 pub async fn ended(target: &Target) {
     target.ended().await;
-    tokio::time::sleep(LAST_WORDS).await;
+    clock::sleep(LAST_WORDS).await;
 }
 
 /// Sends a request to an endpoint and waits for the head of the answer.
@@ -315,7 +315,7 @@
         let body = Limited::new(response.into_body(), CALL_BYTES).collect();
         Some((status, body.await.ok()?.to_bytes()))
     };
-    let answer = tokio::time::timeout(CALL, exchange).await.ok()??;
+    let answer = clock::timeout(CALL, exchange).await.ok()??;
     target.give_back(link);
     Some(answer)
 }
--- a/components/gateway/src/request/body.rs
+++ b/components/gateway/src/request/body.rs
@@ -2,9 +2,9 @@
 //! waits for a slow caller.
 
 use bytes::Bytes;
+use clock::Instant;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
-use tokio::time::Instant;
 
 use super::refusal::Reason;
 use crate::version::Limits;
@@ -17,7 +17,7 @@
         return Err(Reason::TooLarge);
     }
     let whole = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout_at(arrived + limits.idle_time, whole).await {
+    match clock::timeout_at(arrived + limits.idle_time, whole).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLarge),
         Ok(Err(_)) | Err(_) => Err(Reason::SlowBody),
--- a/components/gateway/src/request/generate/line.rs
+++ b/components/gateway/src/request/generate/line.rs
@@ -7,8 +7,9 @@
 
 use std::time::Duration;
 
+use clock::Instant;
 use parking_lot::Mutex;
-use tokio::{sync::Notify, time::Instant};
+use tokio::sync::Notify;
 
 use crate::request::job::Job;
 
@@ -78,7 +79,7 @@
     /// too long.
     pub async fn turn(&self) -> bool {
         let look = Instant::now() + LOOK;
-        tokio::time::sleep_until(look.min(self.until)).await;
+        clock::sleep_until(look.min(self.until)).await;
         loop {
             let moved = self.line.moved.notified();
             if Instant::now() >= self.until {
@@ -88,7 +89,7 @@
                 return true;
             }
             // the time may be over first
-            let _ = tokio::time::timeout_at(self.until, moved).await;
+            let _ = clock::timeout_at(self.until, moved).await;
         }
     }
 
--- a/components/gateway/src/request/generate/read.rs
+++ b/components/gateway/src/request/generate/read.rs
@@ -2,9 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use clock::Instant;
 use http_body_util::{BodyExt, Collected, Limited};
 use policy::learn::Stretch;
-use tokio::time::Instant;
 
 use super::{
     run::failed,
--- a/components/gateway/src/request/generate/relocate.rs
+++ b/components/gateway/src/request/generate/relocate.rs
@@ -5,8 +5,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use clock::Instant;
 use policy::place::{self, Weights};
-use tokio::time::Instant;
 
 use super::view::{View, ask, is_long};
 use crate::{
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
+use clock::Instant;
 use policy::place::{self, Weights};
-use tokio::time::Instant;
 
 use super::{
     read, timing,
--- a/components/gateway/src/request/generate/timing.rs
+++ b/components/gateway/src/request/generate/timing.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use clock::Instant;
 use policy::place::{self, Choice, Plan, Weights};
-use tokio::time::Instant;
 
 use super::view::{View, ask};
 use crate::request::{
--- a/components/gateway/src/request/generate/view.rs
+++ b/components/gateway/src/request/generate/view.rs
@@ -2,11 +2,11 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use clock::Instant;
 use policy::{
     place::{self, Ask, Choice, Plan, Weights},
     prompt::Prompt,
 };
-use tokio::time::Instant;
 
 use crate::{
     endpoint::{Seen, Stage, Target},
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use clock::Instant;
 use hyper::{HeaderMap, Method, Uri, http::request::Parts};
-use tokio::time::Instant;
 
 use super::{content::Content, effort::Arrivals};
 use crate::{
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -15,8 +15,8 @@
 
 use std::sync::Arc;
 
+use clock::Instant;
 use hyper::{Request, Response, body::Incoming, header, http::request::Parts};
-use tokio::time::Instant;
 
 use crate::{
     edge::Ask,
--- a/components/gateway/src/request/pass.rs
+++ b/components/gateway/src/request/pass.rs
@@ -4,6 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use clock::Instant;
 use derive_more::{Display, Error};
 use futures::{StreamExt, TryStreamExt, stream};
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
@@ -11,7 +12,6 @@
     Response, StatusCode,
     body::{Body as _, Frame, Incoming},
 };
-use tokio::time::Instant;
 
 use super::{
     attempt::{self, Answer},
@@ -155,7 +155,7 @@
             let moves = self.next.is_none() && self.moves < MOVES && is_long(&self.job);
             let frame = tokio::select! {
                 biased;
-                frame = tokio::time::timeout_at(until, source.body.frame()) => frame,
+                frame = clock::timeout_at(until, source.body.frame()) => frame,
                 () = attempt::ended(&source.target) => {
                     if self.resume().await {
                         continue;
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use clock::Instant;
 use hyper::Response;
-use tokio::time::Instant;
 
 use super::{
     attempt::{self, Answer, Cause, Patience},
--- a/components/gateway/src/steward/change.rs
+++ b/components/gateway/src/steward/change.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::Instant;
+use clock::Instant;
 
 use super::plan::Wish;
 use crate::{
@@ -65,13 +65,13 @@
 /// Waits until the engine has nothing under way, for a while.
 async fn run_out(target: &Target) {
     let begun = Instant::now();
-    tokio::time::sleep(HEARD).await;
+    clock::sleep(HEARD).await;
     while begun.elapsed() < RUN_OUT {
         let load = target.with(|state| state.own.with(state.peers));
         if load.writing == 0 && load.prompts == 0 {
             return;
         }
-        tokio::time::sleep(HEARD).await;
+        clock::sleep(HEARD).await;
     }
 }
 
@@ -79,7 +79,7 @@
 async fn order(gateway: &Arc<Gateway>, wish: &Wish, epoch: u64) -> bool {
     for _ in 0..ORDERS {
         let Some(report) = report(gateway, &wish.target).await else {
-            tokio::time::sleep(LOOK).await;
+            clock::sleep(LOOK).await;
             continue;
         };
         if is_another(&wish.target, &report) {
@@ -89,7 +89,7 @@
             return true;
         }
         if report.busy {
-            tokio::time::sleep(LOOK).await;
+            clock::sleep(LOOK).await;
             continue;
         }
         // nothing is awaited between this look at the lease and the order
@@ -100,7 +100,7 @@
             Some(Ordered::Accepted | Ordered::Holds) => return true,
             Some(Ordered::Fenced) => return false,
             Some(Ordered::Conflict | Ordered::Refused | Ordered::Unclear) | None => {
-                tokio::time::sleep(LOOK).await;
+                clock::sleep(LOOK).await;
             }
         }
     }
@@ -132,7 +132,7 @@
     let switch = switch(gateway, &wish.target);
     let latest = Instant::now() + switch + LONGEST;
     // not before the engine can be back
-    tokio::time::sleep(switch.saturating_sub(LOOK)).await;
+    clock::sleep(switch.saturating_sub(LOOK)).await;
     while Instant::now() < latest {
         if wish.target.stage() == Some(wish.stage) {
             return true;
@@ -146,7 +146,7 @@
             gateway.steward.tell(wish.target.short, wish.stage);
             return true;
         }
-        tokio::time::sleep(LOOK).await;
+        clock::sleep(LOOK).await;
     }
     false
 }
--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use clock::Instant;
 use cloud::table::{Outcome, Read, Row, Transaction};
 use protocol::{
     Incarnation,
@@ -9,7 +10,6 @@
     millis,
 };
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::time::Instant;
 
 use crate::process::{Gateway, Phase};
 
--- a/components/gateway/src/steward/mod.rs
+++ b/components/gateway/src/steward/mod.rs
@@ -10,8 +10,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use clock::Instant;
 use parking_lot::Mutex;
-use tokio::{task::JoinSet, time::Instant};
+use tokio::task::JoinSet;
 
 use crate::{endpoint::Stage, process::Gateway};
 use lease::Seat;
@@ -125,7 +126,7 @@
     let mut changes = JoinSet::new();
     loop {
         let jitter = rand::random_range(0.8..1.2);
-        tokio::time::sleep(TICK.mul_f64(jitter)).await;
+        clock::sleep(TICK.mul_f64(jitter)).await;
         while changes.try_join_next().is_some() {}
         seat.visit(&gateway).await;
         if is_near(&gateway) {
