Ask a failing store nothing about withheld requests, and forget them in time

Rows are read once the register has been, and only while the store answers other calls.

Suspects were forgotten only when another one was added, so that a row of the last one stayed for good.

--- a/components/gateway/src/process/suspects.rs
+++ b/components/gateway/src/process/suspects.rs
@@ -6,9 +6,10 @@
     time::Duration,
 };
 
+use clock::Instant;
 use parking_lot::Mutex;
 use policy::suspect::{self, End, Moment, Record};
-use tokio::{sync::Notify, time::Instant};
+use tokio::sync::Notify;
 
 use super::Gateway;
 use crate::request::Content;
@@ -143,6 +144,14 @@
         news
     }
 
+    /// Forgets requests of which nothing was known for a while.
+    pub fn forget_old_suspects(&self) {
+        let mut known = self.suspects.known.lock();
+        known.forget_old(self.moment());
+        let any = !known.records().is_empty();
+        self.suspects.any.store(any, Ordering::Relaxed);
+    }
+
     /// What peers are to be told now.
     pub fn suspects_to_tell(&self) -> Vec<(Content, Record)> {
         let mut news = self.suspects.news.lock();
--- a/components/gateway/src/process/withheld.rs
+++ b/components/gateway/src/process/withheld.rs
@@ -3,18 +3,20 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use clock::Instant;
 use cloud::table::{Read, Transaction};
 use policy::suspect::{End, Moment, Record};
 use serde::{Deserialize, Serialize};
-use tokio::time::Instant;
 
 use super::Gateway;
 use crate::request::Content;
 
 /// Rows of withheld requests begin so.
 const PREFIX: &str = "withheld/";
-/// Between two tries while the store does not answer.
-const AGAIN: Duration = Duration::from_millis(400);
+/// Between two looks whether the store answers.
+const AGAIN: Duration = Duration::from_millis(100);
+/// Between two tries of a write that the store refused or did not answer.
+const RETRY: Duration = Duration::from_millis(400);
 /// The most rows; requests beyond them are known to the gateways alone.
 const MOST: usize = 200;
 /// Between two looks for rows that are no longer needed.
@@ -42,14 +44,12 @@
     let mut rows = loop {
         match read(gateway).await {
             Some(rows) => break rows,
-            None => tokio::time::sleep(AGAIN).await,
+            None => clock::sleep(AGAIN).await,
         }
     };
     loop {
         let tidy = Instant::now() + TIDY;
-        while let Ok(content) =
-            tokio::time::timeout_at(tidy, gateway.suspects.newly_withheld()).await
-        {
+        while let Ok(content) = clock::timeout_at(tidy, gateway.suspects.newly_withheld()).await {
             if rows.contains(&content) || rows.len() < MOST {
                 write(gateway, content).await;
                 rows.push(content);
@@ -59,6 +59,7 @@
                 log::warn!(content:%; "a withheld request is not kept in the store, which has as many as may be");
             }
         }
+        gateway.forget_old_suspects();
         let (kept, old) = rows
             .into_iter()
             .partition(|content| gateway.suspect(*content).is_some());
@@ -67,8 +68,12 @@
     }
 }
 
-/// Reads all rows, and takes what they say. Gives their requests; none if the store did not answer.
+/// Reads all rows, and takes what they say. Gives their requests; none if the store did not answer. A store that fails
+/// other calls is not asked: in an outage all gateways would.
 async fn read(gateway: &Gateway) -> Option<Vec<Content>> {
+    if !gateway.peers.are_registered() || !gateway.store_answers() {
+        return None;
+    }
     let read = Read {
         keys: Vec::new(),
         prefixes: vec![PREFIX.to_owned()],
@@ -101,10 +106,11 @@
 
 /// Writes a request's row, as soon as the store answers.
 async fn write(gateway: &Gateway, content: Content) {
-    loop {
-        let Some(record) = gateway.suspect(content) else {
-            return;
-        };
+    while let Some(record) = gateway.suspect(content) {
+        if !gateway.store_answers() {
+            clock::sleep(AGAIN).await;
+            continue;
+        }
         // a row of plain fields always has a JSON form
         let value = serde_json::to_string(&Row::new(&record, gateway.moment())).unwrap_or_default();
         let transaction = Transaction::default().write(&key(content), value);
@@ -114,9 +120,9 @@
             Ok(_) => return,
             Err(error) => {
                 log::warn!(content:%, error:%; "a withheld request is not in the store yet");
+                clock::sleep(RETRY).await;
             }
         }
-        tokio::time::sleep(AGAIN).await;
     }
 }
 
--- a/components/policy/src/suspect.rs
+++ b/components/policy/src/suspect.rs
@@ -98,8 +98,7 @@
 
     /// Adds what is newly known of a request, here or elsewhere. Says whether that changed anything.
     pub fn add(&mut self, content: u64, told: &Record, now: Moment) -> bool {
-        self.0
-            .retain(|(_, record)| record.last().is_some_and(|last| now - last < KEPT));
+        self.forget_old(now);
         let is_old = told.last().is_none_or(|last| now - last >= KEPT);
         match self.find(content) {
             _ if is_old => false,
@@ -117,6 +116,12 @@
         }
     }
 
+    /// Forgets those of which nothing was known for a while.
+    pub fn forget_old(&mut self, now: Moment) {
+        let fresh = |record: &Record| record.last().is_some_and(|last| now - last < KEPT);
+        self.0.retain(|(_, record)| fresh(record));
+    }
+
     /// Forgets the one that least is known of, if there are as many as may be.
     fn make_room(&mut self) {
         if self.0.len() < MOST {
