--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -17,7 +17,7 @@
 /// Seeds of the short run: one in three has planned work only.
 const SEEDS: [u64; 3] = [3, 7, 11];
 /// Seeds that once broke a promise, with a line on the cause each.
-const CASES: [&[u64]; 6] = [
+const CASES: [&[u64]; 7] = [
     // a silent stand-in of an engine counted a prompt that was only to be read as run
     &[104, 115, 130, 148],
     // a restarted gateway took its part of the slack for repeats anew
@@ -30,6 +30,8 @@
     &[8040],
     // a gateway that started again did not count what the one before it had repeated
     &[11006, 12002, 12008, 12014],
+    // requests that end endpoints were passed on by all gateways
+    &[19],
 ];
 
 #[test]
