Keep a request in the store also where several gateways saw one end each, and read the rows before being ready

Callers saw, by a test: a request under which three gateways saw one engine end each was known to all and kept by none, so that after a restart of all it ended three more. And a gateway that started took requests before it had read what is withheld: one more.

A gateway that comes to withhold a request by what peers tell keeps it too, if it is one of the first two by address. A gateway is ready once it has read the rows, or after a second, as a store that takes no writes must not keep it away.

--- a/components/gateway/src/peer/suspects.rs
+++ b/components/gateway/src/peer/suspects.rs
@@ -3,7 +3,10 @@
 use policy::suspect::{End, Moment, Record};
 use wire::{EndpointEnd, Suspect};
 
-use crate::{process::Gateway, request::Content};
+use crate::{
+    process::{Gateway, Source},
+    request::Content,
+};
 
 /// Microseconds in a millisecond.
 const MILLI: Moment = 1_000;
@@ -25,7 +28,7 @@
 pub(super) fn take(gateway: &Gateway, told: &[Suspect], peer: &str) {
     for suspect in told {
         let record = decode(suspect, gateway.moment());
-        gateway.add_suspect(suspect.content.into(), &record, peer);
+        gateway.add_suspect(suspect.content.into(), &record, Source::Peer(peer));
     }
 }
 
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -16,8 +16,9 @@
 pub use follow::List;
 pub use ledger::{Asked, Repeat};
 pub use stop::Stop;
+pub use suspects::Source;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clock::Instant;
 use cloud::table::Table;
@@ -41,6 +42,10 @@
     version::{Configuration, Limits},
 };
 
+/// How long a process that starts is not ready because it has not read which requests are withheld: several times what
+/// the store's answers take. Serving without them costs an endpoint or two, not serving costs all callers.
+const WITHHELD_READ: Duration = Duration::from_secs(1);
+
 /// How far a planned stop has come. See `docs/DESIGN.md#planned-stop`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -173,11 +178,12 @@
         policy::micros(self.started.elapsed())
     }
 
-    /// Whether it can serve: it knows the configuration and the endpoints, and doesn't stop.
+    /// Whether it can serve: it knows the configuration, the endpoints and the withheld requests, and doesn't stop.
     pub fn is_ready(&self) -> bool {
         *self.phase.borrow() == Phase::Serving
             && self.configuration.read().is_some()
             && *self.endpoints_read.borrow()
+            && (self.suspects.are_read() || self.started.elapsed() > WITHHELD_READ)
     }
 }
 
--- a/components/gateway/src/process/suspects.rs
+++ b/components/gateway/src/process/suspects.rs
@@ -7,6 +7,7 @@
 };
 
 use clock::Instant;
+use derive_more::Display;
 use parking_lot::Mutex;
 use policy::suspect::{self, End, Moment, Record};
 use tokio::sync::Notify;
@@ -21,6 +22,24 @@
 /// The most requests that they are told again of at once, the last ones first: a datagram stays within a packet.
 const MOST_AGAIN: usize = 32;
 
+/// Gateways, by address, that put a request into the store which is withheld by what several of them saw: more than one, as
+/// that one may just have ended.
+const KEEPERS: usize = 2;
+
+/// Who says that an endpoint ended under a request, or that it was served.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Source<'a> {
+    /// This process saw it.
+    #[display("this process")]
+    Own,
+    /// A peer saw it, or was told.
+    #[display("{_0}")]
+    Peer(&'a str),
+    /// It was kept in the store.
+    #[display("the store")]
+    Store,
+}
+
 /// What this process knows of requests that endpoints ended under.
 #[derive(Debug, Default)]
 pub struct Suspects {
@@ -28,14 +47,26 @@
     /// Whether there are any: most of the time there are none, and each request asks.
     any: AtomicBool,
     news: Mutex<News>,
-    /// Requests that are withheld because of what this process saw, until they are in the store.
+    /// Requests that are withheld and that this process puts into the store, until it has.
     withheld: Mutex<Vec<Content>>,
     /// Told when there is one more.
     withheld_more: Notify,
+    /// Whether the requests that the store keeps have been read.
+    read: AtomicBool,
 }
 
 impl Suspects {
-    /// Waits for a request that is withheld because of what this process saw.
+    /// Notes that the requests that the store keeps have been read.
+    pub fn note_read(&self) {
+        self.read.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether they have been.
+    pub fn are_read(&self) -> bool {
+        self.read.load(Ordering::Relaxed)
+    }
+
+    /// Waits for a withheld request that this process puts into the store.
     pub async fn newly_withheld(&self) -> Content {
         loop {
             let more = self.withheld_more.notified();
@@ -109,20 +140,14 @@
 
     /// Takes what this process saw itself.
     fn learn_suspect(&self, content: Content, record: &Record) {
-        let before = self.withheld(content).is_some();
-        if !self.add_suspect(content, record, "this process") {
-            return;
-        }
-        let known = self.suspect(content).unwrap_or_default();
-        self.suspects.news.lock().records.push((content, known));
-        if !before && self.withheld(content).is_some() {
-            self.suspects.withheld.lock().push(content);
-            self.suspects.withheld_more.notify_one();
+        if self.add_suspect(content, record, Source::Own) {
+            let known = self.suspect(content).unwrap_or_default();
+            self.suspects.news.lock().records.push((content, known));
         }
     }
 
     /// Takes what is known of a request, and says whether it is news.
-    pub fn add_suspect(&self, content: Content, record: &Record, source: &str) -> bool {
+    pub fn add_suspect(&self, content: Content, record: &Record, source: Source) -> bool {
         let now = self.moment();
         let before = self.withheld(content).is_some();
         let news = {
@@ -134,16 +159,33 @@
         };
         let after = self.suspect(content).unwrap_or_default();
         match (before, after.withheld(now)) {
-            (false, Some(left)) => log::warn!(
-                content:%, source, ends = ends(&after), lapses_ms = left / 1_000;
-                "a request is withheld from endpoints"
-            ),
-            (true, None) => log::info!(content:%, source; "a request is no longer withheld"),
+            (false, Some(left)) => {
+                log::warn!(
+                    content:%, source:%, ends = ends(&after), lapses_ms = left / 1_000;
+                    "a request is withheld from endpoints"
+                );
+                self.keep_withheld(content, source);
+            }
+            (true, None) => log::info!(content:%, source:%; "a request is no longer withheld"),
             (false, None) | (true, Some(_)) => {}
         }
         news
     }
 
+    /// Has a request that is withheld from now on put into the store, if that falls to this process: it saw the last
+    /// endpoint end, or is one of those that do so where several saw one each.
+    fn keep_withheld(&self, content: Content, source: Source) {
+        let keeps = match source {
+            Source::Own => true,
+            Source::Peer(_) => self.peers.place(self.settings.gateway.peers) < KEEPERS,
+            Source::Store => false,
+        };
+        if keeps {
+            self.suspects.withheld.lock().push(content);
+            self.suspects.withheld_more.notify_one();
+        }
+    }
+
     /// Forgets requests of which nothing was known for a while.
     pub fn forget_old_suspects(&self) {
         let mut known = self.suspects.known.lock();
--- a/components/gateway/src/process/withheld.rs
+++ b/components/gateway/src/process/withheld.rs
@@ -8,13 +8,13 @@
 use policy::suspect::{End, Moment, Record};
 use serde::{Deserialize, Serialize};
 
-use super::Gateway;
+use super::{Gateway, Source};
 use crate::request::Content;
 
 /// Rows of withheld requests begin so.
 const PREFIX: &str = "withheld/";
-/// Between two looks whether the store answers.
-const AGAIN: Duration = Duration::from_millis(100);
+/// Between two looks whether the store answers: the process is not ready before it has.
+const AGAIN: Duration = Duration::from_millis(10);
 /// Between two tries of a write that the store refused or did not answer.
 const RETRY: Duration = Duration::from_millis(400);
 /// The most rows; requests beyond them are known to the gateways alone.
@@ -47,6 +47,7 @@
             None => clock::sleep(AGAIN).await,
         }
     };
+    gateway.suspects.note_read();
     loop {
         let tidy = Instant::now() + TIDY;
         while let Ok(content) = clock::timeout_at(tidy, gateway.suspects.newly_withheld()).await {
@@ -84,6 +85,7 @@
         Ok(rows) => rows,
         Err(error) => {
             log::warn!(error:%; "the withheld requests were not read");
+            clock::sleep(RETRY).await;
             return None;
         }
     };
@@ -91,7 +93,7 @@
     for row in rows {
         match (content(&row.key), serde_json::from_str::<Row>(&row.value)) {
             (Some(content), Ok(row)) => {
-                gateway.add_suspect(content, &row.record(gateway.moment()), "the store");
+                gateway.add_suspect(content, &row.record(gateway.moment()), Source::Store);
                 contents.push(content);
             }
             (_, Err(error)) => {
