--- a/components/gateway/src/process/ends.rs
+++ b/components/gateway/src/process/ends.rs
@@ -34,7 +34,7 @@
             under_way = contents.len(), contents = names(contents);
             "an endpoint ended with requests under way"
         );
-        self.note_ended(target.short, contents);
+        self.suspect_all(target.short, contents);
     }
 }
 
--- a/components/gateway/src/process/suspects.rs
+++ b/components/gateway/src/process/suspects.rs
@@ -115,8 +115,8 @@
             .collect()
     }
 
-    /// Notes that an endpoint ended under requests.
-    pub fn note_ended(&self, endpoint: u32, contents: &[Content]) {
+    /// Suspects all requests that were under way at an endpoint that ended.
+    pub fn suspect_all(&self, endpoint: u32, contents: &[Content]) {
         let at = self.moment();
         for content in contents {
             let record = Record {
--- a/components/gateway/src/process/withheld.rs
+++ b/components/gateway/src/process/withheld.rs
@@ -1,5 +1,5 @@
-//! Withheld requests in the store: all gateways may be killed at once, and each of those requests ends an endpoint for
-//! each gateway that has to find that out.
+//! Withheld requests in the store. What gateways know of them lives in their memory and is lost when all are killed at
+//! once; without these rows each request would end three endpoints more.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
