--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -41,7 +41,7 @@
         self.duration_since(earlier)
     }
 
-    /// A moment before this one; none if the clock can't tell it.
+    /// A moment before this one; none if the clock can't represent it.
     #[must_use]
     pub fn checked_sub(self, span: Duration) -> Option<Self> {
         self.0.checked_sub(span).map(Self)
--- a/components/clock/src/missed.rs
+++ b/components/clock/src/missed.rs
@@ -22,7 +22,7 @@
 static MISSED: AtomicU64 = AtomicU64::new(0);
 /// What tests have skipped, in nanoseconds.
 static SKIPPED: AtomicU64 = AtomicU64::new(0);
-/// Told after a suspension.
+/// Notified after a suspension.
 pub static RESUMED: Notify = Notify::const_new();
 
 /// What the steady clock has missed since the first call; never less than before.
@@ -38,7 +38,7 @@
 }
 
 /// By how much the clock that counts suspensions is ahead of the steady one. The steady one is read last, so a process
-/// that is held up in between sees too little, and the largest of several values is the best.
+/// that is delayed in between computes too little, and the largest of several values is the best.
 fn ahead() -> Option<u64> {
     let counting = nanos(ClockId::CLOCK_BOOTTIME)?;
     let steady = nanos(ClockId::CLOCK_MONOTONIC)?;
--- a/components/gateway/src/peer/suspects.rs
+++ b/components/gateway/src/peer/suspects.rs
@@ -25,16 +25,16 @@
 }
 
 /// Takes what a peer tells.
-pub(super) fn take(gateway: &Gateway, told: &[Suspect], peer: &str) {
-    for suspect in told {
+pub(super) fn take(gateway: &Gateway, received: &[Suspect], peer: &str) {
+    for suspect in received {
         let record = decode(suspect, gateway.moment());
         gateway.add_suspect(suspect.content.into(), &record, Source::Peer(peer));
     }
 }
 
-fn decode(told: &Suspect, now: Moment) -> Record {
+fn decode(received: &Suspect, now: Moment) -> Record {
     let ago = |age_ms: u32| now - Moment::from(age_ms) * MILLI;
-    let mut ends: Vec<End> = told
+    let mut ends: Vec<End> = received
         .ends
         .iter()
         .map(|end| End {
@@ -45,7 +45,7 @@
     ends.sort_unstable_by_key(|end| end.at);
     Record {
         ends,
-        served: (told.served_ms > 0).then(|| ago(told.served_ms)),
+        served: (received.served_ms > 0).then(|| ago(received.served_ms)),
     }
 }
 
--- a/components/gateway/src/process/suspects.rs
+++ b/components/gateway/src/process/suspects.rs
@@ -49,7 +49,7 @@
     news: Mutex<News>,
     /// Requests that are withheld and that this process puts into the store, until it has.
     withheld: Mutex<Vec<Content>>,
-    /// Told when there is one more.
+    /// Notified when there is one more.
     withheld_more: Notify,
     /// Whether the requests that the store keeps have been read.
     read: AtomicBool,
