Let a settings version reach the pools before requests see it

Cause: settings_sync::apply published a version before the pools had its groups, so a request could be admitted with the index of a group that the pool's queue lacked; estimate_wait then panicked, and the caller got an empty answer. Ruled out: a wrong index within one version (regroup rebuilds names and queue together).

Change: the pools are updated before the version becomes visible, and the queue looks a request's group up by name. A group that it lacks is refused as not run.

Before: the new test panics in policy/src/fair.rs; after: it passes.

--- a/components/daemon/src/process/pool/mod.rs
+++ b/components/daemon/src/process/pool/mod.rs
@@ -6,6 +6,8 @@
 mod entry;
 mod grant;
 mod queue;
+#[cfg(test)]
+mod tests;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
@@ -182,7 +184,7 @@
 
     fn enqueue(
         self: &Arc<Self>,
-        requirements: Requirements,
+        mut requirements: Requirements,
     ) -> Result<(Ticket, oneshot::Receiver<Grant>), PlacementError> {
         let engines = self.available_endpoints();
         let mut queue = self.queue();
@@ -191,6 +193,12 @@
                 retry_after: self.retry_after(),
             });
         }
+        let Some(group) = queue.group(&requirements.group.1) else {
+            return Err(PlacementError::NoEndpoint {
+                retry_after: NO_ENDPOINT_RETRY_AFTER,
+            });
+        };
+        requirements.group.0 = group;
         let output = queue.expected_output(&requirements);
         let work = estimate_work(requirements.prompt_tokens, output);
         let wait = Duration::from_micros(queue.fair.estimate_wait(requirements.group.0, engines));
--- a/components/daemon/src/process/pool/queue.rs
+++ b/components/daemon/src/process/pool/queue.rs
@@ -53,6 +53,14 @@
             .ok()
     }
 
+    /// Returns the index of a group. The settings version that admitted a request may be another one than
+    /// the queue's, with other indices.
+    pub(super) fn group(&self, name: &str) -> Option<usize> {
+        self.groups
+            .binary_search_by(|group| group.as_str().cmp(name))
+            .ok()
+    }
+
     pub(super) fn expected_output(&self, requirements: &Requirements) -> u64 {
         let mean = self.mean_outputs.get(requirements.group.0).copied();
         to_u64(mean.unwrap_or(INITIAL_OUTPUT_TOKENS))
--- a/components/daemon/src/process/settings_sync.rs
+++ b/components/daemon/src/process/settings_sync.rs
@@ -7,7 +7,7 @@
 
 use cloud::table::{Read, Row};
 use serde::{Deserialize, Serialize};
-use settings::tree::{Change, Node, Tree};
+use settings::tree::{Change, Node, Tree, resolve::ResolvedTree};
 use telemetry::timeline::Kind;
 use tokio::time::Instant;
 
@@ -185,21 +185,11 @@
 /// Puts a version into force, unless the current one is at least as new.
 pub fn apply(process: &Arc<Process>, tree: Tree) {
     let version = tree.version;
-    let Some(snapshot) = process.current.apply(tree) else {
+    let applied = process
+        .current
+        .apply(tree, |snapshot| update_pools(process, &snapshot.resolved));
+    if !applied {
         return;
-    };
-    {
-        let mut pools = process.pools();
-        pools.retain(|pool| snapshot.resolved.service(&pool.service).is_some());
-        for service in &snapshot.resolved.services {
-            if let Err(at) = pools.binary_search_by(|pool| pool.service.as_str().cmp(&service.name))
-            {
-                pools.insert(at, start_pool(process, &service.name));
-            }
-        }
-    }
-    for pool in process.all_pools() {
-        pool.apply(&snapshot.resolved);
     }
     process
         .metrics
@@ -211,6 +201,20 @@
     log::info!("settings version {version} is in force");
 }
 
+/// Starts the pools of new services, drops those of removed ones, and applies the settings to all.
+fn update_pools(process: &Process, resolved: &ResolvedTree) {
+    let mut pools = process.pools();
+    pools.retain(|pool| resolved.service(&pool.service).is_some());
+    for service in &resolved.services {
+        if let Err(at) = pools.binary_search_by(|pool| pool.service.as_str().cmp(&service.name)) {
+            pools.insert(at, start_pool(process, &service.name));
+        }
+    }
+    for pool in pools.iter() {
+        pool.apply(resolved);
+    }
+}
+
 fn start_pool(process: &Process, service: &str) -> Arc<Pool> {
     let pool = Arc::new(Pool::new(
         service,
--- a/components/daemon/src/version/mod.rs
+++ b/components/daemon/src/version/mod.rs
@@ -43,15 +43,19 @@
         self.get().map_or(0, |snapshot| snapshot.tree.version)
     }
 
-    /// Applies a version and returns it, unless the current one is the same or newer.
-    pub fn apply(&self, tree: Tree) -> Option<Arc<Snapshot>> {
+    /// Applies a version, unless the current one is the same or newer. Returns whether it did.
+    ///
+    /// `prepare` runs before the version becomes visible, so that whatever a request looks up in it
+    /// is in place by then. It must not read the current version.
+    pub fn apply(&self, tree: Tree, prepare: impl FnOnce(&Snapshot)) -> bool {
         let next = Arc::new(Snapshot::new(tree));
         let mut current = self.0.write().unwrap_or_else(PoisonError::into_inner);
         match current.as_ref() {
-            Some(old) if old.tree.version >= next.tree.version => None,
+            Some(old) if old.tree.version >= next.tree.version => false,
             _ => {
-                *current = Some(Arc::clone(&next));
-                Some(next)
+                prepare(&next);
+                *current = Some(next);
+                true
             }
         }
     }
