Let followers read a configuration that arrives slowly at its readers

Change: a reader whose response has been arriving for 300 ms no longer says that it reads the list, so followers read it themselves, as they do without readers.

--- a/components/gateway/src/adapters/mod.rs
+++ b/components/gateway/src/adapters/mod.rs
@@ -185,6 +185,9 @@
         &self,
         from: Cursor,
     ) -> BoxFuture<'_, Result<Update<Arc<Configuration>>, Failure>>;
+
+    /// Returns for how long a response with configurations has been arriving; `None` while there is none.
+    fn receiving_configuration_for(&self) -> Option<Duration>;
 }
 
 /// Metadata of a caller's request that is specific to the platform.
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -515,7 +515,7 @@
         placed: Vec::new(),
         steward: gateway.steward.holds_lease(),
         store_answers: gateway.store_available(),
-        reads: gateway.reads_lists(),
+        reads: gateway.is_reliable_reader(),
         endpoints_changed: gateway.last_changes.revision(List::Endpoints),
         configuration_changed: gateway.last_changes.revision(List::Configuration),
         changes: Vec::new(),
--- a/components/gateway/src/process/follow.rs
+++ b/components/gateway/src/process/follow.rs
@@ -29,6 +29,10 @@
 /// deployments.
 const MAX_CATCH_UP_DELAY: Duration = Duration::from_millis(500);
 
+/// Time for which a configuration may arrive at a reader before followers read it themselves; several times what a
+/// usual one takes on a slow link.
+const MAX_TRANSFER: Duration = Duration::from_millis(300);
+
 /// Range of [`Follower::max_age_ratio`]: above the age at which readers confirm the configuration, and well below that
 /// at which keys no longer count.
 const MAX_AGE_RATIOS: Range<f64> = 0.4..0.6;
@@ -74,6 +78,14 @@
     too_few_readers(&readers(gateway))
 }
 
+/// Whether followers can rely on this process for the lists: it reads them, and is not held up by a configuration that
+/// arrives slowly. On a slow link a large one takes longer than operators allow, and followers on faster links need not
+/// wait for it.
+pub fn is_reliable_reader(gateway: &Gateway) -> bool {
+    let receiving = gateway.adapters.directory.receiving_configuration_for();
+    reads_lists(gateway) && receiving.is_none_or(|time| time < MAX_TRANSFER)
+}
+
 fn too_few_readers(readers: &[Reader]) -> bool {
     readers.len() < MIN_READERS || !readers.iter().any(|reader| reader.is_local)
 }
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -198,6 +198,11 @@
         follow::reads_lists(self)
     }
 
+    /// Whether followers can rely on this process for the operators' lists.
+    pub fn is_reliable_reader(&self) -> bool {
+        follow::is_reliable_reader(self)
+    }
+
     /// Returns the graceful shutdown in progress, if any.
     pub fn shutdown(&self) -> Option<Shutdown> {
         *self.shutdown.read()
--- a/components/gateway/tests/gateway/fake.rs
+++ b/components/gateway/tests/gateway/fake.rs
@@ -107,6 +107,10 @@
         }
         .boxed()
     }
+
+    fn receiving_configuration_for(&self) -> Option<Duration> {
+        None
+    }
 }
 
 impl Table for Fake {
