Order engines by kind, and others where there are no revocable ones

Change: policy::scaling plans both kinds for each data centre; the steward orders them. Given engines go only as revocable ones serve; if the platform has none, others take their place until it has.

--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -156,7 +156,8 @@
                 if log_new {
                     log::info!(
                         endpoint = &*profile.id.0, service = &*profile.service, state:% = profile.state,
-                        address:% = profile.address, data_centre = &*profile.data_centre;
+                        address:% = profile.address, data_centre = &*profile.data_centre,
+                        stage:? = profile.stage, revocable = profile.revocable;
                         "endpoint listed"
                     );
                 }
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -318,6 +318,7 @@
     tasks.spawn(connection::accept(Arc::clone(&gateway), callers));
     tasks.spawn(steward::run(Arc::clone(&gateway)));
     tasks.spawn(steward::report_usage(Arc::clone(&gateway)));
+    tasks.spawn(steward::order_endpoints(Arc::clone(&gateway)));
     tasks.spawn(shutdown::run(Arc::clone(&gateway)));
     let shared = Arc::clone(&gateway);
     tasks.spawn(async move { withheld::run(&shared).await });
--- a/components/gateway/src/steward/mod.rs
+++ b/components/gateway/src/steward/mod.rs
@@ -7,6 +7,7 @@
 mod change;
 mod lease;
 mod plan;
+mod scaling;
 mod usage;
 
 use std::{sync::Arc, time::Duration};
@@ -19,6 +20,7 @@
 use lease::{Authority, LeaseKeeper};
 use plan::Planner;
 
+pub use scaling::run as order_endpoints;
 pub use usage::run as report_usage;
 
 /// The average interval between two checks of the lease and the plan.
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod retry;
 pub mod role;
 pub mod route;
+pub mod scaling;
 pub mod stage;
 pub mod suspect;
 
