--- a/components/gateway/src/version/workspace.rs
+++ b/components/gateway/src/version/workspace.rs
@@ -19,6 +19,9 @@
 pub struct KeyDigest([u8; 32]);
 
 impl KeyDigest {
+    /// Stands for credentials that are no API key; it is the digest of no known key.
+    pub const UNRECOGNISED: Self = Self([0; 32]);
+
     /// Returns the digest of a key.
     #[must_use]
     pub fn of(key: &[u8]) -> Self {
