--- a/components/gateway/src/steward/usage.rs
+++ b/components/gateway/src/steward/usage/mod.rs
@@ -4,23 +4,22 @@
 //! condition that this process still holds the lease; a successor sends the same counts again. Counts of open windows
 //! are saved at intervals, so that they survive if all gateways are killed. See `docs/DESIGN.md#usage-reports`.
 
+mod row;
+
 use std::{sync::Arc, time::Duration};
 
 use clock::Instant;
-use cloud::table::{Error, Outcome, Read, Row, Transaction};
-use serde::{Deserialize, Serialize};
+use cloud::table::{Error, Outcome, Read, Transaction};
 
 use super::lease::{Authority, LEASE_KEY};
 use crate::{
     adapters::{DutyError, Holder, UsageReport},
     process::{
         Gateway,
-        usage::{Counts, Source, Window},
+        usage::{Counts, Window},
     },
 };
 
-/// Key prefix of the rows with the usage of a window.
-const ROW_PREFIX: &str = "usage/";
 /// Interval between checks for something to save or to report.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between saves of the counts of open windows.
@@ -95,7 +94,7 @@
     async fn load(&mut self, gateway: &Gateway, authority: Authority) -> bool {
         let read = Read {
             keys: Vec::new(),
-            prefixes: vec![ROW_PREFIX.to_owned()],
+            prefixes: vec![row::PREFIX.to_owned()],
         };
         let rows = gateway.adapters.table.read(read).await;
         gateway.count_store_call("usage", rows.is_ok());
@@ -107,7 +106,11 @@
             }
         };
         let previous = std::mem::take(&mut self.windows);
-        self.windows = rows.iter().filter_map(parse).collect();
+        self.windows = rows
+            .iter()
+            .filter_map(row::parse)
+            .map(Entry::from)
+            .collect();
         self.windows.sort_by_key(|entry| entry.window.number);
         for entry in previous.iter().filter(|entry| entry.reported) {
             let number = entry.window.number;
@@ -191,13 +194,13 @@
         let mut transaction = Transaction::default().check(LEASE_KEY, authority.lease_version);
         for (index, is_final) in &changed {
             let entry = &self.windows[*index];
-            let key = row_key(entry.window.number);
+            let key = row::key(entry.window.number);
             transaction = transaction
                 .check(&key, entry.row_version)
-                .write(&key, encode(&entry.window, *is_final));
+                .write(&key, row::encode(&entry.window, *is_final));
         }
         for index in &forgotten {
-            transaction = transaction.remove(&row_key(self.windows[*index].window.number));
+            transaction = transaction.remove(&row::key(self.windows[*index].window.number));
         }
         let outcome = gateway.adapters.table.commit(transaction).await;
         gateway.count_store_call("usage", outcome.is_ok());
@@ -273,6 +276,18 @@
     }
 }
 
+impl From<row::Saved> for Entry {
+    fn from(saved: row::Saved) -> Self {
+        Self {
+            row_version: saved.version,
+            saved: saved.window.clone(),
+            final_counts: saved.is_final.then(|| saved.window.totals()),
+            reported: false,
+            window: saved.window,
+        }
+    }
+}
+
 impl Entry {
     fn record_saved(&mut self, version: u64, is_final: bool) {
         self.row_version = version;
@@ -313,82 +328,3 @@
         _ => closed(),
     }
 }
-
-fn row_key(window: u64) -> String {
-    format!("{ROW_PREFIX}{window}")
-}
-
-/// The row of a window. Workspaces are listed once, as rows are limited in size.
-#[derive(Debug, Serialize, Deserialize)]
-struct SavedWindow {
-    window: u64,
-    is_final: bool,
-    workspaces: Vec<String>,
-    sources: Vec<SavedSource>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct SavedSource {
-    incarnation: u64,
-    /// Indices of workspaces, with their requests.
-    counts: Vec<(usize, u64)>,
-}
-
-fn encode(window: &Window, is_final: bool) -> String {
-    let workspaces: Vec<String> = window
-        .totals()
-        .0
-        .iter()
-        .map(|(name, _)| name.to_string())
-        .collect();
-    let index = |name: &str| {
-        workspaces
-            .binary_search_by(|other| (**other).cmp(name))
-            .unwrap_or_default()
-    };
-    let sources = window.sources.iter().map(|source| SavedSource {
-        incarnation: source.incarnation,
-        counts: source
-            .counts
-            .0
-            .iter()
-            .map(|(name, requests)| (index(name), *requests))
-            .collect(),
-    });
-    let saved = SavedWindow {
-        window: window.number,
-        is_final,
-        sources: sources.collect(),
-        workspaces,
-    };
-    // a row of plain fields always has a JSON form
-    serde_json::to_string(&saved).unwrap_or_default()
-}
-
-fn parse(row: &Row) -> Option<Entry> {
-    let saved: SavedWindow = serde_json::from_str(&row.value)
-        .inspect_err(|error| log::error!(key = row.key, error:%; "could not parse saved usage"))
-        .ok()?;
-    let mut window = Window::new(saved.window);
-    for source in &saved.sources {
-        let mut counts = Counts::default();
-        for (index, requests) in &source.counts {
-            counts.raise(
-                &Arc::from(saved.workspaces.get(*index)?.as_str()),
-                *requests,
-            );
-        }
-        window.merge(&Source {
-            incarnation: source.incarnation,
-            closed: false,
-            counts,
-        });
-    }
-    Some(Entry {
-        row_version: row.version,
-        saved: window.clone(),
-        final_counts: saved.is_final.then(|| window.totals()),
-        reported: false,
-        window,
-    })
-}
