--- a/components/gateway/src/peer/send.rs
+++ b/components/gateway/src/peer/send.rs
@@ -1,6 +1,6 @@
 //! Sends digests: when there is something to report, and as heartbeats.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use clock::Instant;
 use prost::Message;
@@ -48,7 +48,6 @@
         clock::sleep(MIN_DIGEST_INTERVAL).await;
         let update = Update::collect(gateway);
         apply_stage_changes(gateway, &update.changing, &[]);
-        let collectors = gateway.peers.usage_collectors();
         for schedule in &mut schedules {
             schedule.enqueue(&update);
             if !schedule.is_due(&update) {
@@ -65,15 +64,9 @@
             schedule.max_interval = recipients.max_interval;
             number += 1;
             let digest = schedule.next_digest(gateway, &update, number);
-            let usage = schedule.usage_due(gateway);
-            let bytes = digest.encode_to_vec();
-            let with_usage = Digest { usage, ..digest }.encode_to_vec();
+            let datagrams = Datagrams::new(gateway, digest, schedule.usage_due(gateway));
             for address in recipients.peers {
-                let bytes = if collectors.contains(&address) {
-                    &with_usage
-                } else {
-                    &bytes
-                };
+                let bytes = datagrams.bytes_for(address);
                 if let Err(error) = socket.send_to(bytes, address).await {
                     log::debug!(peer:% = address, error:%; "failed to send a digest");
                 }
@@ -82,6 +75,40 @@
     }
 }
 
+/// The encoded forms of a digest.
+struct Datagrams {
+    plain: Vec<u8>,
+    /// With usage, for its collectors only.
+    with_usage: Vec<u8>,
+    collectors: Vec<SocketAddr>,
+}
+
+impl Datagrams {
+    fn new(gateway: &Gateway, digest: Digest, usage: Vec<UsageWindow>) -> Self {
+        let plain = digest.encode_to_vec();
+        if usage.is_empty() {
+            return Self {
+                plain,
+                with_usage: Vec::new(),
+                collectors: Vec::new(),
+            };
+        }
+        Self {
+            plain,
+            with_usage: Digest { usage, ..digest }.encode_to_vec(),
+            collectors: gateway.peers.usage_collectors(),
+        }
+    }
+
+    fn bytes_for(&self, address: SocketAddr) -> &[u8] {
+        if self.collectors.contains(&address) {
+            &self.with_usage
+        } else {
+            &self.plain
+        }
+    }
+}
+
 /// Whether others depend on this process and must notice its failure soon.
 fn is_critical(gateway: &Gateway, update: &Update) -> bool {
     // during an outage all processes would read the lists, and all would be critical
--- a/components/gateway/src/process/usage/mod.rs
+++ b/components/gateway/src/process/usage/mod.rs
@@ -184,10 +184,10 @@
 
     /// Merges counts that a peer reports.
     pub fn merge_usage(&self, incarnation: u64, received: &[UsageWindow]) {
-        let Some((current, _)) = self
-            .usage_window(Instant::now())
-            .filter(|_| !received.is_empty())
-        else {
+        if received.is_empty() {
+            return;
+        }
+        let Some((current, _)) = self.usage_window(Instant::now()) else {
             return;
         };
         for window in received {
