--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -38,7 +38,7 @@
 use usage::Usage;
 
 use crate::{
-    adapters::{Dialect, Directory, Duties},
+    adapters::{Dialect, Directory, Duties, DutyError},
     connection,
     endpoint::Registry,
     error::Error,
@@ -193,6 +193,21 @@
         self.metrics.store_calls.with_label_values(&labels).inc();
     }
 
+    /// Counts a call that only the steward makes to the platform in the metrics.
+    pub fn count_duty(&self, call: &str, outcome: Result<(), DutyError>) {
+        let outcome = match outcome {
+            Ok(()) => "accepted",
+            Err(DutyError::Unavailable) => "unavailable",
+            Err(DutyError::Throttled) => "throttled",
+            Err(DutyError::Refused(_)) => "refused",
+            Err(DutyError::Unanswered) => "unanswered",
+        };
+        self.metrics
+            .duties
+            .with_label_values(&[call, outcome])
+            .inc();
+    }
+
     /// Whether this process reads the operators' lists from the store itself.
     pub fn reads_lists(&self) -> bool {
         follow::reads_lists(self)
--- a/components/gateway/src/steward/scaling.rs
+++ b/components/gateway/src/steward/scaling.rs
@@ -157,6 +157,7 @@
             return false;
         }
         let outcome = duties.order_endpoints(&holder, &order).await;
+        gateway.count_duty("endpoints", outcome);
         let answer = outcome.map_or_else(|error| error.to_string(), |()| "accepted".to_owned());
         log::info!(
             service = &*order.service, data_centre = &*order.data_centre, revocable = order.revocable,
--- a/components/gateway/src/steward/usage/mod.rs
+++ b/components/gateway/src/steward/usage/mod.rs
@@ -252,6 +252,7 @@
                 return;
             }
             let outcome = duties.report_usage(&holder, &report).await;
+            gateway.count_duty("usage", outcome);
             let requests: u64 = counts.0.iter().map(|(_, requests)| requests).sum();
             let since_end = age(gateway, report.window).map(|age| protocol::millis(age.since_end));
             match outcome {
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -27,6 +27,8 @@
     pub migrations: IntCounterVec,
     /// Orders to engines, by outcome.
     pub orders: IntCounterVec,
+    /// Calls that only the steward makes to the platform, by call and outcome.
+    pub duties: IntCounterVec,
     /// Queries of an engine's cached tokens, by whether the engine answered.
     pub cache_listings: IntCounterVec,
     /// Calls to the platform's store, by purpose and by whether the store answered.
@@ -96,6 +98,11 @@
                 &["outcome"],
             )?,
             orders: counters("orders_total", "Orders to engines.", &["outcome"])?,
+            duties: counters(
+                "duties_total",
+                "Usage reports and orders for endpoints.",
+                &["call", "outcome"],
+            )?,
             cache_listings: counters(
                 "engine_listings_total",
                 "Engines asked for what they hold.",
@@ -147,6 +154,7 @@
             &self.crashes,
             &self.migrations,
             &self.orders,
+            &self.duties,
             &self.cache_listings,
             &self.store_calls,
         ] {
