--- a/components/policy/src/stage.rs
+++ b/components/policy/src/stage.rs
@@ -112,12 +112,6 @@
     /// engine. Below it, prompts hardly wait for each other, and a change would have a cost and no
     /// benefit.
     pub min_load_ratio: f64,
-    /// Fraction of its target utilisation below which the decode stage has engines to spare.
-    pub max_spare_load_ratio: f64,
-    /// Takes the place of [`Self::min_load_ratio`] for the prefill stage while the decode stage has engines
-    /// to spare. Prefill engines in reserve answer a burst of prompts, which is over before a change is
-    /// complete; at this load a burst of three times the usual prompts fills them.
-    pub min_load_ratio_with_spare: f64,
     /// If the plan for the shorter average differs from the current number of prefill engines by at
     /// least this many, it is followed at once. Swings of a few seconds stay below it.
     pub min_recent_deviation_engines: f64,
@@ -134,8 +128,6 @@
             change_margin_engines: 1.0,
             change_margin_ratio: 0.04,
             min_load_ratio: 0.7,
-            max_spare_load_ratio: 0.5,
-            min_load_ratio_with_spare: 0.3,
             min_recent_deviation_engines: 2.5,
             idle_demand: 0.2,
         }
@@ -253,24 +245,10 @@
     can_serve_alone(&after, members[index].data_centre)
 }
 
-/// Whether the prefill engines have about as much load as they should carry, or more; with engines to
-/// spare, they should carry less.
+/// Whether the prefill engines have about as much load as they should carry, or more.
 fn is_prefill_loaded(demand: &Demand, fleet: &Fleet, weights: &Weights) -> bool {
     let target = to_f64(fleet.prefill_engines) * weights.prefill_utilisation;
-    let min_load_ratio = if has_spare_decode(demand, fleet, weights) {
-        weights.min_load_ratio_with_spare
-    } else {
-        weights.min_load_ratio
-    };
-    demand.prefill_engines.max(demand.recent_prefill_engines) > target * min_load_ratio
-}
-
-/// Whether the decode stage stays far below its target utilisation with one engine less.
-fn has_spare_decode(demand: &Demand, fleet: &Fleet, weights: &Weights) -> bool {
-    let left = fleet.engines.saturating_sub(fleet.prefill_engines + 1);
-    let target = to_f64(left * fleet.slots_per_engine) * weights.slot_utilisation;
-    left >= weights.min_decode_engines
-        && demand.decode_slots < target * weights.max_spare_load_ratio
+    demand.prefill_engines.max(demand.recent_prefill_engines) > target * weights.min_load_ratio
 }
 
 /// The same for the decode engines; fewer than [`Weights::min_decode_engines`] always count as loaded.
