Confirm nothing by a store clock that was set back

Cause: found by reading. Confirmations only advanced, so after the store's clock was set back an old one lay in the future and its age counted as zero: removed keys would have counted until the clock had caught up. Change: a clock that does not fit what was known starts anew, and times that it cannot have read yet are ignored. Tests play both sides.

--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -499,7 +499,7 @@
     // read before the version, which only increases: this confirms the version or an earlier one
     let confirmed = gateway.confirmed();
     Digest {
-        confirmed_ms: confirmed.0,
+        confirmed_ms: confirmed.map_or(0, |time| time.0),
         wall_clock_ms: gateway.wall_clock_offset_ms().unwrap_or_default(),
         usage: Vec::new(),
         incarnation: gateway.incarnation,
--- a/components/gateway/src/process/freshness/mod.rs
+++ b/components/gateway/src/process/freshness/mod.rs
@@ -7,10 +7,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::{
-    sync::atomic::{AtomicU64, Ordering},
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clock::Instant;
 use parking_lot::Mutex;
@@ -48,8 +45,9 @@
 }
 
 impl StoreClock {
-    /// Learns from a response with the store's time to a call that was sent and received at these times.
-    pub fn observe(&mut self, time: StoreTime, sent: Instant, received: Instant) {
+    /// Learns from a response with the store's time to a call that was sent and received at these times. Returns whether
+    /// it fits what was known; if not, the clocks have drifted apart or the store's was set, and it is learnt anew.
+    pub fn observe(&mut self, time: StoreTime, sent: Instant, received: Instant) -> bool {
         let new = Observation {
             time,
             earliest: sent,
@@ -57,7 +55,7 @@
         };
         let Some(known) = self.0 else {
             self.0 = Some(new);
-            return;
+            return true;
         };
         let later = time.max(known.time);
         let (known, new) = (known.at(later), new.at(later));
@@ -66,9 +64,9 @@
             earliest: known.earliest.max(new.earliest),
             latest: known.latest.min(new.latest),
         };
-        // the clocks have drifted apart, or the store's clock was set
-        let contradictory = both.earliest > both.latest;
-        self.0 = Some(if contradictory { new } else { both });
+        let fits = both.earliest <= both.latest;
+        self.0 = Some(if fits { both } else { new });
+        fits
     }
 
     /// Returns the earliest time at which the store's clock can have read `time`; `None` if that is unknown.
@@ -93,54 +91,70 @@
 
 /// How recent the configuration in force is known to be.
 #[derive(Debug, Default)]
-pub struct Confirmation {
-    clock: Mutex<StoreClock>,
-    /// The latest time of the store's clock, in milliseconds, at which no newer configuration existed; zero before the
-    /// first confirmation.
-    confirmed_ms: AtomicU64,
+pub struct Confirmation(Mutex<State>);
+
+#[derive(Debug, Default)]
+struct State {
+    clock: StoreClock,
+    /// The latest time of the store's clock at which no newer configuration existed.
+    confirmed: Option<StoreTime>,
 }
 
 impl Confirmation {
-    /// Records a time at which the configuration in force was the newest.
-    fn confirm(&self, time: StoreTime) {
-        self.confirmed_ms.fetch_max(time.0, Ordering::Relaxed);
+    /// Records a response of the store, according to which the configuration in force was the newest at `time`.
+    fn record_response(&self, time: StoreTime, sent: Instant, received: Instant) {
+        let mut state = self.0.lock();
+        if !state.clock.observe(time, sent, received) {
+            log::warn!(time:%, confirmed:? = state.confirmed; "the store's clock was set or has drifted; learning it anew");
+            state.confirmed = None;
+        }
+        state.confirmed = state.confirmed.max(Some(time));
+    }
+
+    /// Records a time at which the configuration in force was the newest according to a peer. Ignored if the store's
+    /// clock cannot have read it yet.
+    fn confirm(&self, time: StoreTime, now: Instant) {
+        let mut state = self.0.lock();
+        let is_past = state
+            .clock
+            .earliest(time)
+            .is_some_and(|earliest| earliest <= now);
+        if is_past {
+            state.confirmed = state.confirmed.max(Some(time));
+        }
     }
 
-    /// Returns the latest time at which the configuration in force was the newest; zero if unknown.
-    fn confirmed(&self) -> StoreTime {
-        StoreTime(self.confirmed_ms.load(Ordering::Relaxed))
+    /// Returns how old the configuration in force can be at most; `None` if that is unknown.
+    fn age(&self, now: Instant) -> Option<Duration> {
+        let state = self.0.lock();
+        let earliest = state.clock.earliest(state.confirmed?)?;
+        Some(now.duration_since(earliest))
     }
 }
 
 impl Gateway {
     /// Records a response of the store, according to which the configuration in force was the newest.
     pub fn confirm_configuration(&self, as_of: StoreTime, sent: Instant) {
-        let received = Instant::now();
         self.confirmation
-            .clock
-            .lock()
-            .observe(as_of, sent, received);
-        self.confirmation.confirm(as_of);
+            .record_response(as_of, sent, Instant::now());
     }
 
     /// Records that a peer confirms a version to have been the newest.
     pub fn confirm_version(&self, version: u64, time: StoreTime) {
         let known = self.configuration().map_or(0, |known| known.version);
         if version > 0 && known >= version {
-            self.confirmation.confirm(time);
+            self.confirmation.confirm(time, Instant::now());
         }
     }
 
-    /// Returns the latest time at which the configuration in force was the newest; zero if unknown.
-    pub fn confirmed(&self) -> StoreTime {
-        self.confirmation.confirmed()
+    /// Returns the latest time at which the configuration in force was the newest; `None` if that is unknown.
+    pub fn confirmed(&self) -> Option<StoreTime> {
+        self.confirmation.0.lock().confirmed
     }
 
     /// Returns how old the configuration in force can be at most; `None` if that is unknown.
     pub fn configuration_age(&self, now: Instant) -> Option<Duration> {
-        let confirmed = self.confirmed();
-        let earliest = self.confirmation.clock.lock().earliest(confirmed)?;
-        (confirmed.0 > 0).then(|| now.duration_since(earliest))
+        self.confirmation.age(now)
     }
 
     /// Returns what is known about the age of the configuration for a request that arrived at `arrived`.
@@ -175,7 +189,12 @@
     /// Returns the difference of this process's wall clock to the store's clock, in milliseconds; `None` if one of them
     /// is unknown.
     pub fn wall_clock_offset_ms(&self) -> Option<i64> {
-        let store_ms = self.confirmation.clock.lock().estimate_ms(Instant::now())?;
+        let store_ms = self
+            .confirmation
+            .0
+            .lock()
+            .clock
+            .estimate_ms(Instant::now())?;
         let unix_ms = millis(SystemTime::now().duration_since(UNIX_EPOCH).ok()?);
         i64::try_from(unix_ms).ok()?.checked_sub_unsigned(store_ms)
     }
@@ -183,7 +202,7 @@
     /// Returns the Unix time in milliseconds. It is the store's clock with the median of the differences that gateways
     /// observe, as single wall clocks may be wrong. `None` before the store's clock is known.
     pub fn unix_ms(&self, at: Instant) -> Option<u64> {
-        let store_ms = self.confirmation.clock.lock().estimate_ms(at)?;
+        let store_ms = self.confirmation.0.lock().clock.estimate_ms(at)?;
         let own = self.wall_clock_offset_ms();
         let offset = self.peers.median_wall_clock_offset_ms(own)?;
         store_ms.checked_add_signed(offset)
--- a/components/gateway/src/process/freshness/tests.rs
+++ b/components/gateway/src/process/freshness/tests.rs
@@ -55,15 +55,36 @@
 fn a_clock_that_was_set_is_learnt_anew() {
     let start = Instant::now();
     let mut clock = StoreClock::default();
-    clock.observe(StoreTime(900_000), start, start + ms(10));
-    clock.observe(StoreTime(5), start + ms(20), start + ms(30));
+    assert!(clock.observe(StoreTime(900_000), start, start + ms(10)));
+    assert!(!clock.observe(StoreTime(5), start + ms(20), start + ms(30)));
     assert_eq!(clock.earliest(StoreTime(5)), Some(start + ms(20)));
 }
 
 #[test]
 fn confirmations_only_advance() {
+    let start = Instant::now();
+    let confirmation = Confirmation::default();
+    confirmation.record_response(StoreTime(1_000), start, start + ms(5));
+    confirmation.confirm(StoreTime(1_500), start + ms(600));
+    confirmation.confirm(StoreTime(1_200), start + ms(700));
+    assert_eq!(confirmation.age(start + ms(1_000)), Some(ms(500)));
+}
+
+#[test]
+fn without_a_call_of_its_own_a_process_takes_no_confirmation() {
+    let confirmation = Confirmation::default();
+    let now = Instant::now();
+    confirmation.confirm(StoreTime(1_000), now);
+    assert_eq!(confirmation.age(now), None);
+}
+
+/// Peers that have not noticed yet go on sending times of the clock as it was.
+#[test]
+fn times_of_a_clock_that_was_set_back_confirm_nothing() {
+    let start = Instant::now();
     let confirmation = Confirmation::default();
-    confirmation.confirm(StoreTime(7));
-    confirmation.confirm(StoreTime(5));
-    assert_eq!(confirmation.confirmed(), StoreTime(7));
+    confirmation.record_response(StoreTime(900_000), start, start + ms(5));
+    confirmation.record_response(StoreTime(10), start + ms(1_000), start + ms(1_005));
+    confirmation.confirm(StoreTime(900_000), start + ms(1_100));
+    assert_eq!(confirmation.age(start + ms(9_000)), Some(ms(8_000)));
 }
