Drop usage windows long past at every gateway

Cause: found by reading. Only gateways that receive counts of others dropped old windows; all others kept each one. The new test counts them.

--- a/components/gateway/src/process/usage/mod.rs
+++ b/components/gateway/src/process/usage/mod.rs
@@ -139,16 +139,44 @@
             return;
         }
         let mut windows = self.0.lock();
-        windows.retain(|window| window.number + KEPT_WINDOWS >= current);
+        drop_old(&mut windows, current);
         find(&mut windows, number).merge(source);
     }
 
+    /// Counts a request that this process, as `incarnation`, knows to have begun to run.
+    fn count(&self, number: u64, incarnation: u64, workspace: &Arc<str>) {
+        let mut windows = self.0.lock();
+        let own = find(&mut windows, number).source(incarnation);
+        own.counts.add(workspace, 1);
+    }
+
+    /// Closes the windows of `incarnation` that ended long enough before `since_start` in the current one, and returns
+    /// the last ones with its counts.
+    fn close(&self, current: u64, since_start: Duration, incarnation: u64) -> Vec<UsageWindow> {
+        let mut windows = self.0.lock();
+        drop_old(&mut windows, current);
+        let first = current.saturating_sub(SENT_WINDOWS);
+        (first..=current)
+            .map(|number| {
+                let own = find(&mut windows, number).source(incarnation);
+                let previous = number + 1 == current;
+                own.closed = number < current && (!previous || since_start >= CLOSE_DELAY);
+                encode(number, own)
+            })
+            .collect()
+    }
+
     /// Returns the windows of which anything is known.
     pub fn windows(&self) -> Vec<Window> {
         self.0.lock().clone()
     }
 }
 
+/// Drops windows long past.
+fn drop_old(windows: &mut Vec<Window>, current: u64) {
+    windows.retain(|window| window.number + KEPT_WINDOWS >= current);
+}
+
 /// Returns the window with a number, which is added if it is missing.
 fn find(windows: &mut Vec<Window>, number: u64) -> &mut Window {
     let index = match windows.binary_search_by_key(&number, |window| window.number) {
@@ -177,9 +205,7 @@
             log::warn!(workspace = &**workspace; "usage is not counted, as the time is unknown");
             return;
         };
-        let mut windows = self.usage.0.lock();
-        let own = find(&mut windows, number).source(self.incarnation);
-        own.counts.add(workspace, 1);
+        self.usage.count(number, self.incarnation, workspace);
     }
 
     /// Merges counts that a peer reports.
@@ -214,16 +240,7 @@
         let Some((current, since_start)) = now else {
             return Vec::new();
         };
-        let mut windows = self.usage.0.lock();
-        let first = current.saturating_sub(SENT_WINDOWS);
-        (first..=current)
-            .map(|number| {
-                let own = find(&mut windows, number).source(self.incarnation);
-                let previous = number + 1 == current;
-                own.closed = number < current && (!previous || since_start >= CLOSE_DELAY);
-                encode(number, own)
-            })
-            .collect()
+        self.usage.close(current, since_start, self.incarnation)
     }
 }
 
--- a/components/gateway/src/process/usage/tests.rs
+++ b/components/gateway/src/process/usage/tests.rs
@@ -1,6 +1,6 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use super::{Counts, KEPT_WINDOWS, Source, Usage, Window};
+use super::{CLOSE_DELAY, Counts, KEPT_WINDOWS, Source, Usage, Window};
 
 fn source(incarnation: u64, counts: &[(&str, u64)]) -> Source {
     let mut all = Counts::default();
@@ -59,3 +59,39 @@
     let numbers: Vec<u64> = usage.windows().iter().map(|window| window.number).collect();
     assert_eq!(numbers, [kept, current, current + 1]);
 }
+
+#[test]
+fn a_window_is_closed_some_time_after_its_end() {
+    let usage = Usage::default();
+    usage.count(7, 1, &Arc::from("roads"));
+    let closed = |since_start| {
+        let windows = usage.close(8, since_start, 1);
+        windows
+            .iter()
+            .filter(|window| window.closed)
+            .map(|window| window.window)
+            .collect::<Vec<u64>>()
+    };
+    assert_eq!(closed(Duration::ZERO), [6]);
+    assert_eq!(closed(CLOSE_DELAY), [6, 7]);
+    let counted = usage.close(8, CLOSE_DELAY, 1);
+    let requests = |index: usize| {
+        counted[index]
+            .counts
+            .iter()
+            .map(|count| count.requests)
+            .sum::<u64>()
+    };
+    assert_eq!([requests(0), requests(1), requests(2)], [0, 1, 0]);
+}
+
+/// Most gateways receive no counts of others.
+#[test]
+fn a_process_keeps_few_windows_of_its_own() {
+    let usage = Usage::default();
+    for current in 0..1_000 {
+        usage.count(current, 1, &Arc::from("roads"));
+        usage.close(current, Duration::ZERO, 1);
+    }
+    assert!(usage.windows().len() <= 10);
+}
