--- a/components/gateway/src/steward/scaling.rs
+++ b/components/gateway/src/steward/scaling.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use clock::Instant;
-use policy::scaling::{self, Site, Weights};
+use policy::scaling::{self, DataCentre, Weights};
 
 use super::lease::Authority;
 use crate::{
@@ -95,8 +95,8 @@
             revocable,
             count,
         };
-        let site = Site {
-            firm: in_service(gateway, service, data_centre, false),
+        let current = DataCentre {
+            on_demand: in_service(gateway, service, data_centre, false),
             revocable: in_service(gateway, service, data_centre, true),
             offers_revocable: limits.revocable_price.is_some(),
             revocable_refused: self
@@ -105,15 +105,17 @@
             min: limits.min,
             max: limits.max,
         };
-        if site.firm + site.revocable == 0 {
+        if current.on_demand + current.revocable == 0 {
             return Vec::new();
         }
-        let wanted = scaling::plan(&site, &Weights::default());
+        let wanted = scaling::plan(&current, &Weights::default());
         let revocable = wanted
             .revocable
-            .map(|count| (order(true, count), site.revocable));
-        let firm = wanted.firm.map(|count| (order(false, count), site.firm));
-        revocable.into_iter().chain(firm).collect()
+            .map(|count| (order(true, count), current.revocable));
+        let on_demand = wanted
+            .on_demand
+            .map(|count| (order(false, count), current.on_demand));
+        revocable.into_iter().chain(on_demand).collect()
     }
 
     /// Whether an order is to be given: it differs from the last one, or that one has not had its effect in time.
--- a/components/policy/src/scaling.rs
+++ b/components/policy/src/scaling.rs
@@ -7,9 +7,9 @@
 
 /// The endpoints of a service in a data centre, and the limits for them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Site {
+pub struct DataCentre {
     /// Endpoints in service that stay until they are ordered away.
-    pub firm: u64,
+    pub on_demand: u64,
     /// Endpoints in service that the platform may take back.
     pub revocable: u64,
     /// Whether there are revocable endpoints at all.
@@ -26,7 +26,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Weights {
     /// Endpoints that are not revocable, as a fraction of the maximum, in each data centre.
-    pub firm_ratio: f64,
+    pub on_demand_ratio: f64,
     /// Endpoints of both kinds, as a fraction of the maximum, in each data centre.
     pub total_ratio: f64,
     /// The same while the platform has no revocable ones.
@@ -36,7 +36,7 @@
 impl Default for Weights {
     fn default() -> Self {
         Self {
-            firm_ratio: 0.05,
+            on_demand_ratio: 0.05,
             total_ratio: 0.8,
             fallback_ratio: 0.5,
         }
@@ -47,7 +47,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Wanted {
     /// Endpoints that are not revocable.
-    pub firm: Option<u64>,
+    pub on_demand: Option<u64>,
     /// Revocable endpoints.
     pub revocable: Option<u64>,
 }
@@ -59,26 +59,31 @@
 /// at all, since the list may not have all of them yet. If the platform has no revocable ones, others take
 /// their place until it has some again.
 #[must_use]
-pub fn plan(site: &Site, weights: &Weights) -> Wanted {
-    if !site.offers_revocable {
+pub fn plan(data_centre: &DataCentre, weights: &Weights) -> Wanted {
+    if !data_centre.offers_revocable {
         return Wanted::default();
     }
-    let share = |ratio: f64| crate::to_u64((crate::to_f64(site.max) * ratio).ceil());
-    let total = share(weights.total_ratio).clamp(site.min.max(1), site.max);
-    let least_firm = share(weights.firm_ratio).clamp(1, total);
-    let lacking = if site.revocable_refused {
+    let share = |ratio: f64| crate::to_u64((crate::to_f64(data_centre.max) * ratio).ceil());
+    let total = share(weights.total_ratio)
+        .max(data_centre.min)
+        .min(data_centre.max);
+    let min_on_demand = share(weights.on_demand_ratio).max(1).min(total);
+    let lacking = if data_centre.revocable_refused {
         share(weights.fallback_ratio)
             .min(total)
-            .saturating_sub(site.revocable)
+            .saturating_sub(data_centre.revocable)
     } else {
         0
     };
-    let not_replaced = site.firm.saturating_sub(site.revocable);
-    let firm = least_firm.max(not_replaced).max(lacking);
+    let not_replaced = data_centre.on_demand.saturating_sub(data_centre.revocable);
+    let on_demand = min_on_demand.max(not_replaced).max(lacking);
     // both kinds share the maximum, and those to be given up still count
-    let room = site.max.saturating_sub(firm.max(site.firm));
+    let room = data_centre
+        .max
+        .saturating_sub(on_demand.max(data_centre.on_demand));
     Wanted {
-        firm: (site.revocable > 0 || site.revocable_refused).then_some(firm),
-        revocable: Some(room.min(total - least_firm)),
+        on_demand: (data_centre.revocable > 0 || data_centre.revocable_refused)
+            .then_some(on_demand),
+        revocable: Some(room.min(total - min_on_demand)),
     }
 }
