--- a/components/gateway/src/request/access/tests.rs
+++ b/components/gateway/src/request/access/tests.rs
@@ -16,6 +16,24 @@
         (workspace("water"), vec![KeyDigest::of(b"w1")]),
         (workspace("closed"), Vec::new()),
     ])
+    .expect("each key has one workspace")
+}
+
+#[test]
+fn a_key_of_two_workspaces_is_an_error() {
+    let workspace = |name: &str| Workspace {
+        name: Arc::from(name),
+        priority: None,
+    };
+    let key = KeyDigest::of(b"k1");
+    let both = vec![
+        (workspace("roads"), vec![key]),
+        (workspace("water"), vec![key]),
+    ];
+    let conflict = Keyring::new(both).expect_err("a conflict");
+    assert!(conflict.to_string().contains("roads"), "{conflict}");
+    let twice = vec![(workspace("roads"), vec![key, key])];
+    assert!(Keyring::new(twice).is_ok());
 }
 
 /// Returns the outcome of a check as the name of the workspace, an empty one for none.
--- a/components/gateway/src/version/mod.rs
+++ b/components/gateway/src/version/mod.rs
@@ -8,7 +8,7 @@
 
 use derive_more::Display;
 
-pub use workspace::{KeyDigest, Keyring, Workspace};
+pub use workspace::{KeyConflict, KeyDigest, Keyring, Workspace};
 
 /// How a request may be retried, by the kind of its route.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
--- a/components/gateway/src/version/workspace.rs
+++ b/components/gateway/src/version/workspace.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, sync::Arc};
 
+use derive_more::{Display, Error};
 use sha2::{Digest as _, Sha256};
 
 /// A workspace: whose requests are counted together, and how urgent they are.
@@ -39,11 +40,24 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Keyring(Vec<(KeyDigest, Arc<Workspace>)>);
 
+/// Two workspaces have the same API key, so it cannot be told whose requests they are.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("workspaces {first} and {second} have the same API key")]
+pub struct KeyConflict {
+    /// Name of one workspace.
+    pub first: Arc<str>,
+    /// Name of the other one.
+    pub second: Arc<str>,
+}
+
 impl Keyring {
     /// Creates a keyring from workspaces, each with the digests of its keys.
-    #[must_use]
-    pub fn new(workspaces: Vec<(Workspace, Vec<KeyDigest>)>) -> Self {
-        let mut keys = Vec::new();
+    ///
+    /// # Errors
+    ///
+    /// [`KeyConflict`] if two workspaces have the same key.
+    pub fn new(workspaces: Vec<(Workspace, Vec<KeyDigest>)>) -> Result<Self, KeyConflict> {
+        let mut keys: Vec<(KeyDigest, Arc<Workspace>)> = Vec::new();
         for (workspace, digests) in workspaces {
             let workspace = Arc::new(workspace);
             keys.extend(
@@ -53,7 +67,17 @@
             );
         }
         keys.sort_unstable_by_key(|(digest, _)| *digest);
-        Self(keys)
+        let conflict = keys
+            .iter()
+            .zip(keys.iter().skip(1))
+            .find(|((a, first), (b, second))| a == b && first.name != second.name);
+        match conflict {
+            Some(((_, first), (_, second))) => Err(KeyConflict {
+                first: Arc::clone(&first.name),
+                second: Arc::clone(&second.name),
+            }),
+            None => Ok(Self(keys)),
+        }
     }
 
     /// Returns the workspace that holds a key.
