--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -59,7 +59,7 @@
     pub peer_load: Load,
     /// Its health.
     pub health: Health,
-    /// Its latency in its current stage; `None` until it has been measured.
+    /// Its latency in its current stage; `None` before the first sample.
     pub latency: Option<Latency>,
     /// Prompt parts that it likely has cached.
     pub prefix_cache: PrefixCache,
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -363,8 +363,8 @@
         first.chain(stewards).map(|peer| peer.address).collect()
     }
 
-    /// Returns the incarnations of the peers that have been heard from within `span`.
-    pub fn heard_within(&self, span: Duration) -> Vec<u64> {
+    /// Returns the incarnations of the peers whose last digest was received within `span`.
+    pub fn incarnations_active_within(&self, span: Duration) -> Vec<u64> {
         let known = self.known.lock();
         let recent = |peer: &&Peer| peer.last_received.is_some_and(|last| last.elapsed() < span);
         known
--- a/components/gateway/src/process/follow.rs
+++ b/components/gateway/src/process/follow.rs
@@ -78,8 +78,8 @@
     too_few_readers(&readers(gateway))
 }
 
-/// Whether followers can rely on this process for the lists: it reads them, and is not held up by a configuration that
-/// arrives slowly. On a slow link a large one takes longer than operators allow, and followers on faster links need not
+/// Whether followers can rely on this process for the lists: it reads them, and is not receiving a configuration
+/// slowly. On a slow link a large one takes longer than operators allow, and followers on faster links need not
 /// wait for it.
 pub fn is_reliable_reader(gateway: &Gateway) -> bool {
     let receiving = gateway.adapters.directory.receiving_configuration_for();
--- a/components/gateway/src/process/freshness/mod.rs
+++ b/components/gateway/src/process/freshness/mod.rs
@@ -1,8 +1,8 @@
-//! How recent the configuration in force certainly is.
+//! The maximum age of the configuration in force.
 //!
-//! The store's responses tell the time of its clock, and gateways pass on at which of these times no newer
-//! configuration existed. A message may be arbitrarily late, so its own age says nothing; a process translates the
-//! store's time with what it has observed of that clock itself. See `docs/DESIGN.md#api-keys`.
+//! Each response of the store contains the time of its clock, and gateways send each other the latest such time at
+//! which no newer configuration existed. A message may be delayed for any time, so when it is received says nothing about
+//! its age; a process converts the store's time with the bounds from its own calls. See `docs/DESIGN.md#api-keys`.
 
 #[cfg(test)]
 mod tests;
--- a/components/gateway/src/process/freshness/tests.rs
+++ b/components/gateway/src/process/freshness/tests.rs
@@ -20,9 +20,9 @@
     assert_eq!(clock.earliest(StoreTime(900)), start.checked_sub(ms(100)));
 }
 
-/// A call that the store holds for a second tells little of its clock, and must not blur what a quick one has told.
+/// The bounds from a long poll are wide, and must not replace the narrow ones from a short call.
 #[test]
-fn slow_calls_do_not_blur_what_quick_ones_have_told() {
+fn a_long_poll_does_not_widen_the_bounds_from_a_short_call() {
     let start = Instant::now();
     let mut clock = StoreClock::default();
     clock.observe(StoreTime(1_000), start, start + ms(10));
--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -287,7 +287,7 @@
 
     /// Adopts a peer's learnt latency of a service's engines in one stage. Without it, a process that has
     /// just started would place its first prompts by the initial estimates, which can be several times too
-    /// low: the prefill of 44,958 tokens was expected to take 0.3 s and took 1.9 s.
+    /// low.
     pub fn adopt_latency(&self, service: &Arc<str>, stage: Stage, received: &Latency) {
         let adopted = self.with_service(service, |state| {
             state.latencies.for_stage_mut(stage).adopt(received)
--- a/components/gateway/src/process/usage/mod.rs
+++ b/components/gateway/src/process/usage/mod.rs
@@ -15,8 +15,8 @@
 
 use super::Gateway;
 
-/// Time after the end of a window at which a gateway takes its own counts for final: longer than the response of a
-/// plain service usually takes, which tells that the request ran.
+/// Time after the end of a window at which a gateway closes it. A plain request is counted only when its response
+/// arrives, which usually takes less.
 const CLOSE_DELAY: Duration = Duration::from_secs(1);
 /// Number of windows before the current one for which counts are sent.
 const SENT_WINDOWS: u64 = 2;
--- a/components/gateway/src/request/access/mod.rs
+++ b/components/gateway/src/request/access/mod.rs
@@ -37,7 +37,7 @@
 pub enum Denial {
     /// It presents no key that the configuration has.
     Unauthorized,
-    /// Whether its key is valid can't be told now.
+    /// The configuration is too old to decide whether its key is valid.
     Unconfirmed,
 }
 
--- a/components/gateway/src/request/refusal.rs
+++ b/components/gateway/src/request/refusal.rs
@@ -34,7 +34,7 @@
     /// The caller presents no valid API key.
     #[display("the API key is missing or not valid")]
     Unauthorized,
-    /// This process can't tell whether the API key is still valid.
+    /// The configuration is too old to decide whether the API key is still valid.
     #[display("whether the API key is valid can't be confirmed at the moment")]
     KeyUnconfirmed,
     /// The body is larger than the configuration allows.
--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -43,7 +43,7 @@
 /// What a held lease allows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Authority {
-    /// The epoch of the lease, which is the fencing token of orders.
+    /// The epoch of the lease, higher than that of all previous stewards; it is the fencing token of orders.
     pub epoch: u64,
     /// The version of the lease row, which transactions check.
     pub lease_version: u64,
@@ -69,12 +69,6 @@
         self.held.map(|held| held.valid_until)
     }
 
-    /// Returns the epoch of the lease that this process holds. It is the fencing token of its orders, and
-    /// higher than that of all previous stewards.
-    pub fn epoch(&self) -> Option<u64> {
-        self.held.map(|held| held.epoch)
-    }
-
     /// Returns the authority that the lease gives.
     pub fn authority(&self) -> Option<Authority> {
         self.held.map(|held| Authority {
@@ -84,12 +78,6 @@
         })
     }
 
-    /// Whether this process may give orders now.
-    pub fn may_order(&self, now: Instant) -> bool {
-        self.held
-            .is_some_and(|held| held.may_order_from <= now && now < held.valid_until)
-    }
-
     /// Renews the lease, or checks whether it can be acquired, when either is due.
     pub async fn update(&mut self, gateway: &Gateway) {
         let now = Instant::now();
--- a/components/gateway/src/steward/mod.rs
+++ b/components/gateway/src/steward/mod.rs
@@ -16,7 +16,7 @@
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 
-use crate::{endpoint::Stage, process::Gateway};
+use crate::{adapters::Holder, endpoint::Stage, process::Gateway};
 use lease::{Authority, LeaseKeeper};
 use plan::Planner;
 
@@ -134,6 +134,14 @@
     }
 }
 
+/// Returns this process as the holder of a lease, for calls to the platform.
+fn holder(gateway: &Gateway, authority: Authority) -> Holder {
+    Holder {
+        name: gateway.settings.gateway.name.clone(),
+        fencing_token: authority.epoch,
+    }
+}
+
 /// Number of gateways besides the steward, lowest addresses first, that keep the data that a steward needs.
 /// The first of them takes over when the steward fails.
 const SUCCESSORS: usize = 2;
@@ -157,20 +165,16 @@
         if is_steward_or_successor(&gateway) {
             planner.observe(&gateway);
         }
-        let may_order = lease_keeper.may_order(Instant::now());
         {
             let mut state = gateway.steward.state.lock();
             state.lease_until = lease_keeper.lease_end();
             state.authority = lease_keeper.authority();
         }
-        if !may_order {
-            continue;
-        }
-        let Some(epoch) = lease_keeper.epoch() else {
+        let Some(authority) = gateway.steward.authority() else {
             continue;
         };
         for change in planner.changes(&gateway) {
-            tasks.spawn(change::run(Arc::clone(&gateway), change, epoch));
+            tasks.spawn(change::run(Arc::clone(&gateway), change, authority.epoch));
         }
     }
 }
--- a/components/gateway/src/steward/scaling.rs
+++ b/components/gateway/src/steward/scaling.rs
@@ -10,7 +10,7 @@
 
 use super::lease::Authority;
 use crate::{
-    adapters::{DutyError, EndpointOrder, Holder},
+    adapters::{DutyError, EndpointOrder},
     endpoint::State,
     process::Gateway,
     version::{Scaling, Service},
@@ -55,6 +55,15 @@
     repeat_from: Instant,
 }
 
+impl Given {
+    /// Whether this was for the same kind of endpoint of the same service and data centre.
+    fn is_for_kind_of(&self, order: &EndpointOrder) -> bool {
+        self.order.service == order.service
+            && self.order.data_centre == order.data_centre
+            && self.order.revocable == order.revocable
+    }
+}
+
 impl Scaler {
     async fn step(&mut self, gateway: &Gateway, authority: Authority) {
         if self.epoch != authority.epoch {
@@ -131,12 +140,7 @@
     }
 
     fn find(&self, order: &EndpointOrder) -> Option<&Given> {
-        let same = |given: &&Given| {
-            given.order.service == order.service
-                && given.order.data_centre == order.data_centre
-                && given.order.revocable == order.revocable
-        };
-        self.given.iter().find(same)
+        self.given.iter().find(|given| given.is_for_kind_of(order))
     }
 
     /// Gives an order. Returns whether this process still may.
@@ -150,10 +154,7 @@
         let Some(duties) = &gateway.adapters.duties else {
             return false;
         };
-        let holder = Holder {
-            name: gateway.settings.gateway.name.clone(),
-            fencing_token: authority.epoch,
-        };
+        let holder = super::holder(gateway, authority);
         // no await may come between this check of the lease and the call
         if !gateway.steward.may_order(authority.epoch) {
             return false;
@@ -170,11 +171,7 @@
             Err(DutyError::Unavailable) => UNAVAILABLE_DELAY,
             Err(_) => RETRY_DELAY,
         };
-        self.given.retain(|given| {
-            given.order.service != order.service
-                || given.order.data_centre != order.data_centre
-                || given.order.revocable != order.revocable
-        });
+        self.given.retain(|given| !given.is_for_kind_of(&order));
         self.given.push(Given {
             order,
             outcome,
--- a/components/gateway/src/steward/usage/mod.rs
+++ b/components/gateway/src/steward/usage/mod.rs
@@ -13,7 +13,7 @@
 
 use super::lease::{Authority, LEASE_KEY};
 use crate::{
-    adapters::{DutyError, Holder, UsageReport},
+    adapters::{DutyError, UsageReport},
     process::{
         Gateway,
         usage::{Counts, Window},
@@ -161,9 +161,9 @@
     /// Saves windows that have changed or that are final now, and removes the rows of windows long past. Returns
     /// whether the store is as this process knows it.
     async fn save(&mut self, gateway: &Gateway, authority: Authority) -> bool {
-        let heard = gateway
+        let active = gateway
             .peers
-            .heard_within(gateway.bounds.read().usage_deadline_s);
+            .incarnations_active_within(gateway.bounds.read().usage_deadline_s);
         let save_due = self
             .last_save
             .is_none_or(|last| last.elapsed() >= SAVE_INTERVAL);
@@ -181,7 +181,7 @@
             match () {
                 () if age.since_end > age.deadline * FORGET_RATIO => forgotten.push(index),
                 () if entry.final_counts.is_some() || !counted => {}
-                () if is_final(&entry.window, age, &heard) => changed.push((index, true)),
+                () if is_final(&entry.window, age, &active) => changed.push((index, true)),
                 () if save_due && entry.window != entry.saved => changed.push((index, false)),
                 () => {}
             }
@@ -235,10 +235,7 @@
         let Some(duties) = &gateway.adapters.duties else {
             return;
         };
-        let holder = Holder {
-            name: gateway.settings.gateway.name.clone(),
-            fencing_token: authority.epoch,
-        };
+        let holder = super::holder(gateway, authority);
         for entry in self.windows.iter_mut().filter(|entry| !entry.reported) {
             let Some(counts) = &entry.final_counts else {
                 continue;
@@ -315,11 +312,11 @@
     })
 }
 
-/// Whether the counts of a window are to be reported as they are: all gateways heard from lately have closed it, or
+/// Whether the counts of a window are to be reported as they are: all gateways with a recent digest have closed it, or
 /// the report can't wait any longer.
-fn is_final(window: &Window, age: Age, heard: &[u64]) -> bool {
+fn is_final(window: &Window, age: Age, active: &[u64]) -> bool {
     let closed = || {
-        heard
+        active
             .iter()
             .all(|incarnation| window.is_closed_by(*incarnation))
     };
--- a/components/policy/tests/scaling.rs
+++ b/components/policy/tests/scaling.rs
@@ -159,5 +159,9 @@
             wanted.revocable.is_some_and(|count| count <= max),
             "{wanted:?}"
         );
+        assert!(
+            wanted.on_demand.is_none_or(|count| count <= max),
+            "{wanted:?}"
+        );
     }
 }
