Say in logs and metrics why a configuration came late

The log could not tell a version that nobody reported from one that was reported and took long. The line that a configuration was read now says why this gateway asked, for how long it knew that it was behind, and for how long the older version can have been in force; the age of the configuration is a gauge, and that upper bound a histogram. No change of logic.

--- a/components/gateway/src/process/configuration.rs
+++ b/components/gateway/src/process/configuration.rs
@@ -8,7 +8,7 @@
 use super::{
     Backoff, Gateway,
     backoff::LONG_POLL_TIMEOUT,
-    follow::{Action, Follower, List},
+    follow::{Action, Cause, Follower, List},
     next_read,
 };
 use crate::{
@@ -23,14 +23,17 @@
     let mut outage = Outage::default();
     let mut follower = Follower::new(List::Configuration);
     loop {
-        match follower.next_action(&gateway, cursor) {
-            Action::Read => {}
-            Action::CatchUp => cursor = cursor.without_wait(),
+        let cause = match follower.next_action(&gateway, cursor) {
+            Action::Read => None,
+            Action::CatchUp(cause) => {
+                cursor = cursor.without_wait();
+                Some(cause)
+            }
             Action::Wait => {
                 clock::sleep(Follower::poll_interval()).await;
                 continue;
             }
-        }
+        };
         let started = Instant::now();
         let result = gateway.adapters.directory.configuration(cursor).await;
         gateway.count_store_call("configuration", result.is_ok());
@@ -39,7 +42,7 @@
                 backoff = Backoff::default();
                 outage.end(update.revision);
                 cursor = next_read(update.revision, long_poll_timeout(&gateway));
-                apply(&gateway, update, started);
+                apply(&gateway, update, started, cause);
             }
             Err(Failure::HistoryGone) => {
                 log::warn!(table = "configuration"; "the store no longer has the history; reading the full list");
@@ -71,8 +74,14 @@
 /// Confirmations of the configuration that a gateway asks for within the time for the removal of a key.
 const CONFIRMATIONS_PER_REVOCATION: u32 = 5;
 
-/// Puts the newest configuration of an update into force.
-fn apply(gateway: &Gateway, update: Update<Arc<Configuration>>, started: Instant) {
+/// Puts the newest configuration of an update into force. `started` is when it was asked for, and `cause` is why, unless
+/// this process reads the list anyway.
+fn apply(
+    gateway: &Gateway,
+    update: Update<Arc<Configuration>>,
+    started: Instant,
+    cause: Option<Cause>,
+) {
     let versions = update.changes.len();
     let newest = update
         .changes
@@ -80,10 +89,17 @@
         .max_by_key(|change| change.version);
     if let Some(newest) = newest {
         let (version, routes) = (newest.version, newest.routes().len());
+        let age = gateway.configuration_age(Instant::now());
         let adopted = gateway.adopt_configuration(newest);
+        if let Some(age) = age.filter(|_| adopted) {
+            let outdated = &gateway.metrics.configuration_outdated;
+            outdated.observe(age.as_secs_f64());
+        }
+        let cause_text = cause.map(|cause| cause.to_string());
+        let behind_ms = cause.and_then(Cause::behind_for).map(millis);
         log::info!(
-            version, routes, versions, adopted, revision = update.revision,
-            took_ms = millis(started.elapsed()); "read a configuration"
+            version, routes, versions, adopted, revision = update.revision, cause = cause_text, behind_ms,
+            outdated_ms = age.map(millis), took_ms = millis(started.elapsed()); "read a configuration"
         );
     }
     if let Some(as_of) = update.as_of {
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -32,7 +32,7 @@
     loop {
         match follower.next_action(&list.gateway, list.cursor) {
             Action::Read => {}
-            Action::CatchUp => list.cursor = list.cursor.without_wait(),
+            Action::CatchUp(_) => list.cursor = list.cursor.without_wait(),
             Action::Wait => {
                 list.apply_peer_updates_for(Follower::poll_interval()).await;
                 continue;
--- a/components/gateway/src/process/follow.rs
+++ b/components/gateway/src/process/follow.rs
@@ -11,6 +11,7 @@
 };
 
 use clock::Instant;
+use derive_more::Display;
 
 use super::Gateway;
 use crate::{adapters::Cursor, peer::Reader};
@@ -117,12 +118,39 @@
 pub enum Action {
     /// Read the list and let the store wait for a change.
     Read,
-    /// Ask the store once, without waiting, for a change that did not arrive.
-    CatchUp,
+    /// Ask the store once, without waiting, for changes that may have been missed.
+    CatchUp(Cause),
     /// Do nothing until the next check.
     Wait,
 }
 
+/// Why a follower asks the store itself.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Cause {
+    /// A peer reported a change some time ago that did not arrive.
+    #[display("a reported change did not arrive")]
+    Behind {
+        /// When the change was first reported here.
+        since: Instant,
+    },
+    /// Nobody has confirmed for too long that there is no newer change.
+    #[display("not confirmed for too long")]
+    Unconfirmed,
+    /// None of the readers was one before the list was last read here.
+    #[display("all readers are new")]
+    NewReaders,
+}
+
+impl Cause {
+    /// Returns how long ago the change that did not arrive was reported.
+    pub fn behind_for(self) -> Option<Duration> {
+        match self {
+            Self::Behind { since } => Some(since.elapsed()),
+            Self::Unconfirmed | Self::NewReaders => None,
+        }
+    }
+}
+
 impl Follower {
     /// Starts following a list.
     pub fn new(list: List) -> Self {
@@ -153,9 +181,16 @@
             self.current_readers.clear();
             return Action::Read;
         }
-        if !self.readers_overlap(&readers) || self.is_confirmation_overdue(gateway) {
+        let cause = if !self.readers_overlap(&readers) {
+            Some(Cause::NewReaders)
+        } else if self.is_confirmation_overdue(gateway) {
+            Some(Cause::Unconfirmed)
+        } else {
+            None
+        };
+        if let Some(cause) = cause {
             self.current_readers = readers;
-            return Action::CatchUp;
+            return Action::CatchUp(cause);
         }
         if gateway.peers.latest_revision(self.list) <= revision {
             self.behind = None;
@@ -170,7 +205,7 @@
         }
         self.behind = None;
         self.current_readers = readers;
-        Action::CatchUp
+        Action::CatchUp(Cause::Behind { since })
     }
 
     /// Whether the readers have not confirmed the configuration for so long that keys would soon no longer count.
--- a/components/gateway/src/process/status.rs
+++ b/components/gateway/src/process/status.rs
@@ -3,13 +3,18 @@
 use std::{convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
+use clock::Instant;
 use http_body_util::Full;
 use hyper::{Response, StatusCode, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use protocol::millis;
 use tokio::{net::TcpListener, task::JoinSet};
 
 use super::{Gateway, List};
 
+/// Value of the gauge of an age that is not known.
+const UNKNOWN_AGE: i64 = -1;
+
 type StatusResponse = Response<Full<Bytes>>;
 
 /// Serves HTTP on a listener for the lifetime of the process.
@@ -63,6 +68,9 @@
         .configuration()
         .map_or(0, |configuration| configuration.version);
     set(&metrics.configuration_version, version);
+    let age = gateway.configuration_age(Instant::now());
+    let age_ms = age.and_then(|age| i64::try_from(millis(age)).ok());
+    metrics.configuration_age.set(age_ms.unwrap_or(UNKNOWN_AGE));
     let list = List::Configuration;
     set(
         &metrics.configuration_read,
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -1,9 +1,11 @@
 //! Metrics of one gateway. Label sets are bounded: services come from the operators' configuration, all other labels
 //! have fixed sets of values.
 
-use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry,
+};
 
-use super::{counters, histogram, text};
+use super::{LATENCY_BUCKETS_S, counters, histogram, text};
 
 /// All metrics of a gateway.
 #[derive(Clone, Debug)]
@@ -37,6 +39,12 @@
     pub time_to_first_byte: HistogramVec,
     /// Time to the end of an answer, by service.
     pub request_duration: HistogramVec,
+    /// Upper bound, in seconds, of the time for which callers got a configuration after a newer one was accepted;
+    /// observed when the newer one comes into force.
+    pub configuration_outdated: Histogram,
+    /// Upper bound of the age of the configuration in force, in milliseconds: time since it was last confirmed to be the
+    /// newest one; -1 if it is not known.
+    pub configuration_age: IntGauge,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
     /// Revision of the newest configuration change that this process has read.
@@ -119,6 +127,17 @@
                 &["service"],
             )?,
             request_duration: histogram("request_seconds", "Time to the end.", &["service"])?,
+            configuration_outdated: Histogram::with_opts(
+                HistogramOpts::new(
+                    "wrenramp_configuration_outdated_seconds",
+                    "Longest time for which an older configuration can have been in force.",
+                )
+                .buckets(LATENCY_BUCKETS_S.to_vec()),
+            )?,
+            configuration_age: gauge(
+                "configuration_age_ms",
+                "Time since the configuration was last known to be the newest.",
+            )?,
             configuration_version: gauge("configuration_version", "Configuration in force.")?,
             configuration_read: gauge("configuration_read_revision", "Last change read.")?,
             configuration_advertised: gauge(
@@ -163,7 +182,10 @@
         for histogram in [&self.time_to_first_byte, &self.request_duration] {
             self.registry.register(Box::new(histogram.clone()))?;
         }
+        self.registry
+            .register(Box::new(self.configuration_outdated.clone()))?;
         for gauge in [
+            &self.configuration_age,
             &self.configuration_version,
             &self.configuration_read,
             &self.configuration_advertised,
