Let followers confirm the configuration when its readers have not

What callers saw: an older configuration after a newer one was acknowledged, for as long as the readers of the lists said that the store answered them.

Cause: a follower asked the store only after a reader had reported a change, and took a reader's word that it reaches the store. The class: trust in a peer's statement about itself, without a bound on the age of the evidence.

Change: the store's time at which the configuration was the newest, which gateways already pass on for API keys, now decides everywhere. A follower asks by itself when that time is 0.35 to 0.5 of the operators' bound ago, at most once in that time. So that this does not happen in normal operation, the first reader asks five times within the bound; the others wait as long as before.

--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -248,12 +248,22 @@
             .collect()
     }
 
+    /// Whether a live peer with a lower address reads the operators' lists and can reach the store.
+    pub fn has_preceding_reader(&self, own: SocketAddr) -> bool {
+        let now = Instant::now();
+        let known = self.known.lock();
+        known
+            .iter()
+            .take_while(|peer| peer.address < own)
+            .any(|peer| peer.reads_lists && peer.store_available && peer.is_alive(now))
+    }
+
     /// Returns the latest revision of a list that any live peer knows.
     pub fn latest_revision(&self, list: List) -> u64 {
         let now = Instant::now();
         let known = self.known.lock();
         let alive = known.iter().filter(|peer| peer.is_alive(now));
-        let revisions = alive.map(|peer| peer.revisions[usize::from(list == List::Configuration)]);
+        let revisions = alive.map(|peer| peer.revisions[list.index()]);
         revisions.max().unwrap_or(0)
     }
 
@@ -497,7 +507,7 @@
 /// Returns a digest of this process without loads, placements, changes, latencies and suspects.
 fn own_digest(gateway: &Gateway, number: u64) -> Digest {
     // read before the version, which only increases: this confirms the version or an earlier one
-    let confirmed = gateway.confirmed();
+    let confirmed = gateway.confirmed(List::Configuration);
     Digest {
         confirmed_ms: confirmed.map_or(0, |time| time.0),
         wall_clock_ms: gateway.wall_clock_offset_ms().unwrap_or_default(),
--- a/components/gateway/src/process/backoff.rs
+++ b/components/gateway/src/process/backoff.rs
@@ -4,7 +4,7 @@
 
 use clock::Instant;
 
-use super::Gateway;
+use super::{Gateway, List};
 use crate::adapters::Cursor;
 
 /// How long the store may hold a request before it answers that nothing changed.
@@ -14,6 +14,25 @@
 /// seconds in the first deployments. Each call is billed, so the timeout is not much shorter.
 pub const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// Responses that the first reader asks for within the time that operators allow for a change to take effect. Each one
+/// confirms the list, so that followers notice early when no reader gets any.
+const CONFIRMATIONS_PER_MAX_DELAY: u32 = 5;
+
+/// Returns how long the store may hold a request for changes of a list. It is shorter at the first reader, whose responses
+/// confirm the list to all others, and at all readers where keys must not count without a recent confirmation.
+pub fn long_poll_timeout(gateway: &Gateway, list: List) -> Duration {
+    let own = gateway.settings.gateway.peers;
+    let is_first_reader = !gateway.peers.has_preceding_reader(own);
+    let bounds = gateway.bounds.read();
+    let max_delay = list.max_delay(&bounds);
+    let revocation = bounds.revocation_ms.filter(|_| list == List::Configuration);
+    [max_delay.filter(|_| is_first_reader), revocation]
+        .into_iter()
+        .flatten()
+        .map(|max_delay| max_delay / CONFIRMATIONS_PER_MAX_DELAY)
+        .fold(LONG_POLL_TIMEOUT, Duration::min)
+}
+
 /// Returns the next read after one that ended at `revision`. The store may hold it for `wait`; after a failure that
 /// should be zero until the store answers.
 pub fn next_read(revision: u64, wait: Duration) -> Cursor {
--- a/components/gateway/src/process/configuration.rs
+++ b/components/gateway/src/process/configuration.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Backoff, Gateway,
-    backoff::LONG_POLL_TIMEOUT,
+    backoff::long_poll_timeout,
     follow::{Action, Cause, Follower, List},
     next_read,
 };
@@ -41,7 +41,9 @@
             Ok(update) => {
                 backoff = Backoff::default();
                 outage.end(update.revision);
-                cursor = next_read(update.revision, long_poll_timeout(&gateway));
+                follower.record_read(started);
+                let wait = long_poll_timeout(&gateway, List::Configuration);
+                cursor = next_read(update.revision, wait);
                 apply(&gateway, update, started, cause);
             }
             Err(Failure::HistoryGone) => {
@@ -62,18 +64,6 @@
     }
 }
 
-/// Returns how long the store may hold a request for changes. Each response confirms that the configuration is
-/// current, which must be known several times within the time that operators allow for the removal of a key.
-fn long_poll_timeout(gateway: &Gateway) -> Duration {
-    let revocation = gateway.bounds.read().revocation_ms;
-    revocation.map_or(LONG_POLL_TIMEOUT, |revocation| {
-        LONG_POLL_TIMEOUT.min(revocation / CONFIRMATIONS_PER_REVOCATION)
-    })
-}
-
-/// Confirmations of the configuration that a gateway asks for within the time for the removal of a key.
-const CONFIRMATIONS_PER_REVOCATION: u32 = 5;
-
 /// Puts the newest configuration of an update into force. `started` is when it was asked for, and `cause` is why, unless
 /// this process reads the list anyway.
 fn apply(
@@ -103,7 +93,7 @@
         );
     }
     if let Some(as_of) = update.as_of {
-        gateway.confirm_configuration(as_of, started);
+        gateway.confirm_list(List::Configuration, as_of, started);
     }
     gateway
         .last_changes
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -38,12 +38,13 @@
                 continue;
             }
         }
+        let started = Instant::now();
         let result = list.read().await;
         list.gateway.count_store_call("endpoints", result.is_ok());
         match result {
             Ok(update) => {
                 backoff = Backoff::default();
-                follower.record_read();
+                follower.record_read(started);
                 list.apply_read(update);
             }
             Err(Failure::HistoryGone) => {
--- a/components/gateway/src/process/follow.rs
+++ b/components/gateway/src/process/follow.rs
@@ -12,6 +12,7 @@
 
 use clock::Instant;
 use derive_more::Display;
+use settings::gateway::Bounds;
 
 use super::Gateway;
 use crate::{adapters::Cursor, peer::Reader};
@@ -34,9 +35,9 @@
 /// usual one takes on a slow link.
 const MAX_TRANSFER: Duration = Duration::from_millis(300);
 
-/// Range of [`Follower::max_age_ratio`]: above the age at which readers confirm the configuration, and well below that
-/// at which keys no longer count.
-const MAX_AGE_RATIOS: Range<f64> = 0.4..0.6;
+/// Range of [`Follower::max_age_ratio`]: above the age at which the first reader confirms a list. The rest of the time that
+/// operators allow is left for the transfer of a large configuration.
+const MAX_AGE_RATIOS: Range<f64> = 0.35..0.5;
 
 /// One of the operators' lists.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +48,30 @@
     Configuration,
 }
 
+impl List {
+    /// The number of lists.
+    pub const COUNT: usize = 2;
+
+    /// Returns the position of the list's values in an array with one value for each list.
+    pub fn index(self) -> usize {
+        match self {
+            Self::Endpoints => 0,
+            Self::Configuration => 1,
+        }
+    }
+
+    /// Returns the time that operators allow for a change to take effect; `None` if followers rely on their readers.
+    pub fn max_delay(self, bounds: &Bounds) -> Option<Duration> {
+        match self {
+            Self::Endpoints => None,
+            Self::Configuration => {
+                let revocation = bounds.revocation_ms.unwrap_or(Duration::MAX);
+                Some(bounds.configuration_ms.min(revocation))
+            }
+        }
+    }
+}
+
 /// The newest known revision of each list.
 #[derive(Debug, Default)]
 pub struct LastChanges {
@@ -108,9 +133,11 @@
     previous_readers: Vec<Reader>,
     /// The readers that were alive before the read in flight.
     current_readers: Vec<Reader>,
-    /// The age of the configuration at which this process confirms it itself, as a fraction of the time that operators
-    /// allow for the removal of a key. It differs between processes, so that the first ones confirm it for the others.
+    /// The age of the list at which this process confirms it itself, as a fraction of the time that operators allow for a
+    /// change to take effect. It differs between processes, so that the first ones confirm it for the others.
     max_age_ratio: f64,
+    /// When the last read that succeeded began.
+    last_read: Option<Instant>,
 }
 
 /// What to do next with a list.
@@ -160,6 +187,7 @@
             previous_readers: Vec::new(),
             current_readers: Vec::new(),
             max_age_ratio: rand::random_range(MAX_AGE_RATIOS),
+            last_read: None,
         }
     }
 
@@ -208,17 +236,28 @@
         Action::CatchUp(Cause::Behind { since })
     }
 
-    /// Whether the readers have not confirmed the configuration for so long that keys would soon no longer count.
+    /// Whether nobody has confirmed for so long that the list is current that a change could soon be late. What readers
+    /// say of themselves does not show it: one whose path to the store went silent learns it only when its call times out.
     fn is_confirmation_overdue(&self, gateway: &Gateway) -> bool {
-        let revocation = gateway.bounds.read().revocation_ms;
-        let max_age = revocation.map(|revocation| revocation.mul_f64(self.max_age_ratio));
-        let age = gateway.configuration_age(Instant::now());
-        self.list == List::Configuration
-            && max_age.is_some_and(|max_age| age.is_none_or(|age| age > max_age))
+        let bounds = gateway.bounds.read();
+        let Some(max_delay) = self.list.max_delay(&bounds) else {
+            return false;
+        };
+        let max_age = max_delay.mul_f64(self.max_age_ratio);
+        // a slow response may already be too old when it arrives
+        if self.last_read.is_some_and(|at| at.elapsed() < max_age) {
+            return false;
+        }
+        match gateway.list_age(self.list, Instant::now()) {
+            Some(age) => age > max_age,
+            // the store does not send its time; keys do not count then
+            None => bounds.revocation_ms.is_some(),
+        }
     }
 
-    /// Records that the list has been read.
-    pub fn record_read(&mut self) {
+    /// Records that the list has been read with a call that began at `started`.
+    pub fn record_read(&mut self, started: Instant) {
+        self.last_read = Some(started);
         if !self.current_readers.is_empty() {
             self.previous_readers = std::mem::take(&mut self.current_readers);
         }
--- a/components/gateway/src/process/freshness/mod.rs
+++ b/components/gateway/src/process/freshness/mod.rs
@@ -1,7 +1,7 @@
-//! The maximum age of the configuration in force.
+//! The maximum age of what is known of the operators' lists.
 //!
 //! Each response of the store contains the time of its clock, and gateways send each other the latest such time at
-//! which no newer configuration existed. A message may be delayed for any time, so when it is received says nothing about
+//! which no newer change existed. A message may be delayed for any time, so when it is received says nothing about
 //! its age; a process converts the store's time with the bounds from its own calls. See `docs/DESIGN.md#api-keys`.
 
 #[cfg(test)]
@@ -96,65 +96,74 @@
 #[derive(Debug, Default)]
 struct State {
     clock: StoreClock,
-    /// The latest time of the store's clock at which no newer configuration existed.
-    confirmed: Option<StoreTime>,
+    /// For each list the latest time of the store's clock at which no newer change existed.
+    confirmed: [Option<StoreTime>; List::COUNT],
 }
 
 impl Confirmation {
-    /// Records a response of the store, according to which the configuration in force was the newest at `time`.
-    fn record_response(&self, time: StoreTime, sent: Instant, received: Instant) {
+    /// Records a response of the store, according to which the known state of a list was the newest at `time`.
+    fn record_response(&self, list: List, time: StoreTime, sent: Instant, received: Instant) {
         let mut state = self.0.lock();
         if !state.clock.observe(time, sent, received) {
             log::warn!(time:%, confirmed:? = state.confirmed; "the store's clock was set or has drifted; learning it anew");
-            state.confirmed = None;
+            state.confirmed = Default::default();
         }
-        state.confirmed = state.confirmed.max(Some(time));
+        let confirmed = &mut state.confirmed[list.index()];
+        *confirmed = (*confirmed).max(Some(time));
     }
 
-    /// Records a time at which the configuration in force was the newest according to a peer. Ignored if the store's
-    /// clock cannot have read it yet.
-    fn confirm(&self, time: StoreTime, now: Instant) {
+    /// Records a time at which the known state of a list was the newest according to a peer. Ignored if the store's clock
+    /// cannot have read it yet.
+    fn confirm(&self, list: List, time: StoreTime, now: Instant) {
         let mut state = self.0.lock();
         let is_past = state
             .clock
             .earliest(time)
             .is_some_and(|earliest| earliest <= now);
         if is_past {
-            state.confirmed = state.confirmed.max(Some(time));
+            let confirmed = &mut state.confirmed[list.index()];
+            *confirmed = (*confirmed).max(Some(time));
         }
     }
 
-    /// Returns how old the configuration in force can be at most; `None` if that is unknown.
-    fn age(&self, now: Instant) -> Option<Duration> {
+    /// Returns how old the known state of a list can be at most; `None` if that is unknown.
+    fn age(&self, list: List, now: Instant) -> Option<Duration> {
         let state = self.0.lock();
-        let earliest = state.clock.earliest(state.confirmed?)?;
+        let earliest = state.clock.earliest(state.confirmed[list.index()]?)?;
         Some(now.duration_since(earliest))
     }
 }
 
 impl Gateway {
-    /// Records a response of the store, according to which the configuration in force was the newest.
-    pub fn confirm_configuration(&self, as_of: StoreTime, sent: Instant) {
+    /// Records a response of the store to a call sent at `sent`, according to which the known state of a list was the newest
+    /// at `as_of`.
+    pub fn confirm_list(&self, list: List, as_of: StoreTime, sent: Instant) {
         self.confirmation
-            .record_response(as_of, sent, Instant::now());
+            .record_response(list, as_of, sent, Instant::now());
     }
 
     /// Records that a peer confirms a version to have been the newest.
     pub fn confirm_version(&self, version: u64, time: StoreTime) {
         let known = self.configuration().map_or(0, |known| known.version);
         if version > 0 && known >= version {
-            self.confirmation.confirm(time, Instant::now());
+            self.confirmation
+                .confirm(List::Configuration, time, Instant::now());
         }
     }
 
-    /// Returns the latest time at which the configuration in force was the newest; `None` if that is unknown.
-    pub fn confirmed(&self) -> Option<StoreTime> {
-        self.confirmation.0.lock().confirmed
+    /// Returns the latest time at which the known state of a list was the newest; `None` if that is unknown.
+    pub fn confirmed(&self, list: List) -> Option<StoreTime> {
+        self.confirmation.0.lock().confirmed[list.index()]
+    }
+
+    /// Returns how old the known state of a list can be at most; `None` if that is unknown.
+    pub fn list_age(&self, list: List, now: Instant) -> Option<Duration> {
+        self.confirmation.age(list, now)
     }
 
     /// Returns how old the configuration in force can be at most; `None` if that is unknown.
     pub fn configuration_age(&self, now: Instant) -> Option<Duration> {
-        self.confirmation.age(now)
+        self.list_age(List::Configuration, now)
     }
 
     /// Returns what is known about the age of the configuration for a request that arrived at `arrived`.
--- a/components/gateway/src/process/freshness/tests.rs
+++ b/components/gateway/src/process/freshness/tests.rs
@@ -2,7 +2,7 @@
 
 use clock::Instant;
 
-use super::{Confirmation, StoreClock};
+use super::{Confirmation, List, StoreClock};
 use crate::adapters::StoreTime;
 
 const fn ms(count: u64) -> Duration {
@@ -64,18 +64,21 @@
 fn confirmations_only_advance() {
     let start = Instant::now();
     let confirmation = Confirmation::default();
-    confirmation.record_response(StoreTime(1_000), start, start + ms(5));
-    confirmation.confirm(StoreTime(1_500), start + ms(600));
-    confirmation.confirm(StoreTime(1_200), start + ms(700));
-    assert_eq!(confirmation.age(start + ms(1_000)), Some(ms(500)));
+    confirmation.record_response(List::Configuration, StoreTime(1_000), start, start + ms(5));
+    confirmation.confirm(List::Configuration, StoreTime(1_500), start + ms(600));
+    confirmation.confirm(List::Configuration, StoreTime(1_200), start + ms(700));
+    assert_eq!(
+        confirmation.age(List::Configuration, start + ms(1_000)),
+        Some(ms(500))
+    );
 }
 
 #[test]
 fn without_a_call_of_its_own_a_process_takes_no_confirmation() {
     let confirmation = Confirmation::default();
     let now = Instant::now();
-    confirmation.confirm(StoreTime(1_000), now);
-    assert_eq!(confirmation.age(now), None);
+    confirmation.confirm(List::Configuration, StoreTime(1_000), now);
+    assert_eq!(confirmation.age(List::Configuration, now), None);
 }
 
 /// Peers that have not noticed yet go on sending times of the clock as it was.
@@ -83,8 +86,21 @@
 fn times_of_a_clock_that_was_set_back_confirm_nothing() {
     let start = Instant::now();
     let confirmation = Confirmation::default();
-    confirmation.record_response(StoreTime(900_000), start, start + ms(5));
-    confirmation.record_response(StoreTime(10), start + ms(1_000), start + ms(1_005));
-    confirmation.confirm(StoreTime(900_000), start + ms(1_100));
-    assert_eq!(confirmation.age(start + ms(9_000)), Some(ms(8_000)));
+    confirmation.record_response(
+        List::Configuration,
+        StoreTime(900_000),
+        start,
+        start + ms(5),
+    );
+    confirmation.record_response(
+        List::Configuration,
+        StoreTime(10),
+        start + ms(1_000),
+        start + ms(1_005),
+    );
+    confirmation.confirm(List::Configuration, StoreTime(900_000), start + ms(1_100));
+    assert_eq!(
+        confirmation.age(List::Configuration, start + ms(9_000)),
+        Some(ms(8_000))
+    );
 }
