Let followers confirm the list of endpoints when its readers have not

What callers saw: requests were sent to endpoints that had left, for as long as silent readers said that the store answered them.

Cause: the same as for the configuration, in the other list of the operators.

Change: digests carry the store's time at which no change of the endpoints after the told revision existed. A follower counts it of readers that were readers before its last own read, since an earlier removal leaves no row that others could report, and asks by itself when it is too old.

--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -30,6 +30,7 @@
 use wire::{Digest, EndpointChanges, EndpointLoad, Placed, ServiceDemand, StageTold};
 
 use crate::{
+    adapters::StoreTime,
     endpoint::{Load, Stage, short_id},
     process::{DemandTotals, Gateway, List},
 };
@@ -81,6 +82,8 @@
     reads_lists: bool,
     /// Latest revisions that it knows of the endpoint list and of the configuration.
     revisions: [u64; 2],
+    /// When the endpoint list was last known to have no change after that revision; `None` if unknown.
+    endpoints_confirmed: Option<StoreTime>,
     /// Its load at each endpoint, sorted by endpoint.
     loads: Vec<(u32, Load)>,
     /// Whether it reports that it is the steward.
@@ -258,6 +261,19 @@
             .any(|peer| peer.reads_lists && peer.store_available && peer.is_alive(now))
     }
 
+    /// Returns the latest time at which one of these readers knew of no change of the endpoints after a revision.
+    pub fn endpoints_confirmed(&self, readers: &[Reader], revision: u64) -> Option<StoreTime> {
+        let known = self.known.lock();
+        let confirms = |peer: &&Peer| {
+            let is_reader = |reader: &Reader| {
+                reader.address == peer.address && reader.incarnation == peer.incarnation
+            };
+            peer.revisions[List::Endpoints.index()] <= revision && readers.iter().any(is_reader)
+        };
+        let confirming = known.iter().filter(confirms);
+        confirming.filter_map(|peer| peer.endpoints_confirmed).max()
+    }
+
     /// Returns the latest revision of a list that any live peer knows.
     pub fn latest_revision(&self, list: List) -> u64 {
         let now = Instant::now();
@@ -430,6 +446,7 @@
             heartbeat_interval: fan_out::HEARTBEAT_INTERVAL,
             reads_lists: false,
             revisions: [0; 2],
+            endpoints_confirmed: None,
             loads: Vec::new(),
             is_steward: false,
             demands: Vec::new(),
@@ -506,10 +523,14 @@
 
 /// Returns a digest of this process without loads, placements, changes, latencies and suspects.
 fn own_digest(gateway: &Gateway, number: u64) -> Digest {
-    // read before the version, which only increases: this confirms the version or an earlier one
-    let confirmed = gateway.confirmed(List::Configuration);
+    // read before the version and the revision, which only increase: this confirms them or earlier ones
+    let [endpoints_confirmed, confirmed] = [List::Endpoints, List::Configuration].map(|list| {
+        let time = gateway.confirmed(list);
+        time.map_or(0, |time| time.0)
+    });
     Digest {
-        confirmed_ms: confirmed.map_or(0, |time| time.0),
+        confirmed_ms: confirmed,
+        endpoints_confirmed_ms: endpoints_confirmed,
         wall_clock_ms: gateway.wall_clock_offset_ms().unwrap_or_default(),
         usage: Vec::new(),
         incarnation: gateway.incarnation,
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -85,6 +85,8 @@
     peer.store_available = digest.store_answers;
     peer.reads_lists = digest.reads;
     peer.revisions = [digest.endpoints_changed, digest.configuration_changed];
+    peer.endpoints_confirmed =
+        Some(StoreTime(digest.endpoints_confirmed_ms)).filter(|time| time.0 > 0);
     peer.ceded_epoch = digest.ceded;
     peer.last_order = instant_before(now, digest.last_order_ms);
     peer.wall_clock_ms = Some(digest.wall_clock_ms).filter(|offset| *offset != 0);
--- a/components/gateway/src/process/backoff.rs
+++ b/components/gateway/src/process/backoff.rs
@@ -12,7 +12,7 @@
 /// A call in flight when the store becomes unreachable is lost without an error. The loss must be noticed,
 /// and the list read again, within the operators' `stable_window_ms` after the store's recovery, three
 /// seconds in the first deployments. Each call is billed, so the timeout is not much shorter.
-pub const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(2_200);
+const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(2_200);
 
 /// Responses that the first reader asks for within the time that operators allow for a change to take effect. Each one
 /// confirms the list, so that followers notice early when no reader gets any.
@@ -26,7 +26,7 @@
     let bounds = gateway.bounds.read();
     let max_delay = list.max_delay(&bounds);
     let revocation = bounds.revocation_ms.filter(|_| list == List::Configuration);
-    [max_delay.filter(|_| is_first_reader), revocation]
+    [Some(max_delay).filter(|_| is_first_reader), revocation]
         .into_iter()
         .flatten()
         .map(|max_delay| max_delay / CONFIRMATIONS_PER_MAX_DELAY)
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Backoff, Gateway,
-    backoff::LONG_POLL_TIMEOUT,
+    backoff::long_poll_timeout,
     follow::{Action, Follower, List},
     missing::Missing,
     next_read,
@@ -45,7 +45,7 @@
             Ok(update) => {
                 backoff = Backoff::default();
                 follower.record_read(started);
-                list.apply_read(update);
+                list.apply_read(update, started);
             }
             Err(Failure::HistoryGone) => {
                 log::warn!(table = "endpoints"; "the store no longer has the history; reading the full list");
@@ -126,7 +126,7 @@
                 let wait = if self.store_unavailable {
                     Duration::ZERO
                 } else {
-                    LONG_POLL_TIMEOUT
+                    long_poll_timeout(&self.gateway, List::Endpoints)
                 };
                 self.cursor = next_read(advertised.to_revision, wait);
             }
@@ -146,7 +146,8 @@
         }
     }
 
-    fn apply_read(&mut self, update: Update<Change>) {
+    /// Applies the response to a read that began at `started`.
+    fn apply_read(&mut self, update: Update<Change>, started: Instant) {
         match self.cursor {
             // peers have advertised later changes meanwhile
             Cursor::After { revision, .. } if update.revision < revision => return,
@@ -160,7 +161,11 @@
         }
         self.advertise(&update, full, recovered);
         self.apply(update.changes, full, recovered);
-        self.cursor = next_read(update.revision, LONG_POLL_TIMEOUT);
+        if let Some(as_of) = update.as_of {
+            self.gateway.confirm_list(List::Endpoints, as_of, started);
+        }
+        let wait = long_poll_timeout(&self.gateway, List::Endpoints);
+        self.cursor = next_read(update.revision, wait);
     }
 
     /// Advertises the changes to the peers, or after a full read only the new revision.
--- a/components/gateway/src/process/follow.rs
+++ b/components/gateway/src/process/follow.rs
@@ -60,13 +60,13 @@
         }
     }
 
-    /// Returns the time that operators allow for a change to take effect; `None` if followers rely on their readers.
-    pub fn max_delay(self, bounds: &Bounds) -> Option<Duration> {
+    /// Returns the time that operators allow for a change to take effect.
+    pub fn max_delay(self, bounds: &Bounds) -> Duration {
         match self {
-            Self::Endpoints => None,
+            Self::Endpoints => bounds.drain_ms,
             Self::Configuration => {
                 let revocation = bounds.revocation_ms.unwrap_or(Duration::MAX);
-                Some(bounds.configuration_ms.min(revocation))
+                bounds.configuration_ms.min(revocation)
             }
         }
     }
@@ -209,6 +209,9 @@
             self.current_readers.clear();
             return Action::Read;
         }
+        if self.list == List::Endpoints {
+            gateway.confirm_endpoints(&self.previous_readers);
+        }
         let cause = if !self.readers_overlap(&readers) {
             Some(Cause::NewReaders)
         } else if self.is_confirmation_overdue(gateway) {
@@ -240,10 +243,7 @@
     /// say of themselves does not show it: one whose path to the store went silent learns it only when its call times out.
     fn is_confirmation_overdue(&self, gateway: &Gateway) -> bool {
         let bounds = gateway.bounds.read();
-        let Some(max_delay) = self.list.max_delay(&bounds) else {
-            return false;
-        };
-        let max_age = max_delay.mul_f64(self.max_age_ratio);
+        let max_age = self.list.max_delay(&bounds).mul_f64(self.max_age_ratio);
         // a slow response may already be too old when it arrives
         if self.last_read.is_some_and(|at| at.elapsed() < max_age) {
             return false;
@@ -251,7 +251,7 @@
         match gateway.list_age(self.list, Instant::now()) {
             Some(age) => age > max_age,
             // the store does not send its time; keys do not count then
-            None => bounds.revocation_ms.is_some(),
+            None => self.list == List::Configuration && bounds.revocation_ms.is_some(),
         }
     }
 
--- a/components/gateway/src/process/freshness/mod.rs
+++ b/components/gateway/src/process/freshness/mod.rs
@@ -14,7 +14,7 @@
 use protocol::millis;
 
 use super::{Gateway, List};
-use crate::{adapters::StoreTime, request::access::Freshness};
+use crate::{adapters::StoreTime, peer::Reader, request::access::Freshness};
 
 /// Fraction of the time that operators allow for the removal of a key after which keys no longer count without a new
 /// confirmation. The rest is a margin for clocks that run at different speeds.
@@ -151,6 +151,16 @@
         }
     }
 
+    /// Records that the known endpoints were the newest ones according to readers. The caller ensures that these have seen
+    /// every removal since this process last read the list.
+    pub fn confirm_endpoints(&self, readers: &[Reader]) {
+        let known = self.last_changes.revision(List::Endpoints);
+        if let Some(time) = self.peers.endpoints_confirmed(readers, known) {
+            self.confirmation
+                .confirm(List::Endpoints, time, Instant::now());
+        }
+    }
+
     /// Returns the latest time at which the known state of a list was the newest; `None` if that is unknown.
     pub fn confirmed(&self, list: List) -> Option<StoreTime> {
         self.confirmation.0.lock().confirmed[list.index()]
