Probe idle connections to the store after a second, not after two hours

What callers could see: a gateway whose connection to the store had gone silent kept it for its next call, which then took 600 ms to fail.

Cause: the interval of 700 ms was cut to 0 s by the HTTP library, the kernel rejects that, and the library tells nobody; so keepalive was on with the system's two hours. Change: the interval is rounded up to whole seconds.

Test: idle_connections_to_the_store_are_probed_early reads the kernel's timers: 7199.94 s on three connections before, below 1.5 s now.

--- a/components/call/src/lib.rs
+++ b/components/call/src/lib.rs
@@ -56,7 +56,7 @@
     pub connect: Duration,
     /// Limit on the time for which sent data may stay unacknowledged (`TCP_USER_TIMEOUT`).
     pub unacknowledged: Duration,
-    /// Idle time before the first TCP keepalive probe, and the time between probes.
+    /// Idle time before the first TCP keepalive probe, and the time between probes. Rounded up to whole seconds.
     pub keepalive_interval: Duration,
 }
 
@@ -70,8 +70,11 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeouts.connect));
-        connector.set_keepalive(Some(timeouts.keepalive_interval));
-        connector.set_keepalive_interval(Some(timeouts.keepalive_interval));
+        // the kernel takes whole seconds and rejects zero, to which the library would round a shorter interval
+        let interval = timeouts.keepalive_interval.as_secs_f64().ceil();
+        let keepalive_interval = Some(Duration::from_secs_f64(interval));
+        connector.set_keepalive(keepalive_interval);
+        connector.set_keepalive_interval(keepalive_interval);
         connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         connector.set_tcp_user_timeout(Some(timeouts.unacknowledged));
         Self(legacy::Client::builder(TokioExecutor::new()).build(connector))
