Soak: fail all readers around changes, and hold another gateway to the plain bound

The soak asked for configurations in time only in seeds with planned work, and allowed for two transfers. A new scenario (--readers-fail) silences, cuts, pauses and kills all gateways but the last around each change; the last one has the operators' 2 s and nothing more.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,7 +9,7 @@
 };
 
 use futures::{StreamExt, stream};
-use soak::{Addresses, Options, run_seed};
+use soak::{Addresses, Options, Scenario, run_seed};
 
 /// The number of seeds run concurrently. Each runs three daemons and ends by waiting for a graceful shutdown.
 const MAX_CONCURRENT_SEEDS: usize = 3;
@@ -48,6 +48,7 @@
         daemon: PathBuf::from(env!("CARGO_BIN_EXE_wrenrampd")),
         gateways: 3,
         seconds: 5,
+        scenario: Scenario::Mixed,
         logs: None,
     };
     let mut reports = stream::iter(
@@ -64,6 +65,27 @@
     }
 }
 
+/// Seeds of the short run in which only the gateways that read the lists fail.
+const READERS_FAIL_SEEDS: [u64; 3] = [43_001, 43_002, 43_003];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_configuration_is_in_force_in_time_beside_failing_readers() {
+    let options = Options {
+        daemon: PathBuf::from(env!("CARGO_BIN_EXE_wrenrampd")),
+        gateways: 4,
+        seconds: 8,
+        scenario: Scenario::ReadersFail,
+        logs: None,
+    };
+    for seed in READERS_FAIL_SEEDS {
+        let report = run_seed(seed, &options)
+            .await
+            .expect("could not set up the fleet");
+        assert!(report.violations.is_empty(), "{report:#?}");
+        assert!(report.served > 0, "{report:#?}");
+    }
+}
+
 /// A seed in which a gateway's process is stopped and restarted within two seconds.
 const RESTART_SEED: u64 = 3;
 /// How long a restart is blocked in that run: well above the delay that is logged as blocked stand-ins.
@@ -96,6 +118,7 @@
         daemon: PathBuf::from(env!("CARGO_BIN_EXE_wrenrampd")),
         gateways: 3,
         seconds: 5,
+        scenario: Scenario::Mixed,
         logs: Some(folder.clone()),
     };
     delay_restarts(&folder, options.gateways);
