--- a/components/gateway/tests/gateway/lists.rs
+++ b/components/gateway/tests/gateway/lists.rs
@@ -46,6 +46,34 @@
     drop(running);
 }
 
+/// Confirmations of each list that followers need within the time that operators allow for a change to take effect.
+const MIN_CONFIRMATIONS: u32 = 5;
+
+#[tokio::test]
+async fn a_reader_without_others_before_it_confirms_both_lists_several_times_in_the_time_allowed() {
+    let fake = Fake::failing(1..=0);
+    let settings = settings();
+    let bounds = settings.bounds.clone();
+    let running = gateway::start(settings, fake.adapters())
+        .await
+        .expect("gateway");
+    for (list, allowed) in [
+        (&fake.endpoints, bounds.drain_ms),
+        (&fake.configuration, bounds.configuration_ms),
+    ] {
+        while list.calls.lock().len() < 2 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let call = list.calls.lock()[1];
+        let Cursor::After { wait, .. } = call else {
+            panic!("read from the start again");
+        };
+        assert!(wait <= allowed / MIN_CONFIRMATIONS, "{wait:?}");
+        assert!(wait > Duration::ZERO);
+    }
+    drop(running);
+}
+
 #[tokio::test]
 async fn peer_updates_do_not_resume_long_polls_while_the_store_fails() {
     let fake = Fake::failing(2..=usize::MAX);
