--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -86,6 +86,27 @@
     }
 }
 
+/// Seeds of the short run in which callers use API keys; the second one has planned operations only.
+const KEYS_SEEDS: [u64; 3] = [43_301, 43_302, 43_303];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn removed_keys_stop_counting_in_time_in_a_short_soak() {
+    let options = Options {
+        daemon: PathBuf::from(env!("CARGO_BIN_EXE_wrenrampd")),
+        gateways: 3,
+        seconds: 5,
+        scenario: Scenario::Keys,
+        logs: None,
+    };
+    for seed in KEYS_SEEDS {
+        let report = run_seed(seed, &options)
+            .await
+            .expect("could not set up the fleet");
+        assert!(report.violations.is_empty(), "{report:#?}");
+        assert!(report.served > 0, "{report:#?}");
+    }
+}
+
 /// A seed in which a gateway's process is stopped and restarted within two seconds.
 const RESTART_SEED: u64 = 3;
 /// How long a restart is blocked in that run: well above the delay that is logged as blocked stand-ins.
