--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -14,8 +14,7 @@
     request::job::Job,
 };
 
-/// Round-trip time assumed for an engine in a remote data centre, in microseconds: round-trip times
-/// are not measured.
+/// Round-trip time assumed for an engine in a remote data centre, in microseconds.
 const REMOTE_RTT_US: policy::Micros = 4_000;
 /// Fewer tokens than this are prefilled rather than fetched.
 const MIN_FETCH_TOKENS: u64 = 512;
--- a/components/gateway/src/version/workspace.rs
+++ b/components/gateway/src/version/workspace.rs
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Keyring(Vec<(KeyDigest, Arc<Workspace>)>);
 
-/// Two workspaces have the same API key, so it cannot be told whose requests they are.
+/// Two workspaces have the same API key, so the workspace of a request with it is ambiguous.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("workspaces {first} and {second} have the same API key")]
 pub struct KeyConflict {
