Choose the time of a long poll with one match

Cause: the shorter of up to three times was folded out of two options, though the first reader's time already includes that for keys. Change: one match with the same result in each case.

--- a/components/gateway/src/process/backoff.rs
+++ b/components/gateway/src/process/backoff.rs
@@ -22,15 +22,15 @@
 /// confirm the list to all others, and at all readers where keys must not count without a recent confirmation.
 pub fn long_poll_timeout(gateway: &Gateway, list: List) -> Duration {
     let own = gateway.settings.gateway.peers;
-    let is_first_reader = !gateway.peers.has_preceding_reader(own);
     let bounds = gateway.bounds.read();
-    let max_delay = list.max_delay(&bounds);
-    let revocation = bounds.revocation_ms.filter(|_| list == List::Configuration);
-    [Some(max_delay).filter(|_| is_first_reader), revocation]
-        .into_iter()
-        .flatten()
-        .map(|max_delay| max_delay / CONFIRMATIONS_PER_MAX_DELAY)
-        .fold(LONG_POLL_TIMEOUT, Duration::min)
+    let max_delay = match list {
+        _ if !gateway.peers.has_preceding_reader(own) => Some(list.max_delay(&bounds)),
+        List::Configuration => bounds.revocation_ms,
+        List::Endpoints => None,
+    };
+    max_delay.map_or(LONG_POLL_TIMEOUT, |max_delay| {
+        LONG_POLL_TIMEOUT.min(max_delay / CONFIRMATIONS_PER_MAX_DELAY)
+    })
 }
 
 /// Returns the next read after one that ended at `revision`. The store may hold it for `wait`; after a failure that
