Log how a response is framed and whether it ended within an event

Cause: 'answered' looked the same for a complete stream, one whose engine closed the connection within an event, and one that it closed at the end of an event. Change: framing and partial_bytes in the line that ends an answer, and a counter of responses by both. No decision uses them yet.

--- a/components/gateway/src/request/events.rs
+++ b/components/gateway/src/request/events.rs
@@ -33,6 +33,11 @@
         (!self.partial.is_empty()).then(|| self.partial.split().freeze())
     }
 
+    /// Returns the number of bytes of the incomplete event at the end.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Discards the incomplete event at the point where a stream broke.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod events;
 mod fingerprint;
+mod framing;
 mod generate;
 mod job;
 mod plain;
--- a/components/gateway/src/request/relay.rs
+++ b/components/gateway/src/request/relay.rs
@@ -16,6 +16,7 @@
 use super::{
     attempt::{self, Answer},
     events::EventBuffer,
+    framing::Framing,
     generate::{
         self, is_long_answer,
         migrate::{self, StoppedAnswer},
@@ -66,6 +67,8 @@
     upstream: Option<Upstream>,
     /// The endpoint that sends the response, or sent the last part of it.
     endpoint: Id,
+    /// How that endpoint marks the end of the response.
+    framing: Framing,
     /// Set for streams of events, which can be resumed on another endpoint.
     event_buffer: Option<EventBuffer>,
     attempts: u32,
@@ -127,6 +130,7 @@
     let mut relay = Relay {
         status: answer.head.status,
         endpoint: answer.target.id.clone(),
+        framing: Framing::of(&answer.head),
         upstream: Some(Upstream::new(answer, decode_guard)),
         job,
         event_buffer,
@@ -259,8 +263,20 @@
 
     /// Ends a complete response.
     fn finish(&mut self) -> Option<Bytes> {
-        let remainder = self.event_buffer.as_mut().and_then(EventBuffer::finish);
+        let partial = self
+            .event_buffer
+            .as_ref()
+            .is_some_and(|event_buffer| event_buffer.partial_len() > 0);
+        let framing = self.framing.to_string();
+        let ends_within_event = if partial { "true" } else { "false" };
+        self.job
+            .gateway
+            .metrics
+            .response_ends
+            .with_label_values(&[&*framing, ends_within_event])
+            .inc();
         self.log_outcome("answered");
+        let remainder = self.event_buffer.as_mut().and_then(EventBuffer::finish);
         if let Some(upstream) = self.upstream.take() {
             if let Some(guard) = upstream.guard {
                 guard.finish();
@@ -290,6 +306,13 @@
         error
     }
 
+    /// Continues with the response of another endpoint.
+    fn set_upstream(&mut self, answer: Answer, decode_guard: DecodeGuard) {
+        self.endpoint = answer.target.id.clone();
+        self.framing = Framing::of(&answer.head);
+        self.upstream = Some(Upstream::new(answer, decode_guard));
+    }
+
     /// Makes the engine stop the answer so that it can be resumed on another one.
     async fn migrate(&mut self) {
         self.migrations += 1;
@@ -329,8 +352,7 @@
         while let Some(stopped) = next {
             match migrate::resume(&self.job, &stopped, after).await {
                 Ok((answer, decode_guard)) => {
-                    self.endpoint = answer.target.id.clone();
-                    self.upstream = Some(Upstream::new(answer, decode_guard));
+                    self.set_upstream(answer, decode_guard);
                     return true;
                 }
                 Err(cause) => {
@@ -370,8 +392,7 @@
         self.attempts += 1;
         match generate::resume(&self.job, after, &from).await {
             Ok((answer, decode_guard)) => {
-                self.endpoint = answer.target.id.clone();
-                self.upstream = Some(Upstream::new(answer, decode_guard));
+                self.set_upstream(answer, decode_guard);
                 true
             }
             Err(cause) => {
@@ -402,9 +423,13 @@
         let first_us = self
             .first_event
             .map(|first| policy::micros(first - self.job.arrived));
+        let partial_bytes = self
+            .event_buffer
+            .as_ref()
+            .map_or(0, EventBuffer::partial_len);
         log::info!(
             request = self.job.metadata.id, route = &*self.job.route.name, status = self.status.as_u16(),
-            attempts = self.attempts, moves = self.migrations, events = self.events, first_us,
+            framing:% = self.framing, partial_bytes, attempts = self.attempts, moves = self.migrations, events = self.events, first_us,
             endpoint = &*self.endpoint.0, content:% = self.job.fingerprint,
             longest_gap_us = policy::micros(self.longest_gap),
             took_us = policy::micros(self.job.arrived.elapsed());
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -15,6 +15,8 @@
     pub requests: IntCounterVec,
     /// Requests that an endpoint answered, by service and by how the answer ended.
     pub answers: IntCounterVec,
+    /// Responses of endpoints that were relayed to their end, by framing and by whether they ended within an event.
+    pub response_ends: IntCounterVec,
     /// Refused requests, by reason.
     pub refusals: IntCounterVec,
     /// Callers' connections that ended with a request in flight, by reason.
@@ -79,6 +81,11 @@
             registry: Registry::new(),
             requests: counters("requests_total", "Requests.", &["service"])?,
             answers: counters("answers_total", "Answers.", &["service", "outcome"])?,
+            response_ends: counters(
+                "response_ends_total",
+                "Responses that ended.",
+                &["framing", "within_event"],
+            )?,
             refusals: counters("refusals_total", "Refusals.", &["reason"])?,
             interrupted_connections: counters(
                 "connections_cut_total",
@@ -166,6 +173,7 @@
         for counters in [
             &self.requests,
             &self.answers,
+            &self.response_ends,
             &self.refusals,
             &self.interrupted_connections,
             &self.failures,
