--- a/components/standin/src/server/mod.rs
+++ b/components/standin/src/server/mod.rs
@@ -1,24 +1,26 @@
 //! A small HTTP server that can be stopped abruptly, as by a kill of its process.
 
-use std::{future::Future, net::SocketAddr, sync::Arc};
+use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures::{StreamExt, channel::mpsc};
+use futures::{StreamExt, TryStreamExt, channel::mpsc};
 use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response, StatusCode, Version,
     body::{Frame, Incoming},
+    header,
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use serde::{Serialize, de::DeserializeOwned};
+use socket2::Socket;
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     task::{JoinHandle, JoinSet},
 };
 
-/// The body of a response, complete or streamed. An error aborts the transfer.
+/// The body of a response, complete or streamed. An error resets the connection.
 pub type Body = BoxBody<Bytes, std::io::Error>;
 
 /// A running server. Dropping it closes its port and its connections, as a kill would.
@@ -49,13 +51,7 @@
                 // fails only if the connection is closed already
                 let _ = stream.set_nodelay(true);
                 let handler = Arc::clone(&handler);
-                connections.spawn(async move {
-                    let service = service_fn(move |request| handler(request));
-                    // connection errors are ignored: the client handles them
-                    let _ = http1::Builder::new()
-                        .serve_connection(TokioIo::new(stream), service)
-                        .await;
-                });
+                connections.spawn(serve(stream, handler));
                 while connections.try_join_next().is_some() {}
             }
         });
@@ -69,6 +65,28 @@
     }
 }
 
+/// Serves a connection. If a handler or a body fails, the connection is reset.
+async fn serve<H, F>(stream: TcpStream, handler: Arc<H>)
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Result<Response<Body>, std::io::Error>>,
+{
+    let Ok(stream) = stream.into_std() else {
+        return;
+    };
+    let socket = stream.try_clone().map(Socket::from);
+    let Ok(stream) = TcpStream::from_std(stream) else {
+        return;
+    };
+    let service = service_fn(|request| handler(request));
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let result = connection.await;
+    if let (Err(_), Ok(socket)) = (result, socket) {
+        // fails only if the connection is closed already
+        let _ = socket.set_linger(Some(Duration::ZERO));
+    }
+}
+
 impl Drop for Server {
     fn drop(&mut self) {
         self.task.abort();
@@ -117,3 +135,19 @@
     let body = StreamBody::new(chunks.map(|chunk| chunk.map(Frame::data)));
     Response::new(BodyExt::boxed(body))
 }
+
+/// The same response without a length or chunks, so that only the end of its connection marks its end.
+#[must_use]
+pub fn delimited_by_close(response: Response<Body>) -> Response<Body> {
+    let mut response = chunked(response);
+    *response.version_mut() = Version::HTTP_10;
+    response
+}
+
+/// The same response in chunks, without a length.
+#[must_use]
+pub fn chunked(mut response: Response<Body>) -> Response<Body> {
+    response.headers_mut().remove(header::CONTENT_LENGTH);
+    response
+        .map(|body| BodyExt::boxed(StreamBody::new(body.into_data_stream().map_ok(Frame::data))))
+}
