Do not take the end of a body within an event for the end of a stream

Callers got streams that an engine had broken off as complete ones: the first of a dozen events and a regular last chunk. Cause: an engine may mark the end of a response with its connection alone, and closes it in the same way when a run fails. The relay took any orderly end of a body for the end of the response and passed on what was left of an incomplete event. Change: a stream whose body ends within an event was broken off, whatever marks the end of the body. It is resumed if it may be, or else aborted; its engine gets the verdict, and the line and the counter say so. Works because an event format with a terminator says by itself whether the last event is whole, also where the framing says nothing.

--- a/components/gateway/src/request/relay.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -1,6 +1,8 @@
 //! Streams a response to the caller as it arrives. If it fails midway, the transfer to the caller
 //! is aborted too, so that an incomplete response never looks complete.
 
+mod end;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -11,6 +13,8 @@
 use hyper::{
     Response, StatusCode,
     body::{Body as _, Frame, Incoming},
+    header,
+    http::response,
 };
 
 use super::{
@@ -53,6 +57,9 @@
 /// not find the retry budget exhausted.
 const MIGRATION_RETRIES: usize = 2;
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Creates a body from bytes that are all available.
 pub fn full_body(bytes: Bytes) -> Body {
     Full::new(bytes)
@@ -122,7 +129,7 @@
     let mut response = Response::new(());
     *response.status_mut() = answer.head.status;
     *response.headers_mut() = call::headers::end_to_end(&answer.head.headers);
-    let streams = job.route.kind.is_stream() && answer.head.status.is_success();
+    let streams = job.route.kind.is_stream() && is_event_stream(&answer.head);
     let mut event_buffer = streams.then(EventBuffer::default);
     if let (Some(event_buffer), Some(after)) = (&mut event_buffer, job.metadata.resume_after) {
         event_buffer.start_after(after);
@@ -157,6 +164,16 @@
     response.map(|()| StreamBody::new(chunks.map_ok(Frame::data).boxed()).boxed_unsync())
 }
 
+/// Whether a response is a stream of events, if its route says so and nothing contradicts it.
+fn is_event_stream(head: &response::Parts) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    let other_type = content_type.is_some_and(|content_type| {
+        let media_type = content_type.as_bytes().get(..EVENT_STREAM.len());
+        !media_type.is_some_and(|media_type| media_type.eq_ignore_ascii_case(EVENT_STREAM))
+    });
+    head.status.is_success() && !other_type
+}
+
 impl Relay {
     /// Returns the next bytes for the caller; `None` at the end of a complete response.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
@@ -187,14 +204,15 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
-                    // the body isn't polled again once its announced length has arrived
+                    // the body isn't polled again once its announced length has been passed on
                     let is_last = upstream.body.is_end_stream();
                     self.record_event();
                     let complete_events = match &mut self.event_buffer {
                         None => Some(bytes),
                         Some(event_buffer) => event_buffer.push(&bytes),
                     };
-                    let remainder = is_last.then(|| self.finish()).flatten();
+                    let ends = is_last && self.early_end().is_none();
+                    let remainder = ends.then(|| self.finish()).flatten();
                     match (complete_events, remainder) {
                         (Some(complete_events), Some(remainder)) => {
                             return Ok(Some([complete_events, remainder].concat().into()));
@@ -203,8 +221,8 @@
                         (None, None) => {}
                     }
                 }
-                Ok(None) => return Ok(self.finish()),
-                Ok(Some(Err(_))) => {
+                Ok(None) if self.ends_complete() => return Ok(self.finish()),
+                Ok(None | Some(Err(_))) => {
                     let resumed = match self.migration.take() {
                         Some(next) => self.resume_migrated(next).await,
                         None => self.resume().await,
@@ -263,18 +281,7 @@
 
     /// Ends a complete response.
     fn finish(&mut self) -> Option<Bytes> {
-        let partial = self
-            .event_buffer
-            .as_ref()
-            .is_some_and(|event_buffer| event_buffer.partial_len() > 0);
-        let framing = self.framing.to_string();
-        let ends_within_event = if partial { "true" } else { "false" };
-        self.job
-            .gateway
-            .metrics
-            .response_ends
-            .with_label_values(&[&*framing, ends_within_event])
-            .inc();
+        self.record_end(None);
         self.log_outcome("answered");
         let remainder = self.event_buffer.as_mut().and_then(EventBuffer::finish);
         if let Some(upstream) = self.upstream.take() {
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -15,7 +15,7 @@
     pub requests: IntCounterVec,
     /// Requests that an endpoint answered, by service and by how the answer ended.
     pub answers: IntCounterVec,
-    /// Responses of endpoints that were relayed to their end, by framing and by whether they ended within an event.
+    /// Responses of endpoints whose bodies ended, by framing and by what shows that they are incomplete.
     pub response_ends: IntCounterVec,
     /// Refused requests, by reason.
     pub refusals: IntCounterVec,
@@ -84,7 +84,7 @@
             response_ends: counters(
                 "response_ends_total",
                 "Responses that ended.",
-                &["framing", "within_event"],
+                &["framing", "end"],
             )?,
             refusals: counters("refusals_total", "Refusals.", &["reason"])?,
             interrupted_connections: counters(
