Do not take a stream that was stopped for a migration for a complete one

Callers of an engine that ends its responses with the connection got 2 or 3 events of 600 as a complete answer when their stream was to migrate. Cause: the engine stops the answer and closes the connection; the relay resumed it only after an error of the body, not after an orderly end. The same if the engine's reply to the migration was lost or did not parse: that counted as 'stays'. Change: from the call on, the end of the connection counts as the stop, unless the engine said that it did not stop; a reply that says nothing is an outcome of its own (MigrationReply::Unclear), is logged and counted, and no second migration is asked for. Reserved retries are refunded if the answer ended before its stop. Works because only the caller of the migration knows that an end is not the end.

--- a/components/gateway/src/adapters/mod.rs
+++ b/components/gateway/src/adapters/mod.rs
@@ -217,6 +217,17 @@
     pub tokens: u64,
 }
 
+/// What a call to migrate an answer led to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MigrationReply {
+    /// The engine has stopped the answer.
+    Stopped(Migration),
+    /// The engine has not stopped the answer.
+    NotStopped,
+    /// The engine may have stopped the answer, but the response does not say where to resume it.
+    Unclear,
+}
+
 /// An answer that was stopped so that it can migrate to another engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Migration {
@@ -299,14 +310,8 @@
     /// to another engine.
     fn migration_call(&self, id: &str, to: SocketAddr) -> Call;
 
-    /// Parses the response to a migration call. Returns the handle under which the answer can be
-    /// resumed, on the same engine or on the other one; `None` if the answer has not stopped.
-    fn parse_migration(
-        &self,
-        from: SocketAddr,
-        status: StatusCode,
-        body: &[u8],
-    ) -> Option<Migration>;
+    /// Parses the response to a migration call.
+    fn parse_migration(&self, from: SocketAddr, status: StatusCode, body: &[u8]) -> MigrationReply;
 
     /// Builds the call that orders a change of stage.
     fn order_call(&self, order: &Order) -> Call;
--- a/components/gateway/src/request/generate/migrate.rs
+++ b/components/gateway/src/request/generate/migrate.rs
@@ -11,7 +11,7 @@
 
 use super::snapshot::{Snapshot, is_long_answer, placement_request};
 use crate::{
-    adapters::{Directive, KvHandle},
+    adapters::{Directive, KvHandle, MigrationReply},
     endpoint::{DecodeGuard, Target},
     request::{
         attempt::{self, Answer, Cause},
@@ -52,13 +52,37 @@
     }
 }
 
-/// Makes an engine stop an answer and copy its KV cache to another engine. Returns `None` if the
-/// answer continues where it is.
-pub async fn stop_and_copy(job: &Job, from: &Arc<Target>) -> Option<StoppedAnswer> {
+/// What became of an answer that was to migrate.
+pub enum Outcome {
+    /// It continues where it is.
+    Stays,
+    /// It has stopped and can be resumed.
+    Stopped(StoppedAnswer),
+    /// It may have stopped, but it is not known where it can be resumed.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the value of the metric label.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Stays => "stayed",
+            Self::Stopped(stopped) if stopped.target.id == stopped.source.id => "stopped",
+            Self::Stopped(_) => "copied",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Makes an engine stop an answer and copy its KV cache to another engine.
+pub async fn stop_and_copy(job: &Job, from: &Arc<Target>) -> Outcome {
     let asked_at = Instant::now();
     let snapshot = Snapshot::new(job, std::slice::from_ref(from));
     let weights = Weights::default();
-    let index = place::choose_decode_engine(&snapshot.engines, &placement_request(job), &weights)?;
+    let request = placement_request(job);
+    let Some(index) = place::choose_decode_engine(&snapshot.engines, &request, &weights) else {
+        return Outcome::Stays;
+    };
     let to = &snapshot.targets[index];
     let address = |target: &Target| target.with(|state| state.profile.address);
     let dialect = &job.gateway.adapters.dialect;
@@ -66,30 +90,32 @@
     // The engine stops the answer when it receives the call, and the time to copy the KV cache
     // depends on its size and the links. A shorter timeout would lose the answer.
     let answer = attempt::call_with_timeout(job.time_left(), from, call).await;
-    let migration = answer
-        .as_ref()
-        .and_then(|(status, body)| dialect.parse_migration(address(from), *status, body));
+    let status = answer.as_ref().map(|(status, _)| status.as_u16());
+    // a call that was lost may have taken effect
+    let reply = answer.map_or(MigrationReply::Unclear, |(status, body)| {
+        dialect.parse_migration(address(from), status, &body)
+    });
+    let outcome = match reply {
+        MigrationReply::NotStopped => Outcome::Stays,
+        MigrationReply::Unclear => Outcome::Unknown,
+        MigrationReply::Stopped(migration) => Outcome::Stopped(StoppedAnswer {
+            target: Arc::clone(if migration.copied { to } else { from }),
+            handle: migration.handle,
+            source: Arc::clone(from),
+            asked_at,
+        }),
+    };
     log::info!(
-        request = job.metadata.id, from = &*from.id.0, to = &*to.id.0,
-        status = answer.map(|(status, _)| status.as_u16()), stopped = migration.is_some(),
-        copied = migration.as_ref().is_some_and(|migration| migration.copied);
+        request = job.metadata.id, from = &*from.id.0, to = &*to.id.0, status,
+        outcome = outcome.label();
         "asked an engine to migrate an answer"
     );
-    let outcome = match &migration {
-        None => "stayed",
-        Some(migration) if migration.copied => "copied",
-        Some(_) => "stopped",
-    };
     let metrics = &job.gateway.metrics;
-    metrics.migrations.with_label_values(&[outcome]).inc();
-    let migration = migration?;
-    let target = if migration.copied { to } else { from };
-    Some(StoppedAnswer {
-        target: Arc::clone(target),
-        handle: migration.handle,
-        source: Arc::clone(from),
-        asked_at,
-    })
+    metrics
+        .migrations
+        .with_label_values(&[outcome.label()])
+        .inc();
+    outcome
 }
 
 /// Sends the request of a stopped answer to the engine on which it is resumed, after the last event
--- a/components/gateway/src/request/relay/end.rs
+++ b/components/gateway/src/request/relay/end.rs
@@ -4,7 +4,7 @@
 use derive_more::Display;
 
 use super::Relay;
-use crate::request::events::EventBuffer;
+use crate::request::{events::EventBuffer, framing::Framing};
 
 /// What shows that a response is incomplete at the end of its body.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -12,6 +12,9 @@
     /// The last event lacks its blank line.
     #[display("within an event")]
     WithinEvent,
+    /// The engine was asked to stop the answer, and its response ended with the connection.
+    #[display("stopped to migrate")]
+    Stopped,
 }
 
 /// Label of responses that are complete at the end of their bodies.
@@ -22,9 +25,13 @@
     /// end of the body.
     pub(super) fn early_end(&self) -> Option<EarlyEnd> {
         let event_buffer = self.event_buffer.as_ref();
-        event_buffer
-            .is_some_and(EventBuffer::is_within_event)
-            .then_some(EarlyEnd::WithinEvent)
+        match self.framing {
+            _ if event_buffer.is_some_and(EventBuffer::is_within_event) => {
+                Some(EarlyEnd::WithinEvent)
+            }
+            Framing::Close if self.may_be_stopped => Some(EarlyEnd::Stopped),
+            Framing::Length | Framing::Chunks | Framing::Close => None,
+        }
     }
 
     /// Whether the response is complete now that its body has ended.
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -23,7 +23,7 @@
     framing::Framing,
     generate::{
         self, is_long_answer,
-        migrate::{self, StoppedAnswer},
+        migrate::{self, Outcome, StoppedAnswer},
     },
     job::Job,
 };
@@ -83,6 +83,8 @@
     migrations: u32,
     /// Where the answer is resumed once its current engine has stopped it.
     migration: Option<StoppedAnswer>,
+    /// Whether the current engine was asked to stop the answer, and has not said that it did not.
+    may_be_stopped: bool,
     events: u64,
     first_event: Option<Instant>,
     /// The longest time between two events so far.
@@ -144,6 +146,7 @@
         attempts,
         migrations: 0,
         migration: None,
+        may_be_stopped: false,
         events: 0,
         first_event: None,
         longest_gap: Duration::ZERO,
@@ -182,7 +185,7 @@
                 return Ok(None);
             };
             let cutoff = self.job.deadline + DEADLINE_GRACE;
-            let may_migrate = self.migration.is_none()
+            let may_migrate = !self.may_be_stopped
                 && self.migrations < MAX_MIGRATIONS
                 && is_long_answer(&self.job);
             let frame = tokio::select! {
@@ -282,6 +285,10 @@
     /// Ends a complete response.
     fn finish(&mut self) -> Option<Bytes> {
         self.record_end(None);
+        if self.migration.take().is_some() {
+            // the answer ended before its engine stopped it
+            self.job.sends.refund_reserved(&self.job);
+        }
         self.log_outcome("answered");
         let remainder = self.event_buffer.as_mut().and_then(EventBuffer::finish);
         if let Some(upstream) = self.upstream.take() {
@@ -317,6 +324,7 @@
     fn set_upstream(&mut self, answer: Answer, decode_guard: DecodeGuard) {
         self.endpoint = answer.target.id.clone();
         self.framing = Framing::of(&answer.head);
+        self.may_be_stopped = false;
         self.upstream = Some(Upstream::new(answer, decode_guard));
     }
 
@@ -334,9 +342,11 @@
         if withheld || !self.job.sends.reserve(&self.job, MIGRATION_RETRIES) {
             return;
         }
-        self.migration = migrate::stop_and_copy(&self.job, &upstream.target).await;
-        if self.migration.is_none() {
-            self.job.sends.refund_reserved(&self.job);
+        let outcome = migrate::stop_and_copy(&self.job, &upstream.target).await;
+        self.may_be_stopped = !matches!(outcome, Outcome::Stays);
+        match outcome {
+            Outcome::Stopped(stopped) => self.migration = Some(stopped),
+            Outcome::Stays | Outcome::Unknown => self.job.sends.refund_reserved(&self.job),
         }
     }
 
--- a/components/gateway/tests/gateway/fake.rs
+++ b/components/gateway/tests/gateway/fake.rs
@@ -16,7 +16,7 @@
     Adapters,
     adapters::{
         Call, Change, Cursor, Dialect, Directive, Directory, Failure, KvHandle, Metadata,
-        Migration, Order, OrderOutcome, Reply, Report, Update,
+        MigrationReply, Order, OrderOutcome, Reply, Report, Update,
     },
     version::{Configuration, Workspace},
 };
@@ -159,8 +159,8 @@
         call()
     }
 
-    fn parse_migration(&self, _: SocketAddr, _: StatusCode, _: &[u8]) -> Option<Migration> {
-        None
+    fn parse_migration(&self, _: SocketAddr, _: StatusCode, _: &[u8]) -> MigrationReply {
+        MigrationReply::NotStopped
     }
 
     fn order_call(&self, _: &Order) -> Call {
