Find out whether an endpoint crashed before its response counts as complete

Callers got the first events of a stream, or half of a plain response, as complete when the endpoint's process crashed. Cause: the endpoint's system closes its connections in an orderly way, and the end of the connection was what marked the end of the response. Change: such a response counts as complete only after the endpoint accepted a new connection, which is kept for the next request; the check for crashes, made for broken connections so far, is shared by all responses that end while it runs. An endpoint that drains may exit after its last response. Works because a process that is gone refuses connections, one that finished a response accepts them. A failed run at an endpoint that goes on stays unknown.

--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -23,7 +23,7 @@
 pub use load::{DecodeGuard, Load, PrefillGuard};
 pub use registry::{Fleet, Registry};
 pub use requests::{RequestGuard, RequestTracker};
-pub use target::{Latencies, ServiceDefaults, Snapshot, Target};
+pub use target::{CrashCheck, Latencies, ServiceDefaults, Snapshot, Target};
 
 /// Name of an endpoint. A restarted endpoint may keep its name, see [`Profile::started`].
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -20,10 +20,6 @@
 };
 use crate::request::Fingerprint;
 
-/// How long a check whether an endpoint still listens stays valid: when an endpoint crashes, its
-/// connections break within a few milliseconds of each other.
-const LISTEN_CHECK_TTL: Duration = Duration::from_millis(100);
-
 /// An endpoint. It lives as long as anything is in flight there, also after it is no longer listed.
 #[derive(Debug)]
 pub struct Target {
@@ -77,8 +73,26 @@
     known_since: Instant,
     /// This process's requests, by fingerprint.
     pub requests: RequestTracker,
-    /// When it was last checked whether it still listens.
-    last_checked: Option<Instant>,
+    /// The last check whether it still listens.
+    last_check: Option<ListenCheck>,
+}
+
+/// A check whether an endpoint still listens.
+#[derive(Clone, Copy, Debug)]
+struct ListenCheck {
+    began: Instant,
+    /// Whether it refused the connection.
+    refused: bool,
+}
+
+/// What a check for a crash of an endpoint showed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CrashCheck {
+    /// It has not crashed, as far as can be known.
+    NotCrashed,
+    /// It has crashed. The fingerprints are those of the requests that may be the cause; only the
+    /// first check that finds the crash returns them.
+    Crashed(Vec<Fingerprint>),
 }
 
 /// Average latencies of the engines of a service.
@@ -242,7 +256,7 @@
                 backlog: Backlog::default(),
                 known_since: Instant::now(),
                 requests: RequestTracker::default(),
-                last_checked: None,
+                last_check: None,
             }),
         }
     }
@@ -441,34 +455,37 @@
         connection::open(address, &self.open_connections).await
     }
 
-    /// Checks whether the endpoint still listens after a connection broke at `broke`. If it does
-    /// not, takes the fingerprints of the requests that may have caused the crash.
+    /// Checks whether the endpoint has crashed, unless a check that began at `since` or later has
+    /// shown it.
     ///
-    /// Returns nothing if it still listens, if it is draining or no longer listed, or if it was
-    /// checked after `broke` or less than `LISTEN_CHECK_TTL` before. An endpoint that merely resets
-    /// connections still accepts new ones, one that has crashed refuses them.
-    pub async fn take_requests_if_crashed(&self, broke: Instant) -> Vec<Fingerprint> {
+    /// An endpoint that closes or resets connections still accepts new ones, one that has crashed
+    /// refuses them. One that is draining or no longer listed may exit after its last response, so it
+    /// is not checked.
+    pub async fn check_for_crash(&self, since: Instant) -> CrashCheck {
         let _listen_check = self.listen_check.lock().await;
-        let (address, due) = self.with(|state| {
+        let (address, stays, last) = self.with(|state| {
             let stays = state.listed && state.profile.state == State::Ready;
-            let known = |checked: Instant| checked + LISTEN_CHECK_TTL > broke;
-            (
-                state.profile.address,
-                stays && !state.last_checked.is_some_and(known),
-            )
+            (state.profile.address, stays, state.last_check)
         });
-        if !due {
-            return Vec::new();
+        match last {
+            _ if !stays => return CrashCheck::NotCrashed,
+            Some(last) if last.began >= since && last.refused => {
+                return CrashCheck::Crashed(Vec::new());
+            }
+            Some(last) if last.began >= since => return CrashCheck::NotCrashed,
+            Some(_) | None => {}
         }
-        let now = Instant::now();
+        let began = Instant::now();
         let opened = connection::open(address, &self.open_connections).await;
-        self.with(|state| {
-            state.last_checked = Some(now);
-            match opened {
-                Err(ConnectError::Refused) => state.requests.take_all(now),
-                Ok(_) | Err(_) => Vec::new(),
-            }
-        })
+        let refused = matches!(opened, Err(ConnectError::Refused));
+        let requests = self.with(|state| {
+            state.last_check = Some(ListenCheck { began, refused });
+            refused.then(|| state.requests.take_all(began))
+        });
+        if let Ok(connection) = opened {
+            self.put_back_connection(connection);
+        }
+        requests.map_or(CrashCheck::NotCrashed, CrashCheck::Crashed)
     }
 
     /// Puts a connection that can serve another request back into the pool.
--- a/components/gateway/src/process/crashes.rs
+++ b/components/gateway/src/process/crashes.rs
@@ -1,12 +1,18 @@
 //! Endpoints that crash with requests in flight. See `docs/DESIGN.md#requests-that-end-endpoints`.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use clock::Instant;
 
 use super::Gateway;
-use crate::{endpoint::Target, request::Fingerprint};
+use crate::{
+    endpoint::{CrashCheck, Target},
+    request::Fingerprint,
+};
 
+/// How long a check whether an endpoint still listens is valid for other broken connections: when an
+/// endpoint crashes, its connections break within a few milliseconds of each other.
+const LISTEN_CHECK_TTL: Duration = Duration::from_millis(100);
 /// Maximum number of requests named in a log line: as many as an engine of the first deployments runs
 /// concurrently.
 const MAX_LOGGED_REQUESTS: usize = 48;
@@ -15,8 +21,26 @@
     /// Checks whether an endpoint that broke a request's connection has crashed, and if so records the
     /// requests that were in flight there.
     pub async fn check_for_crash(&self, target: &Arc<Target>, request: &str) {
-        let fingerprints = target.take_requests_if_crashed(Instant::now()).await;
-        self.record_crash(target, &fingerprints, "it refuses connections", request);
+        let since = Instant::now().checked_sub(LISTEN_CHECK_TTL);
+        self.has_crashed_since(target, request, since.unwrap_or_else(Instant::now))
+            .await;
+    }
+
+    /// Whether an endpoint that ended a request's connection in an orderly way has crashed. If so,
+    /// records the requests that were in flight there.
+    pub async fn has_crashed(&self, target: &Arc<Target>, request: &str) -> bool {
+        self.has_crashed_since(target, request, Instant::now())
+            .await
+    }
+
+    async fn has_crashed_since(&self, target: &Target, request: &str, since: Instant) -> bool {
+        match target.check_for_crash(since).await {
+            CrashCheck::NotCrashed => false,
+            CrashCheck::Crashed(fingerprints) => {
+                self.record_crash(target, &fingerprints, "it refuses connections", request);
+                true
+            }
+        }
     }
 
     /// Records the requests that were in flight at an endpoint whose entry disappeared from the list although
--- a/components/gateway/src/request/relay/end.rs
+++ b/components/gateway/src/request/relay/end.rs
@@ -15,6 +15,9 @@
     /// The engine was asked to stop the answer, and its response ended with the connection.
     #[display("stopped to migrate")]
     Stopped,
+    /// The endpoint refuses connections, and its response ended with the connection.
+    #[display("the endpoint crashed")]
+    Crashed,
 }
 
 /// Label of responses that are complete at the end of their bodies.
@@ -34,9 +37,19 @@
         }
     }
 
-    /// Whether the response is complete now that its body has ended.
-    pub(super) fn ends_complete(&self) -> bool {
-        let early_end = self.early_end();
+    /// Whether the response is complete now that its body has ended. A crash closes connections in
+    /// an orderly way too.
+    pub(super) async fn ends_complete(&self) -> bool {
+        let (gateway, request) = (&self.job.gateway, &self.job.metadata.id);
+        let early_end = match (self.early_end(), &self.upstream) {
+            (None, Some(upstream))
+                if self.framing == Framing::Close
+                    && gateway.has_crashed(&upstream.target, request).await =>
+            {
+                Some(EarlyEnd::Crashed)
+            }
+            (early_end, _) => early_end,
+        };
         if early_end.is_some() {
             self.record_end(early_end);
         }
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -224,7 +224,7 @@
                         (None, None) => {}
                     }
                 }
-                Ok(None) if self.ends_complete() => return Ok(self.finish()),
+                Ok(None) if self.ends_complete().await => return Ok(self.finish()),
                 Ok(None | Some(Err(_))) => {
                     let resumed = match self.migration.take() {
                         Some(next) => self.resume_migrated(next).await,
