Reset connections that end within a response to callers without chunks

A caller of HTTP/1.0 read the first events of a stream that was broken off, or cut at its deadline, and then an orderly end: it could not know that anything was missing. Cause: such a caller gets neither length nor chunks, so the end of its connection is the end of its response, and the socket of an aborted response was closed like any other. Change: from the first byte of a response to such a caller until the library shuts the connection down, which it does after a complete response only, closing the socket resets the connection. Works because the option is the kernel's, so it also holds when the process ends.

--- a/components/caller/src/exchange.rs
+++ b/components/caller/src/exchange.rs
@@ -151,6 +151,15 @@
         })
     }
 
+    /// Whether the request in flight is of a version without chunks. If its response has no length, the end of the
+    /// connection marks its end.
+    #[must_use]
+    pub fn lacks_chunks(&self) -> bool {
+        let state = self.state.lock();
+        let request = state.request.as_ref();
+        request.is_some_and(|request| request.version < Version::HTTP_11)
+    }
+
     /// Whether the last request may have been executed.
     #[must_use]
     pub fn may_have_executed(&self) -> bool {
--- a/components/caller/src/socket.rs
+++ b/components/caller/src/socket.rs
@@ -5,6 +5,9 @@
 //! withholds the end of stream from the library while a response is pending, and sends the caller an interim response
 //! instead: the operating system of a caller that has disconnected answers it with a reset. See
 //! `docs/DESIGN.md#callers-that-half-close`.
+//!
+//! It also resets a connection that ends within the response to a caller without chunked encoding, to which an orderly
+//! end would look like the end of the response. See `docs/DESIGN.md#the-end-of-a-response`.
 
 use std::{
     io,
@@ -14,6 +17,7 @@
     time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -40,6 +44,8 @@
     half_closed: Option<HalfClosed>,
     /// Whether the last write could not proceed because the send buffer was full.
     write_blocked: bool,
+    /// Whether the connection is reset when the socket is closed, by this process or at its end.
+    resets_on_close: bool,
 }
 
 #[derive(Debug)]
@@ -75,6 +81,19 @@
             exchange,
             half_closed: None,
             write_blocked: false,
+            resets_on_close: false,
+        }
+    }
+
+    /// Sets whether the connection is reset when the socket is closed.
+    fn set_reset_on_close(&mut self, resets: bool) {
+        if self.resets_on_close == resets {
+            return;
+        }
+        let linger = resets.then_some(Duration::ZERO);
+        // fails only if the connection is closed already
+        if SockRef::from(&self.stream).set_linger(linger).is_ok() {
+            self.resets_on_close = resets;
         }
     }
 
@@ -166,6 +185,9 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        if this.exchange.lacks_chunks() {
+            this.set_reset_on_close(true);
+        }
         let written = Pin::new(&mut this.stream).poll_write(cx, buf);
         this.record_write(cx, written)
     }
@@ -176,6 +198,9 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        if this.exchange.lacks_chunks() {
+            this.set_reset_on_close(true);
+        }
         let written = Pin::new(&mut this.stream).poll_write_vectored(cx, bufs);
         this.record_write(cx, written)
     }
@@ -189,6 +214,9 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        let this = self.get_mut();
+        // only shut down after a complete response
+        this.set_reset_on_close(false);
+        Pin::new(&mut this.stream).poll_shutdown(cx)
     }
 }
