Break a stream off instead of repeating events that have no id

A caller of a stream that may be resumed got its first events twice. Cause: without an id there is nothing after which another engine could go on; the relay asked it for the whole stream and appended that. Change: a stream whose last event with data has no id is not resumed but broken off. Also tests that a kill and a shutdown of the process reset streams without chunks.

--- a/components/gateway/src/request/events/mod.rs
+++ b/components/gateway/src/request/events/mod.rs
@@ -20,15 +20,24 @@
     line_start: usize,
     /// Number of bytes of `partial` in which no end of line remains to be found.
     scanned: usize,
-    /// Whether the incomplete event has a complete line that is not a comment.
-    has_field: bool,
     /// Whether the last byte was a CR that ended a line, so that an LF after it belongs to that line.
     ended_with_cr: bool,
     /// Whether a line of this response has ended.
     has_line: bool,
-    /// Id in the incomplete event.
-    pending_id: Option<u64>,
+    /// The complete lines of the incomplete event.
+    event: Event,
     last_id: Option<u64>,
+    /// Whether an event without an id has been completed after the last one with an id.
+    lacks_id: bool,
+}
+
+/// The lines of an event that have arrived.
+#[derive(Debug, Default)]
+struct Event {
+    /// Whether there is a line that is not a comment.
+    has_field: bool,
+    has_data: bool,
+    id: Option<u64>,
 }
 
 impl EventBuffer {
@@ -78,14 +87,20 @@
         self.line_start = self.scanned;
         match line {
             [] => {
-                self.has_field = false;
-                self.last_id = self.pending_id.take().or(self.last_id);
+                let event = std::mem::take(&mut self.event);
+                match event.id {
+                    Some(id) => (self.last_id, self.lacks_id) = (Some(id), false),
+                    None => self.lacks_id |= event.has_data,
+                }
                 true
             }
-            [b':', ..] => !self.has_field,
+            [b':', ..] => !self.event.has_field,
             field => {
-                self.has_field = true;
-                self.pending_id = parse_id(field).or(self.pending_id);
+                self.event = Event {
+                    has_field: true,
+                    has_data: self.event.has_data || field.starts_with(b"data"),
+                    id: parse_id(field).or(self.event.id),
+                };
                 false
             }
         }
@@ -93,7 +108,7 @@
 
     /// Whether the stream would be incomplete if it ended here.
     pub fn is_within_event(&self) -> bool {
-        self.has_field || self.line_start < self.partial.len()
+        self.event.has_field || self.line_start < self.partial.len()
     }
 
     /// Returns the remaining bytes of a complete stream.
@@ -111,10 +126,17 @@
     pub fn discard_partial(&mut self) {
         *self = Self {
             last_id: self.last_id,
+            lacks_id: self.lacks_id,
             ..Self::default()
         };
     }
 
+    /// Whether another response can continue after the last complete event. Without the id of that
+    /// event it would repeat events.
+    pub fn can_resume(&self) -> bool {
+        !self.lacks_id
+    }
+
     /// Returns the id of the last complete event.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/components/gateway/src/request/events/tests.rs
+++ b/components/gateway/src/request/events/tests.rs
@@ -87,6 +87,25 @@
     );
 }
 
+#[test]
+fn a_stream_can_be_resumed_only_after_an_event_with_an_id() {
+    let cases = [
+        ("", true),
+        (": ping\n\n", true),
+        ("retry: 100\n\n", true),
+        ("data: a\n\n", false),
+        ("data: a\n\nid: 2\ndata: b\n\n", true),
+        ("id: 1\ndata: a\n\ndata: b\n\n", false),
+        ("id: 1\ndata: a\n\ndata: b", true),
+        ("id: x\ndata: a\n\n", false),
+    ];
+    for (text, can_resume) in cases {
+        let mut buffer = EventBuffer::default();
+        buffer.push(&Bytes::from_static(text.as_bytes()));
+        assert_eq!(buffer.can_resume(), can_resume, "{text:?}");
+    }
+}
+
 /// Texts made of the parts of event streams, in any order.
 fn streams() -> impl Strategy<Value = String> {
     let parts = [
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -359,7 +359,11 @@
     }
 
     async fn try_resume_migrated(&mut self, stopped: StoppedAnswer) -> bool {
-        let Some(event_buffer) = &mut self.event_buffer else {
+        let Some(event_buffer) = self
+            .event_buffer
+            .as_mut()
+            .filter(|events| events.can_resume())
+        else {
             return false;
         };
         event_buffer.discard_partial();
@@ -390,7 +394,11 @@
         if self.job.route.kind != Kind::ResumableStream {
             return false;
         }
-        let Some(event_buffer) = &mut self.event_buffer else {
+        let Some(event_buffer) = self
+            .event_buffer
+            .as_mut()
+            .filter(|events| events.can_resume())
+        else {
             return false;
         };
         event_buffer.discard_partial();
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -1,7 +1,7 @@
 //! The gateway as a separate process: what it logs about requests whose connections end, and at shutdown.
 
 use std::{
-    io::Read,
+    io::{self, Read},
     net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -13,12 +13,17 @@
     any_port,
     caller::{self, RequestSpec},
     configuration,
-    endpoint::{Endpoint, EngineRegistry, Fault, Setup},
+    endpoint::{End, Ending, Endpoint, EngineRegistry, Fault, Setup},
     ledger::Ledger,
     store::Store,
 };
 use serde_json::Value;
-use tokio::time::Instant;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinHandle,
+    time::Instant,
+};
 
 /// The timeout of every wait.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -175,3 +180,47 @@
     assert_eq!(line["endpoint"], "d1");
     assert_eq!(line["reason"], "the process ended");
 }
+
+/// Reads a stream in HTTP/1.0, which has no chunks, until its connection ends.
+async fn read_without_chunks(to: SocketAddr) -> io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect(to).await?;
+    let head = "POST /stream/ HTTP/1.0\r\nhost: test.example\r\ncontent-length: 0\r\nwrenramp-request-id: r1\r\n\
+                wrenramp-deadline-ms: 20000\r\nwrenramp-model-name: m\r\nwrenramp-token-counts: 10,9\r\n\
+                wrenramp-prompt-prefix: a:10\r\n\r\n";
+    stream.write_all(head.as_bytes()).await?;
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await?;
+    Ok(response)
+}
+
+/// Starts to read a stream whose engine sends some events, and then nothing.
+async fn begin_to_read(gateway: &Gateway) -> JoinHandle<io::Result<Vec<u8>>> {
+    gateway.engine.set_fault(Fault::Ends(Ending {
+        events: 3,
+        partial_bytes: 0,
+        way: End::Silent,
+    }));
+    let response = tokio::spawn(read_without_chunks(gateway.caller_address));
+    gateway.wait_for_request("r1").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    response
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_without_chunks_is_not_passed_off_as_complete_by_a_kill() {
+    let mut gateway = Gateway::start("killed", 3).await;
+    let response = begin_to_read(&gateway).await;
+    gateway.child.kill().expect("the gateway is killed");
+    let response = response.await.expect("the caller task");
+    assert!(response.is_err(), "{response:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_without_chunks_is_not_passed_off_as_complete_by_a_shutdown() {
+    let gateway = Gateway::start("shut-down", 3).await;
+    let response = begin_to_read(&gateway).await;
+    let stopped = tokio::task::spawn_blocking(|| gateway.stop_and_read_log()).await;
+    assert!(stopped.is_ok());
+    let response = response.await.expect("the caller task");
+    assert!(response.is_err(), "{response:?}");
+}
