--- a/components/standin/src/link/mod.rs
+++ b/components/standin/src/link/mod.rs
@@ -10,11 +10,12 @@
     time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
         TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        tcp::{ReadHalf, WriteHalf},
     },
     sync::watch,
     task::JoinHandle,
@@ -26,7 +27,7 @@
     /// Forwards without delay.
     #[default]
     Open,
-    /// Closes open connections, and new ones at once.
+    /// Resets open connections, and closes new ones at once.
     Cut,
     /// Forwards after this delay.
     Slow(Duration),
@@ -128,7 +129,7 @@
 }
 
 async fn forward(
-    client: TcpStream,
+    mut client: TcpStream,
     target: SocketAddr,
     mut condition: watch::Receiver<Condition>,
     response_bytes: Arc<AtomicU64>,
@@ -137,29 +138,43 @@
     if initial.state == State::Cut {
         return;
     }
-    let Ok(server) = TcpStream::connect(target).await else {
+    let Ok(mut server) = TcpStream::connect(target).await else {
         return;
     };
     // fails only if the connections are closed already
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
-    let direction = |from, to, is_response| Direction {
-        from,
-        to,
-        condition: condition.clone(),
-        initial_stalls: initial.stall_count,
-        is_response,
-        response_bytes: Arc::clone(&response_bytes),
+    let ended = {
+        let (client_read, client_write) = client.split();
+        let (server_read, server_write) = server.split();
+        let direction = |from, to, is_response| Direction {
+            from,
+            to,
+            condition: condition.clone(),
+            initial_stalls: initial.stall_count,
+            is_response,
+            response_bytes: Arc::clone(&response_bytes),
+        };
+        let requests = direction(client_read, server_write, false).run();
+        let responses = direction(server_read, client_write, true).run();
+        tokio::select! {
+            ended = async { tokio::try_join!(requests, responses) } => ended.map(|_| ()),
+            _ = condition.wait_for(|condition| condition.state == State::Cut) => {
+                Err(std::io::ErrorKind::ConnectionReset.into())
+            }
+        }
     };
-    let requests = direction(client_read, server_write, false).run();
-    let responses = direction(server_read, client_write, true).run();
-    tokio::select! {
-        _ = async { tokio::join!(requests, responses) } => {}
-        _ = condition.wait_for(|condition| condition.state == State::Cut) => {}
+    if ended.is_err() {
+        reset(&client);
+        reset(&server);
     }
 }
 
+/// Makes the connection be reset when it is closed.
+fn reset(stream: &TcpStream) {
+    // fails only if the connection is closed already
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 /// Time that the transfer of a number of bytes takes at a rate in bytes per second.
 fn transfer_time(bytes: usize, rate: u32) -> Duration {
     let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
@@ -167,9 +182,9 @@
 }
 
 /// One direction of a connection.
-struct Direction {
-    from: OwnedReadHalf,
-    to: OwnedWriteHalf,
+struct Direction<'a> {
+    from: ReadHalf<'a>,
+    to: WriteHalf<'a>,
     condition: watch::Receiver<Condition>,
     /// The stall count when this connection was opened.
     initial_stalls: u64,
@@ -179,11 +194,11 @@
     response_bytes: Arc<AtomicU64>,
 }
 
-impl Direction {
-    /// Forwards bytes until either side closes.
-    async fn run(mut self) {
+impl Direction<'_> {
+    /// Forwards bytes until the sending side closes.
+    async fn run(mut self) -> std::io::Result<()> {
         let mut buffer = vec![0; 16 << 10];
-        while let Ok(length @ 1..) = self.from.read(&mut buffer).await {
+        while let length @ 1.. = self.from.read(&mut buffer).await? {
             self.wait_until_forwarding().await;
             let condition = *self.condition.borrow();
             if let State::Slow(delay) = condition.state {
@@ -192,9 +207,7 @@
             if let Some(rate) = condition.rate {
                 tokio::time::sleep(transfer_time(length, rate)).await;
             }
-            if self.to.write_all(&buffer[..length]).await.is_err() {
-                return;
-            }
+            self.to.write_all(&buffer[..length]).await?;
             if self.is_response {
                 let length = u64::try_from(length).unwrap_or(u64::MAX);
                 self.response_bytes.fetch_add(length, Ordering::Relaxed);
@@ -203,6 +216,7 @@
         self.wait_until_forwarding().await;
         // the other side may be closed already
         let _ = self.to.shutdown().await;
+        Ok(())
     }
 
     /// Waits until the link forwards bytes in this direction.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -100,6 +100,18 @@
     assert_no_violation(&options, &KEYS_SEEDS).await;
 }
 
+/// Seeds of the short run in which responses end early.
+const EARLY_ENDS_SEEDS: [u64; 3] = [46_002, 46_003, 46_006];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_response_that_ended_early_looks_complete_in_a_short_soak() {
+    let options = Options {
+        scenario: Scenario::EarlyEnds,
+        ..options()
+    };
+    assert_no_violation(&options, &EARLY_ENDS_SEEDS).await;
+}
+
 /// A seed in which a gateway's process is stopped and restarted within two seconds.
 const RESTART_SEED: u64 = 3;
 /// How long a restart is blocked in that run: well above the delay that is logged as blocked stand-ins.
