Migrate no answer before its first event

Cause: an engine that drained was asked to stop answers that had produced no event, and each was sent to another engine without Last-Event-Id, which made it a new run; an answer whose events have no ids would have been stopped and then broken off. Change: an answer migrates only after an event with an id. Evidence: a_stream_is_not_run_again_by_a_migration_before_its_first_event failed before (no Last-Event-Id at the second engine) and passes now. Works because the id is what makes the second request continue the run.

--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -181,13 +181,11 @@
     /// Returns the next bytes for the caller; `None` at the end of a complete response.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
         loop {
+            let may_migrate = self.may_migrate();
             let Some(upstream) = &mut self.upstream else {
                 return Ok(None);
             };
             let cutoff = self.job.deadline + DEADLINE_GRACE;
-            let may_migrate = !self.may_be_stopped
-                && self.migrations < MAX_MIGRATIONS
-                && is_long_answer(&self.job);
             let frame = tokio::select! {
                 biased;
                 frame = clock::timeout_at(cutoff, upstream.body.frame()) => frame,
@@ -328,6 +326,16 @@
         self.upstream = Some(Upstream::new(answer, decode_guard));
     }
 
+    /// Whether the answer may be stopped to migrate. Only after an event with an id can another engine
+    /// continue it; before that, it would be run again.
+    fn may_migrate(&self) -> bool {
+        let continues = |events: &EventBuffer| events.can_resume() && events.last_id().is_some();
+        !self.may_be_stopped
+            && self.migrations < MAX_MIGRATIONS
+            && self.event_buffer.as_ref().is_some_and(continues)
+            && is_long_answer(&self.job)
+    }
+
     /// Makes the engine stop the answer so that it can be resumed on another one.
     async fn migrate(&mut self) {
         self.migrations += 1;
