Compare names of event fields whole

Cause: a field whose name only begins with 'data' counted as data of its event. Change: the line is split at its colon. Result: unit tests of events pass, with two more cases.

--- a/components/gateway/src/request/events/mod.rs
+++ b/components/gateway/src/request/events/mod.rs
@@ -96,11 +96,13 @@
             }
             [b':', ..] => !self.event.has_field,
             field => {
-                self.event = Event {
-                    has_field: true,
-                    has_data: self.event.has_data || field.starts_with(b"data"),
-                    id: parse_id(field).or(self.event.id),
-                };
+                let (name, value) = split_field(field);
+                self.event.has_field = true;
+                match name {
+                    b"data" => self.event.has_data = true,
+                    b"id" => self.event.id = parse_id(value).or(self.event.id),
+                    _ => {}
+                }
                 false
             }
         }
@@ -143,7 +145,12 @@
     }
 }
 
-fn parse_id(field: &[u8]) -> Option<u64> {
-    let value = field.strip_prefix(b"id:")?;
+/// Splits a line into the name of its field and its value, which is empty without a colon.
+fn split_field(line: &[u8]) -> (&[u8], &[u8]) {
+    let colon = line.iter().position(|byte| *byte == b':');
+    colon.map_or((line, &[]), |colon| (&line[..colon], &line[colon + 1..]))
+}
+
+fn parse_id(value: &[u8]) -> Option<u64> {
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/components/gateway/src/request/events/tests.rs
+++ b/components/gateway/src/request/events/tests.rs
@@ -98,6 +98,8 @@
         ("id: 1\ndata: a\n\ndata: b\n\n", false),
         ("id: 1\ndata: a\n\ndata: b", true),
         ("id: x\ndata: a\n\n", false),
+        ("data\n\n", false),
+        ("dataset: a\n\n", true),
     ];
     for (text, can_resume) in cases {
         let mut buffer = EventBuffer::default();
