--- a/tests/process.rs
+++ b/tests/process.rs
@@ -18,12 +18,7 @@
     store::Store,
 };
 use serde_json::Value;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    task::JoinHandle,
-    time::Instant,
-};
+use tokio::{task::JoinHandle, time::Instant};
 
 /// The timeout of every wait.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -181,26 +176,20 @@
     assert_eq!(line["reason"], "the process ended");
 }
 
-/// Reads a stream in HTTP/1.0, which has no chunks, until its connection ends.
-async fn read_without_chunks(to: SocketAddr) -> io::Result<Vec<u8>> {
-    let mut stream = TcpStream::connect(to).await?;
-    let head = "POST /stream/ HTTP/1.0\r\nhost: test.example\r\ncontent-length: 0\r\nwrenramp-request-id: r1\r\n\
-                wrenramp-deadline-ms: 20000\r\nwrenramp-model-name: m\r\nwrenramp-token-counts: 10,9\r\n\
-                wrenramp-prompt-prefix: a:10\r\n\r\n";
-    stream.write_all(head.as_bytes()).await?;
-    let mut response = Vec::new();
-    stream.read_to_end(&mut response).await?;
-    Ok(response)
-}
-
 /// Starts to read a stream whose engine sends some events, and then nothing.
-async fn begin_to_read(gateway: &Gateway) -> JoinHandle<io::Result<Vec<u8>>> {
+async fn begin_to_read(gateway: &Gateway) -> JoinHandle<io::Result<String>> {
     gateway.engine.set_fault(Fault::Ends(Ending {
         events: 3,
         partial_bytes: 0,
         way: End::Silent,
     }));
-    let response = tokio::spawn(read_without_chunks(gateway.caller_address));
+    let spec = RequestSpec {
+        deadline: WAIT_TIMEOUT,
+        ..RequestSpec::generation("r1", "/stream/", 10, 9)
+    };
+    let to = gateway.caller_address;
+    // a version without chunks
+    let response = tokio::spawn(async move { caller::read_raw(to, &spec, "HTTP/1.0").await });
     gateway.wait_for_request("r1").await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     response
