Read the lists again after the store's clock was set

A follower whose readers were silent never read a list again: changes of the configuration did not take effect, and endpoints that had left were still sent requests. When the times in two responses of the store contradict each other, the confirmations of both lists are discarded. The age of the list that was not being read then is unknown, and an unknown age counted as "the store does not send its time": never overdue. Only readers that report changes hid it.

An unknown age now counts as overdue if the store sends its time.

--- a/components/gateway/src/process/follow.rs
+++ b/components/gateway/src/process/follow.rs
@@ -250,6 +250,8 @@
         }
         match gateway.list_age(self.list, Instant::now()) {
             Some(age) => age > max_age,
+            // the confirmations of both lists are discarded when the store's clock is set
+            None if gateway.is_store_clock_known() => true,
             // the store does not send its time; keys do not count then
             None => self.list == List::Configuration && bounds.revocation_ms.is_some(),
         }
--- a/components/gateway/src/process/freshness/mod.rs
+++ b/components/gateway/src/process/freshness/mod.rs
@@ -69,6 +69,12 @@
         fits
     }
 
+    /// Whether the store has sent its time.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.0.is_some()
+    }
+
     /// Returns the earliest time at which the store's clock can have read `time`; `None` if that is unknown.
     #[must_use]
     pub fn earliest(&self, time: StoreTime) -> Option<Instant> {
@@ -171,6 +177,11 @@
         self.confirmation.age(list, now)
     }
 
+    /// Whether the store sends its time, so that the age of a list is unknown only until the list is read again.
+    pub fn is_store_clock_known(&self) -> bool {
+        self.confirmation.0.lock().clock.is_known()
+    }
+
     /// Returns how old the configuration in force can be at most; `None` if that is unknown.
     pub fn configuration_age(&self, now: Instant) -> Option<Duration> {
         self.list_age(List::Configuration, now)
