Do not take rounding of the store's times for a clock that was set

On a network faster than a millisecond gateways discarded what readers had confirmed: requests with keys were rejected until the next confirmation, and followers read lists again. The store's times are whole milliseconds. Two readings can therefore seem up to a millisecond closer together or further apart than they were, and when both calls take less than that, their bounds no longer overlap, which counted as a clock that was set.

Contradictions up to the resolution now only replace the bounds.

The new test failed before ("assertion failed: confirmation.age(..) .is_some()") and passes.

--- a/components/gateway/src/process/freshness/mod.rs
+++ b/components/gateway/src/process/freshness/mod.rs
@@ -20,6 +20,9 @@
 /// confirmation. The rest is a margin for clocks that run at different speeds.
 const MAX_AGE_RATIO: f64 = 0.8;
 
+/// Resolution of the store's times. Two readings can seem to contradict each other by this much.
+const CLOCK_RESOLUTION: Duration = Duration::from_millis(1);
+
 /// What a process has observed of the store's clock.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreClock(Option<Observation>);
@@ -64,9 +67,9 @@
             earliest: known.earliest.max(new.earliest),
             latest: known.latest.min(new.latest),
         };
-        let fits = both.earliest <= both.latest;
-        self.0 = Some(if fits { both } else { new });
-        fits
+        let overlap = both.earliest <= both.latest;
+        self.0 = Some(if overlap { both } else { new });
+        both.earliest <= both.latest + CLOCK_RESOLUTION
     }
 
     /// Whether the store has sent its time.
--- a/components/gateway/src/process/freshness/tests.rs
+++ b/components/gateway/src/process/freshness/tests.rs
@@ -104,3 +104,19 @@
         Some(ms(8_000))
     );
 }
+
+#[test]
+fn calls_shorter_than_a_millisecond_do_not_discard_the_confirmation_of_the_other_list() {
+    let start = Instant::now();
+    let us = Duration::from_micros;
+    let confirmation = Confirmation::default();
+    confirmation.record_response(
+        List::Configuration,
+        StoreTime(1_000),
+        start,
+        start + us(200),
+    );
+    let (sent, received) = (start + us(300), start + us(500));
+    confirmation.record_response(List::Endpoints, StoreTime(1_001), sent, received);
+    assert!(confirmation.age(List::Configuration, received).is_some());
+}
