Test that slow drift of clocks does not discard confirmations

Each short call replaces bounds that it contradicts by less than the resolution of the store's times. The test passes with the code as it is; without the resolution it fails.

--- a/components/gateway/src/process/freshness/tests.rs
+++ b/components/gateway/src/process/freshness/tests.rs
@@ -120,3 +120,22 @@
     confirmation.record_response(List::Endpoints, StoreTime(1_001), sent, received);
     assert!(confirmation.age(List::Configuration, received).is_some());
 }
+
+#[test]
+fn clocks_that_drift_slowly_do_not_discard_confirmations() {
+    let start = Instant::now();
+    let confirmation = Confirmation::default();
+    // the store's clock gains 50 parts per million
+    for second in 0..3_600 {
+        let sent = start + ms(second * 1_000);
+        let received = sent + Duration::from_micros(400);
+        let time = StoreTime(1_000 + second * 1_000 + second.div_ceil(20));
+        let list = [List::Configuration, List::Endpoints][(second % 2) as usize];
+        confirmation.record_response(list, time, sent, received);
+        let age = confirmation.age(List::Configuration, received);
+        assert!(
+            age.is_some_and(|age| age < ms(1_010)),
+            "after {second} s: {age:?}"
+        );
+    }
+}
