--- a/components/gateway/src/process/freshness/mod.rs
+++ b/components/gateway/src/process/freshness/mod.rs
@@ -20,7 +20,7 @@
 /// confirmation. The rest is a margin for clocks that run at different speeds.
 const MAX_AGE_RATIO: f64 = 0.8;
 
-/// Resolution of the store's times. Two readings can seem to contradict each other by this much.
+/// Resolution of the store's times. The bounds from two readings of one clock can lie this far apart.
 const CLOCK_RESOLUTION: Duration = Duration::from_millis(1);
 
 /// What a process has observed of the store's clock.
