Log and count the endpoints that a gateway cannot open connections to

A failed attempt did not say whether the endpoint failed or the path from this gateway to it, so the hypotheses of the incident could not be told apart. Each lost and regained path now has a log line, and a gauge counts the endpoints of each service that cannot be reached. No decision uses it yet.

--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -31,6 +31,14 @@
     pub fn subset(&self) -> &[Arc<Target>] {
         &self.subset
     }
+
+    /// Returns the number of endpoints of the subset to which this process can't open connections.
+    #[must_use]
+    pub fn count_unreachable(&self) -> usize {
+        let is_unreachable =
+            |target: &&Arc<Target>| target.with(|state| state.path.error().is_some());
+        self.subset.iter().filter(is_unreachable).count()
+    }
 }
 
 /// Registry of all endpoints.
@@ -79,6 +87,12 @@
             .unwrap_or_default()
     }
 
+    /// Returns the endpoints of each service, sorted by the service's name.
+    #[must_use]
+    pub fn fleets(&self) -> Vec<(Arc<str>, Fleet)> {
+        self.fleets.read().clone()
+    }
+
     /// Returns all endpoints, sorted by name.
     #[must_use]
     pub fn all(&self) -> Arc<Vec<Arc<Target>>> {
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -14,9 +14,10 @@
 use tokio::sync::{Mutex as AsyncMutex, Notify};
 
 use super::{
-    BusySet, ConnectError, Connection, Health, Id, Load, Profile, RequestTracker, Stage, State,
-    Verdict,
+    BusySet, ConnectError, Connection, Health, Id, Load, Path, Profile, RequestTracker, Stage,
+    State, Verdict,
     connection::{self, IdleConnection},
+    path,
 };
 use crate::request::Fingerprint;
 
@@ -55,6 +56,8 @@
     pub peer_load: Load,
     /// Its health.
     pub health: Health,
+    /// Whether this process can open connections to it.
+    pub path: Path,
     /// Its latency in its current stage; `None` before the first sample.
     pub latency: Option<Latency>,
     /// Prompt parts that it likely has cached.
@@ -247,6 +250,7 @@
                 own_load: Load::default(),
                 peer_load: Load::default(),
                 health: Health::default(),
+                path: Path::default(),
                 latency: None,
                 prefix_cache: PrefixCache::default(),
                 idle: Vec::new(),
@@ -451,8 +455,30 @@
                 return Err(ConnectError::Full);
             }
         }
+        self.open_connection().await
+    }
+
+    /// Opens a connection, and records whether that worked.
+    async fn open_connection(&self) -> Result<Connection, ConnectError> {
         let address = self.with(|state| state.profile.address);
-        connection::open(address, &self.open_connections).await
+        let opened = connection::open(address, &self.open_connections).await;
+        let result = opened.as_ref().map(|_| ()).map_err(|error| *error);
+        let (change, service) = self.with(|state| {
+            let change = state.path.record(result, Instant::now());
+            (change, Arc::clone(&state.profile.service))
+        });
+        let (endpoint, service) = (&*self.id.0, &*service);
+        match change {
+            Some(path::Change::Lost(error)) => {
+                log::info!(endpoint, service, address:%, error:%; "the path to an endpoint is lost");
+            }
+            Some(path::Change::Regained(after)) => {
+                let after_ms = policy::micros(after) / 1_000;
+                log::info!(endpoint, service, address:%, after_ms; "the path to an endpoint is back");
+            }
+            None => {}
+        }
+        opened
     }
 
     /// Checks whether the endpoint has crashed, unless a check that began at `since` or later has
@@ -463,9 +489,9 @@
     /// is not checked.
     pub async fn check_for_crash(&self, since: Instant) -> CrashCheck {
         let _listen_check = self.listen_check.lock().await;
-        let (address, stays, last) = self.with(|state| {
+        let (stays, last) = self.with(|state| {
             let stays = state.listed && state.profile.state == State::Ready;
-            (state.profile.address, stays, state.last_check)
+            (stays, state.last_check)
         });
         match last {
             _ if !stays => return CrashCheck::NotCrashed,
@@ -476,7 +502,7 @@
             Some(_) | None => {}
         }
         let began = Instant::now();
-        let opened = connection::open(address, &self.open_connections).await;
+        let opened = self.open_connection().await;
         let refused = matches!(opened, Err(ConnectError::Refused));
         let requests = self.with(|state| {
             state.last_check = Some(ListenCheck { began, refused });
--- a/components/gateway/src/process/status.rs
+++ b/components/gateway/src/process/status.rs
@@ -84,6 +84,15 @@
     set(&metrics.in_flight, count(*gateway.in_flight.borrow()));
     set(&metrics.peers, gateway.peers.count_alive());
     set(&metrics.endpoints, count(gateway.registry.all().len()));
+    for (service, fleet) in gateway.registry.fleets() {
+        let unreachable = count(fleet.count_unreachable());
+        set(
+            &metrics
+                .unreachable_endpoints
+                .with_label_values(&[&*service]),
+            unreachable,
+        );
+    }
     let suspects = gateway.all_suspects();
     set(&metrics.suspects, count(suspects.len()));
     let now = gateway.moment();
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -2,7 +2,8 @@
 //! have fixed sets of values.
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry,
 };
 
 use super::{LATENCY_BUCKETS_S, counters, histogram, text};
@@ -62,6 +63,8 @@
     pub peers: IntGauge,
     /// Listed endpoints.
     pub endpoints: IntGauge,
+    /// Listed endpoints to which this process can't open connections, by service.
+    pub unreachable_endpoints: IntGaugeVec,
     /// Fingerprints of requests during which endpoints crashed.
     pub suspects: IntGauge,
     /// Suspected fingerprints whose requests are withheld from all endpoints.
@@ -155,6 +158,13 @@
             in_flight: gauge("requests_under_way", "Requests under way.")?,
             peers: gauge("peers", "Peers that are heard.")?,
             endpoints: gauge("endpoints", "Endpoints that are listed.")?,
+            unreachable_endpoints: IntGaugeVec::new(
+                Opts::new(
+                    "wrenramp_endpoints_unreachable",
+                    "Listed endpoints to which no connection can be opened from here.",
+                ),
+                &["service"],
+            )?,
             suspects: gauge("requests_suspected", "Requests that endpoints ended under.")?,
             withheld: gauge("requests_withheld", "Those that get to no endpoint.")?,
             reloads: IntCounter::new("wrenramp_reloads_total", "Reads of changed settings.")?,
@@ -206,6 +216,8 @@
         ] {
             self.registry.register(Box::new(gauge.clone()))?;
         }
+        self.registry
+            .register(Box::new(self.unreachable_endpoints.clone()))?;
         self.registry.register(Box::new(self.reloads.clone()))
     }
 }
