--- a/components/standin/src/link/mod.rs
+++ b/components/standin/src/link/mod.rs
@@ -14,7 +14,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
-        TcpListener, TcpStream,
+        TcpListener, TcpSocket, TcpStream,
         tcp::{ReadHalf, WriteHalf},
     },
     sync::watch,
@@ -29,6 +29,13 @@
     Open,
     /// Resets open connections, and closes new ones at once.
     Cut,
+    /// Holds back all bytes on open connections until the link is restored, and leaves new connections
+    /// unanswered.
+    Unreachable,
+    /// Resets open connections, and refuses new ones.
+    Refuses,
+    /// Forwards on open connections, and refuses new ones.
+    RefusesNew,
     /// Forwards after this delay.
     Slow(Duration),
     /// Accepts connections and bytes and forwards nothing. The bytes held back are forwarded when
@@ -67,16 +74,15 @@
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let condition = Arc::new(watch::Sender::default());
-        let condition_source = Arc::clone(&condition);
+        let condition = Arc::new(watch::Sender::<Condition>::default());
         let response_bytes = Arc::new(AtomicU64::new(0));
-        let counter = Arc::clone(&response_bytes);
-        let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (condition, counter) = (condition_source.subscribe(), Arc::clone(&counter));
-                tokio::spawn(async move { forward(stream, target, condition, counter).await });
-            }
-        });
+        let acceptor = Acceptor {
+            address,
+            target,
+            condition: condition.subscribe(),
+            response_bytes: Arc::clone(&response_bytes),
+        };
+        let task = tokio::spawn(acceptor.run(listener));
         Ok(Self {
             address,
             condition,
@@ -128,6 +134,118 @@
     }
 }
 
+/// Accepts the connections of a link.
+struct Acceptor {
+    address: SocketAddr,
+    target: SocketAddr,
+    condition: watch::Receiver<Condition>,
+    response_bytes: Arc<AtomicU64>,
+}
+
+impl Acceptor {
+    async fn run(mut self, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            let mode = Acceptance::of(self.condition.borrow_and_update().state);
+            match mode {
+                Acceptance::Accepts => {
+                    let listener = listener
+                        .take()
+                        .unwrap_or_else(|| listen(self.address, ACCEPT_BACKLOG));
+                    let mut condition = self.condition.clone();
+                    tokio::select! {
+                        () = self.accept_all(&listener) => {}
+                        () = wait_for_change(&mut condition, mode) => {}
+                    }
+                }
+                Acceptance::Refuses => {
+                    listener = None;
+                    wait_for_change(&mut self.condition, mode).await;
+                }
+                Acceptance::Ignores => {
+                    listener = None;
+                    let _full = FullListener::start(self.address).await;
+                    wait_for_change(&mut self.condition, mode).await;
+                }
+            }
+        }
+    }
+
+    async fn accept_all(&self, listener: &TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (condition, counter) = (self.condition.clone(), Arc::clone(&self.response_bytes));
+            let target = self.target;
+            tokio::spawn(async move { forward(stream, target, condition, counter).await });
+        }
+    }
+}
+
+/// Waits until a link no longer treats new connections in this way.
+async fn wait_for_change(condition: &mut watch::Receiver<Condition>, mode: Acceptance) {
+    // an error means that the link was dropped, and the task that waits here with it
+    let _ = condition
+        .wait_for(|condition| Acceptance::of(condition.state) != mode)
+        .await;
+}
+
+/// What a link does with new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Acceptance {
+    Accepts,
+    Refuses,
+    /// Leaves them unanswered, as an unreachable host does.
+    Ignores,
+}
+
+impl Acceptance {
+    fn of(state: State) -> Self {
+        match state {
+            State::Refuses | State::RefusesNew => Self::Refuses,
+            State::Unreachable => Self::Ignores,
+            State::Open | State::Cut | State::Slow(_) | State::Silent | State::NoResponses => {
+                Self::Accepts
+            }
+        }
+    }
+}
+
+/// Maximum number of connections that wait to be accepted.
+const ACCEPT_BACKLOG: u32 = 1_024;
+/// Time after which a connection over loopback counts as unanswered.
+const UNANSWERED_AFTER: Duration = Duration::from_millis(50);
+
+/// Listens again on the port of a link.
+fn listen(address: SocketAddr, backlog: u32) -> TcpListener {
+    let listener = TcpSocket::new_v4().and_then(|socket| {
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(backlog)
+    });
+    listener.expect("the port of a link is free as long as the link exists")
+}
+
+/// A listener with a full backlog: the kernel leaves further connections unanswered.
+struct FullListener {
+    _listener: TcpListener,
+    _waiting: Vec<TcpStream>,
+}
+
+impl FullListener {
+    async fn start(address: SocketAddr) -> Self {
+        let listener = listen(address, 0);
+        let mut waiting = Vec::new();
+        while let Ok(Ok(stream)) =
+            tokio::time::timeout(UNANSWERED_AFTER, TcpStream::connect(address)).await
+        {
+            waiting.push(stream);
+        }
+        Self {
+            _listener: listener,
+            _waiting: waiting,
+        }
+    }
+}
+
 async fn forward(
     mut client: TcpStream,
     target: SocketAddr,
@@ -135,7 +253,7 @@
     response_bytes: Arc<AtomicU64>,
 ) {
     let initial = *condition.borrow();
-    if initial.state == State::Cut {
+    if resets(initial.state) {
         return;
     }
     let Ok(mut server) = TcpStream::connect(target).await else {
@@ -158,7 +276,7 @@
         let responses = direction(server_read, client_write, true).run();
         tokio::select! {
             ended = async { tokio::try_join!(requests, responses) } => ended.map(|_| ()),
-            _ = condition.wait_for(|condition| condition.state == State::Cut) => {
+            _ = condition.wait_for(|condition| resets(condition.state)) => {
                 Err(std::io::ErrorKind::ConnectionReset.into())
             }
         }
@@ -169,6 +287,11 @@
     }
 }
 
+/// Whether a link in this state resets its connections.
+fn resets(state: State) -> bool {
+    matches!(state, State::Cut | State::Refuses)
+}
+
 /// Makes the connection be reset when it is closed.
 fn reset(stream: &TcpStream) {
     // fails only if the connection is closed already
@@ -224,9 +347,9 @@
         let (initial_stalls, is_response) = (self.initial_stalls, self.is_response);
         let is_held = |condition: &Condition| match condition.state {
             _ if condition.stall_count > initial_stalls => true,
-            State::Silent => true,
+            State::Silent | State::Unreachable => true,
             State::NoResponses => is_response,
-            State::Open | State::Cut | State::Slow(_) => false,
+            State::Open | State::Cut | State::Slow(_) | State::Refuses | State::RefusesNew => false,
         };
         // an error means that the link was dropped, and its connections end with it
         let _ = self
