Do not take a path that fails for an endpoint that crashed

A gateway whose connections were reset, and whose new ones were refused, took each endpoint for crashed and suspected all requests in flight there. All gateways then withheld requests that had crashed nothing. A complete response without a length was broken off for the same reason.

Cause: a refused connection as one observer sees it was taken for a fact about the endpoint.

Up to four peers are now asked whether they reach the endpoint. It has crashed if one of them is refused too, though it reaches other endpoints of the service, and none reaches it. Requests whose connections the path broke are no evidence when an endpoint goes from the list either.

--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -26,7 +26,7 @@
 pub use path::{LostPaths, Path};
 pub use registry::{Fleet, Registry};
 pub use requests::{RequestGuard, RequestTracker};
-pub use target::{CrashCheck, Latencies, Reach, ServiceDefaults, Snapshot, Target};
+pub use target::{CrashCheck, Latencies, Listening, Reach, ServiceDefaults, Snapshot, Target};
 
 /// Name of an endpoint. A restarted endpoint may keep its name, see [`Profile::started`].
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
--- a/components/gateway/src/endpoint/requests.rs
+++ b/components/gateway/src/endpoint/requests.rs
@@ -99,6 +99,12 @@
         )
     }
 
+    /// Discards the requests whose connections broke.
+    pub fn forget_broken(&mut self) {
+        self.unanswered
+            .retain(|request| request.interruption != Interruption::ConnectionBroken);
+    }
+
     /// Takes the fingerprints of the requests whose connections recently broke, sorted, and
     /// discards the other unanswered ones.
     pub fn take_broken(&mut self, now: Instant) -> Vec<Fingerprint> {
--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -94,8 +94,19 @@
 #[derive(Clone, Copy, Debug)]
 struct ListenCheck {
     began: Instant,
-    /// Whether it refused the connection.
-    refused: bool,
+    /// Whether it showed that the endpoint has crashed.
+    crashed: bool,
+}
+
+/// Whether an endpoint accepts connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listening {
+    /// It accepted a connection.
+    Accepts,
+    /// It refused a connection.
+    Refuses,
+    /// It is shutting down or no longer listed, or did not answer.
+    Unknown,
 }
 
 /// What a check for a crash of an endpoint showed.
@@ -318,6 +329,12 @@
         self.with(|state| state.last_progress)
     }
 
+    /// Returns the name of the service that it belongs to.
+    #[must_use]
+    pub fn service(&self) -> Arc<str> {
+        self.with(|state| Arc::clone(&state.profile.service))
+    }
+
     /// Reads or changes its state. The lock is held only during `f`.
     pub fn with<T>(&self, f: impl FnOnce(&mut TargetState) -> T) -> T {
         f(&mut self.state.lock())
@@ -571,37 +588,55 @@
         }
     }
 
-    /// Checks whether the endpoint has crashed, unless a check that began at `since` or later has
-    /// shown it.
+    /// Checks whether the endpoint accepts connections.
     ///
-    /// An endpoint that closes or resets connections still accepts new ones, one that has crashed
-    /// refuses them. One that is draining or no longer listed may exit after its last response, so it
-    /// is not checked.
-    pub async fn check_for_crash(self: &Arc<Self>, since: Instant) -> CrashCheck {
+    /// One that closes or resets connections still accepts new ones, one that has crashed refuses them.
+    /// One that is draining or no longer listed may exit after its last response, so it is not checked.
+    pub async fn check_listening(self: &Arc<Self>) -> Listening {
+        let stays = self.with(|state| state.listed && state.profile.state == State::Ready);
+        if !stays {
+            return Listening::Unknown;
+        }
+        match self.open_connection().await {
+            Ok(connection) => {
+                self.put_back_connection(connection);
+                Listening::Accepts
+            }
+            Err(ConnectError::Refused) => Listening::Refuses,
+            Err(ConnectError::Silent | ConnectError::Full) => Listening::Unknown,
+        }
+    }
+
+    /// Checks whether the endpoint has crashed, unless a check that began at `since` or later has shown
+    /// it. If it refuses connections, `confirm` tells whether that is due to a crash.
+    pub async fn check_for_crash(
+        self: &Arc<Self>,
+        since: Instant,
+        confirm: impl AsyncFnOnce() -> bool,
+    ) -> CrashCheck {
         let _listen_check = self.listen_check.lock().await;
-        let (stays, last) = self.with(|state| {
-            let stays = state.listed && state.profile.state == State::Ready;
-            (stays, state.last_check)
-        });
-        match last {
-            _ if !stays => return CrashCheck::NotCrashed,
-            Some(last) if last.began >= since && last.refused => {
+        match self.with(|state| state.last_check) {
+            Some(last) if last.began >= since && last.crashed => {
                 return CrashCheck::Crashed(Vec::new());
             }
             Some(last) if last.began >= since => return CrashCheck::NotCrashed,
             Some(_) | None => {}
         }
         let began = Instant::now();
-        let opened = self.open_connection().await;
-        let refused = matches!(opened, Err(ConnectError::Refused));
-        let requests = self.with(|state| {
-            state.last_check = Some(ListenCheck { began, refused });
-            refused.then(|| state.requests.take_all(began))
-        });
-        if let Ok(connection) = opened {
-            self.put_back_connection(connection);
-        }
-        requests.map_or(CrashCheck::NotCrashed, CrashCheck::Crashed)
+        let listening = self.check_listening().await;
+        let crashed = listening == Listening::Refuses && confirm().await;
+        self.with(|state| {
+            state.last_check = Some(ListenCheck { began, crashed });
+            match (crashed, listening) {
+                (true, _) => CrashCheck::Crashed(state.requests.take_all(began)),
+                (false, Listening::Refuses) => {
+                    // the path to it broke their connections
+                    state.requests.forget_broken();
+                    CrashCheck::NotCrashed
+                }
+                (false, Listening::Accepts | Listening::Unknown) => CrashCheck::NotCrashed,
+            }
+        })
     }
 
     /// Puts a connection that can serve another request back into the pool.
--- a/components/gateway/src/forwarding/envelope.rs
+++ b/components/gateway/src/forwarding/envelope.rs
@@ -21,6 +21,23 @@
 /// and a few numbers.
 pub const MAX_ENVELOPE_BYTES: usize = 4 << 10;
 
+/// Adds a message in base64 to headers.
+pub(super) fn insert_message(headers: &mut HeaderMap, name: &HeaderName, message: &impl Message) {
+    // base64 is always a valid header value
+    if let Ok(value) = HeaderValue::try_from(STANDARD.encode(message.encode_to_vec())) {
+        headers.insert(name.clone(), value);
+    }
+}
+
+/// Takes a message in base64 out of headers; `None` if there is none that can be decoded.
+pub(super) fn take_message<M: Message + Default>(
+    headers: &mut HeaderMap,
+    name: &HeaderName,
+) -> Option<M> {
+    let value = headers.remove(name)?;
+    M::decode(&*STANDARD.decode(value.as_bytes()).ok()?).ok()
+}
+
 /// What the sender of a forwarded request knows of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Envelope {
@@ -61,17 +78,12 @@
                 priority: workspace.priority,
             }),
         };
-        // base64 is always a valid header value
-        if let Ok(value) = HeaderValue::try_from(STANDARD.encode(message.encode_to_vec())) {
-            headers.insert(ENVELOPE.clone(), value);
-        }
+        insert_message(headers, &ENVELOPE, &message);
     }
 
     /// Takes the envelope out of the headers of a request; `None` if there is none that can be decoded.
     pub fn take_from(headers: &mut HeaderMap) -> Option<Self> {
-        let value = headers.remove(&ENVELOPE)?;
-        let bytes = STANDARD.decode(value.as_bytes()).ok()?;
-        let message = ForwardedRequest::decode(&*bytes).ok()?;
+        let message: ForwardedRequest = take_message(headers, &ENVELOPE)?;
         Some(Self {
             sender: message.sender,
             route: message.route.into(),
--- a/components/gateway/src/forwarding/mod.rs
+++ b/components/gateway/src/forwarding/mod.rs
@@ -8,6 +8,7 @@
 mod passage;
 pub mod receive;
 pub mod send;
+pub mod witness;
 
 pub use connections::Connections;
 pub use envelope::{Envelope, MAX_ENVELOPE_BYTES, Refusal};
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -45,17 +45,9 @@
 impl Gateway {
     /// Returns the peers that a request for a service may be forwarded to, the best one first.
     fn helpers(&self, service: &Arc<str>) -> Vec<Helper> {
-        let fleet = self.registry.fleet(service);
-        let unreachable = fleet.count_unreachable();
-        if unreachable == 0 {
-            return Vec::new();
-        }
-        let advantage = (fleet.subset().len() / MIN_ADVANTAGE_DIVISOR).max(1);
-        let own = &self.settings.gateway;
-        let peers = self.peers.helpers(short_id(service), &own.data_centre);
-        let mut loaded: Vec<(usize, Helper)> = peers
+        let mut loaded: Vec<(usize, Helper)> = self
+            .peers_with_more_paths(service)
             .into_iter()
-            .filter(|peer| peer.unreachable + advantage <= unreachable)
             .filter_map(|peer| Some((self.forwarding.load(peer.address)?, peer)))
             .collect();
         // of peers with the same load chance decides, so that several gateways do not choose the same one
@@ -65,6 +57,25 @@
         });
         loaded.into_iter().map(|(_, peer)| peer).collect()
     }
+
+    /// Whether peers reach more of a service's endpoints, so that the paths of this process have failed
+    /// and not the endpoints.
+    pub fn lacks_paths(&self, service: &Arc<str>) -> bool {
+        !self.peers_with_more_paths(service).is_empty()
+    }
+
+    fn peers_with_more_paths(&self, service: &Arc<str>) -> Vec<Helper> {
+        let fleet = self.registry.fleet(service);
+        let unreachable = fleet.count_unreachable();
+        if unreachable == 0 {
+            return Vec::new();
+        }
+        let advantage = (fleet.subset().len() / MIN_ADVANTAGE_DIVISOR).max(1);
+        let own = &self.settings.gateway;
+        let mut peers = self.peers.helpers(short_id(service), &own.data_centre);
+        peers.retain(|peer| peer.unreachable + advantage <= unreachable);
+        peers
+    }
 }
 
 /// Whether a request that this process can't serve may be forwarded to a peer.
--- a/components/gateway/src/process/crashes.rs
+++ b/components/gateway/src/process/crashes.rs
@@ -7,6 +7,7 @@
 use super::Gateway;
 use crate::{
     endpoint::{CrashCheck, Target},
+    forwarding::witness,
     request::Fingerprint,
 };
 
@@ -34,8 +35,14 @@
     }
 
     async fn has_crashed_since(&self, target: &Arc<Target>, request: &str, since: Instant) -> bool {
-        match target.check_for_crash(since).await {
-            CrashCheck::NotCrashed => false,
+        let confirm = async || witness::confirms_crash(self, target).await;
+        match target.check_for_crash(since, confirm).await {
+            CrashCheck::NotCrashed => {
+                if self.lacks_paths(&target.service()) {
+                    target.with(|state| state.requests.forget_broken());
+                }
+                false
+            }
             CrashCheck::Crashed(fingerprints) => {
                 self.record_crash(target, &fingerprints, "it refuses connections", request);
                 true
@@ -47,6 +54,10 @@
     /// it was not draining.
     pub fn record_unlisted(&self, target: &Arc<Target>) {
         let fingerprints = target.with(|state| state.requests.take_broken(Instant::now()));
+        if self.lacks_paths(&target.service()) {
+            // the paths of this process may have broken the connections
+            return;
+        }
         self.record_crash(target, &fingerprints, "it is no longer listed", "");
     }
 
--- a/components/gateway/src/process/paths.rs
+++ b/components/gateway/src/process/paths.rs
@@ -93,7 +93,6 @@
     }
 
     fn siblings(&self, target: &Target) -> Fleet {
-        let service = target.with(|state| Arc::clone(&state.profile.service));
-        self.registry.fleet(&service)
+        self.registry.fleet(&target.service())
     }
 }
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -35,6 +35,7 @@
     forwarding::{
         self, Envelope, Refusal,
         receive::{self, Decline, Destination},
+        witness,
     },
     process::{Gateway, Phase},
     version::{Configuration, Route, Service, Workspace},
@@ -68,7 +69,12 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let arrived = Instant::now();
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    if let Origin::Peer(from) = origin
+        && let Some(query) = witness::take_query(&mut head.headers)
+    {
+        return witness::answer(&gateway, from, query).await;
+    }
     let metadata = gateway.adapters.dialect.parse_request(&head);
     let id = metadata.id.clone();
     let exchange_guard = exchange.begin(&id, head.version, arrived);
