Pause only peers that decline a forwarded request, not those whose endpoints are full

A peer that refused a forwarded request because no engine would begin in time was not asked for 250 ms, though it serves others; with all peers paused, callers were refused at once. Such a refusal now ends the request, as all peers use the same engines, and its Retry-After is passed on. Only peers that could not be reached or do not serve at present are paused.

--- a/components/gateway/src/forwarding/envelope.rs
+++ b/components/gateway/src/forwarding/envelope.rs
@@ -10,7 +10,7 @@
 use prost::Message;
 use wire::{ForwardedRequest, ForwardedWorkspace};
 
-use crate::{request::Execution, version::Workspace};
+use crate::version::Workspace;
 
 /// Header of a forwarded request: a [`ForwardedRequest`] in base64.
 static ENVELOPE: HeaderName = HeaderName::from_static("forwarded-envelope");
@@ -103,17 +103,26 @@
 
 /// A peer's own refusal of a forwarded request, in contrast to an endpoint's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal(pub Execution);
+pub enum Refusal {
+    /// The request did not run, and another peer may serve it.
+    Declined,
+    /// The request did not run, and another peer would hardly serve it: all use the same endpoints.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
 
 impl Refusal {
+    const DECLINED: HeaderValue = HeaderValue::from_static("declined");
     const NOT_RUN: HeaderValue = HeaderValue::from_static("not-run");
     const UNKNOWN: HeaderValue = HeaderValue::from_static("unknown");
 
     /// Marks a response as a refusal.
     pub fn insert_into(self, headers: &mut HeaderMap) {
-        let value = match self.0 {
-            Execution::NotRun => Self::NOT_RUN,
-            Execution::Unknown => Self::UNKNOWN,
+        let value = match self {
+            Self::Declined => Self::DECLINED,
+            Self::NotRun => Self::NOT_RUN,
+            Self::Unknown => Self::UNKNOWN,
         };
         headers.insert(REFUSAL.clone(), value);
     }
@@ -126,10 +135,10 @@
     /// Returns the refusal that a response is marked as; `None` for an endpoint's response.
     pub fn of<B>(response: &Response<B>) -> Option<Self> {
         let value = response.headers().get(&REFUSAL)?;
-        Some(Self(if *value == Self::NOT_RUN {
-            Execution::NotRun
-        } else {
-            Execution::Unknown
-        }))
+        Some(match value {
+            value if *value == Self::DECLINED => Self::Declined,
+            value if *value == Self::NOT_RUN => Self::NotRun,
+            _ => Self::Unknown,
+        })
     }
 }
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -12,9 +12,7 @@
     endpoint::{Connection, short_id},
     peer::Helper,
     process::Gateway,
-    request::{
-        Attempts, Execution, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, job::Job, relay::Body,
-    },
+    request::{Attempts, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, job::Job, relay::Body},
 };
 
 /// Maximum number of peers that one request is forwarded to, one after the other.
@@ -34,7 +32,10 @@
 enum Failure {
     /// Nothing was sent.
     NotSent,
-    /// The peer reports that the request did not run, and when a retry may help.
+    /// The peer did not run the request, and another one may.
+    Declined,
+    /// The peer did not run the request, for a reason that holds for all peers. Holds the time after
+    /// which a retry may help.
     NotRun(Option<Duration>),
     /// The request may have run.
     Unknown,
@@ -92,7 +93,6 @@
     mut attempts: Attempts,
     reason: Reason,
 ) -> Result<Response<Body>, Reason> {
-    let mut reason = reason;
     for helper in job
         .gateway
         .helpers(&job.service.name)
@@ -111,8 +111,8 @@
         };
         record_failure(&job, &helper, failure);
         match failure {
-            Failure::NotSent => {}
-            Failure::NotRun(after) => reason = refusal(&attempts, after).unwrap_or(reason),
+            Failure::NotSent | Failure::Declined => {}
+            Failure::NotRun(after) => return Err(refusal(&attempts, after).unwrap_or(reason)),
             Failure::Unknown | Failure::TimedOut => {
                 attempts.record_lost_run();
                 job.sends.record_lost_run();
@@ -128,7 +128,7 @@
 /// Returns the refusal after a peer did not run a request, if nothing has run before.
 fn refusal(attempts: &Attempts, after: Option<Duration>) -> Option<Reason> {
     let after = after.filter(|_| attempts.runs() == 0)?;
-    Some(Reason::AllRefused(after))
+    Some(Reason::Overloaded(after))
 }
 
 async fn send(
@@ -174,14 +174,18 @@
     };
     match Refusal::of(&response) {
         None if is_own_answer(job, &response) => Ok((response, connection)),
-        Some(Refusal(Execution::NotRun)) => {
+        Some(Refusal::Declined) => {
+            job.exchange_guard.not_executed();
+            Err(Failure::Declined)
+        }
+        Some(Refusal::NotRun) => {
             job.exchange_guard.not_executed();
             Err(Failure::NotRun(retry_after(&response)))
         }
-        Some(Refusal(Execution::Unknown)) if response.status() == StatusCode::GATEWAY_TIMEOUT => {
+        Some(Refusal::Unknown) if response.status() == StatusCode::GATEWAY_TIMEOUT => {
             Err(Failure::TimedOut)
         }
-        None | Some(Refusal(Execution::Unknown)) => Err(Failure::Unknown),
+        None | Some(Refusal::Unknown) => Err(Failure::Unknown),
     }
 }
 
@@ -217,11 +221,12 @@
 fn record_failure(job: &Job, helper: &Helper, failure: Failure) {
     let outcome = match failure {
         Failure::NotSent => "not sent",
+        Failure::Declined => "declined",
         Failure::NotRun(_) => "not run",
         Failure::Unknown => "lost",
         Failure::TimedOut => "timed out",
     };
-    if failure != Failure::TimedOut {
+    if !matches!(failure, Failure::TimedOut | Failure::NotRun(_)) {
         job.gateway.forwarding.pause(helper.address);
     }
     let labels = [&*job.service.name, outcome];
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -46,7 +46,7 @@
 pub use fingerprint::Fingerprint;
 pub use generate::Queue;
 use job::{Forwarded, Job, Received};
-pub use refusal::{Execution, Reason};
+pub use refusal::Reason;
 use relay::Body;
 use unserved::{Pending, Unserved};
 
@@ -136,7 +136,7 @@
             );
             let mut response = reason.response();
             if origin != Origin::Caller {
-                Refusal(reason.execution()).insert_into(response.headers_mut());
+                reason.for_peer().insert_into(response.headers_mut());
             }
             response
         }
--- a/components/gateway/src/request/refusal.rs
+++ b/components/gateway/src/request/refusal.rs
@@ -13,7 +13,7 @@
 };
 
 use super::relay::{self, Body};
-use crate::forwarding::receive::Decline;
+use crate::forwarding::{Refusal, receive::Decline};
 
 /// Whether the request ran.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -92,6 +92,19 @@
         }
     }
 
+    /// Returns what a peer is told that has forwarded the request.
+    pub fn for_peer(self) -> Refusal {
+        match self {
+            Self::Declined(_) | Self::NotReady | Self::ShuttingDown | Self::NoEndpoint(_) => {
+                Refusal::Declined
+            }
+            _ => match self.execution() {
+                Execution::NotRun => Refusal::NotRun,
+                Execution::Unknown => Refusal::Unknown,
+            },
+        }
+    }
+
     /// Returns the value of the metric label.
     pub fn label(self) -> &'static str {
         match self {
