Release the steward's lease on a gateway that lacks paths to engines

A steward that had lost its paths to all engines kept its lease: no engine changed its stage meanwhile, and one that it marked as changing got no requests though its order never arrived.

--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -9,7 +9,7 @@
 
 use super::{Envelope, Refusal, passage::Passage};
 use crate::{
-    endpoint::{Connection, short_id},
+    endpoint::{Connection, Fleet, short_id},
     peer::Helper,
     process::Gateway,
     request::{Attempts, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, job::Job, relay::Body},
@@ -65,13 +65,33 @@
         !self.peers_with_more_paths(service).is_empty()
     }
 
+    /// Whether peers reach more of the engines of some service, so that this process should not decide
+    /// about them.
+    pub fn lacks_paths_to_engines(&self) -> bool {
+        self.configuration().is_some_and(|configuration| {
+            let services = configuration.services().iter();
+            let mut with_engines = services.filter(|service| service.engines.is_some());
+            with_engines.any(|service| self.lacks_paths(&service.name))
+        })
+    }
+
+    /// Returns the number of unreachable endpoints from which a peer lacks paths that this process has.
+    pub fn lack_limits(&self) -> Vec<(u32, usize)> {
+        let limit = |fleet: &Fleet| fleet.count_unreachable() + min_advantage(fleet);
+        let fleets = self.registry.fleets();
+        fleets
+            .iter()
+            .map(|(service, fleet)| (short_id(service), limit(fleet)))
+            .collect()
+    }
+
     fn peers_with_more_paths(&self, service: &Arc<str>) -> Vec<Helper> {
         let fleet = self.registry.fleet(service);
         let unreachable = fleet.count_unreachable();
         if unreachable == 0 {
             return Vec::new();
         }
-        let advantage = (fleet.subset().len() / MIN_ADVANTAGE_DIVISOR).max(1);
+        let advantage = min_advantage(&fleet);
         let own = &self.settings.gateway;
         let mut peers = self.peers.helpers(short_id(service), &own.data_centre);
         peers.retain(|peer| peer.unreachable + advantage <= unreachable);
@@ -79,6 +99,10 @@
     }
 }
 
+fn min_advantage(fleet: &Fleet) -> usize {
+    (fleet.subset().len() / MIN_ADVANTAGE_DIVISOR).max(1)
+}
+
 /// Whether a request that this process can't serve may be forwarded to a peer.
 pub fn is_possible(job: &Job) -> bool {
     !job.is_forwarded
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -408,12 +408,17 @@
     }
 
     /// Returns how many live peers precede this process by address, counting those that can reach
-    /// the store and are not the steward.
-    pub fn store_rank(&self, own: SocketAddr) -> usize {
-        self.count_preceding(own, |peer| peer.store_available)
+    /// the store and are not the steward. Those that can't reach `lack_limits` endpoints of a service or
+    /// more are not counted.
+    pub fn steward_rank(&self, own: SocketAddr, lack_limits: &[(u32, usize)]) -> usize {
+        let lacks_paths = |peer: &Peer| {
+            let mut limits = lack_limits.iter();
+            limits.any(|(service, limit)| peer.count_unreachable(*service) >= *limit)
+        };
+        self.count_preceding(own, |peer| peer.store_available && !lacks_paths(peer))
     }
 
-    /// Like [`Self::store_rank`], but also counts peers that cannot reach the store.
+    /// Like [`Self::steward_rank`], but also counts peers that cannot reach the store or endpoints.
     pub fn address_rank(&self, own: SocketAddr) -> usize {
         self.count_preceding(own, |_| true)
     }
--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -88,7 +88,13 @@
         let ceded = gateway.peers.ceded_epoch();
         match self.held {
             _ if !due && (self.held.is_some() || ceded <= self.last_epoch) => {}
-            Some(_) if *gateway.phase.borrow() != Phase::Serving => self.release(gateway).await,
+            Some(_) if *gateway.phase.borrow() != Phase::Serving => {
+                self.release(gateway, "this process stops").await;
+            }
+            Some(_) if gateway.lacks_paths_to_engines() => {
+                let why = "peers reach engines that this process does not";
+                self.release(gateway, why).await;
+            }
             Some(held) if now >= held.valid_until => {
                 self.step_down(gateway, "the lease was not renewed in time");
             }
@@ -141,7 +147,7 @@
         }
     }
 
-    async fn release(&mut self, gateway: &Gateway) {
+    async fn release(&mut self, gateway: &Gateway, why: &str) {
         let Some(held) = self.held else {
             return;
         };
@@ -155,7 +161,7 @@
         if let Err(error) = gateway.adapters.table.commit(transaction).await {
             log::warn!(error:%; "failed to release the steward's lease; it will expire");
         }
-        self.step_down(gateway, "this process stops");
+        self.step_down(gateway, why);
     }
 
     /// Watches the lease, and acquires it when its holder has let it expire or has given it up.
@@ -261,11 +267,13 @@
 }
 
 /// Whether this process should watch the lease: it is among the first, by address, of the gateways that the
-/// store answers and that do not hold the lease. Candidates watch continuously, as a term counts from the
+/// store answers, that reach the engines and that do not hold the lease. Candidates watch continuously, as a term counts from the
 /// last renewal observed.
 fn is_candidate(gateway: &Gateway) -> bool {
+    let own = gateway.settings.gateway.peers;
     *gateway.phase.borrow() == Phase::Serving
-        && gateway.peers.store_rank(gateway.settings.gateway.peers) < CANDIDATES
+        && !gateway.lacks_paths_to_engines()
+        && gateway.peers.steward_rank(own, &gateway.lack_limits()) < CANDIDATES
 }
 
 fn lease_end(sent: Instant, term: Duration) -> Instant {
