State what decides when connections to silent hosts break

With TCP_USER_TIMEOUT set the kernel does not count keep-alive probes, so the stated three probes never decided anything; the setting is gone.

No test of its own: links of the tests end TCP themselves, so the kernel sees acknowledgements whatever they hold back.

--- a/components/call/src/lib.rs
+++ b/components/call/src/lib.rs
@@ -54,15 +54,13 @@
 pub struct Timeouts {
     /// Limit on the time to connect.
     pub connect: Duration,
-    /// Limit on the time for which sent data may stay unacknowledged (`TCP_USER_TIMEOUT`).
+    /// Limit on the time for which sent data or keepalive probes may stay unacknowledged (`TCP_USER_TIMEOUT`). It decides
+    /// when probes give up, whatever their number.
     pub unacknowledged: Duration,
     /// Idle time before the first TCP keepalive probe, and the time between probes. Rounded up to whole seconds.
     pub keepalive_interval: Duration,
 }
 
-/// Unanswered keepalive probes after which a connection is closed.
-const KEEPALIVE_RETRIES: u32 = 3;
-
 impl Client {
     /// Creates a client that closes connections to an unresponsive peer after the given timeouts.
     #[must_use]
@@ -75,7 +73,6 @@
         let keepalive_interval = Some(Duration::from_secs_f64(interval));
         connector.set_keepalive(keepalive_interval);
         connector.set_keepalive_interval(keepalive_interval);
-        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         connector.set_tcp_user_timeout(Some(timeouts.unacknowledged));
         Self(legacy::Client::builder(TokioExecutor::new()).build(connector))
     }
--- a/components/gateway/src/endpoint/connection.rs
+++ b/components/gateway/src/endpoint/connection.rs
@@ -21,13 +21,13 @@
 /// Timeout of connecting. Data centres are a few milliseconds apart. A lost SYN is only
 /// retransmitted after a second, by when another endpoint has served the request.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long data may stay unacknowledged before the connection breaks, since the endpoint's host is
-/// down or unreachable. Well above the time of a few retransmissions on a lossy link.
+/// How long sent data or keep-alive probes may stay unacknowledged before the connection breaks
+/// (`TCP_USER_TIMEOUT`), since the other host is down or unreachable. Well above the time of a few
+/// retransmissions on a lossy link, and of a short interruption of the network.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
-/// Idle time before the first TCP keep-alive probe, and the interval between probes.
+/// Idle time before the first TCP keep-alive probe, and the interval between probes. The number of
+/// unanswered probes is not limited: [`UNACKNOWLEDGED_TIMEOUT`] applies to them too.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered keep-alive probes after which the connection breaks.
-const KEEPALIVE_RETRIES: u32 = 3;
 /// Time by which an idle connection is dropped before the endpoint's reported idle timeout, so that
 /// no request is sent while it is being closed.
 const CLOSE_MARGIN: Duration = Duration::from_millis(700);
@@ -103,8 +103,7 @@
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
+        .with_interval(KEEPALIVE_INTERVAL);
     let options = [
         stream.set_nodelay(true),
         socket.set_tcp_keepalive(&keepalive),
