Confirm no crash on the word of gateways that lost most of their paths

A network that resets the connections of all gateways but to one endpoint made them confirm each other's crashes: each reached the remaining one. Only a gateway that has lost at most half of its paths to the service testifies now.

Digests and refusals look for lost paths only while there are any.

--- a/components/gateway/src/endpoint/path.rs
+++ b/components/gateway/src/endpoint/path.rs
@@ -118,6 +118,12 @@
         targets.clone()
     }
 
+    /// Whether no path is lost.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.current().is_empty()
+    }
+
     /// Waits until a path is lost.
     pub async fn wait_for_loss(&self) {
         self.added.notified().await;
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -91,6 +91,9 @@
     }
 
     fn peers_with_more_paths(&self, service: &Arc<str>) -> Vec<Helper> {
+        if self.registry.lost_paths().is_empty() {
+            return Vec::new();
+        }
         let fleet = self.registry.fleet(service);
         let unreachable = fleet.count_unreachable();
         if unreachable == 0 {
--- a/components/gateway/src/forwarding/witness.rs
+++ b/components/gateway/src/forwarding/witness.rs
@@ -157,17 +157,24 @@
     }
 }
 
-/// Whether this process can open a connection to another endpoint of a service now. If the service has
-/// no other one, nothing speaks against the paths of this process.
+/// Whether the paths of this process to the rest of a service work: at most half of them are lost, and a
+/// connection to another endpoint can be opened now. If the service has no other endpoint, nothing
+/// speaks against them.
 async fn reaches_others(gateway: &Gateway, target: &Arc<Target>) -> bool {
     let fleet = gateway.registry.fleet(&target.service());
-    let others = fleet
+    let others: Vec<&Arc<Target>> = fleet
         .subset()
         .iter()
-        .filter(|other| !Arc::ptr_eq(other, target) && !other.is_path_lost());
-    let compared: Vec<Arc<Target>> = others.take(MAX_COMPARED).map(Arc::clone).collect();
-    let has_others = fleet.subset().len() > 1;
-    let checks = compared.iter().map(Target::check_path);
-    futures::future::join_all(checks).await;
-    !has_others || compared.iter().any(|other| !other.is_path_lost())
+        .filter(|other| !Arc::ptr_eq(other, target))
+        .collect();
+    let compared: Vec<&Arc<Target>> = others
+        .iter()
+        .filter(|other| !other.is_path_lost())
+        .take(MAX_COMPARED)
+        .copied()
+        .collect();
+    futures::future::join_all(compared.iter().map(|other| other.check_path())).await;
+    let lost = others.iter().filter(|other| other.is_path_lost()).count();
+    let reaches_one = compared.iter().any(|other| !other.is_path_lost());
+    others.is_empty() || (reaches_one && lost * 2 <= others.len())
 }
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -601,6 +601,24 @@
     now.checked_sub(age).filter(|_| age_ms > 0)
 }
 
+/// Returns how many endpoints this process can't reach, by service.
+fn unreachable_endpoints(gateway: &Gateway) -> Vec<UnreachableEndpoints> {
+    if gateway.registry.lost_paths().is_empty() {
+        return Vec::new();
+    }
+    let fleets = gateway.registry.fleets();
+    let counts = fleets
+        .iter()
+        .map(|(service, fleet)| (service, fleet.count_unreachable()));
+    counts
+        .filter(|(_, count)| *count > 0)
+        .map(|(service, count)| UnreachableEndpoints {
+            service: short_id(service),
+            count: u32::try_from(count).unwrap_or(u32::MAX),
+        })
+        .collect()
+}
+
 /// Returns a digest of this process without loads, placements, changes, latencies and suspects.
 fn own_digest(gateway: &Gateway, number: u64) -> Digest {
     // read before the version and the revision, which only increase: this confirms them or earlier ones
@@ -618,17 +636,7 @@
         data_centre: gateway.settings.gateway.data_centre.clone(),
         address: gateway.settings.gateway.peers.to_string(),
         number,
-        unreachable: gateway
-            .registry
-            .fleets()
-            .iter()
-            .map(|(service, fleet)| (service, fleet.count_unreachable()))
-            .filter(|(_, count)| *count > 0)
-            .map(|(service, count)| UnreachableEndpoints {
-                service: short_id(service),
-                count: u32::try_from(count).unwrap_or(u32::MAX),
-            })
-            .collect(),
+        unreachable: unreachable_endpoints(gateway),
         leaving: *gateway.phase.borrow() != crate::process::Phase::Serving,
         configuration: gateway
             .configuration()
