--- a/components/gateway/src/endpoint/connection.rs
+++ b/components/gateway/src/endpoint/connection.rs
@@ -1,7 +1,8 @@
 //! Connection to an endpoint. It serves one request at a time and is closed when dropped.
 
 use std::{
-    net::SocketAddr,
+    io,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -16,7 +17,10 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::JoinHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::JoinHandle,
+};
 
 /// Timeout of connecting. Data centres are a few milliseconds apart. A lost SYN is only
 /// retransmitted after a second, by when another endpoint has served the request.
@@ -73,11 +77,35 @@
 }
 
 /// Opens a connection. `open_count` counts it until it is dropped.
-pub(crate) async fn open(
+pub(super) async fn open(
+    address: SocketAddr,
+    open_count: &Arc<AtomicUsize>,
+) -> Result<Connection, ConnectError> {
+    establish(TcpStream::connect(address), open_count).await
+}
+
+/// Opens a connection from a given address of this machine. `open_count` counts it until it is dropped.
+pub(crate) async fn open_from(
+    own: IpAddr,
     address: SocketAddr,
     open_count: &Arc<AtomicUsize>,
 ) -> Result<Connection, ConnectError> {
-    let connecting = TcpStream::connect(address);
+    let connecting = async {
+        let socket = if address.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        socket.bind(SocketAddr::new(own, 0))?;
+        socket.connect(address).await
+    };
+    establish(connecting, open_count).await
+}
+
+async fn establish(
+    connecting: impl Future<Output = io::Result<TcpStream>>,
+    open_count: &Arc<AtomicUsize>,
+) -> Result<Connection, ConnectError> {
     let stream = match clock::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(_)) => return Err(ConnectError::Refused),
--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -20,7 +20,7 @@
 
 pub use busy::BusySet;
 pub use connection::{ConnectError, Connection};
-pub(crate) use connection::{IdleConnection, open as open_connection, set_keepalive};
+pub(crate) use connection::{IdleConnection, open_from, set_keepalive};
 pub use health::{Health, Verdict};
 pub use load::{DecodeGuard, Load, PrefillGuard};
 pub use path::{LostPaths, Path};
--- a/components/gateway/src/forwarding/connections.rs
+++ b/components/gateway/src/forwarding/connections.rs
@@ -1,7 +1,7 @@
 //! Connections to peers, and which peers are not asked for the moment.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -12,7 +12,7 @@
 use clock::Instant;
 use parking_lot::Mutex;
 
-use crate::endpoint::{ConnectError, Connection, IdleConnection, open_connection};
+use crate::endpoint::{ConnectError, Connection, IdleConnection, open_from};
 
 /// How long a peer is not asked after it could not be reached or had no room.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -30,11 +30,24 @@
     paused_until: Option<Instant>,
 }
 
-/// This process's connections to its peers, sorted by address.
-#[derive(Debug, Default)]
-pub struct Connections(Mutex<Vec<Link>>);
+/// This process's connections to its peers.
+#[derive(Debug)]
+pub struct Connections {
+    /// The address by which peers know this process; they accept no connections from others.
+    own: IpAddr,
+    /// Sorted by address.
+    links: Mutex<Vec<Link>>,
+}
 
 impl Connections {
+    /// Creates the connections, none as yet, of the process that peers know by this address.
+    pub fn new(own: IpAddr) -> Self {
+        Self {
+            own,
+            links: Mutex::default(),
+        }
+    }
+
     /// Takes an idle connection to a peer that has been idle for at most `max_idle`, or opens one.
     ///
     /// # Errors
@@ -57,7 +70,7 @@
         });
         match idle {
             Some(idle) => Ok(idle.connection),
-            None => open_connection(peer, &open).await,
+            None => open_from(self.own, peer, &open).await,
         }
     }
 
@@ -77,7 +90,7 @@
     /// Returns the number of requests in flight to a peer; `None` while it is not to be asked.
     pub fn load(&self, peer: SocketAddr) -> Option<usize> {
         let now = Instant::now();
-        let links = self.0.lock();
+        let links = self.links.lock();
         let Ok(index) = links.binary_search_by_key(&peer, |link| link.address) else {
             return Some(0);
         };
@@ -89,10 +102,10 @@
 
     /// Closes idle connections when their time is over, as long as there are any; then waits forever.
     pub async fn close_idle(&self) {
-        while !self.0.lock().is_empty() {
+        while !self.links.lock().is_empty() {
             clock::sleep(IDLE_TIMEOUT).await;
             let now = Instant::now();
-            let mut links = self.0.lock();
+            let mut links = self.links.lock();
             for link in links.iter_mut() {
                 link.idle.retain(|idle| idle.is_open(now));
             }
@@ -102,7 +115,7 @@
     }
 
     fn with<T>(&self, peer: SocketAddr, f: impl FnOnce(&mut Link) -> T) -> T {
-        let mut links = self.0.lock();
+        let mut links = self.links.lock();
         let index = match links.binary_search_by_key(&peer, |link| link.address) {
             Ok(index) => index,
             Err(index) => {
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -356,7 +356,7 @@
         adapters,
         registry: Registry::new(&settings.gateway.name, &settings.gateway.data_centre),
         peers: Peers::default(),
-        forwarding: Connections::default(),
+        forwarding: Connections::new(settings.gateway.peers.ip()),
         admission: Admission::default(),
         steward: Steward::default(),
         phase: watch::Sender::new(Phase::Serving),
