--- a/components/gateway/src/endpoint/target.rs
+++ b/components/gateway/src/endpoint/target.rs
@@ -114,6 +114,8 @@
 pub enum CrashCheck {
     /// It has not crashed, as far as can be known.
     NotCrashed,
+    /// It refuses connections of this process and has not crashed.
+    PathLost,
     /// It has crashed. The fingerprints are those of the requests that may be the cause; only the
     /// first check that finds the crash returns them.
     Crashed(Vec<Fingerprint>),
@@ -632,7 +634,7 @@
                 (false, Listening::Refuses) => {
                     // the path to it broke their connections
                     state.requests.forget_broken();
-                    CrashCheck::NotCrashed
+                    CrashCheck::PathLost
                 }
                 (false, Listening::Accepts | Listening::Unknown) => CrashCheck::NotCrashed,
             }
--- a/components/gateway/src/process/crashes.rs
+++ b/components/gateway/src/process/crashes.rs
@@ -37,6 +37,10 @@
     async fn has_crashed_since(&self, target: &Arc<Target>, request: &str, since: Instant) -> bool {
         let confirm = async || witness::confirms_crash(self, target).await;
         match target.check_for_crash(since, confirm).await {
+            CrashCheck::PathLost => {
+                self.drop_connections_without_path(&target.service());
+                false
+            }
             CrashCheck::NotCrashed => {
                 if self.lacks_paths(&target.service()) {
                     target.with(|state| state.requests.forget_broken());
--- a/components/gateway/src/process/paths.rs
+++ b/components/gateway/src/process/paths.rs
@@ -92,6 +92,15 @@
         }
     }
 
+    /// Drops the idle connections to the endpoints of a service to which no new ones can be opened, after an open
+    /// connection broke there: the network that refuses new ones resets open ones too.
+    pub(super) fn drop_connections_without_path(&self, service: &str) {
+        let fleet = self.registry.fleet(service);
+        for target in fleet.subset().iter().filter(|target| target.is_path_lost()) {
+            target.drop_idle_connections();
+        }
+    }
+
     fn siblings(&self, target: &Target) -> Fleet {
         self.registry.fleet(&target.service())
     }
--- a/components/standin/src/link/mod.rs
+++ b/components/standin/src/link/mod.rs
@@ -36,6 +36,8 @@
     Refuses,
     /// Forwards on open connections, and refuses new ones.
     RefusesNew,
+    /// Resets each open connection when the next bytes are sent on it, and refuses new ones.
+    ResetsOnUse,
     /// Forwards after this delay.
     Slow(Duration),
     /// Accepts connections and bytes and forwards nothing. The bytes held back are forwarded when
@@ -200,7 +202,7 @@
 impl Acceptance {
     fn of(state: State) -> Self {
         match state {
-            State::Refuses | State::RefusesNew => Self::Refuses,
+            State::Refuses | State::RefusesNew | State::ResetsOnUse => Self::Refuses,
             State::Unreachable => Self::Ignores,
             State::Open | State::Cut | State::Slow(_) | State::Silent | State::NoResponses => {
                 Self::Accepts
@@ -324,6 +326,9 @@
         while let length @ 1.. = self.from.read(&mut buffer).await? {
             self.wait_until_forwarding().await;
             let condition = *self.condition.borrow();
+            if condition.state == State::ResetsOnUse {
+                return Err(std::io::ErrorKind::ConnectionReset.into());
+            }
             if let State::Slow(delay) = condition.state {
                 tokio::time::sleep(delay).await;
             }
@@ -349,7 +354,12 @@
             _ if condition.stall_count > initial_stalls => true,
             State::Silent | State::Unreachable => true,
             State::NoResponses => is_response,
-            State::Open | State::Cut | State::Slow(_) | State::Refuses | State::RefusesNew => false,
+            State::Open
+            | State::Cut
+            | State::Slow(_)
+            | State::Refuses
+            | State::RefusesNew
+            | State::ResetsOnUse => false,
         };
         // an error means that the link was dropped, and its connections end with it
         let _ = self
