Count a forwarded request once in the usage of its workspace

A plain request whose attempt was lost on a path that went silent was counted as begun at its gateway, and again at the peer that it was forwarded to. The envelope says now whether it has been counted.

A peer's refusal for want of room has a reason of its own, as the gateway knows nothing about the engines.

a_request_that_is_forwarded_after_a_lost_attempt_is_counted_once failed before.

--- a/components/gateway/src/forwarding/envelope.rs
+++ b/components/gateway/src/forwarding/envelope.rs
@@ -57,6 +57,8 @@
     pub sends: u32,
     /// Whether it is counted in the demand of its service already.
     pub demand_counted: bool,
+    /// Whether it is counted in the usage of the workspace already.
+    pub usage_counted: bool,
     /// The caller's workspace, if it has one.
     pub workspace: Option<Workspace>,
 }
@@ -73,6 +75,7 @@
             runs: self.runs,
             sends: self.sends,
             demand_counted: self.demand_counted,
+            usage_counted: self.usage_counted,
             workspace: self.workspace.as_ref().map(|workspace| ForwardedWorkspace {
                 name: workspace.name.to_string(),
                 priority: workspace.priority,
@@ -93,6 +96,7 @@
             runs: message.runs,
             sends: message.sends,
             demand_counted: message.demand_counted,
+            usage_counted: message.usage_counted,
             workspace: message.workspace.map(|workspace| Workspace {
                 name: workspace.name.into(),
                 priority: workspace.priority,
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -172,7 +172,7 @@
 /// Returns the refusal after a peer did not run a request, if nothing has run before.
 fn refusal(attempts: &Attempts, after: Option<Duration>) -> Option<Reason> {
     let after = after.filter(|_| attempts.runs() == 0)?;
-    Some(Reason::Overloaded(after))
+    Some(Reason::RefusedByPeer(after))
 }
 
 async fn send(
@@ -296,6 +296,7 @@
         runs: job.route.max_attempts - granted_runs(job, attempts),
         sends: job.sends.count(),
         demand_counted: job.is_demand_counted(),
+        usage_counted: job.is_usage_counted(),
         workspace: job.workspace.as_deref().cloned(),
     };
     let mut request = Request::new(Full::new(job.body.clone()));
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -169,7 +169,11 @@
             max_stall,
             sends: SendCounter::continuing(envelope.as_ref().map_or(0, |envelope| envelope.sends)),
             exchange_guard,
-            counted: AtomicBool::new(false),
+            counted: AtomicBool::new(
+                envelope
+                    .as_ref()
+                    .is_some_and(|envelope| envelope.usage_counted),
+            ),
             demand_counted: AtomicBool::new(
                 envelope.is_some_and(|envelope| envelope.demand_counted),
             ),
@@ -188,6 +192,11 @@
         }
     }
 
+    /// Whether the request has been counted in its workspace's usage.
+    pub fn is_usage_counted(&self) -> bool {
+        self.counted.load(Ordering::Relaxed)
+    }
+
     /// Whether the request still has to be counted in the demand of its service; from then on it has been.
     pub fn begin_demand_count(&self) -> bool {
         !self.demand_counted.swap(true, Ordering::Relaxed)
--- a/components/gateway/src/request/refusal.rs
+++ b/components/gateway/src/request/refusal.rs
@@ -62,6 +62,10 @@
     /// Too many endpoints have crashed while running requests with the same fingerprint.
     #[display("endpoints have ended under requests for the same")]
     Withheld(Duration),
+    /// This process reaches too few endpoints, and the peer that it forwarded the request to has no room
+    /// either.
+    #[display("no endpoint is reached, and a peer that reaches some has no room")]
+    RefusedByPeer(Duration),
     /// A peer forwarded the request, and this process does not accept it.
     #[display("a forwarded request was declined: {_0}")]
     Declined(Decline),
@@ -119,6 +123,7 @@
             Self::NoEndpoint(_) => "no-endpoint",
             Self::AllRefused(_) => "not-taken",
             Self::Withheld(_) => "withheld",
+            Self::RefusedByPeer(_) => "refused-by-peer",
             Self::Declined(_) => "declined",
             Self::Panicked => "panicked",
             Self::AnswerLost => "answer-lost",
@@ -140,6 +145,7 @@
             | Self::NoEndpoint(_)
             | Self::AllRefused(_)
             | Self::Withheld(_)
+            | Self::RefusedByPeer(_)
             | Self::Declined(_)
             | Self::Panicked
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
@@ -154,6 +160,7 @@
             Self::Overloaded(after)
             | Self::NoEndpoint(after)
             | Self::AllRefused(after)
+            | Self::RefusedByPeer(after)
             | Self::Withheld(after) => Some(after),
             Self::NotReady | Self::KeyUnconfirmed | Self::Panicked => Some(DEFAULT_RETRY_AFTER),
             // another process accepts it immediately
