Split the modules that grew, and test envelopes and paths

The modules on peers, endpoints and forwarding each hold one job again; what asks peers about an endpoint has the usual name, an indirect probe.

--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -23,7 +23,7 @@
 pub(crate) use connection::{IdleConnection, open_from, set_keepalive};
 pub use health::{Health, Verdict};
 pub use load::{DecodeGuard, Load, PrefillGuard};
-pub use path::{LostPaths, Path};
+pub use path::{Change as PathChange, LostPaths, Path};
 pub use registry::{Fleet, Registry};
 pub use requests::{RequestGuard, RequestTracker};
 pub use target::{CrashCheck, Latencies, Listening, Reach, ServiceDefaults, Snapshot, Target};
--- /dev/null
+++ b/components/gateway/src/endpoint/target/reach.rs
@@ -0,0 +1,200 @@
+//! Connections to an endpoint, and checks whether it can be reached and whether it has crashed.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use clock::Instant;
+
+use super::Target;
+use crate::{
+    endpoint::{ConnectError, Connection, State, connection, path},
+    request::Fingerprint,
+};
+
+/// Minimum time between the beginnings of two checks of an endpoint's path, as each opens a
+/// connection.
+const MIN_PATH_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A check whether an endpoint still listens.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ListenCheck {
+    began: Instant,
+    /// Whether it showed that the endpoint has crashed.
+    crashed: bool,
+}
+
+/// Whether an endpoint accepts connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listening {
+    /// It accepted a connection.
+    Accepts,
+    /// It refused a connection.
+    Refuses,
+    /// It is shutting down or no longer listed, or did not answer.
+    Unknown,
+}
+
+/// What a check for a crash of an endpoint showed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CrashCheck {
+    /// It has not crashed, as far as can be known.
+    NotCrashed,
+    /// It refuses connections of this process and has not crashed.
+    PathLost,
+    /// It has crashed. The fingerprints are those of the requests that may be the cause; only the
+    /// first check that finds the crash returns them.
+    Crashed(Vec<Fingerprint>),
+}
+
+impl Target {
+    /// Returns an idle connection if one has been idle for at most `max_idle`, else opens one. At
+    /// most `max_open` connections are open at a time.
+    ///
+    /// # Errors
+    ///
+    /// [`ConnectError`]: no connection is available, and nothing was sent.
+    pub async fn connect(
+        self: &Arc<Self>,
+        max_idle: Duration,
+        max_open: usize,
+    ) -> Result<Connection, ConnectError> {
+        let now = Instant::now();
+        let found = self.with(|state| {
+            let index = state
+                .idle
+                .iter()
+                .position(|idle| idle.is_usable(now, max_idle));
+            index.map(|index| state.idle.remove(index))
+        });
+        if let Some(idle) = found {
+            return Ok(idle.connection);
+        }
+        if let Some(error) = self.with(|state| state.path.error()) {
+            return Err(error);
+        }
+        if self.open_connections.load(Ordering::Relaxed) >= max_open {
+            // idle connections that this request can't use count towards the limit too; the most
+            // recent one is closed
+            let removed = self.with(|state| state.idle.pop().is_some());
+            if !removed {
+                return Err(ConnectError::Full);
+            }
+        }
+        self.open_connection().await
+    }
+
+    /// Opens a connection, and records whether that worked.
+    async fn open_connection(self: &Arc<Self>) -> Result<Connection, ConnectError> {
+        let address = self.with(|state| state.profile.address);
+        let opened = connection::open(address, &self.open_connections).await;
+        let result = opened.as_ref().map(|_| ()).map_err(|error| *error);
+        let (change, service) = self.with(|state| {
+            let change = state.path.record(result, Instant::now());
+            if result == Err(ConnectError::Silent) {
+                // what can't be reached by a new connection can't be by an open one
+                state.idle.clear();
+            }
+            (change, Arc::clone(&state.profile.service))
+        });
+        let (endpoint, service) = (&*self.id.0, &*service);
+        match change {
+            Some(path::Change::Lost(error)) => {
+                log::info!(endpoint, service, address:%, error:%; "the path to an endpoint is lost");
+                self.lost_paths.add(self);
+            }
+            Some(path::Change::Regained(after)) => {
+                let after_ms = policy::micros(after) / 1_000;
+                log::info!(endpoint, service, address:%, after_ms; "the path to an endpoint is back");
+            }
+            None => {}
+        }
+        opened
+    }
+
+    /// Whether no new connection can be opened from here, as far as is known.
+    #[must_use]
+    pub fn is_path_lost(&self) -> bool {
+        self.with(|state| state.path.error().is_some())
+    }
+
+    /// Whether a trial of a lost path is due.
+    #[must_use]
+    pub fn is_trial_due(&self, now: Instant) -> bool {
+        self.with(|state| state.path.next_trial().is_some_and(|at| at <= now))
+    }
+
+    /// Whether the path has not been checked just before. Lost paths are tried anyway.
+    #[must_use]
+    pub fn may_check_path(&self, now: Instant) -> bool {
+        self.with(|state| {
+            let checked = state.path_checked;
+            state.path.error().is_none()
+                && checked
+                    .is_none_or(|at| now.saturating_duration_since(at) >= MIN_PATH_CHECK_INTERVAL)
+        })
+    }
+
+    /// Checks whether a connection can be opened, and keeps it for a later request.
+    pub async fn check_path(self: &Arc<Self>) {
+        self.with(|state| {
+            state.path_checked = Some(Instant::now());
+            state.path.postpone_trial(Instant::now());
+        });
+        if let Ok(connection) = self.open_connection().await {
+            self.put_back_connection(connection);
+        }
+    }
+
+    /// Checks whether the endpoint accepts connections.
+    ///
+    /// One that closes or resets connections still accepts new ones, one that has crashed refuses them.
+    /// One that is draining or no longer listed may exit after its last response, so it is not checked.
+    pub async fn check_listening(self: &Arc<Self>) -> Listening {
+        let stays = self.with(|state| state.listed && state.profile.state == State::Ready);
+        if !stays {
+            return Listening::Unknown;
+        }
+        match self.open_connection().await {
+            Ok(connection) => {
+                self.put_back_connection(connection);
+                Listening::Accepts
+            }
+            Err(ConnectError::Refused) => Listening::Refuses,
+            Err(ConnectError::Silent | ConnectError::Full) => Listening::Unknown,
+        }
+    }
+
+    /// Checks whether the endpoint has crashed, unless a check that began at `since` or later has shown
+    /// it. If it refuses connections, `confirm` tells whether that is due to a crash.
+    pub async fn check_for_crash(
+        self: &Arc<Self>,
+        since: Instant,
+        confirm: impl AsyncFnOnce() -> bool,
+    ) -> CrashCheck {
+        let _listen_check = self.listen_check.lock().await;
+        match self.with(|state| state.last_check) {
+            Some(last) if last.began >= since && last.crashed => {
+                return CrashCheck::Crashed(Vec::new());
+            }
+            Some(last) if last.began >= since => return CrashCheck::NotCrashed,
+            Some(_) | None => {}
+        }
+        let began = Instant::now();
+        let listening = self.check_listening().await;
+        let crashed = listening == Listening::Refuses && confirm().await;
+        self.with(|state| {
+            state.last_check = Some(ListenCheck { began, crashed });
+            match (crashed, listening) {
+                (true, _) => CrashCheck::Crashed(state.requests.take_all(began)),
+                (false, Listening::Refuses) => {
+                    // the path to it broke their connections
+                    state.requests.forget_broken();
+                    CrashCheck::PathLost
+                }
+                (false, Listening::Accepts | Listening::Unknown) => CrashCheck::NotCrashed,
+            }
+        })
+    }
+}
--- a/components/gateway/src/forwarding/envelope.rs
+++ b/components/gateway/src/forwarding/envelope/mod.rs
@@ -1,5 +1,8 @@
 //! What gateways tell each other in the headers of a forwarded request and of its response.
 
+#[cfg(test)]
+mod tests;
+
 use std::{sync::Arc, time::Duration};
 
 use base64::{Engine, engine::general_purpose::STANDARD};
--- a/components/gateway/src/forwarding/passage.rs
+++ b/components/gateway/src/forwarding/relay.rs
@@ -21,7 +21,7 @@
 };
 
 /// A peer's response on its way to the caller.
-pub struct Passage {
+pub struct Relay {
     job: Job,
     peer: SocketAddr,
     status: StatusCode,
@@ -31,7 +31,7 @@
     logged: bool,
 }
 
-impl Passage {
+impl Relay {
     /// Starts to pass a response on.
     pub fn start(
         job: Job,
@@ -44,7 +44,7 @@
         *response.status_mut() = head.status;
         *response.headers_mut() = call::headers::end_to_end(&head.headers);
         let is_empty = body.is_end_stream();
-        let mut passage = Self {
+        let mut relay = Self {
             job,
             peer,
             status: head.status,
@@ -54,11 +54,11 @@
         };
         if is_empty {
             // the body of a response without one is never polled
-            passage.finish();
+            relay.finish();
         }
-        let chunks = stream::try_unfold(passage, |mut passage| async move {
-            let chunk = passage.next_chunk().await?;
-            Ok::<_, RelayError>(chunk.map(|chunk| (chunk, passage)))
+        let chunks = stream::try_unfold(relay, |mut relay| async move {
+            let chunk = relay.next_chunk().await?;
+            Ok::<_, RelayError>(chunk.map(|chunk| (chunk, relay)))
         });
         response.map(|()| StreamBody::new(chunks.map_ok(Frame::data).boxed()).boxed_unsync())
     }
@@ -124,7 +124,7 @@
     }
 }
 
-impl Drop for Passage {
+impl Drop for Relay {
     fn drop(&mut self) {
         if !self.logged {
             self.log_outcome("left by the caller");
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -7,24 +7,18 @@
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 
-use super::{Envelope, Refusal, passage::Passage};
+use super::{Envelope, Refusal, relay::Relay};
 use crate::{
-    endpoint::{Connection, Fleet, short_id},
-    peer::Helper,
-    process::Gateway,
+    endpoint::Connection,
+    peer::Candidate,
     request::{Attempts, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, job::Job, relay::Body},
 };
 
 /// Maximum number of peers that one request is forwarded to, one after the other.
 const MAX_PEERS: usize = 3;
-/// A peer is asked only if it reaches more of a service's endpoints than this process, by at least this
-/// fraction (1/n) of them: some endpoints may just have failed, and not every gateway knows it yet.
-const MIN_ADVANTAGE_DIVISOR: usize = 4;
 /// Number of attempts left from which one is kept for another peer, so that the first one can repeat an
 /// attempt itself.
 const MIN_RUNS_TO_KEEP_ONE: u32 = 3;
-/// Number of requests in flight to a peer that cost as much as the way to another data centre.
-const REMOTE_PENALTY: usize = 4;
 /// Interval between two checks whether a peer that has not answered yet is still alive.
 const LIVENESS_INTERVAL: Duration = Duration::from_millis(50);
 /// Part of the time left that is reserved for the peer's response to arrive.
@@ -48,74 +42,11 @@
     TimedOut,
 }
 
-impl Gateway {
-    /// Returns the peers that a request for a service may be forwarded to, the best one first.
-    fn helpers(&self, service: &Arc<str>) -> Vec<Helper> {
-        let mut loaded: Vec<(usize, Helper)> = self
-            .peers_with_more_paths(service)
-            .into_iter()
-            .filter_map(|peer| Some((self.forwarding.load(peer.address)?, peer)))
-            .collect();
-        // of peers with the same load chance decides, so that several gateways do not choose the same one
-        loaded.sort_by_cached_key(|(load, peer)| {
-            let penalty = if peer.is_local { 0 } else { REMOTE_PENALTY };
-            (load + penalty, rand::random::<u32>())
-        });
-        loaded.into_iter().map(|(_, peer)| peer).collect()
-    }
-
-    /// Whether peers reach more of a service's endpoints, so that the paths of this process have failed
-    /// and not the endpoints.
-    pub fn lacks_paths(&self, service: &Arc<str>) -> bool {
-        !self.peers_with_more_paths(service).is_empty()
-    }
-
-    /// Whether peers reach more of the engines of some service, so that this process should not decide
-    /// about them.
-    pub fn lacks_paths_to_engines(&self) -> bool {
-        self.configuration().is_some_and(|configuration| {
-            let services = configuration.services().iter();
-            let mut with_engines = services.filter(|service| service.engines.is_some());
-            with_engines.any(|service| self.lacks_paths(&service.name))
-        })
-    }
-
-    /// Returns the number of unreachable endpoints from which a peer lacks paths that this process has.
-    pub fn lack_limits(&self) -> Vec<(u32, usize)> {
-        let limit = |fleet: &Fleet| fleet.count_unreachable() + min_advantage(fleet);
-        let fleets = self.registry.fleets();
-        fleets
-            .iter()
-            .map(|(service, fleet)| (short_id(service), limit(fleet)))
-            .collect()
-    }
-
-    fn peers_with_more_paths(&self, service: &Arc<str>) -> Vec<Helper> {
-        if self.registry.lost_paths().is_empty() {
-            return Vec::new();
-        }
-        let fleet = self.registry.fleet(service);
-        let unreachable = fleet.count_unreachable();
-        if unreachable == 0 {
-            return Vec::new();
-        }
-        let advantage = min_advantage(&fleet);
-        let own = &self.settings.gateway;
-        let mut peers = self.peers.helpers(short_id(service), &own.data_centre);
-        peers.retain(|peer| peer.unreachable + advantage <= unreachable);
-        peers
-    }
-}
-
-fn min_advantage(fleet: &Fleet) -> usize {
-    (fleet.subset().len() / MIN_ADVANTAGE_DIVISOR).max(1)
-}
-
 /// Whether a request that this process can't serve may be forwarded to a peer.
 pub fn is_possible(job: &Job) -> bool {
     !job.is_forwarded
         && job.ends_before_shutdown(job.route.objective)
-        && !job.gateway.helpers(&job.service.name).is_empty()
+        && !job.gateway.candidates(&job.service.name).is_empty()
 }
 
 /// Forwards a request that this process refuses for `reason` to peers, one after the other, until one
@@ -125,23 +56,23 @@
     mut attempts: Attempts,
     reason: Reason,
 ) -> Result<Response<Body>, Reason> {
-    for helper in job
+    for candidate in job
         .gateway
-        .helpers(&job.service.name)
+        .candidates(&job.service.name)
         .into_iter()
         .take(MAX_PEERS)
     {
         if job.time_left() <= TRANSIT {
             break;
         }
-        let outcome = send(&job, &attempts, &helper).await;
+        let outcome = send(&job, &attempts, &candidate).await;
         let failure = match outcome {
             Ok((response, connection)) => {
-                return Ok(Passage::start(job, helper.address, response, connection));
+                return Ok(Relay::start(job, candidate.address, response, connection));
             }
             Err(failure) => failure,
         };
-        record_failure(&job, &helper, failure);
+        record_failure(&job, &candidate, failure);
         match failure {
             Failure::NotSent | Failure::Declined => {}
             Failure::NotRun(after) => return Err(refusal(&attempts, after).unwrap_or(reason)),
@@ -178,7 +109,7 @@
 async fn send(
     job: &Job,
     attempts: &Attempts,
-    helper: &Helper,
+    candidate: &Candidate,
 ) -> Result<(Response<Incoming>, Connection), Failure> {
     let max_idle = if job.route.kind.is_retryable() {
         MAX_IDLE_RETRYABLE
@@ -187,22 +118,22 @@
     };
     let connections = &job.gateway.forwarding;
     let mut connection = connections
-        .connect(helper.address, max_idle)
+        .connect(candidate.address, max_idle)
         .await
         .map_err(|_| Failure::NotSent)?;
     let request = build_request(job, attempts);
-    job.exchange_guard.forwarded(&helper.name, true);
+    job.exchange_guard.forwarded(&candidate.name, true);
     log::info!(
-        request = job.metadata.id, peer = &*helper.name, address:% = helper.address, service = &*job.service.name,
+        request = job.metadata.id, peer = &*candidate.name, address:% = candidate.address, service = &*job.service.name,
         runs = attempts.runs(), unreachable = job.gateway.registry.fleet(&job.service.name).count_unreachable(),
-        peer_unreachable = helper.unreachable, left_ms = policy::micros(job.time_left()) / 1_000;
+        peer_unreachable = candidate.unreachable, left_ms = policy::micros(job.time_left()) / 1_000;
         "a request is forwarded to a peer"
     );
     let sending = connection.sender().try_send_request(request);
     let answered = tokio::select! {
         answered = sending => answered,
         () = clock::sleep_until(job.deadline) => return Err(Failure::TimedOut),
-        () = wait_for_loss(job, helper.address) => return Err(Failure::Lost),
+        () = wait_for_loss(job, candidate.address) => return Err(Failure::Lost),
     };
     let response = match answered {
         Ok(response) => response,
@@ -262,7 +193,7 @@
     Duration::try_from_secs_f64(seconds).ok()
 }
 
-fn record_failure(job: &Job, helper: &Helper, failure: Failure) {
+fn record_failure(job: &Job, candidate: &Candidate, failure: Failure) {
     let outcome = match failure {
         Failure::NotSent => "not sent",
         Failure::Declined => "declined",
@@ -275,13 +206,13 @@
         failure,
         Failure::NotSent | Failure::Declined | Failure::Lost
     ) {
-        job.gateway.forwarding.pause(helper.address);
+        job.gateway.forwarding.pause(candidate.address);
     }
     let labels = [&*job.service.name, outcome];
     let metrics = &job.gateway.metrics;
     metrics.forwarded.with_label_values(&labels).inc();
     log::info!(
-        request = job.metadata.id, peer = &*helper.name, outcome, took_us = policy::micros(job.arrived.elapsed());
+        request = job.metadata.id, peer = &*candidate.name, outcome, took_us = policy::micros(job.arrived.elapsed());
         "a peer did not answer a forwarded request"
     );
 }
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -3,6 +3,7 @@
 //! This is soft state, exchanged in datagrams. Only the quality of placement depends on it.
 
 mod cache_listing;
+mod candidates;
 mod changes;
 mod discovery;
 mod fan_out;
@@ -11,10 +12,11 @@
 mod send;
 mod suspects;
 
+pub use candidates::Candidate;
 pub use changes::Advertisement;
 
 use std::{
-    net::{IpAddr, SocketAddr},
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -27,9 +29,7 @@
 use policy::prompt::Part;
 use settings::gateway::Settings;
 use tokio::{net::UdpSocket, sync::Notify};
-use wire::{
-    Digest, EndpointChanges, EndpointLoad, Placed, ServiceDemand, StageTold, UnreachableEndpoints,
-};
+use wire::{Digest, EndpointChanges, EndpointLoad, Placed, ServiceDemand, StageTold};
 
 use crate::{
     adapters::StoreTime,
@@ -70,7 +70,7 @@
     incarnation: u64,
     data_centre: Arc<str>,
     name: Arc<str>,
-    service_state: ServiceState,
+    service_state: candidates::ServiceState,
     /// How many endpoints of a service it can't reach, where that is not zero; sorted by service.
     unreachable: Vec<(u32, usize)>,
     /// Sequence number of its last digest.
@@ -117,27 +117,6 @@
     incarnation: u64,
 }
 
-/// Whether a peer takes new requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ServiceState {
-    Serving,
-    /// It shuts down.
-    Leaving,
-}
-
-/// A peer that may serve requests for this process.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Helper {
-    /// Its name.
-    pub name: Arc<str>,
-    /// Where it accepts forwarded requests.
-    pub address: SocketAddr,
-    /// Whether it is in this process's data centre.
-    pub is_local: bool,
-    /// How many endpoints of the service it can't reach.
-    pub unreachable: usize,
-}
-
 /// The known gateways, sorted by address.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -189,43 +168,6 @@
         self.membership_known.load(Ordering::Relaxed)
     }
 
-    /// Returns the live peers that go on serving, for requests to a service.
-    pub fn helpers(&self, service: u32, data_centre: &str) -> Vec<Helper> {
-        let now = Instant::now();
-        let known = self.known.lock();
-        let serving = known
-            .iter()
-            .filter(|peer| peer.is_alive(now) && peer.service_state == ServiceState::Serving);
-        let helper = |peer: &Peer| Helper {
-            name: Arc::clone(&peer.name),
-            address: peer.address,
-            is_local: *peer.data_centre == *data_centre,
-            unreachable: peer.count_unreachable(service),
-        };
-        serving.map(helper).collect()
-    }
-
-    /// Whether a peer is alive.
-    pub fn is_alive(&self, address: SocketAddr) -> bool {
-        let now = Instant::now();
-        let known = self.known.lock();
-        let index = known.binary_search_by_key(&address, |peer| peer.address);
-        index.is_ok_and(|index| known[index].is_alive(now))
-    }
-
-    /// Whether a peer is known at an IP address.
-    pub fn has_ip(&self, ip: IpAddr) -> bool {
-        let known = self.known.lock();
-        known.iter().any(|peer| peer.address.ip() == ip)
-    }
-
-    /// Whether a peer of this incarnation is known at an IP address.
-    pub fn has_incarnation(&self, ip: IpAddr, incarnation: u64) -> bool {
-        let known = self.known.lock();
-        let is_sender = |peer: &Peer| peer.address.ip() == ip && peer.incarnation == incarnation;
-        known.iter().any(is_sender)
-    }
-
     /// Whether a live peer has started recently and may lack what the others have learnt.
     fn has_new_peer(&self) -> bool {
         let now = Instant::now();
@@ -407,17 +349,6 @@
         unreachable.map(|(name, ..)| Arc::clone(name)).collect()
     }
 
-    /// Returns how many live peers precede this process by address, counting those that can reach
-    /// the store and are not the steward. Those that can't reach `lack_limits` endpoints of a service or
-    /// more are not counted.
-    pub fn steward_rank(&self, own: SocketAddr, lack_limits: &[(u32, usize)]) -> usize {
-        let lacks_paths = |peer: &Peer| {
-            let mut limits = lack_limits.iter();
-            limits.any(|(service, limit)| peer.count_unreachable(*service) >= *limit)
-        };
-        self.count_preceding(own, |peer| peer.store_available && !lacks_paths(peer))
-    }
-
     /// Like [`Self::steward_rank`], but also counts peers that cannot reach the store or endpoints.
     pub fn address_rank(&self, own: SocketAddr) -> usize {
         self.count_preceding(own, |_| true)
@@ -509,7 +440,7 @@
             incarnation: 0,
             data_centre: Arc::from(data_centre),
             name: Arc::from(""),
-            service_state: ServiceState::Serving,
+            service_state: candidates::ServiceState::Serving,
             unreachable: Vec::new(),
             digest_number: 0,
             last_received: None,
@@ -530,14 +461,6 @@
         }
     }
 
-    /// Returns how many endpoints of a service it can't reach.
-    fn count_unreachable(&self, service: u32) -> usize {
-        let index = self
-            .unreachable
-            .binary_search_by_key(&service, |(service, _)| *service);
-        index.map_or(0, |index| self.unreachable[index].1)
-    }
-
     fn is_alive(&self, now: Instant) -> bool {
         self.last_received.is_some_and(|last_received| {
             is_heartbeat_recent(last_received, self.heartbeat_interval, now)
@@ -601,24 +524,6 @@
     now.checked_sub(age).filter(|_| age_ms > 0)
 }
 
-/// Returns how many endpoints this process can't reach, by service.
-fn unreachable_endpoints(gateway: &Gateway) -> Vec<UnreachableEndpoints> {
-    if gateway.registry.lost_paths().is_empty() {
-        return Vec::new();
-    }
-    let fleets = gateway.registry.fleets();
-    let counts = fleets
-        .iter()
-        .map(|(service, fleet)| (service, fleet.count_unreachable()));
-    counts
-        .filter(|(_, count)| *count > 0)
-        .map(|(service, count)| UnreachableEndpoints {
-            service: short_id(service),
-            count: u32::try_from(count).unwrap_or(u32::MAX),
-        })
-        .collect()
-}
-
 /// Returns a digest of this process without loads, placements, changes, latencies and suspects.
 fn own_digest(gateway: &Gateway, number: u64) -> Digest {
     // read before the version and the revision, which only increase: this confirms them or earlier ones
@@ -636,7 +541,7 @@
         data_centre: gateway.settings.gateway.data_centre.clone(),
         address: gateway.settings.gateway.peers.to_string(),
         number,
-        unreachable: unreachable_endpoints(gateway),
+        unreachable: candidates::encode_unreachable(gateway),
         leaving: *gateway.phase.borrow() != crate::process::Phase::Serving,
         configuration: gateway
             .configuration()
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -9,7 +9,7 @@
 use wire::{Digest, Placed, ServiceDemand, StageTold};
 
 use super::{
-    Advertisement, MAX_ADVERTISEMENTS, PEER_TTL, Peer, ServiceState, decode_load,
+    Advertisement, MAX_ADVERTISEMENTS, PEER_TTL, Peer, candidates, decode_load,
     fan_out::HEARTBEAT_INTERVAL, instant_before, latencies, suspects,
 };
 use crate::{
@@ -79,12 +79,8 @@
         Duration::from_millis(u64::from(digest.beat_ms)).max(HEARTBEAT_INTERVAL);
     peer.data_centre = Arc::from(digest.data_centre.as_str());
     peer.name = Arc::from(digest.name.as_str());
-    peer.service_state = if digest.leaving {
-        ServiceState::Leaving
-    } else {
-        ServiceState::Serving
-    };
-    peer.unreachable = decode_unreachable(digest);
+    peer.service_state = candidates::ServiceState::of(digest);
+    peer.unreachable = candidates::decode_unreachable(digest);
     let loads = digest.loads.iter().map(decode_load).collect();
     let before = std::mem::replace(&mut peer.loads, loads);
     let after = peer.loads.clone();
@@ -114,17 +110,6 @@
     apply_stage_changes(gateway, &digest.changing, &digest.stages);
 }
 
-/// Returns how many endpoints of each service a peer can't reach, sorted by service.
-fn decode_unreachable(digest: &Digest) -> Vec<(u32, usize)> {
-    let count = |count: u32| usize::try_from(count).unwrap_or(usize::MAX);
-    let received = digest.unreachable.iter();
-    let mut unreachable: Vec<(u32, usize)> = received
-        .map(|received| (received.service, count(received.count)))
-        .collect();
-    unreachable.sort_unstable_by_key(|(service, _)| *service);
-    unreachable
-}
-
 /// Queues endpoint changes from a peer for the task that follows the endpoint list.
 fn queue_changes(gateway: &Gateway, digest: &Digest) {
     if digest.changes.is_empty() {
--- a/components/gateway/src/process/crashes.rs
+++ b/components/gateway/src/process/crashes.rs
@@ -7,7 +7,7 @@
 use super::Gateway;
 use crate::{
     endpoint::{CrashCheck, Target},
-    forwarding::witness,
+    forwarding::probe,
     request::Fingerprint,
 };
 
@@ -35,7 +35,7 @@
     }
 
     async fn has_crashed_since(&self, target: &Arc<Target>, request: &str, since: Instant) -> bool {
-        let confirm = async || witness::confirms_crash(self, target).await;
+        let confirm = async || probe::confirms_crash(self, target).await;
         match target.check_for_crash(since, confirm).await {
             CrashCheck::PathLost => {
                 self.drop_connections_without_path(&target.service());
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -33,9 +33,8 @@
 use crate::{
     adapters::Metadata,
     forwarding::{
-        self, Envelope, Refusal,
+        self, Envelope, Refusal, probe,
         receive::{self, Decline, Destination},
-        witness,
     },
     process::{Gateway, Phase},
     version::{Configuration, Route, Service, Workspace},
@@ -71,9 +70,9 @@
     let arrived = Instant::now();
     let (mut head, body) = request.into_parts();
     if let Origin::Peer(from) = origin
-        && let Some(query) = witness::take_query(&mut head.headers)
+        && let Some(probe_request) = probe::take_request(&mut head.headers)
     {
-        return witness::answer(&gateway, from, query).await;
+        return probe::respond(&gateway, from, probe_request).await;
     }
     let metadata = gateway.adapters.dialect.parse_request(&head);
     let id = metadata.id.clone();
--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -273,7 +273,10 @@
     let own = gateway.settings.gateway.peers;
     *gateway.phase.borrow() == Phase::Serving
         && !gateway.lacks_paths_to_engines()
-        && gateway.peers.steward_rank(own, &gateway.lack_limits()) < CANDIDATES
+        && gateway
+            .peers
+            .steward_rank(own, &gateway.unreachable_limits())
+            < CANDIDATES
 }
 
 fn lease_end(sent: Instant, term: Duration) -> Instant {
