Keep an attempt for another peer only where a request may be repeated

A request that may run once on a route with three attempts or more was answered as unknown (502) when no endpoint of the peer had taken it: the attempt that was kept back counted as one that may have run. Such a request is never forwarded to a second peer after the first was lost, so nothing is kept back for it.

a_request_that_no_endpoint_of_the_peer_took_is_refused_as_not_run failed before.

--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -89,11 +89,12 @@
     Err(reason)
 }
 
-/// Returns how often the next peer may run a request. If the route allows enough attempts, one is kept for
-/// another peer in case this one is lost, as it is not known then how many it has made.
+/// Returns how often the next peer may run a request. If it may be repeated and the route allows enough
+/// attempts, one is kept for another peer in case this one is lost, as it is not known then how many it
+/// has made.
 fn granted_runs(job: &Job, attempts: &Attempts) -> u32 {
     let left = job.route.max_attempts.saturating_sub(attempts.runs());
-    if left >= MIN_RUNS_TO_KEEP_ONE {
+    if left >= MIN_RUNS_TO_KEEP_ONE && job.route.kind.is_retryable() {
         left - 1
     } else {
         left
--- a/components/gateway/src/process/paths.rs
+++ b/components/gateway/src/process/paths.rs
@@ -68,11 +68,9 @@
 
     /// Checks the other paths of each service that has lost one.
     fn check_affected_services(&self) {
-        let service_of =
-            |target: &Arc<Target>| target.with(|state| Arc::clone(&state.profile.service));
         let mut lost = self.registry.lost_paths().current();
-        lost.sort_by_cached_key(service_of);
-        lost.dedup_by_key(|target| service_of(target));
+        lost.sort_by_cached_key(|target| target.service());
+        lost.dedup_by_key(|target| target.service());
         for target in lost {
             self.check_siblings(&target);
         }
--- a/components/gateway/src/request/timeout.rs
+++ b/components/gateway/src/request/timeout.rs
@@ -14,11 +14,11 @@
 /// Returns whether another endpoint than the given one would accept the request.
 pub type HasAlternative<'a> = Box<dyn Fn(&Arc<Target>) -> bool + Send + Sync + 'a>;
 
-/// Minimum time without a response after which the path to an endpoint is checked: several times the
-/// round trip to the farthest one, so that services with a very short objective cause no more checks.
+/// Minimum time without a response after which the path to an endpoint is checked; longer if the
+/// objective of the route is. Several times the round trip to the farthest endpoint.
 const MIN_PATH_CHECK_DELAY: Duration = Duration::from_millis(100);
-/// Number of such times, each twice the previous one, after which a path is checked even though other
-/// endpoints of the service have responded meanwhile.
+/// Number of further checks, each after twice the previous time, that are left out if other endpoints
+/// of the service have responded meanwhile.
 const CHECKS_WHILE_OTHERS_RESPOND: u32 = 2;
 
 /// When an endpoint is presumed lost.
@@ -99,9 +99,9 @@
         }
     }
 
-    /// Waits until the endpoint makes no progress and the attempt is to be abandoned. Before the deadline that requires another
-    /// endpoint and a retry from the budget, which is then reserved: otherwise it is better to wait
-    /// for a response that may still arrive.
+    /// Waits until the endpoint makes no progress and the attempt is to be abandoned. Before the
+    /// deadline that requires another endpoint and a retry from the budget, which is then reserved:
+    /// otherwise it is better to wait for a response that may still arrive.
     async fn wait_for_progress(&self, job: &Job, target: &Arc<Target>) {
         let sent_at = Instant::now();
         let mut recheck_delay = FIRST_RECHECK_DELAY;
