Forward no request that could outlast the sender's planned stop

A generation that found no engine late in a planned stop was forwarded to a peer without asking whether it ends before the process does, which could cut it.

late_in_a_shutdown_no_request_is_forwarded_that_could_outlast_it: forwarded (200) before, refused as not run (503) now.

The series of cuts has streams long enough to be in flight at each cut and asks for crashes before each restart.

--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -183,7 +183,7 @@
         match run(job, Attempts::default()).await {
             Ok(response) => Ok(response),
             Err(Unserved::Final(reason)) => Err(reason),
-            Err(Unserved::NoRoom(pending)) => {
+            Err(Unserved::NoRoom(pending)) if forwarding::send::is_possible(&pending.job) => {
                 let Pending {
                     job,
                     attempts,
@@ -191,6 +191,7 @@
                 } = *pending;
                 forwarding::send::forward(job, attempts, reason).await
             }
+            Err(Unserved::NoRoom(pending)) => Err(pending.reason),
         }
     }
 
