Keep the port of a link that refuses connections

A link that refuses closes its listener, so its port is free and another test of the same process can get it; the gateway then reaches a stranger in place of one engine. The port is bound now, without a listener, as long as the link refuses.

--- a/components/standin/src/link/mod.rs
+++ b/components/standin/src/link/mod.rs
@@ -162,6 +162,7 @@
                 }
                 Acceptance::Refuses => {
                     listener = None;
+                    let _reserved = reserve(self.address);
                     wait_for_change(&mut self.condition, mode).await;
                 }
                 Acceptance::Ignores => {
@@ -226,6 +227,20 @@
     listener.expect("the port of a link is free as long as the link exists")
 }
 
+/// Keeps the port of a link without listening on it: the kernel refuses connections, and no other socket
+/// of this machine gets the port meanwhile.
+fn reserve(address: SocketAddr) -> TcpSocket {
+    let socket = TcpSocket::new_v4().and_then(|socket| {
+        // open connections of the link still use the port
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        // sockets that bind any port would share it otherwise
+        socket.set_reuseaddr(false)?;
+        Ok(socket)
+    });
+    socket.expect("the port of a link is free as long as the link exists")
+}
+
 /// A listener with a full backlog: the kernel leaves further connections unanswered.
 struct FullListener {
     _listener: TcpListener,
