Use the terms of the field for reconnecting and for responses

Comments and names of the new modules spoke of trials, and of what was heard or told. Names and comments only: no message, header, metric or log line changes. The tests of paths, cuts and forwarding pass as before.

--- a/components/gateway/src/endpoint/path.rs
+++ b/components/gateway/src/endpoint/path.rs
@@ -11,12 +11,12 @@
 
 use super::{ConnectError, Target};
 
-/// Delay before the first trial of a lost path; doubles with each failed one up to
-/// [`MAX_TRIAL_DELAY`].
-const MIN_TRIAL_DELAY: Duration = Duration::from_millis(50);
-/// Maximum delay between two trials. With the timeout of a trial it bounds the time until a path that
-/// works again is used, which operators expect within a second.
-const MAX_TRIAL_DELAY: Duration = Duration::from_millis(400);
+/// Delay before the first attempt to reconnect; doubles with each failed one up to
+/// [`MAX_RECONNECT_DELAY`].
+const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(50);
+/// Maximum delay between two attempts to reconnect, so that with the connect timeout a recovered path is
+/// used within the second that operators allow.
+const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(400);
 
 /// How the state of a path changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,8 +37,8 @@
 struct Loss {
     since: Instant,
     error: ConnectError,
-    next_trial: Instant,
-    trial_delay: Duration,
+    next_reconnect: Instant,
+    reconnect_delay: Duration,
 }
 
 impl Path {
@@ -55,17 +55,17 @@
                 self.loss = Some(Loss {
                     since: now,
                     error,
-                    next_trial: now + MIN_TRIAL_DELAY,
-                    trial_delay: MIN_TRIAL_DELAY,
+                    next_reconnect: now + MIN_RECONNECT_DELAY,
+                    reconnect_delay: MIN_RECONNECT_DELAY,
                 });
                 Some(Change::Lost(error))
             }
             (Err(error), Some(loss)) => {
-                let trial_delay = (loss.trial_delay * 2).min(MAX_TRIAL_DELAY);
+                let reconnect_delay = (loss.reconnect_delay * 2).min(MAX_RECONNECT_DELAY);
                 self.loss = Some(Loss {
                     error,
-                    next_trial: now + trial_delay,
-                    trial_delay,
+                    next_reconnect: now + reconnect_delay,
+                    reconnect_delay,
                     ..loss
                 });
                 None
@@ -79,17 +79,17 @@
         self.loss.map(|loss| loss.error)
     }
 
-    /// Records that a trial begins.
-    pub fn postpone_trial(&mut self, now: Instant) {
+    /// Records that an attempt to reconnect begins.
+    pub fn postpone_reconnect(&mut self, now: Instant) {
         if let Some(loss) = &mut self.loss {
-            loss.next_trial = now + MAX_TRIAL_DELAY;
+            loss.next_reconnect = now + MAX_RECONNECT_DELAY;
         }
     }
 
-    /// Returns when a lost path should be tried next.
+    /// Returns when the next attempt to reconnect is due; `None` if the path is not lost.
     #[must_use]
-    pub fn next_trial(&self) -> Option<Instant> {
-        self.loss.map(|loss| loss.next_trial)
+    pub fn next_reconnect(&self) -> Option<Instant> {
+        self.loss.map(|loss| loss.next_reconnect)
     }
 }
 
--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -72,7 +72,7 @@
     /// When a request of this process or of a peer last progressed there.
     last_progress: Instant,
     /// When it last sent something to this process; `None` if it has not yet.
-    last_heard: Option<Instant>,
+    last_response: Option<Instant>,
     /// When a check of the path to it last began.
     path_checked: Option<Instant>,
     /// Estimate of the prefill work that remains of the prompts in flight.
@@ -259,7 +259,7 @@
                 changing_until: None,
                 idle_timeout: None,
                 last_progress: Instant::now(),
-                last_heard: None,
+                last_response: None,
                 path_checked: None,
                 backlog: Backlog::default(),
                 known_since: Instant::now(),
@@ -274,14 +274,14 @@
         let now = Instant::now();
         self.with(|state| {
             state.last_progress = now;
-            state.last_heard = Some(now);
+            state.last_response = Some(now);
         });
     }
 
     /// Returns when it last sent something to this process; `None` if it has not yet.
     #[must_use]
-    pub fn last_heard(&self) -> Option<Instant> {
-        self.with(|state| state.last_heard)
+    pub fn last_response(&self) -> Option<Instant> {
+        self.with(|state| state.last_response)
     }
 
     /// Records that a request progressed there.
--- a/components/gateway/src/endpoint/target/reach.rs
+++ b/components/gateway/src/endpoint/target/reach.rs
@@ -119,13 +119,13 @@
         self.with(|state| state.path.error().is_some())
     }
 
-    /// Whether a trial of a lost path is due.
+    /// Whether an attempt to reconnect over a lost path is due.
     #[must_use]
-    pub fn is_trial_due(&self, now: Instant) -> bool {
-        self.with(|state| state.path.next_trial().is_some_and(|at| at <= now))
+    pub fn is_reconnect_due(&self, now: Instant) -> bool {
+        self.with(|state| state.path.next_reconnect().is_some_and(|at| at <= now))
     }
 
-    /// Whether the path has not been checked just before. Lost paths are tried anyway.
+    /// Whether the path has not been checked just before. Lost paths are reconnected at intervals of their own.
     #[must_use]
     pub fn may_check_path(&self, now: Instant) -> bool {
         self.with(|state| {
@@ -140,7 +140,7 @@
     pub async fn check_path(self: &Arc<Self>) {
         self.with(|state| {
             state.path_checked = Some(Instant::now());
-            state.path.postpone_trial(Instant::now());
+            state.path.postpone_reconnect(Instant::now());
         });
         if let Ok(connection) = self.open_connection().await {
             self.put_back_connection(connection);
@@ -167,7 +167,7 @@
     }
 
     /// Checks whether the endpoint has crashed, unless a check that began at `since` or later has shown
-    /// it. If it refuses connections, `confirm` tells whether that is due to a crash.
+    /// it. If it refuses connections, `confirm` decides whether that is due to a crash.
     pub async fn check_for_crash(
         self: &Arc<Self>,
         since: Instant,
--- a/components/gateway/src/forwarding/envelope/mod.rs
+++ b/components/gateway/src/forwarding/envelope/mod.rs
@@ -1,4 +1,4 @@
-//! What gateways tell each other in the headers of a forwarded request and of its response.
+//! The headers that gateways add to a forwarded request and to its response.
 
 #[cfg(test)]
 mod tests;
--- a/components/gateway/src/process/paths.rs
+++ b/components/gateway/src/process/paths.rs
@@ -1,7 +1,6 @@
-//! Notices endpoints that this process can no longer reach, and tries their paths until they work
-//! again.
+//! Detects endpoints that this process can no longer reach, and reconnects to them in the background.
 //!
-//! Requests neither find out one by one that a network has failed, nor are they used to try whether it
+//! Requests thus neither detect one by one that a network has failed, nor serve as probes of whether it
 //! works again. See `docs/DESIGN.md#paths-to-endpoints`.
 
 use std::{sync::Arc, time::Duration};
@@ -12,18 +11,18 @@
 use super::Gateway;
 use crate::endpoint::{Fleet, Target};
 
-/// Interval between two looks for lost paths that are due for a trial.
-const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Maximum number of trials at the same time.
-const MAX_CONCURRENT_TRIALS: usize = 32;
+/// Interval between two checks which endpoints an attempt to reconnect is due for.
+const RECONNECT_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Maximum number of concurrent attempts to reconnect.
+const MAX_CONCURRENT_RECONNECTS: usize = 32;
 /// When a path is lost, those of the other endpoints of its service are checked too, unless they have
 /// sent something within this time. Several times the round trip to the farthest one.
-const HEARD_RECENTLY: Duration = Duration::from_millis(100);
+const RECENT_RESPONSE: Duration = Duration::from_millis(100);
 
-/// Tries lost paths until the process ends.
+/// Reconnects lost paths until the process ends.
 pub async fn run(gateway: Arc<Gateway>) {
     let lost_paths = gateway.registry.lost_paths();
-    let mut trials = JoinSet::new();
+    let mut reconnects = JoinSet::new();
     loop {
         let lost = lost_paths.current();
         if lost.is_empty() {
@@ -33,14 +32,16 @@
             }
             continue;
         }
-        while trials.try_join_next().is_some() {}
+        while reconnects.try_join_next().is_some() {}
         let now = Instant::now();
-        let due = lost.into_iter().filter(|target| target.is_trial_due(now));
-        for target in due.take(MAX_CONCURRENT_TRIALS.saturating_sub(trials.len())) {
-            trials.spawn(async move { target.check_path().await });
+        let due = lost
+            .into_iter()
+            .filter(|target| target.is_reconnect_due(now));
+        for target in due.take(MAX_CONCURRENT_RECONNECTS.saturating_sub(reconnects.len())) {
+            reconnects.spawn(async move { target.check_path().await });
         }
         tokio::select! {
-            () = clock::sleep(TRIAL_POLL_INTERVAL) => {}
+            () = clock::sleep(RECONNECT_POLL_INTERVAL) => {}
             () = lost_paths.wait_for_loss() => gateway.check_affected_services(),
         }
     }
@@ -50,20 +51,20 @@
     /// Checks the path to an endpoint that has not answered a request sent at `sent_at`. If nothing has
     /// come from the rest of its service either, the other paths are checked at the same time.
     pub async fn check_silent_path(&self, target: &Arc<Target>, sent_at: Instant) {
-        if !self.has_heard_from_others(target, sent_at) {
+        if !self.have_others_responded(target, sent_at) {
             self.check_siblings(target);
         }
         target.check_path().await;
     }
 
     /// Whether any endpoint of a service other than `target` has sent something since `since`.
-    pub fn has_heard_from_others(&self, target: &Arc<Target>, since: Instant) -> bool {
+    pub fn have_others_responded(&self, target: &Arc<Target>, since: Instant) -> bool {
         let fleet = self.siblings(target);
         let mut others = fleet
             .subset()
             .iter()
             .filter(|other| !Arc::ptr_eq(other, target));
-        others.any(|other| other.last_heard().is_some_and(|at| at >= since))
+        others.any(|other| other.last_response().is_some_and(|at| at >= since))
     }
 
     /// Checks the other paths of each service that has lost one.
@@ -80,9 +81,9 @@
     fn check_siblings(&self, target: &Arc<Target>) {
         let now = Instant::now();
         for other in self.siblings(target).subset() {
-            let heard = other.last_heard();
+            let responded = other.last_response();
             let is_silent =
-                heard.is_none_or(|at| now.saturating_duration_since(at) > HEARD_RECENTLY);
+                responded.is_none_or(|at| now.saturating_duration_since(at) > RECENT_RESPONSE);
             if is_silent && !Arc::ptr_eq(other, target) && other.may_check_path(now) {
                 let other = Arc::clone(other);
                 tokio::spawn(async move { other.check_path().await });
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -48,7 +48,7 @@
     pub forwarded: Option<Forwarded>,
 }
 
-/// What a peer told with a request that it forwarded.
+/// What a peer reported with a request that it forwarded.
 pub struct Forwarded {
     /// What the peer knows of the request.
     pub envelope: Envelope,
--- a/components/gateway/src/request/refusal.rs
+++ b/components/gateway/src/request/refusal.rs
@@ -96,7 +96,7 @@
         }
     }
 
-    /// Returns what a peer is told that has forwarded the request.
+    /// Returns how the refusal is reported to a peer that forwarded the request.
     pub fn for_peer(self) -> Refusal {
         match self {
             Self::Declined(_) | Self::NotReady | Self::ShuttingDown | Self::NoEndpoint(_) => {
--- a/components/gateway/src/request/timeout.rs
+++ b/components/gateway/src/request/timeout.rs
@@ -74,9 +74,9 @@
         let mut delay = job.route.objective.max(MIN_PATH_CHECK_DELAY);
         for checks in 0.. {
             clock::sleep(delay).await;
-            let is_silent = target.last_heard().is_none_or(|at| at < sent_at);
+            let is_silent = target.last_response().is_none_or(|at| at < sent_at);
             let may_be_lost = checks >= CHECKS_WHILE_OTHERS_RESPOND
-                || !job.gateway.has_heard_from_others(target, sent_at);
+                || !job.gateway.have_others_responded(target, sent_at);
             if is_silent && may_be_lost && target.may_check_path(Instant::now()) {
                 job.gateway.check_silent_path(target, sent_at).await;
             }
--- a/components/gateway/tests/path.rs
+++ b/components/gateway/tests/path.rs
@@ -1,12 +1,12 @@
-//! When a path counts as lost, and when it is tried again.
+//! When a path counts as lost, and when a gateway reconnects.
 
 use std::time::Duration;
 
 use clock::Instant;
 use gateway::endpoint::{ConnectError, Path, PathChange};
 
-/// Time within which operators expect a path that works again to be used, without the timeout of a trial.
-const MAX_TRIAL_DELAY: Duration = Duration::from_millis(700);
+/// Time within which operators expect a recovered path to be used, without the connect timeout.
+const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(700);
 
 #[test]
 fn a_path_is_lost_with_the_first_failure_and_regained_with_the_first_success() {
@@ -34,14 +34,14 @@
 }
 
 #[test]
-fn a_lost_path_is_tried_soon_and_then_at_bounded_intervals() {
+fn a_lost_path_is_reconnected_soon_and_then_at_bounded_intervals() {
     let (mut path, mut now) = (Path::default(), Instant::now());
     for _ in 0..20 {
         path.record(Err(ConnectError::Silent), now);
-        let next = path.next_trial().expect("a lost path is tried");
-        assert!(next > now && next < now + MAX_TRIAL_DELAY);
+        let next = path.next_reconnect().expect("an attempt is due");
+        assert!(next > now && next < now + MAX_RECONNECT_DELAY);
         now = next;
-        path.postpone_trial(now);
-        assert!(path.next_trial() > Some(now), "one trial at a time");
+        path.postpone_reconnect(now);
+        assert!(path.next_reconnect() > Some(now), "one attempt at a time");
     }
 }
