Keep the ports of links out of reach of other sockets at all times

A link that refuses connections does not listen while it changes its state, and its port was one that the kernel gives to any socket.

Ports of links are now outside the range for outgoing connections, and a port is tried again for as long as a child process that is being started holds a copy of a closed socket.

--- a/components/standin/src/link/mod.rs
+++ b/components/standin/src/link/mod.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -19,6 +19,7 @@
     },
     sync::watch,
     task::JoinHandle,
+    time::Instant,
 };
 
 /// The state of a link.
@@ -68,14 +69,13 @@
 }
 
 impl Link {
-    /// Forwards from a new loopback port to a target.
+    /// Forwards from a loopback port of its own to a target.
     ///
     /// # Errors
     ///
     /// The system's error when no port can be bound.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
-        let address = listener.local_addr()?;
+        let (address, listener) = claim_port().await?;
         let condition = Arc::new(watch::Sender::<Condition>::default());
         let response_bytes = Arc::new(AtomicU64::new(0));
         let acceptor = Acceptor {
@@ -151,9 +151,10 @@
             let mode = Acceptance::of(self.condition.borrow_and_update().state);
             match mode {
                 Acceptance::Accepts => {
-                    let listener = listener
-                        .take()
-                        .unwrap_or_else(|| listen(self.address, ACCEPT_BACKLOG));
+                    let listener = match listener.take() {
+                        Some(listener) => listener,
+                        None => listen(self.address, ACCEPT_BACKLOG).await,
+                    };
                     let mut condition = self.condition.clone();
                     tokio::select! {
                         () = self.accept_all(&listener) => {}
@@ -162,7 +163,7 @@
                 }
                 Acceptance::Refuses => {
                     listener = None;
-                    let _reserved = reserve(self.address);
+                    let _reserved = reserve(self.address).await;
                     wait_for_change(&mut self.condition, mode).await;
                 }
                 Acceptance::Ignores => {
@@ -217,28 +218,66 @@
 /// Time after which a connection over loopback counts as unanswered.
 const UNANSWERED_AFTER: Duration = Duration::from_millis(50);
 
+/// The ports of links. A link that refuses connections does not listen for a moment when it changes its state, so its
+/// port must not be one that the kernel gives to outgoing connections or to sockets that bind any port.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// The number of links that this process has started.
+static STARTED: AtomicU32 = AtomicU32::new(0);
+
+/// Listens on a port that no other link uses.
+async fn claim_port() -> std::io::Result<(SocketAddr, TcpListener)> {
+    let count = u32::from(PORTS.end - PORTS.start);
+    let mut last_error = None;
+    for _ in 0..count {
+        // different processes begin at different ports
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let offset = std::process::id().wrapping_mul(257).wrapping_add(number) % count;
+        let port = PORTS.start + u16::try_from(offset).unwrap_or_default();
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Ok((address, listener)),
+            Err(error) => last_error = Some(error),
+        }
+    }
+    Err(last_error.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()))
+}
+
+/// Time for which a child process that is being started may keep a copy of a closed socket.
+const MAX_COPY_TIME: Duration = Duration::from_secs(5);
+/// Delay before a port is tried again.
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(1);
+
+/// Binds the port of a link again. Open connections of the link still use it.
+async fn bind(address: SocketAddr) -> TcpSocket {
+    let until = Instant::now() + MAX_COPY_TIME;
+    loop {
+        let socket = TcpSocket::new_v4().and_then(|socket| {
+            socket.set_reuseaddr(true)?;
+            socket.bind(address)?;
+            Ok(socket)
+        });
+        match socket {
+            Err(_) if Instant::now() < until => tokio::time::sleep(BIND_RETRY_DELAY).await,
+            result => return result.expect("only links use these ports"),
+        }
+    }
+}
+
 /// Listens again on the port of a link.
-fn listen(address: SocketAddr, backlog: u32) -> TcpListener {
-    let listener = TcpSocket::new_v4().and_then(|socket| {
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(backlog)
-    });
-    listener.expect("the port of a link is free as long as the link exists")
+async fn listen(address: SocketAddr, backlog: u32) -> TcpListener {
+    let listener = bind(address).await.listen(backlog);
+    listener.expect("only links use these ports")
 }
 
 /// Keeps the port of a link without listening on it: the kernel refuses connections, and no other socket
 /// of this machine gets the port meanwhile.
-fn reserve(address: SocketAddr) -> TcpSocket {
-    let socket = TcpSocket::new_v4().and_then(|socket| {
-        // open connections of the link still use the port
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        // sockets that bind any port would share it otherwise
-        socket.set_reuseaddr(false)?;
-        Ok(socket)
-    });
-    socket.expect("the port of a link is free as long as the link exists")
+async fn reserve(address: SocketAddr) -> TcpSocket {
+    let socket = bind(address).await;
+    // sockets that bind any port would share it otherwise
+    let exclusive = socket.set_reuseaddr(false);
+    exclusive.expect("an open socket accepts this option");
+    socket
 }
 
 /// A listener with a full backlog: the kernel leaves further connections unanswered.
@@ -249,7 +288,7 @@
 
 impl FullListener {
     async fn start(address: SocketAddr) -> Self {
-        let listener = listen(address, 0);
+        let listener = listen(address, 0).await;
         let mut waiting = Vec::new();
         while let Ok(Ok(stream)) =
             tokio::time::timeout(UNANSWERED_AFTER, TcpStream::connect(address)).await
