Soak: cut chosen gateways off from endpoints

Gateways as processes shared one link to each endpoint, so no run could cut some of them off.

Checked besides: callers of gateways that have been without paths for 3 s are served at least two thirds as often as others, or fail at most ten times and one in 50; no gateway counts a crash or withholds a request.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,6 +16,8 @@
 
 /// The seeds of the short run; one in three has planned operations only.
 const SEEDS: [u64; 3] = [3, 7, 11];
+/// The seeds of the short run in which gateways lose their paths to endpoints.
+const CUT_SEEDS: [u64; 2] = [1, 3];
 /// Seeds that once violated a guarantee, each group with its cause.
 const REGRESSION_SEEDS: [&[u64]; 7] = [
     // an unresponsive stand-in engine counted a prefill-only prompt as executed
@@ -103,6 +105,17 @@
 /// Seeds of the short run in which responses end early.
 const EARLY_ENDS_SEEDS: [u64; 3] = [46_002, 46_003, 46_006];
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_gateways_without_paths_are_served_in_a_short_soak() {
+    let options = Options {
+        scenario: Scenario::Cuts,
+        gateways: 5,
+        seconds: 10,
+        ..options()
+    };
+    assert_no_violation(&options, &CUT_SEEDS).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_response_that_ended_early_looks_complete_in_a_short_soak() {
     let options = Options {
