Do not report a request as not run after the peer that may have run it was lost

Callers of a gateway without paths got 503, "no endpoint takes requests", for a resumable stream that an engine had begun.

Cause: the gateway forwarded the request to its only peer, which was killed. The request could be repeated, so the loop over peers went on, found no other one, and returned the refusal from before the request was forwarded. The refusal now follows from the attempts once a peer is lost, whatever ends the loop.

--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -50,11 +50,11 @@
 }
 
 /// Forwards a request that this process refuses for `reason` to peers, one after the other, until one
-/// answers it or it may have run.
+/// answers it or it must not run again.
 pub async fn forward(
     job: Job,
     mut attempts: Attempts,
-    reason: Reason,
+    mut reason: Reason,
 ) -> Result<Response<Body>, Reason> {
     for candidate in job
         .gateway
@@ -80,8 +80,9 @@
                 let runs = granted_runs(&job, &attempts);
                 attempts.record_lost_runs(runs);
                 job.sends.record_lost_runs(runs);
+                reason = attempts.lost_refusal(&job);
                 if failure != Failure::Lost || !attempts.may_repeat(&job) {
-                    return Err(attempts.lost_refusal(&job));
+                    break;
                 }
             }
         }
