Ask a peer for other requests after it declined one

Callers of gateways without paths were refused for 250 ms at a time although peers that reach all endpoints were serving.

Cause: a peer that declined one request, as its configuration lacked the route, was not asked for any other one. While the configuration changes all peers decline some request within 250 ms of each other, and then none is left. One request's refusal was taken for the state of the peer. A refusal now says what it holds for: this request, the service, or all requests; only the latter two pause the peer, the second one for that service.

--- a/components/gateway/src/forwarding/candidates.rs
+++ b/components/gateway/src/forwarding/candidates.rs
@@ -17,10 +17,11 @@
 impl Gateway {
     /// Returns the peers that a request for a service may be forwarded to, the best one first.
     pub(super) fn candidates(&self, service: &Arc<str>) -> Vec<Candidate> {
+        let id = short_id(service);
         let mut loaded: Vec<(usize, Candidate)> = self
             .peers_with_more_paths(service)
             .into_iter()
-            .filter_map(|peer| Some((self.forwarding.load(peer.address)?, peer)))
+            .filter_map(|peer| Some((self.forwarding.load(peer.address, id)?, peer)))
             .collect();
         // of peers with the same load chance decides, so that several gateways do not choose the same one
         loaded.sort_by_cached_key(|(load, peer)| {
--- a/components/gateway/src/forwarding/connections.rs
+++ b/components/gateway/src/forwarding/connections.rs
@@ -1,4 +1,4 @@
-//! Connections to peers, and which peers are not asked for the moment.
+//! Connections to peers, and which peers are not asked at present.
 
 use std::{
     net::{IpAddr, SocketAddr},
@@ -14,11 +14,20 @@
 
 use crate::endpoint::{ConnectError, Connection, IdleConnection, open_from};
 
-/// How long a peer is not asked after it could not be reached or had no room.
+/// How long a peer is not asked after it could not be reached or could not help.
 const PAUSE: Duration = Duration::from_millis(250);
 /// How long an idle connection is kept, shorter than the peer keeps it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Requests that a peer is not asked to serve at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Paused {
+    /// All requests.
+    All,
+    /// Those to the service with this short id.
+    Service(u32),
+}
+
 /// This process's connections to one peer.
 #[derive(Debug)]
 struct Link {
@@ -27,7 +36,8 @@
     open: Arc<AtomicUsize>,
     /// Longest idle first.
     idle: Vec<IdleConnection>,
-    paused_until: Option<Instant>,
+    /// What it is not asked to serve, and until when.
+    paused: Vec<(Paused, Instant)>,
 }
 
 /// This process's connections to its peers.
@@ -81,21 +91,29 @@
         self.with(peer, |link| link.idle.push(idle));
     }
 
-    /// Records that a peer could not be reached or had no room.
-    pub fn pause(&self, peer: SocketAddr) {
-        let until = Instant::now() + PAUSE;
-        self.with(peer, |link| link.paused_until = Some(until));
+    /// Stops asking a peer to serve such requests for a short time.
+    pub fn pause(&self, peer: SocketAddr, paused: Paused) {
+        let now = Instant::now();
+        self.with(peer, |link| {
+            link.paused
+                .retain(|(other, until)| *until > now && *other != paused);
+            link.paused.push((paused, now + PAUSE));
+        });
     }
 
-    /// Returns the number of requests in flight to a peer; `None` while it is not to be asked.
-    pub fn load(&self, peer: SocketAddr) -> Option<usize> {
+    /// Returns the number of requests in flight to a peer; `None` while it is not asked to serve requests
+    /// to this service.
+    pub fn load(&self, peer: SocketAddr, service: u32) -> Option<usize> {
         let now = Instant::now();
         let links = self.links.lock();
         let Ok(index) = links.binary_search_by_key(&peer, |link| link.address) else {
             return Some(0);
         };
         let link = &links[index];
-        let is_paused = link.paused_until.is_some_and(|until| until > now);
+        let is_paused = link.paused.iter().any(|(paused, until)| {
+            let affects = matches!(paused, Paused::All) || *paused == Paused::Service(service);
+            affects && *until > now
+        });
         let open = link.open.load(Ordering::Relaxed);
         (!is_paused).then(|| open.saturating_sub(link.idle.len()))
     }
@@ -123,7 +141,7 @@
                     address: peer,
                     open: Arc::default(),
                     idle: Vec::new(),
-                    paused_until: None,
+                    paused: Vec::new(),
                 };
                 links.insert(index, link);
                 index
--- a/components/gateway/src/forwarding/envelope/mod.rs
+++ b/components/gateway/src/forwarding/envelope/mod.rs
@@ -111,8 +111,12 @@
 /// A peer's own refusal of a forwarded request, in contrast to an endpoint's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
-    /// The request did not run, and another peer may serve it.
+    /// The peer does not serve this request, which did not run. Another peer may.
     Declined,
+    /// The peer reaches no endpoint of the service. The request did not run.
+    NoPath,
+    /// The peer takes no forwarded requests at present. The request did not run.
+    Unavailable,
     /// The request did not run, and another peer would hardly serve it: all use the same endpoints.
     NotRun,
     /// The request may have run.
@@ -121,6 +125,8 @@
 
 impl Refusal {
     const DECLINED: HeaderValue = HeaderValue::from_static("declined");
+    const NO_PATH: HeaderValue = HeaderValue::from_static("no-path");
+    const UNAVAILABLE: HeaderValue = HeaderValue::from_static("unavailable");
     const NOT_RUN: HeaderValue = HeaderValue::from_static("not-run");
     const UNKNOWN: HeaderValue = HeaderValue::from_static("unknown");
 
@@ -128,6 +134,8 @@
     pub fn insert_into(self, headers: &mut HeaderMap) {
         let value = match self {
             Self::Declined => Self::DECLINED,
+            Self::NoPath => Self::NO_PATH,
+            Self::Unavailable => Self::UNAVAILABLE,
             Self::NotRun => Self::NOT_RUN,
             Self::Unknown => Self::UNKNOWN,
         };
@@ -144,6 +152,8 @@
         let value = response.headers().get(&REFUSAL)?;
         Some(match value {
             value if *value == Self::DECLINED => Self::Declined,
+            value if *value == Self::NO_PATH => Self::NoPath,
+            value if *value == Self::UNAVAILABLE => Self::Unavailable,
             value if *value == Self::NOT_RUN => Self::NotRun,
             _ => Self::Unknown,
         })
--- a/components/gateway/src/forwarding/envelope/tests.rs
+++ b/components/gateway/src/forwarding/envelope/tests.rs
@@ -55,7 +55,13 @@
 fn a_refusal_is_told_from_an_endpoint_s_response() {
     let mut response = Response::new(());
     assert_eq!(Refusal::of(&response), None);
-    for refusal in [Refusal::Declined, Refusal::NotRun, Refusal::Unknown] {
+    for refusal in [
+        Refusal::Declined,
+        Refusal::NoPath,
+        Refusal::Unavailable,
+        Refusal::NotRun,
+        Refusal::Unknown,
+    ] {
         refusal.insert_into(response.headers_mut());
         assert_eq!(Refusal::of(&response), Some(refusal));
     }
--- a/components/gateway/src/forwarding/receive.rs
+++ b/components/gateway/src/forwarding/receive.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use parking_lot::Mutex;
 
-use super::Envelope;
+use super::{Envelope, Refusal};
 use crate::{
     process::{Gateway, Phase},
     version::{Configuration, Route, Service},
@@ -38,6 +38,16 @@
     OtherConfiguration,
 }
 
+impl Decline {
+    /// Returns how it is reported to the sender.
+    pub fn for_peer(self) -> Refusal {
+        match self {
+            Self::UnknownSender | Self::Full | Self::NotServing => Refusal::Unavailable,
+            Self::NoEnvelope | Self::OtherConfiguration => Refusal::Declined,
+        }
+    }
+}
+
 /// Forwarded requests in flight.
 #[derive(Debug, Default)]
 pub struct Admission(Arc<Mutex<InFlight>>);
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -7,9 +7,9 @@
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 
-use super::{Envelope, Refusal, relay::Relay};
+use super::{Envelope, Refusal, connections::Paused, relay::Relay};
 use crate::{
-    endpoint::Connection,
+    endpoint::{Connection, short_id},
     peer::Candidate,
     request::{Attempts, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, job::Job, relay::Body},
 };
@@ -29,8 +29,12 @@
 enum Failure {
     /// Nothing was sent.
     NotSent,
-    /// The peer did not run the request, and another one may.
+    /// The peer does not serve this request, but may serve others.
     Declined,
+    /// The peer reaches no endpoint of the service.
+    NoPath,
+    /// The peer takes no forwarded requests at present.
+    Unavailable,
     /// The peer did not run the request, for a reason that holds for all peers. Holds the time after
     /// which a retry may help.
     NotRun(Option<Duration>),
@@ -74,7 +78,7 @@
         };
         record_failure(&job, &candidate, failure);
         match failure {
-            Failure::NotSent | Failure::Declined => {}
+            Failure::NotSent | Failure::Declined | Failure::NoPath | Failure::Unavailable => {}
             Failure::NotRun(after) => return Err(refusal(&attempts, after).unwrap_or(reason)),
             Failure::Unknown | Failure::Lost | Failure::TimedOut => {
                 let runs = granted_runs(&job, &attempts);
@@ -149,21 +153,21 @@
             });
         }
     };
-    match Refusal::of(&response) {
-        None if is_own_answer(job, &response) => Ok((response, connection)),
-        Some(Refusal::Declined) => {
-            job.exchange_guard.not_executed();
-            Err(Failure::Declined)
-        }
-        Some(Refusal::NotRun) => {
-            job.exchange_guard.not_executed();
-            Err(Failure::NotRun(retry_after(&response)))
-        }
+    let failure = match Refusal::of(&response) {
+        None if is_own_answer(job, &response) => return Ok((response, connection)),
+        Some(Refusal::Declined) => Failure::Declined,
+        Some(Refusal::NoPath) => Failure::NoPath,
+        Some(Refusal::Unavailable) => Failure::Unavailable,
+        Some(Refusal::NotRun) => Failure::NotRun(retry_after(&response)),
         Some(Refusal::Unknown) if response.status() == StatusCode::GATEWAY_TIMEOUT => {
-            Err(Failure::TimedOut)
+            Failure::TimedOut
         }
-        None | Some(Refusal::Unknown) => Err(Failure::Unknown),
+        None | Some(Refusal::Unknown) => return Err(Failure::Unknown),
+    };
+    if failure != Failure::TimedOut {
+        job.exchange_guard.not_executed();
     }
+    Err(failure)
 }
 
 /// Waits until a peer is gone that a request was forwarded to. The answer is waited for all the same if
@@ -199,16 +203,20 @@
     let outcome = match failure {
         Failure::NotSent => "not sent",
         Failure::Declined => "declined",
+        Failure::NoPath => "no path",
+        Failure::Unavailable => "unavailable",
         Failure::NotRun(_) => "not run",
         Failure::Unknown => "unknown",
         Failure::Lost => "lost",
         Failure::TimedOut => "timed out",
     };
-    if matches!(
-        failure,
-        Failure::NotSent | Failure::Declined | Failure::Lost
-    ) {
-        job.gateway.forwarding.pause(candidate.address);
+    let paused = match failure {
+        Failure::NotSent | Failure::Unavailable | Failure::Lost => Some(Paused::All),
+        Failure::NoPath => Some(Paused::Service(short_id(&job.service.name))),
+        Failure::Declined | Failure::NotRun(_) | Failure::Unknown | Failure::TimedOut => None,
+    };
+    if let Some(paused) = paused {
+        job.gateway.forwarding.pause(candidate.address, paused);
     }
     let labels = [&*job.service.name, outcome];
     let metrics = &job.gateway.metrics;
--- a/components/gateway/src/request/refusal.rs
+++ b/components/gateway/src/request/refusal.rs
@@ -99,9 +99,9 @@
     /// Returns how the refusal is reported to a peer that forwarded the request.
     pub fn for_peer(self) -> Refusal {
         match self {
-            Self::Declined(_) | Self::NotReady | Self::ShuttingDown | Self::NoEndpoint(_) => {
-                Refusal::Declined
-            }
+            Self::Declined(decline) => decline.for_peer(),
+            Self::NoEndpoint(_) => Refusal::NoPath,
+            Self::NotReady | Self::ShuttingDown => Refusal::Unavailable,
             _ => match self.execution() {
                 Execution::NotRun => Refusal::NotRun,
                 Execution::Unknown => Refusal::Unknown,
