Ask a restarted peer again that did not know the sender yet

Callers of gateways without paths were refused for 250 ms after a peer had restarted. The peer declined their requests as it had no digest of the sender yet, which it gets within 100 ms, and was then not asked for 250 ms. Such a refusal no longer pauses it.

--- a/components/gateway/src/forwarding/envelope/tests.rs
+++ b/components/gateway/src/forwarding/envelope/tests.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 
 use super::{Envelope, MAX_ENVELOPE_BYTES, Refusal};
-use crate::version::Workspace;
+use crate::{forwarding::receive::Decline, version::Workspace};
 
 prop_compose! {
     fn envelopes()(
@@ -68,3 +68,8 @@
     Refusal::remove_from(response.headers_mut());
     assert_eq!(Refusal::of(&response), None);
 }
+
+#[test]
+fn a_peer_that_does_not_know_the_sender_yet_is_not_paused() {
+    assert_eq!(Decline::UnknownSender.for_peer(), Refusal::Declined);
+}
--- a/components/gateway/src/forwarding/receive.rs
+++ b/components/gateway/src/forwarding/receive.rs
@@ -42,8 +42,9 @@
     /// Returns how it is reported to the sender.
     pub fn for_peer(self) -> Refusal {
         match self {
-            Self::UnknownSender | Self::Full | Self::NotServing => Refusal::Unavailable,
-            Self::NoEnvelope | Self::OtherConfiguration => Refusal::Declined,
+            Self::Full | Self::NotServing => Refusal::Unavailable,
+            // a peer that has just started knows the sender once it receives a digest from it
+            Self::UnknownSender | Self::NoEnvelope | Self::OtherConfiguration => Refusal::Declined,
         }
     }
 }
