Refuse a forwarded request as not run if the peer did not run it

Callers of gateways without paths got 502, unknown, for idempotent requests that no endpoint had taken. The sender of a forwarded request keeps one of three attempts for another peer, and the peer counted it among those in which the request may have run, so all its refusals said "unknown". Refusals now follow from the attempts that the process made itself; what came of the others is the sender's to tell.

--- a/components/gateway/src/request/attempts.rs
+++ b/components/gateway/src/request/attempts.rs
@@ -46,15 +46,19 @@
     tried: Vec<Arc<Target>>,
     /// Attempts in which it ran or may have run.
     runs: u32,
+    /// Those of them that the sender of a forwarded request has made, or has kept for another peer. What
+    /// came of them is the sender's to tell.
+    sender_runs: u32,
     /// Attempts that failed.
     failures: u32,
 }
 
 impl Attempts {
-    /// Continues the attempts of a peer, in `runs` of which the request ran or may have run.
+    /// Continues after `runs` attempts that a peer has made or has kept for another one.
     pub fn continuing(runs: u32) -> Self {
         Self {
             runs,
+            sender_runs: runs,
             ..Self::default()
         }
     }
@@ -81,6 +85,11 @@
         self.runs
     }
 
+    /// Whether the request can have run in an attempt of this process.
+    fn may_have_run(&self) -> bool {
+        self.runs > self.sender_runs
+    }
+
     /// Whether the request may run once more if the next attempt is lost.
     pub fn may_retry_after_next(&self, job: &Job) -> bool {
         job.route.kind.is_retryable() && self.runs + 1 < job.route.max_attempts
@@ -142,7 +151,7 @@
         }
         match withheld {
             None if is_retryable && has_time_left && has_attempts_left && has_budget => Ok(()),
-            Some(lapses) if self.runs == 0 => Err(Reason::Withheld(lapses)),
+            Some(lapses) if !self.may_have_run() => Err(Reason::Withheld(lapses)),
             None | Some(_) => Err(self.refusal(has_time_left)),
         }
     }
@@ -159,19 +168,19 @@
     /// Returns the refusal when the process would shut down before another attempt ends. It says
     /// that nothing has run only if nothing can have run.
     pub fn shutdown_refusal(&self) -> Reason {
-        if self.runs == 0 {
-            Reason::ShuttingDown
-        } else {
+        if self.may_have_run() {
             self.refusal(true)
+        } else {
+            Reason::ShuttingDown
         }
     }
 
     fn refusal(&self, has_time_left: bool) -> Reason {
-        match (self.runs, has_time_left) {
-            (0, true) => Reason::AllRefused(DEFAULT_RETRY_AFTER),
-            (0, false) => Reason::Expired,
-            (_, true) => Reason::AnswerLost,
-            (_, false) => Reason::DeadlineExceeded,
+        match (self.may_have_run(), has_time_left) {
+            (false, true) => Reason::AllRefused(DEFAULT_RETRY_AFTER),
+            (false, false) => Reason::Expired,
+            (true, true) => Reason::AnswerLost,
+            (true, false) => Reason::DeadlineExceeded,
         }
     }
 }
