--- a/components/gateway/src/forwarding/connections.rs
+++ b/components/gateway/src/forwarding/connections/mod.rs
@@ -1,5 +1,8 @@
 //! Connections to peers, and which peers are not asked at present.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{
