--- a/components/gateway/src/forwarding/probe.rs
+++ b/components/gateway/src/forwarding/probe.rs
@@ -31,9 +31,12 @@
 static REPLY: HeaderName = HeaderName::from_static("probe-reply");
 /// Number of peers that are asked. Several, as some may have lost the same paths just now.
 const MAX_PEERS: usize = 4;
-/// Time within which a peer must reply: several round trips between data centres, and the time of a
-/// connection that the peer opens itself.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Delay before a gateway checks its own paths after an endpoint refused a connection: a network may fail for
+/// one endpoint a little before it does for the others.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
+/// Time within which a peer must reply: several round trips between data centres, the time of the
+/// connections that the peer opens itself, and [`SETTLE_TIME`].
+const REPLY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Number of other endpoints that a gateway connects to in order to check its own paths.
 const MAX_COMPARED: usize = 2;
 
@@ -162,6 +165,7 @@
 /// connection to another endpoint can be opened now. If the service has no other endpoint, nothing
 /// speaks against them.
 async fn has_working_paths(gateway: &Gateway, target: &Arc<Target>) -> bool {
+    clock::sleep(SETTLE_TIME).await;
     let fleet = gateway.registry.fleet(&target.service());
     let others: Vec<&Arc<Target>> = fleet
         .subset()
