Split the function that forwards a request, and reword two comments

What a peer's response means is a function of its own, and so is whether a failed forwarding may have run the request.

--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -46,6 +46,18 @@
     TimedOut,
 }
 
+impl Failure {
+    /// Whether the request may have run at the peer.
+    fn may_have_run(self) -> bool {
+        match self {
+            Self::Unknown | Self::Lost | Self::TimedOut => true,
+            Self::NotSent | Self::Declined | Self::NoPath | Self::Unavailable | Self::NotRun(_) => {
+                false
+            }
+        }
+    }
+}
+
 /// Whether a request that this process can't serve may be forwarded to a peer.
 pub fn is_possible(job: &Job) -> bool {
     !job.is_forwarded
@@ -153,21 +165,31 @@
             });
         }
     };
-    let failure = match Refusal::of(&response) {
-        None if is_own_answer(job, &response) => return Ok((response, connection)),
+    match failure_of(job, &response) {
+        None => Ok((response, connection)),
+        Some(failure) => {
+            if !failure.may_have_run() {
+                job.exchange_guard.not_executed();
+            }
+            Err(failure)
+        }
+    }
+}
+
+/// Returns why a response of a peer can't be passed on; `None` if it answers the request.
+fn failure_of(job: &Job, response: &Response<Incoming>) -> Option<Failure> {
+    let failure = match Refusal::of(response) {
+        None if is_own_answer(job, response) => return None,
         Some(Refusal::Declined) => Failure::Declined,
         Some(Refusal::NoPath) => Failure::NoPath,
         Some(Refusal::Unavailable) => Failure::Unavailable,
-        Some(Refusal::NotRun) => Failure::NotRun(retry_after(&response)),
+        Some(Refusal::NotRun) => Failure::NotRun(retry_after(response)),
         Some(Refusal::Unknown) if response.status() == StatusCode::GATEWAY_TIMEOUT => {
             Failure::TimedOut
         }
-        None | Some(Refusal::Unknown) => return Err(Failure::Unknown),
+        None | Some(Refusal::Unknown) => Failure::Unknown,
     };
-    if failure != Failure::TimedOut {
-        job.exchange_guard.not_executed();
-    }
-    Err(failure)
+    Some(failure)
 }
 
 /// Waits until a peer is gone that a request was forwarded to. The answer is waited for all the same if
--- a/components/gateway/src/request/attempts.rs
+++ b/components/gateway/src/request/attempts.rs
@@ -46,8 +46,8 @@
     tried: Vec<Arc<Target>>,
     /// Attempts in which it ran or may have run.
     runs: u32,
-    /// Those of them that the sender of a forwarded request has made, or has kept for another peer. What
-    /// came of them is the sender's to tell.
+    /// Those of them that the sender of a forwarded request has made, or has kept for another peer. The
+    /// sender reports their outcome.
     sender_runs: u32,
     /// Attempts that failed.
     failures: u32,
--- a/components/gateway/src/steward/lease.rs
+++ b/components/gateway/src/steward/lease.rs
@@ -267,8 +267,8 @@
 }
 
 /// Whether this process should watch the lease: it is among the first, by address, of the gateways that the
-/// store answers, that reach the engines and that do not hold the lease. Candidates watch continuously, as a term counts from the
-/// last renewal observed.
+/// store answers, that reach the engines and that do not hold the lease. Candidates watch continuously, as
+/// a term counts from the last renewal observed.
 fn is_candidate(gateway: &Gateway) -> bool {
     let own = gateway.settings.gateway.peers;
     *gateway.phase.borrow() == Phase::Serving
