Show the builds of endpoints and where streams continue in logs and metrics

No gateway knew the version of an endpoint's software: its entry's field was parsed and dropped, and changes that gateways tell each other lacked it. It is now part of the profile, of the changes, and of the lines that list an endpoint and end a response. No decision uses it.

A gateway of an earlier version sends changes without a build; they are not applied, and the list is read from the store instead.

--- a/components/gateway/src/adapters/mod.rs
+++ b/components/gateway/src/adapters/mod.rs
@@ -201,6 +201,8 @@
     pub prompt: Option<prompt::Prompt>,
     /// The last event that the caller received of a stream that it wants resumed.
     pub resume_after: Option<u64>,
+    /// Id of the caller's request whose response brought the first event of that stream, if the caller names it.
+    pub resumes: Option<String>,
     /// Digest of the API key that the caller presents.
     pub key: Option<KeyDigest>,
 }
--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -33,6 +33,12 @@
 #[display("{_0}")]
 pub struct Id(pub Arc<str>);
 
+/// The version of an endpoint's software. Builds have no order, and what one has begun another can't continue. See
+/// `docs/DESIGN.md#streams-and-builds`.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[display("{_0}")]
+pub struct Build(pub Arc<str>);
+
 /// Returns a short hash of a name, the same in every process.
 #[must_use]
 pub fn short_id(name: &str) -> u32 {
@@ -67,6 +73,8 @@
     pub id: Id,
     /// The service that it belongs to.
     pub service: Arc<str>,
+    /// The version of its software.
+    pub build: Build,
     /// The address on which it listens.
     pub address: SocketAddr,
     /// Its data centre.
--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -177,7 +177,7 @@
             Err(index) => {
                 if log_new {
                     log::info!(
-                        endpoint = &*profile.id.0, service = &*profile.service, state:% = profile.state,
+                        endpoint = &*profile.id.0, service = &*profile.service, build:% = profile.build, state:% = profile.state,
                         address:% = profile.address, data_centre = &*profile.data_centre,
                         stage:? = profile.stage, revocable = profile.revocable;
                         "endpoint listed"
@@ -235,6 +235,12 @@
             "endpoint state changed"
         );
     }
+    if before.build != profile.build {
+        log::warn!(
+            endpoint = &*profile.id.0, before:% = before.build, now:% = profile.build;
+            "the build of an endpoint changed without a restart"
+        );
+    }
     if let (Some(before), Some(now)) = (before.stage, profile.stage)
         && before != now
     {
--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -13,8 +13,8 @@
 use tokio::sync::{Mutex as AsyncMutex, Notify};
 
 use super::{
-    BusySet, Connection, Health, Id, Load, LostPaths, Path, Profile, RequestTracker, Stage, State,
-    Verdict, connection::IdleConnection,
+    Build, BusySet, Connection, Health, Id, Load, LostPaths, Path, Profile, RequestTracker, Stage,
+    State, Verdict, connection::IdleConnection,
 };
 use reach::ListenCheck;
 
@@ -301,6 +301,12 @@
         self.with(|state| Arc::clone(&state.profile.service))
     }
 
+    /// Returns the version of its software, as last listed.
+    #[must_use]
+    pub fn build(&self) -> Build {
+        self.with(|state| state.profile.build.clone())
+    }
+
     /// Reads or changes its state. The lock is held only during `f`.
     pub fn with<T>(&self, f: impl FnOnce(&mut TargetState) -> T) -> T {
         f(&mut self.state.lock())
--- a/components/gateway/src/peer/changes.rs
+++ b/components/gateway/src/peer/changes.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     adapters::Change,
-    endpoint::{Id, Profile, Stage, State},
+    endpoint::{Build, Id, Profile, Stage, State},
 };
 
 /// Endpoint changes that a peer has just read from the store.
@@ -65,6 +65,7 @@
             started: profile.started,
             revocable: profile.revocable,
             service: profile.service.to_string(),
+            build: Some(profile.build.to_string()),
             address: profile.address.to_string(),
             data_centre: profile.data_centre.to_string(),
             draining: profile.state == State::Draining,
@@ -89,6 +90,8 @@
     Some(Change::Present(Profile {
         id,
         service: Arc::from(change.service.as_str()),
+        // a gateway that does not know of builds sends none; the list is then read from the store
+        build: Build(Arc::from(change.build.as_deref()?)),
         address: change.address.parse().ok()?,
         data_centre: Arc::from(change.data_centre.as_str()),
         state: if change.draining {
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -15,7 +15,7 @@
 use super::{attempts::Purpose, job::Job, timeout::Timeout};
 use crate::{
     adapters::{Call, Directive},
-    endpoint::{ConnectError, Connection, RequestGuard, Target, Verdict},
+    endpoint::{Build, ConnectError, Connection, RequestGuard, Target, Verdict},
 };
 
 /// An endpoint's response.
@@ -28,6 +28,8 @@
     pub connection: Connection,
     /// The endpoint that responds.
     pub target: Arc<Target>,
+    /// The build of that endpoint when the request was sent.
+    pub build: Build,
     /// The request in flight on the endpoint.
     pub guard: RequestGuard,
 }
@@ -189,6 +191,7 @@
         return Err(Cause::RetryBudgetExhausted);
     }
     let request = build_request(job, directive);
+    let build = target.build();
     let suspect = job.gateway.is_suspect(job.fingerprint);
     let guard = RequestGuard::new(target, job.fingerprint, suspect);
     let executes = purpose == Purpose::Run;
@@ -239,6 +242,7 @@
             body,
             connection,
             target: Arc::clone(target),
+            build,
             guard,
         }),
     }
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -28,7 +28,7 @@
     job::Job,
 };
 use crate::{
-    endpoint::{Connection, DecodeGuard, Id, RequestGuard, Target, Verdict},
+    endpoint::{Build, Connection, DecodeGuard, Id, RequestGuard, Target, Verdict},
     version::Kind,
 };
 
@@ -74,6 +74,8 @@
     upstream: Option<Upstream>,
     /// The endpoint that sends the response, or sent the last part of it.
     endpoint: Id,
+    /// The build of that endpoint.
+    build: Build,
     /// How that endpoint marks the end of the response.
     framing: Framing,
     /// Set for streams of events, which can be resumed on another endpoint.
@@ -139,6 +141,7 @@
     let mut relay = Relay {
         status: answer.head.status,
         endpoint: answer.target.id.clone(),
+        build: answer.build.clone(),
         framing: Framing::of(&answer.head),
         upstream: Some(Upstream::new(answer, decode_guard)),
         job,
@@ -320,6 +323,18 @@
 
     /// Continues with the response of another endpoint.
     fn set_upstream(&mut self, answer: Answer, decode_guard: DecodeGuard) {
+        let same_build = self.build == answer.build;
+        let after = self.event_buffer.as_ref().and_then(EventBuffer::last_id);
+        let continuations = &self.job.gateway.metrics.continuations;
+        let label = if same_build { "same" } else { "other" };
+        let labels = [&*self.job.service.name, label];
+        continuations.with_label_values(&labels).inc();
+        log::info!(
+            request = self.job.metadata.id, from = &*self.endpoint.0, from_build:% = self.build,
+            to = &*answer.target.id.0, to_build:% = answer.build, after, events = self.events;
+            "a stream continues at another endpoint"
+        );
+        self.build = answer.build.clone();
         self.endpoint = answer.target.id.clone();
         self.framing = Framing::of(&answer.head);
         self.may_be_stopped = false;
@@ -463,7 +478,7 @@
         log::info!(
             request = self.job.metadata.id, route = &*self.job.route.name, status = self.status.as_u16(),
             framing:% = self.framing, partial_bytes, attempts = self.attempts, moves = self.migrations, events = self.events, first_us,
-            endpoint = &*self.endpoint.0, content:% = self.job.fingerprint,
+            endpoint = &*self.endpoint.0, build:% = self.build, content:% = self.job.fingerprint,
             longest_gap_us = policy::micros(self.longest_gap),
             took_us = policy::micros(self.job.arrived.elapsed());
             "{outcome}"
--- a/components/gateway/tests/loads.rs
+++ b/components/gateway/tests/loads.rs
@@ -5,13 +5,14 @@
 
 use gateway::{
     adapters::Change,
-    endpoint::{DecodeGuard, Id, Load, PrefillGuard, Profile, Registry, State},
+    endpoint::{Build, DecodeGuard, Id, Load, PrefillGuard, Profile, Registry, State},
 };
 
 fn profile(name: &str) -> Profile {
     Profile {
         id: Id(Arc::from(name)),
         service: Arc::from("engines"),
+        build: Build(Arc::from("v1")),
         address: ([127, 0, 0, 1], 1).into(),
         data_centre: Arc::from("here"),
         state: State::Ready,
--- a/components/gateway/tests/registry.rs
+++ b/components/gateway/tests/registry.rs
@@ -4,7 +4,7 @@
 
 use gateway::{
     adapters::Change,
-    endpoint::{DecodeGuard, Id, Load, Profile, Registry, Stage, State, Target, short_id},
+    endpoint::{Build, DecodeGuard, Id, Load, Profile, Registry, Stage, State, Target, short_id},
 };
 
 /// The data centres over which the endpoints are spread.
@@ -14,6 +14,7 @@
     Change::Present(Profile {
         id: Id(Arc::from(format!("e{n:04}"))),
         service: Arc::from("engines"),
+        build: Build(Arc::from("v1")),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         data_centre: Arc::from(DATA_CENTRES[n % DATA_CENTRES.len()]),
         state: State::Ready,
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -34,6 +34,8 @@
     pub crashes: IntCounterVec,
     /// Migrations of long answers to another engine, by outcome.
     pub migrations: IntCounterVec,
+    /// Streams that continued at another endpoint, by service and by whether its build is the one that began them.
+    pub continuations: IntCounterVec,
     /// Orders to engines, by outcome.
     pub orders: IntCounterVec,
     /// Calls that only the steward makes to the platform, by call and outcome.
@@ -129,6 +131,11 @@
                 "Answers that left their engine.",
                 &["outcome"],
             )?,
+            continuations: counters(
+                "streams_continued_total",
+                "Streams that continued at another endpoint.",
+                &["service", "build"],
+            )?,
             orders: counters("orders_total", "Orders to engines.", &["outcome"])?,
             duties: counters(
                 "duties_total",
@@ -204,6 +211,7 @@
             &self.retries,
             &self.crashes,
             &self.migrations,
+            &self.continuations,
             &self.orders,
             &self.duties,
             &self.cache_listings,
