--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -158,13 +158,7 @@
                 &["service"],
             )?,
             request_duration: histogram("request_seconds", "Time to the end.", &["service"])?,
-            configuration_outdated: Histogram::with_opts(
-                HistogramOpts::new(
-                    "wrenramp_configuration_outdated_seconds",
-                    "Longest time for which an older configuration can have been in force.",
-                )
-                .buckets(LATENCY_BUCKETS_S.to_vec()),
-            )?,
+            configuration_outdated: outdated_configurations()?,
             configuration_age: gauge(
                 "configuration_age_ms",
                 "Time since the configuration was last known to be the newest.",
@@ -244,6 +238,16 @@
     }
 }
 
+fn outdated_configurations() -> prometheus::Result<Histogram> {
+    Histogram::with_opts(
+        HistogramOpts::new(
+            "wrenramp_configuration_outdated_seconds",
+            "Longest time for which an older configuration can have been in force.",
+        )
+        .buckets(LATENCY_BUCKETS_S.to_vec()),
+    )
+}
+
 fn gauges(name: &str, help: &str, labels: &[&str]) -> prometheus::Result<IntGaugeVec> {
     IntGaugeVec::new(Opts::new(format!("wrenramp_{name}"), help), labels)
 }
