Continue a stream only at the build that began it, within its response

Callers got streams with events of two builds: when an engine broke a stream off, the gateway resumed it at any other engine, and a long stream migrated off a leaving engine to any other. A job is now bound to the build whose engine brought the first event with an id. Placement leaves engines of other builds out, and attempt::send refuses to send there, whichever way an engine was chosen. The build is the one listed when the request was sent.

--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -76,6 +76,9 @@
     /// A deferred prompt was still waiting behind others when its time was up.
     #[display("other prompts went first until the time was over")]
     Starved,
+    /// Another build than the endpoint's began the stream.
+    #[display("another build began the stream")]
+    OtherBuild,
     /// The endpoint reported that it did not run the request.
     #[display("the endpoint did not run it, status {_0}")]
     NotRun(u16),
@@ -104,6 +107,7 @@
                 | Self::RetryBudgetExhausted
                 | Self::Withheld
                 | Self::KvFetchFailed
+                | Self::OtherBuild
                 | Self::NotRun(_)
         )
     }
@@ -117,6 +121,7 @@
             Self::RetryBudgetExhausted => "no-budget",
             Self::Withheld => "withheld",
             Self::KvFetchFailed => "no-handle",
+            Self::OtherBuild => "other-build",
             Self::Starved => "gave-way",
             Self::NotRun(_) => "not-run",
             Self::ConnectionBroken => "broken",
@@ -140,6 +145,7 @@
             | Self::RetryBudgetExhausted
             | Self::Withheld
             | Self::KvFetchFailed
+            | Self::OtherBuild
             | Self::Starved => None,
         }
     }
@@ -172,6 +178,11 @@
     if job.gateway.withheld_for(job.fingerprint).is_some() {
         return Err(Cause::Withheld);
     }
+    // endpoints do not check this, so nothing is sent without the check, whatever chose the endpoint
+    let build = target.build();
+    if !job.accepts(&build) {
+        return Err(Cause::OtherBuild);
+    }
     let max_idle = if job.route.kind.is_retryable() {
         MAX_IDLE_RETRYABLE
     } else {
@@ -191,7 +202,6 @@
         return Err(Cause::RetryBudgetExhausted);
     }
     let request = build_request(job, directive);
-    let build = target.build();
     let suspect = job.gateway.is_suspect(job.fingerprint);
     let guard = RequestGuard::new(target, job.fingerprint, suspect);
     let executes = purpose == Purpose::Run;
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -35,8 +35,8 @@
 }
 
 impl Snapshot {
-    /// Takes a snapshot of the engines that accept requests, without those on which this request
-    /// failed.
+    /// Takes a snapshot of the engines that accept requests and that can continue the stream, if it has begun,
+    /// without those on which this request failed.
     pub fn new(job: &Job, tried: &[Arc<Target>]) -> Self {
         Self::with_reach(job, tried, Reach::Own)
     }
@@ -68,6 +68,7 @@
                 ))
             })
             .filter(|(_, seen)| !unreachable.contains(&seen.profile.data_centre))
+            .filter(|(_, seen)| job.accepts(&seen.profile.build))
             .collect();
         if job.gateway.is_suspect(job.fingerprint) {
             isolate_suspects(&mut candidates);
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -17,6 +17,7 @@
 use crate::{
     adapters::Metadata,
     connection::CountGuard,
+    endpoint::Build,
     forwarding::{Admitted, Envelope},
     process::Gateway,
     version::{Configuration, Route, Service, Workspace},
@@ -96,6 +97,8 @@
     pub sends: SendCounter,
     /// The request's entry on the caller's connection.
     pub exchange_guard: ExchangeGuard,
+    /// The build that began the stream; unset before its first event.
+    build: OnceLock<Build>,
     /// Whether it has been counted in its workspace's usage.
     counted: AtomicBool,
     /// Whether it has been counted in the demand of its service.
@@ -169,6 +172,7 @@
             max_stall,
             sends: SendCounter::continuing(envelope.as_ref().map_or(0, |envelope| envelope.sends)),
             exchange_guard,
+            build: OnceLock::new(),
             counted: AtomicBool::new(
                 envelope
                     .as_ref()
@@ -182,6 +186,21 @@
         }
     }
 
+    /// Returns the build that began the stream, as only its endpoints can continue it; `None` before the first event.
+    pub fn build(&self) -> Option<&Build> {
+        self.build.get()
+    }
+
+    /// Whether endpoints of a build can run or continue the request.
+    pub fn accepts(&self, build: &Build) -> bool {
+        self.build().is_none_or(|begun| begun == build)
+    }
+
+    /// Binds the stream to the build that began it. The first call counts.
+    pub fn bind(&self, build: &Build) {
+        self.build.get_or_init(|| build.clone());
+    }
+
     /// Counts the request in its workspace's usage, once. `at` is when an endpoint began to run it.
     pub fn record_start(&self, at: Instant) {
         let Some(workspace) = &self.workspace else {
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -108,7 +108,7 @@
         let Some(seen) = target.snapshot(now, &[], &ServiceDefaults::default(), Reach::Own) else {
             continue;
         };
-        if unreachable.contains(&seen.profile.data_centre) {
+        if unreachable.contains(&seen.profile.data_centre) || !job.accepts(&seen.profile.build) {
             continue;
         }
         let load = policy::to_f64(seen.load.decoding) / policy::to_f64(seen.profile.slots.max(1));
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -215,6 +215,7 @@
                         None => Some(bytes),
                         Some(event_buffer) => event_buffer.push(&bytes),
                     };
+                    self.bind_stream();
                     let ends = is_last && self.early_end().is_none();
                     let remainder = ends.then(|| self.finish()).flatten();
                     match (complete_events, remainder) {
@@ -283,6 +284,14 @@
         }
     }
 
+    /// Binds the stream to its build once it has an event after which it could be continued.
+    fn bind_stream(&self) {
+        let last_id = self.event_buffer.as_ref().and_then(EventBuffer::last_id);
+        if last_id.is_some() {
+            self.job.bind(&self.build);
+        }
+    }
+
     /// Ends a complete response.
     fn finish(&mut self) -> Option<Bytes> {
         self.record_end(None);
