Try the other engines of a build when one refuses to resume a stream

A broken stream was resumed with one attempt. If that engine refused it, the caller's response was broken off although others of the build served; with engines of several builds there are fewer to choose from, so that happens more often. Further engines are now tried while attempts, the retry budget and time are left; at most three refusals, as each spends a retry.

--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -14,7 +14,7 @@
 
 use super::{
     attempt::{Answer, Cause},
-    attempts::Attempts,
+    attempts::{Attempts, FailedAttempt, Purpose},
     job::Job,
     refusal::{DEFAULT_RETRY_AFTER, Reason},
     relay::{self, Body},
@@ -142,25 +142,24 @@
     Err(Denial::NoRoom(attempts.exhausted_refusal()))
 }
 
-/// Resumes a broken stream on another engine.
+/// Resumes a broken stream on another engine than those `tried`. `Ok(None)` if none has room.
 pub async fn resume(
     job: &Job,
     after: Option<u64>,
-    from: &Arc<Target>,
-) -> Result<(Answer, DecodeGuard), Cause> {
-    let snapshot = Snapshot::new(job, std::slice::from_ref(from));
-    let choice = snapshot.choose(job).ok_or(Cause::TimedOut)?;
+    tried: &[Arc<Target>],
+) -> Result<Option<(Answer, DecodeGuard)>, FailedAttempt> {
+    let snapshot = Snapshot::new(job, tried);
+    let Some(choice) = snapshot.choose(job) else {
+        return Ok(None);
+    };
     let engine = match choice.placement {
         Placement::Single { engine } => engine,
         Placement::Split { decode, .. } => decode,
     };
-    let resumed =
-        run::single_engine(job, &snapshot, engine, Timeout::at(job.deadline), after).await;
-    let resumed = resumed
-        .map_err(|failed| failed.cause)
-        .and_then(|(answer, decode_guard)| Ok((answer.into_continuation()?, decode_guard)));
-    if let Err(Some(verdict)) = resumed.as_ref().map_err(|cause| cause.verdict()) {
-        snapshot.targets[engine].record_verdict(verdict, &job.metadata.id);
-    }
-    resumed
+    let timeout = Timeout::at(job.deadline);
+    let (answer, decode_guard) = run::single_engine(job, &snapshot, engine, timeout, after).await?;
+    let target = Arc::clone(&answer.target);
+    let answer = answer.into_continuation();
+    let answer = answer.map_err(|cause| run::failed(&target, cause, Purpose::Run))?;
+    Ok(Some((answer, decode_guard)))
 }
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -18,7 +18,7 @@
 };
 
 use super::{
-    attempt::{self, Answer},
+    attempt::{self, Answer, Cause},
     events::EventBuffer,
     framing::Framing,
     generate::{
@@ -57,6 +57,9 @@
 /// not find the retry budget exhausted.
 const MIGRATION_RETRIES: usize = 2;
 
+/// How many engines may refuse to resume a broken stream before it is broken off; each refusal spends a retry.
+const MAX_REFUSED_RESUMPTIONS: u32 = 3;
+
 /// Media type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -443,20 +446,45 @@
             .record_verdict(Verdict::Failed, &self.job.metadata.id);
         let from = Arc::clone(&broken.target);
         drop(broken);
-        if self.attempts >= self.job.route.max_attempts {
-            return false;
-        }
-        self.attempts += 1;
-        match generate::resume(&self.job, after, &from).await {
-            Ok((answer, decode_guard)) => {
-                self.set_upstream(answer, decode_guard);
-                true
+        self.try_resume(after, vec![from]).await
+    }
+
+    /// Tries one engine after the other, as long as attempts are left. Returns whether one continues the stream.
+    async fn try_resume(&mut self, after: Option<u64>, mut tried: Vec<Arc<Target>>) -> bool {
+        let mut refusals = 0;
+        while self.attempts < self.job.route.max_attempts && refusals < MAX_REFUSED_RESUMPTIONS {
+            let failed = match generate::resume(&self.job, after, &tried).await {
+                Ok(Some((answer, decode_guard))) => {
+                    self.attempts += 1;
+                    self.set_upstream(answer, decode_guard);
+                    return true;
+                }
+                Ok(None) => {
+                    log::info!(
+                        request = self.job.metadata.id, build:? = self.job.build().map(ToString::to_string),
+                        tried = tried.len();
+                        "no engine has room to resume a broken stream"
+                    );
+                    return false;
+                }
+                Err(failed) => failed,
+            };
+            let (cause, not_run) = (failed.cause, failed.not_run());
+            log::info!(
+                request = self.job.metadata.id, endpoint = &*failed.target.id.0, cause:%, not_run;
+                "a broken stream could not be resumed"
+            );
+            if let Some(verdict) = cause.verdict() {
+                failed.target.record_verdict(verdict, &self.job.metadata.id);
             }
-            Err(cause) => {
-                log::info!(request = self.job.metadata.id, cause:%; "a broken stream could not be resumed");
-                false
+            if matches!(cause, Cause::RetryBudgetExhausted | Cause::Withheld) {
+                return false;
             }
+            refusals += u32::from(not_run);
+            self.attempts += u32::from(!not_run);
+            tried.push(failed.target);
         }
+        false
     }
 
     /// Logs and counts how the request ended.
