Resume a caller's stream at the build that began it, at any gateway

Callers that came back with Last-Event-Id were sent to any engine, at whichever gateway they came to; nobody knew at which build their streams had begun, and Resumes was read nowhere.

Each gateway now keeps the build of each resumable stream from its first event until its caller can no longer resume it, under a hash of the service, the workspace and the request's id. While several builds serve, or have within two minutes, records go to two peers chosen by rendezvous hashing, and are sent again when such a peer restarts or another one takes its place. A gateway that does not know a stream asks eight peers, for at most 100 ms. A stream whose build is not certain, or whose build is gone, is refused at once as not run, without a time to come back: a later attempt would fare no better. With one build nothing is told or asked.

All gateways may be killed at once, so the builds of a service that has several are also rows in the store. A forwarded request carries its build, in a header of its own that gateways without builds decline.

--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -4,6 +4,7 @@
 //! An endpoint here is one incarnation of a server. A restarted server is a new endpoint, even
 //! under the same name or at the same address, so nothing learnt about one is applied to the other.
 
+mod builds;
 mod busy;
 mod connection;
 mod health;
@@ -18,6 +19,7 @@
 
 use derive_more::Display;
 
+pub use builds::Builds;
 pub use busy::BusySet;
 pub use connection::{ConnectError, Connection};
 pub(crate) use connection::{IdleConnection, open_from, set_keepalive};
@@ -26,7 +28,9 @@
 pub use path::{Change as PathChange, LostPaths, Path};
 pub use registry::{Fleet, Registry};
 pub use requests::{RequestGuard, RequestTracker};
-pub use target::{CrashCheck, Latencies, Listening, Reach, ServiceDefaults, Snapshot, Target};
+pub use target::{
+    CONTINUATION_WINDOW, CrashCheck, Latencies, Listening, Reach, ServiceDefaults, Snapshot, Target,
+};
 
 /// Name of an endpoint. A restarted endpoint may keep its name, see [`Profile::started`].
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -4,7 +4,7 @@
 
 use parking_lot::{Mutex, RwLock};
 
-use super::{BusySet, Id, IncarnationOrder, LostPaths, Profile, State, Target, subset};
+use super::{Builds, BusySet, Id, IncarnationOrder, LostPaths, Profile, State, Target, subset};
 use crate::adapters::Change;
 
 /// Maximum number of changes in an update whose new endpoints are logged individually. Above the 60
@@ -57,6 +57,8 @@
     busy: Arc<BusySet>,
     /// Endpoints that this process can't reach.
     lost_paths: Arc<LostPaths>,
+    /// Builds of the services, also of endpoints that are no longer listed.
+    builds: Builds,
     /// Serializes updates.
     updating: Mutex<()>,
 }
@@ -114,6 +116,12 @@
         Arc::clone(&self.lost_paths)
     }
 
+    /// Returns the builds that serve or have served lately.
+    #[must_use]
+    pub fn builds(&self) -> &Builds {
+        &self.builds
+    }
+
     /// Applies an update. With `full` the changes are the complete list, and endpoints that are
     /// not in it are removed. Returns the removed endpoints that had not announced that they were
     /// draining.
@@ -196,6 +204,7 @@
     }
 
     fn publish(&self, targets: Vec<Arc<Target>>) {
+        self.builds.update(&targets);
         let mut fleets: Vec<(Arc<str>, Vec<Arc<Target>>)> = Vec::new();
         for target in &targets {
             let service = target.with(|state| Arc::clone(&state.profile.service));
--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -20,6 +20,11 @@
 
 pub use reach::{CrashCheck, Listening};
 
+/// How long after this process has learnt that an endpoint drains it may still be sent streams that began at its build.
+/// It must be below the operators' `drain_ms`, after which a draining endpoint accepts nothing new: two seconds after its
+/// announcement in the first deployments. The announcement also takes time to reach this process.
+pub const CONTINUATION_WINDOW: Duration = Duration::from_secs(1);
+
 /// An endpoint. It lives as long as anything is in flight there, also after it is no longer listed.
 #[derive(Debug)]
 pub struct Target {
@@ -49,6 +54,8 @@
     pub profile: Profile,
     /// Whether it is still listed.
     pub listed: bool,
+    /// When this process learnt that it drains; `None` as long as it does not.
+    draining_since: Option<Instant>,
     /// Whether this incarnation has certainly terminated, since a later one is listed.
     terminated: bool,
     /// Load from this process.
@@ -141,6 +148,8 @@
 pub enum Reach {
     /// Those that this process can send requests to.
     Own,
+    /// Those, and those that have just begun to drain: a stream that no other endpoint can continue is sent there.
+    Continuation,
     /// All that are listed and ready.
     Listed,
 }
@@ -227,6 +236,12 @@
         self.path.error().is_none() || self.idle.iter().any(|idle| idle.is_open(now))
     }
 
+    /// Whether it has begun to drain so recently that it still takes streams that no other endpoint can continue.
+    pub fn may_continue_streams(&self) -> bool {
+        self.draining_since
+            .is_some_and(|since| since.elapsed() < CONTINUATION_WINDOW)
+    }
+
     fn age(&self, now: Instant) -> policy::Micros {
         policy::micros(now.saturating_duration_since(self.known_since))
     }
@@ -236,6 +251,7 @@
     /// Creates the target of a newly listed endpoint.
     #[must_use]
     pub fn new(profile: Profile, busy: Arc<BusySet>, lost_paths: Arc<LostPaths>) -> Self {
+        let is_draining = profile.state == State::Draining;
         Self {
             id: profile.id.clone(),
             short_id: profile.short_id(),
@@ -248,6 +264,7 @@
             state: Mutex::new(TargetState {
                 profile,
                 listed: true,
+                draining_since: is_draining.then(Instant::now),
                 terminated: false,
                 own_load: Load::default(),
                 peer_load: Load::default(),
@@ -335,10 +352,18 @@
     ) -> Option<Snapshot> {
         self.with(|state| {
             state.prefix_cache.resize(defaults.kv_capacity_tokens);
+            let takes = match reach {
+                Reach::Own | Reach::Listed => state.profile.state == State::Ready,
+                Reach::Continuation => {
+                    state.profile.state == State::Ready || state.may_continue_streams()
+                }
+            };
             let accepts = state.listed
-                && state.profile.state == State::Ready
+                && takes
                 && match reach {
-                    Reach::Own => state.health.accepts_requests(now) && state.has_way(now),
+                    Reach::Own | Reach::Continuation => {
+                        state.health.accepts_requests(now) && state.has_way(now)
+                    }
                     Reach::Listed => true,
                 }
                 && state.changing_until.is_none_or(|until| until <= now);
@@ -430,6 +455,12 @@
                 state.changing_until = None;
                 state.latency = None;
             }
+            match profile.state {
+                State::Ready => state.draining_since = None,
+                State::Draining => {
+                    state.draining_since.get_or_insert_with(Instant::now);
+                }
+            }
             std::mem::replace(&mut state.profile, profile.clone())
         });
         if profile.state == State::Draining {
--- a/components/gateway/src/forwarding/envelope/mod.rs
+++ b/components/gateway/src/forwarding/envelope/mod.rs
@@ -13,10 +13,13 @@
 use prost::Message;
 use wire::{ForwardedRequest, ForwardedWorkspace};
 
-use crate::version::Workspace;
+use crate::{endpoint::Build, version::Workspace};
 
 /// Header of a forwarded request: a [`ForwardedRequest`] in base64.
 static ENVELOPE: HeaderName = HeaderName::from_static("forwarded-envelope");
+/// The same for a stream that is bound to a build. Gateways that do not know of builds take no request with this header,
+/// and would ignore a field of the other.
+static BOUND_ENVELOPE: HeaderName = HeaderName::from_static("forwarded-stream-envelope");
 /// Header of a response with which the peer itself refuses a forwarded request: whether it ran.
 static REFUSAL: HeaderName = HeaderName::from_static("forwarded-refusal");
 
@@ -62,6 +65,8 @@
     pub demand_counted: bool,
     /// Whether it is counted in the usage of the workspace already.
     pub usage_counted: bool,
+    /// The build that began the stream which the request resumes, if it resumes one.
+    pub build: Option<Build>,
     /// The caller's workspace, if it has one.
     pub workspace: Option<Workspace>,
 }
@@ -79,17 +84,26 @@
             sends: self.sends,
             demand_counted: self.demand_counted,
             usage_counted: self.usage_counted,
+            build: self.build.as_ref().map(ToString::to_string),
             workspace: self.workspace.as_ref().map(|workspace| ForwardedWorkspace {
                 name: workspace.name.to_string(),
                 priority: workspace.priority,
             }),
         };
-        insert_message(headers, &ENVELOPE, &message);
+        // a caller's own headers of these names must not reach the peer
+        headers.remove(&ENVELOPE);
+        headers.remove(&BOUND_ENVELOPE);
+        let name = match self.build {
+            Some(_) => &BOUND_ENVELOPE,
+            None => &ENVELOPE,
+        };
+        insert_message(headers, name, &message);
     }
 
     /// Takes the envelope out of the headers of a request; `None` if there is none that can be decoded.
     pub fn take_from(headers: &mut HeaderMap) -> Option<Self> {
-        let message: ForwardedRequest = take_message(headers, &ENVELOPE)?;
+        let bound: Option<ForwardedRequest> = take_message(headers, &BOUND_ENVELOPE);
+        let message = bound.or_else(|| take_message(headers, &ENVELOPE))?;
         Some(Self {
             sender: message.sender,
             route: message.route.into(),
@@ -100,6 +114,7 @@
             sends: message.sends,
             demand_counted: message.demand_counted,
             usage_counted: message.usage_counted,
+            build: message.build.map(|build| Build(build.into())),
             workspace: message.workspace.map(|workspace| Workspace {
                 name: workspace.name.into(),
                 priority: workspace.priority,
--- a/components/gateway/src/forwarding/envelope/tests.rs
+++ b/components/gateway/src/forwarding/envelope/tests.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 
 use super::{Envelope, MAX_ENVELOPE_BYTES, Refusal};
-use crate::{forwarding::receive::Decline, version::Workspace};
+use crate::{endpoint::Build, forwarding::receive::Decline, version::Workspace};
 
 prop_compose! {
     fn envelopes()(
@@ -14,6 +14,7 @@
         (demand_counted, usage_counted) in any::<(bool, bool)>(),
         priority in any::<Option<u32>>(),
         has_workspace in any::<bool>(),
+        build in proptest::option::of("\\PC{0,40}"),
     ) -> Envelope {
         let workspace = Workspace { name: Arc::from(name), priority };
         Envelope {
@@ -26,6 +27,7 @@
             sends,
             demand_counted,
             usage_counted,
+            build: build.map(|build| Build(build.into())),
             workspace: has_workspace.then_some(workspace),
         }
     }
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -260,6 +260,7 @@
         sends: job.sends.count(),
         demand_counted: job.is_demand_counted(),
         usage_counted: job.is_usage_counted(),
+        build: job.build().cloned(),
         workspace: job.workspace.as_deref().cloned(),
     };
     let mut request = Request::new(Full::new(job.body.clone()));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod process;
 mod request;
 mod steward;
+mod streams;
 pub mod version;
 
 pub use error::Error;
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -8,6 +8,7 @@
 mod discovery;
 mod fan_out;
 mod latencies;
+mod ranking;
 mod receive;
 mod send;
 mod suspects;
@@ -35,6 +36,7 @@
     adapters::StoreTime,
     endpoint::{Load, Stage, short_id},
     process::{DemandTotals, Gateway, List},
+    streams,
 };
 
 /// Missed heartbeat intervals after which a peer is unreachable and its load is no longer counted.
@@ -480,6 +482,7 @@
         discovery::run(&gateway),
         send::run(&gateway, &socket),
         receive::run(&gateway, &socket),
+        streams::run(&gateway, &socket),
     );
 }
 
@@ -554,6 +557,7 @@
         endpoints_changed: gateway.last_changes.revision(List::Endpoints),
         configuration_changed: gateway.last_changes.revision(List::Configuration),
         changes: Vec::new(),
+        streams: None,
         paces: Vec::new(),
         suspects: Vec::new(),
         beat_ms: 0,
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -16,6 +16,7 @@
     adapters::StoreTime,
     endpoint::{Load, Stage, Target},
     process::{DemandTotals, Gateway},
+    streams,
 };
 
 /// How long an engine gets no new requests after the steward last reported that it is changing its
@@ -31,8 +32,11 @@
     loop {
         let received = clock::timeout(HEARTBEAT_INTERVAL, socket.recv_from(&mut buffer)).await;
         match received {
-            Ok(Ok((length, _))) => match Digest::decode(&buffer[..length]) {
-                Ok(digest) => apply(gateway, &digest),
+            Ok(Ok((length, from))) => match Digest::decode(&buffer[..length]) {
+                Ok(digest) => match &digest.streams {
+                    Some(streams) => streams::apply(gateway, from.ip(), &digest, streams),
+                    None => apply(gateway, &digest),
+                },
                 Err(error) => log::warn!(error:%; "could not decode a digest"),
             },
             Ok(Err(error)) => log::debug!(error:%; "failed to receive a digest"),
@@ -41,6 +45,7 @@
         if last_cleanup.elapsed() >= HEARTBEAT_INTERVAL {
             last_cleanup = Instant::now();
             drop_unreachable(gateway);
+            gateway.maintain_streams();
         }
     }
 }
--- /dev/null
+++ b/components/gateway/src/process/builds.rs
@@ -0,0 +1,125 @@
+//! Builds in the store. Gateways know in memory only which builds have served a service lately; after all of them were
+//! killed at once, the build that began a stream could be taken for the one that is left.
+
+use std::{sync::Arc, time::Duration};
+
+use cloud::table::{Row, Transaction};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::Gateway;
+use crate::endpoint::Build;
+
+/// The prefix of the keys of builds.
+pub(super) const ROW_PREFIX: &str = "build/";
+/// How often the rows are compared with the builds that serve.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of rows; further builds are known only to the gateways. All of them can be replaced in one transaction
+/// of the store.
+const MAX_ROWS: usize = 40;
+
+/// A build of a service that has several, or had until lately.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+struct StoredBuild {
+    service: String,
+    build: String,
+}
+
+impl StoredBuild {
+    fn key(&self) -> String {
+        let seed = xxh3_64(self.service.as_bytes());
+        let hash = xxh3_64_with_seed(self.build.as_bytes(), seed);
+        format!("{ROW_PREFIX}{hash:016x}")
+    }
+}
+
+/// The rows as this process knows them, sorted; `None` until they have been read.
+#[derive(Debug, Default)]
+pub struct StoredBuilds(Mutex<Option<Vec<StoredBuild>>>);
+
+impl Gateway {
+    /// Whether this process knows which builds served before it started.
+    pub fn knows_earlier_builds(&self) -> bool {
+        self.stored_builds.0.lock().is_some()
+    }
+}
+
+/// Takes in the rows that were read at the start of the process.
+pub(super) fn restore(gateway: &Gateway, rows: &[Row]) {
+    let mut stored = Vec::new();
+    for row in rows {
+        match serde_json::from_str::<StoredBuild>(&row.value) {
+            Ok(row) => {
+                let build = Build(Arc::from(row.build.as_str()));
+                gateway
+                    .registry
+                    .builds()
+                    .record_earlier(&row.service, build);
+                stored.push(row);
+            }
+            Err(error) => {
+                log::warn!(key = row.key, error:%; "could not parse the row of a build");
+            }
+        }
+    }
+    if !stored.is_empty() {
+        log::info!(builds:? = stored; "builds that served earlier were read from the store");
+    }
+    stored.sort_unstable();
+    *gateway.stored_builds.0.lock() = Some(stored);
+}
+
+/// Keeps the rows up to date for the lifetime of the process, at the gateway that reads the lists first.
+pub async fn run(gateway: &Gateway) {
+    loop {
+        clock::sleep(CHECK_INTERVAL).await;
+        let Some(stored) = gateway.stored_builds.0.lock().clone() else {
+            continue;
+        };
+        let wanted = wanted_rows(gateway);
+        let own = gateway.settings.gateway.peers;
+        let is_writer = gateway.reads_lists() && !gateway.peers.has_preceding_reader(own);
+        if stored != wanted && is_writer && gateway.store_available() {
+            update(gateway, &stored, &wanted).await;
+        }
+    }
+}
+
+fn wanted_rows(gateway: &Gateway) -> Vec<StoredBuild> {
+    let mixed = gateway.registry.builds().mixed();
+    let rows = mixed.iter().flat_map(|(service, builds)| {
+        builds.iter().map(|build| StoredBuild {
+            service: service.to_string(),
+            build: build.to_string(),
+        })
+    });
+    let mut rows: Vec<StoredBuild> = rows.take(MAX_ROWS).collect();
+    rows.sort_unstable();
+    rows
+}
+
+async fn update(gateway: &Gateway, stored: &[StoredBuild], wanted: &[StoredBuild]) {
+    let missing = wanted.iter().filter(|row| !stored.contains(row));
+    let expired = stored.iter().filter(|row| !wanted.contains(row));
+    let mut transaction = Transaction::default();
+    for row in missing {
+        // a row of plain fields always has a JSON form
+        let value = serde_json::to_string(row).unwrap_or_default();
+        transaction = transaction.write(&row.key(), value);
+    }
+    for row in expired {
+        transaction = transaction.remove(&row.key());
+    }
+    let outcome = gateway.adapters.table.commit(transaction).await;
+    gateway.count_store_call("builds", outcome.is_ok());
+    match outcome {
+        Ok(_) => {
+            log::info!(builds:? = wanted; "the builds that serve were written to the store");
+            *gateway.stored_builds.0.lock() = Some(wanted.to_vec());
+        }
+        Err(error) => {
+            log::warn!(error:%; "failed to write the builds that serve to the store; retrying");
+        }
+    }
+}
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -2,6 +2,7 @@
 //! tasks.
 
 mod backoff;
+mod builds;
 mod configuration;
 mod crashes;
 mod endpoints;
@@ -32,6 +33,7 @@
 use tokio::{net::TcpListener, net::UdpSocket, sync::watch, task::JoinSet};
 
 use backoff::{Backoff, next_read};
+use builds::StoredBuilds;
 use follow::LastChanges;
 use freshness::Confirmation;
 use service::Services;
@@ -46,6 +48,7 @@
     forwarding::{Admission, Connections},
     peer::{self, Peers},
     steward::{self, Steward},
+    streams::Streams,
     version::{Configuration, Limits, idle},
 };
 
@@ -129,6 +132,10 @@
     services: Services,
     /// Requests suspected of crashing endpoints.
     suspects: Suspects,
+    /// The builds that began streams.
+    pub streams: Streams,
+    /// Builds in the store.
+    stored_builds: StoredBuilds,
     started: Instant,
 }
 
@@ -345,6 +352,8 @@
     tasks.spawn(shutdown::run(Arc::clone(&gateway)));
     let shared = Arc::clone(&gateway);
     tasks.spawn(async move { withheld::run(&shared).await });
+    let shared = Arc::clone(&gateway);
+    tasks.spawn(async move { builds::run(&shared).await });
     Ok(Running { gateway, tasks })
 }
 
@@ -372,6 +381,8 @@
         last_changes: LastChanges::default(),
         services: Services::default(),
         suspects: Suspects::default(),
+        streams: Streams::default(),
+        stored_builds: StoredBuilds::default(),
         started: Instant::now(),
         settings,
     })
--- a/components/gateway/src/process/withheld.rs
+++ b/components/gateway/src/process/withheld.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clock::Instant;
-use cloud::table::{Read, Transaction};
+use cloud::table::{self, Read, Transaction};
 use policy::suspect::{Crash, Record, SignedMicros};
 use serde::{Deserialize, Serialize};
 
-use super::{Gateway, Source};
+use super::{Gateway, Source, builds};
 use crate::request::Fingerprint;
 
 /// The prefix of the keys of withheld requests.
@@ -26,7 +26,7 @@
 
 /// The row of a withheld request.
 #[derive(Debug, Serialize, Deserialize)]
-struct Row {
+struct StoredRequest {
     ends: Vec<StoredCrash>,
 }
 
@@ -79,23 +79,27 @@
     }
     let read = Read {
         keys: Vec::new(),
-        prefixes: vec![ROW_PREFIX.to_owned()],
+        prefixes: vec![ROW_PREFIX.to_owned(), builds::ROW_PREFIX.to_owned()],
     };
     let read = gateway.adapters.table.read(read).await;
     gateway.count_store_call("withheld", read.is_ok());
     let rows = match read {
         Ok(rows) => rows,
         Err(error) => {
-            log::warn!(error:%; "failed to read the withheld requests from the store");
+            log::warn!(error:%; "failed to read the rows of earlier processes from the store");
             clock::sleep(RETRY_DELAY).await;
             return None;
         }
     };
+    let (builds, rows): (Vec<table::Row>, Vec<table::Row>) = rows
+        .into_iter()
+        .partition(|row| row.key.starts_with(builds::ROW_PREFIX));
+    builds::restore(gateway, &builds);
     let mut fingerprints = Vec::new();
     for row in rows {
         match (
             parse_row_key(&row.key),
-            serde_json::from_str::<Row>(&row.value),
+            serde_json::from_str::<StoredRequest>(&row.value),
         ) {
             (Some(fingerprint), Ok(row)) => {
                 gateway.merge_suspect(fingerprint, &row.record(gateway.moment()), Source::Store);
@@ -121,7 +125,8 @@
             continue;
         }
         // a row of plain fields always has a JSON form
-        let value = serde_json::to_string(&Row::new(&record, gateway.moment())).unwrap_or_default();
+        let value = serde_json::to_string(&StoredRequest::new(&record, gateway.moment()))
+            .unwrap_or_default();
         let transaction = Transaction::default().write(&row_key(fingerprint), value);
         let outcome = gateway.adapters.table.commit(transaction).await;
         gateway.count_store_call("withhold", outcome.is_ok());
@@ -147,7 +152,7 @@
     }
 }
 
-impl Row {
+impl StoredRequest {
     fn new(record: &Record, now: SignedMicros) -> Self {
         let unix_now = unix_millis();
         let crashes = record.crashes.iter().map(|crash| StoredCrash {
--- a/components/gateway/src/request/generate/migrate.rs
+++ b/components/gateway/src/request/generate/migrate.rs
@@ -4,7 +4,7 @@
 //! that has the copy. That counts as the same run, so requests that may run only once can migrate
 //! too.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use clock::Instant;
 use policy::place::{self, Weights};
@@ -12,7 +12,7 @@
 use super::snapshot::{Snapshot, is_long_answer, placement_request};
 use crate::{
     adapters::{Directive, KvHandle, MigrationReply},
-    endpoint::{DecodeGuard, Target},
+    endpoint::{CONTINUATION_WINDOW, DecodeGuard, Target},
     request::{
         attempt::{self, Answer, Cause},
         job::Job,
@@ -20,12 +20,6 @@
     },
 };
 
-/// How long after its engine was asked to migrate an answer the answer may return there. It must be
-/// below the operators' `drain_ms`, after which a leaving engine accepts nothing new: two seconds
-/// after its announcement in the first deployments. The announcement also takes time to reach this
-/// process.
-const RETURN_WINDOW: Duration = Duration::from_secs(1);
-
 /// A stopped answer, and where it is resumed.
 pub struct StoppedAnswer {
     /// The engine on which it is resumed.
@@ -44,7 +38,7 @@
     #[must_use]
     pub fn back_to_source(self) -> Option<Self> {
         let can_return =
-            self.target.id != self.source.id && self.asked_at.elapsed() < RETURN_WINDOW;
+            self.target.id != self.source.id && self.asked_at.elapsed() < CONTINUATION_WINDOW;
         can_return.then(|| Self {
             target: Arc::clone(&self.source),
             ..self
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -88,7 +88,8 @@
     if !timing::ends_before_shutdown(job, &snapshot, &choice) {
         return Err(Denial::Final(attempts.shutdown_refusal()));
     }
-    if !attempts.none_failed() {
+    // a stream that has begun is continued, however late its next event
+    if !attempts.none_failed() || job.build().is_some() {
         snapshot.log_placement(job, &choice, "placed for a retry");
         return Ok((snapshot, choice, Timing::Normal));
     }
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -38,7 +38,11 @@
     /// Takes a snapshot of the engines that accept requests and that can continue the stream, if it has begun,
     /// without those on which this request failed.
     pub fn new(job: &Job, tried: &[Arc<Target>]) -> Self {
-        Self::with_reach(job, tried, Reach::Own)
+        let snapshot = Self::with_reach(job, tried, Reach::Own);
+        if job.build().is_none() || !snapshot.targets.is_empty() {
+            return snapshot;
+        }
+        Self::with_reach(job, tried, Reach::Continuation)
     }
 
     /// Takes a snapshot of the engines that accept requests, whether this process reaches them or not.
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -20,6 +20,7 @@
     endpoint::Build,
     forwarding::{Admitted, Envelope},
     process::Gateway,
+    streams::Key,
     version::{Configuration, Route, Service, Workspace},
 };
 
@@ -89,6 +90,8 @@
     pub is_forwarded: bool,
     /// The caller's deadline, or the route's if that is earlier.
     pub deadline: Instant,
+    /// When the caller no longer waits, also for a response that it resumes.
+    pub caller_deadline: Instant,
     /// The time until which an answer has its full value.
     pub objective: Instant,
     /// The longest time between two events that streams of this service may have.
@@ -168,11 +171,15 @@
             received: received_at,
             is_forwarded: envelope.is_some(),
             deadline,
+            caller_deadline: deadline.max(arrived + caller_timeout),
             objective,
             max_stall,
             sends: SendCounter::continuing(envelope.as_ref().map_or(0, |envelope| envelope.sends)),
             exchange_guard,
-            build: OnceLock::new(),
+            build: envelope
+                .as_ref()
+                .and_then(|envelope| envelope.build.clone())
+                .map_or_else(OnceLock::new, OnceLock::from),
             counted: AtomicBool::new(
                 envelope
                     .as_ref()
@@ -191,6 +198,13 @@
         self.build.get()
     }
 
+    /// Returns the key of the stream: that of the request whose response brought its first event.
+    pub fn stream_key(&self) -> Key {
+        let begun_by = self.metadata.resumes.as_ref().unwrap_or(&self.metadata.id);
+        let workspace = self.workspace.as_ref().map(|workspace| &*workspace.name);
+        Key::new(&self.service.name, workspace, begun_by)
+    }
+
     /// Whether endpoints of a build can run or continue the request.
     pub fn accepts(&self, build: &Build) -> bool {
         self.build().is_none_or(|begun| begun == build)
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -14,6 +14,7 @@
 mod plain;
 mod refusal;
 pub mod relay;
+mod resumption;
 mod timeout;
 mod unserved;
 
@@ -180,12 +181,7 @@
             .into_job(configuration, route, service, workspace, None)
             .await?;
         job.gateway.count_request(&job.service.name);
-        if let Some(after) = job.metadata.resume_after {
-            log::info!(
-                request = job.metadata.id, resumes = job.metadata.resumes, after, service = &*job.service.name;
-                "a caller resumes a stream"
-            );
-        }
+        resumption::bind(&job).await?;
         match run(job, Attempts::default()).await {
             Ok(response) => Ok(response),
             Err(Unserved::Final(reason)) => Err(reason),
--- a/components/gateway/src/request/refusal.rs
+++ b/components/gateway/src/request/refusal.rs
@@ -56,6 +56,12 @@
     /// No endpoint accepts requests at present.
     #[display("no endpoint takes requests")]
     NoEndpoint(Duration),
+    /// It is not known which build began the stream that the caller resumes, and several serve.
+    #[display("it is not known which version of the service began the stream")]
+    StreamUnknown,
+    /// No endpoint is left of the build that began the stream that the caller resumes.
+    #[display("the version of the service that began the stream no longer serves")]
+    BuildGone,
     /// Endpoints were tried, and none accepted the request.
     #[display("no endpoint took the request")]
     AllRefused(Duration),
@@ -121,6 +127,8 @@
             Self::ShuttingDown => "stopping",
             Self::Overloaded(_) => "late",
             Self::NoEndpoint(_) => "no-endpoint",
+            Self::StreamUnknown => "stream-unknown",
+            Self::BuildGone => "build-gone",
             Self::AllRefused(_) => "not-taken",
             Self::Withheld(_) => "withheld",
             Self::RefusedByPeer(_) => "refused-by-peer",
@@ -143,6 +151,8 @@
             | Self::ShuttingDown
             | Self::Overloaded(_)
             | Self::NoEndpoint(_)
+            | Self::StreamUnknown
+            | Self::BuildGone
             | Self::AllRefused(_)
             | Self::Withheld(_)
             | Self::RefusedByPeer(_)
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -94,6 +94,8 @@
     first_event: Option<Instant>,
     /// The longest time between two events so far.
     longest_gap: Duration,
+    /// Whether the build that began the stream has been recorded.
+    recorded: bool,
     logged: bool,
 }
 
@@ -156,6 +158,7 @@
         events: 0,
         first_event: None,
         longest_gap: Duration::ZERO,
+        recorded: false,
         logged: false,
     };
     if relay
@@ -287,11 +290,19 @@
         }
     }
 
-    /// Binds the stream to its build once it has an event after which it could be continued.
-    fn bind_stream(&self) {
+    /// Binds the stream to its build once it has an event after which it could be continued, so that its caller can
+    /// resume it at any gateway.
+    fn bind_stream(&mut self) {
         let last_id = self.event_buffer.as_ref().and_then(EventBuffer::last_id);
-        if last_id.is_some() {
-            self.job.bind(&self.build);
+        if last_id.is_none() || self.recorded {
+            return;
+        }
+        self.recorded = true;
+        let job = &self.job;
+        job.bind(&self.build);
+        if job.route.kind == Kind::ResumableStream && !job.metadata.id.is_empty() {
+            job.gateway
+                .record_stream(job.stream_key(), &self.build, job.caller_deadline);
         }
     }
 
@@ -337,7 +348,7 @@
     fn set_upstream(&mut self, answer: Answer, decode_guard: DecodeGuard) {
         let same_build = self.build == answer.build;
         let after = self.event_buffer.as_ref().and_then(EventBuffer::last_id);
-        let continuations = &self.job.gateway.metrics.continuations;
+        let continuations = &self.job.gateway.metrics.streams.continued;
         let label = if same_build { "same" } else { "other" };
         let labels = [&*self.job.service.name, label];
         continuations.with_label_values(&labels).inc();
--- /dev/null
+++ b/components/gateway/src/streams/exchange.rs
@@ -0,0 +1,147 @@
+//! Datagrams in which gateways tell and ask each other which builds began streams.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use clock::Instant;
+use parking_lot::Mutex;
+use prost::Message;
+use tokio::{net::UdpSocket, sync::Notify};
+use wire::{Digest, StreamExchange, StreamRecord};
+
+use super::{Begun, Key, MAX_LIFETIME, table::Record};
+use crate::{endpoint::Build, process::Gateway};
+
+/// Maximum number of items in a datagram, so that it usually fits into a packet.
+const MAX_ITEMS: usize = 32;
+/// Maximum number of items that wait to be sent. Records beyond them are sent later, questions are asked again.
+const MAX_PENDING: usize = 8_192;
+/// How long items are collected before they are sent: far less than a caller takes to come back.
+const BATCH_DELAY: Duration = Duration::from_millis(2);
+
+/// What a peer is told or asked.
+#[derive(Clone, Debug)]
+pub enum Item {
+    /// A stream that this process knows.
+    Known(Record),
+    /// A stream that this process asks for.
+    Ask(Key),
+    /// A stream that the peer asked for and this process does not know.
+    Unknown(Key),
+}
+
+/// Items that wait to be sent.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    pending: Mutex<Vec<(SocketAddr, Item)>>,
+    filled: Notify,
+}
+
+impl Outbox {
+    /// Adds items for peers. Returns false if there is no room, and then adds none.
+    pub fn push(&self, items: impl Iterator<Item = (SocketAddr, Item)>) -> bool {
+        let mut pending = self.pending.lock();
+        if pending.len() >= MAX_PENDING {
+            return false;
+        }
+        pending.extend(items);
+        drop(pending);
+        self.filled.notify_one();
+        true
+    }
+
+    /// Waits for items and takes them, those of each peer together.
+    async fn take(&self) -> Vec<(SocketAddr, Item)> {
+        self.filled.notified().await;
+        clock::sleep(BATCH_DELAY).await;
+        let mut items = std::mem::take(&mut *self.pending.lock());
+        items.sort_by_key(|(peer, _)| *peer);
+        items
+    }
+}
+
+/// Sends what peers are to be told and asked, until the process ends.
+pub async fn run(gateway: &Gateway, socket: &UdpSocket) {
+    loop {
+        let items = gateway.streams.outbox.take().await;
+        for of_peer in items.chunk_by(|(first, _), (second, _)| first == second) {
+            for items in of_peer.chunks(MAX_ITEMS) {
+                let peer = items[0].0;
+                let bytes = encode(gateway, items).encode_to_vec();
+                if let Err(error) = socket.send_to(&bytes, peer).await {
+                    log::debug!(peer:%, error:%; "failed to send what is known of streams");
+                }
+            }
+        }
+    }
+}
+
+/// Encodes items as a digest without a number, which tells nothing else of its sender's state.
+fn encode(gateway: &Gateway, items: &[(SocketAddr, Item)]) -> Digest {
+    let now = Instant::now();
+    let mut streams = StreamExchange::default();
+    for (_, item) in items {
+        match item {
+            Item::Known(record) => streams.known.push(encode_record(record, now)),
+            Item::Ask(key) => streams.asked.push(key.0),
+            Item::Unknown(key) => streams.unknown.push(key.0),
+        }
+    }
+    Digest {
+        incarnation: gateway.incarnation,
+        address: gateway.settings.gateway.peers.to_string(),
+        streams: Some(streams),
+        ..Digest::default()
+    }
+}
+
+fn encode_record(record: &Record, now: Instant) -> StreamRecord {
+    let left = record.expires.saturating_duration_since(now);
+    StreamRecord {
+        key: record.key.0,
+        build: match &record.begun {
+            Begun::At(build) => build.to_string(),
+            Begun::Ambiguous => String::new(),
+        },
+        left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+/// Applies what a peer tells and answers what it asks. Only known peers are heard.
+pub fn apply(gateway: &Gateway, from: IpAddr, digest: &Digest, streams: &StreamExchange) {
+    let Ok(peer) = digest.address.parse::<SocketAddr>() else {
+        return;
+    };
+    if peer.ip() != from || !gateway.peers.has_incarnation(from, digest.incarnation) {
+        log::info!(peer:%, from:%; "ignoring what an unknown sender tells of streams");
+        return;
+    }
+    let now = Instant::now();
+    for record in streams.known.iter().take(MAX_ITEMS) {
+        let begun = match record.build.as_str() {
+            "" => Begun::Ambiguous,
+            build => Begun::At(Build(Arc::from(build))),
+        };
+        let left = Duration::from_millis(u64::from(record.left_ms)).min(MAX_LIFETIME);
+        let dropped = gateway
+            .streams
+            .table
+            .record(Key(record.key), begun, now + left, false);
+        gateway.count_dropped_stream(dropped);
+    }
+    for key in streams.unknown.iter().take(MAX_ITEMS) {
+        gateway.streams.questions.record_unknown(Key(*key), peer);
+    }
+    gateway.streams.questions.notify();
+    let answers = streams.asked.iter().take(MAX_ITEMS).map(|key| {
+        let key = Key(*key);
+        let known = gateway.streams.table.get(key, now);
+        (peer, known.map_or(Item::Unknown(key), Item::Known))
+    });
+    if !streams.asked.is_empty() && !gateway.streams.outbox.push(answers) {
+        log::info!(peer:%; "too much waits to be sent; a question about streams is not answered");
+    }
+}
--- /dev/null
+++ b/components/gateway/src/streams/mod.rs
@@ -0,0 +1,176 @@
+//! The builds that began streams, known by a few gateways each, so that a caller can resume its stream at any gateway.
+//!
+//! [`table`] holds the records, [`exchange`] tells and asks peers. As long as one build serves each service, every
+//! gateway keeps only the records of its own streams and tells nobody. See `docs/DESIGN.md#streams-and-builds`.
+
+mod exchange;
+mod question;
+mod table;
+
+use std::time::Duration;
+
+use clock::Instant;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::{endpoint::Build, process::Gateway};
+use exchange::{Item, Outbox};
+use question::Questions;
+use table::{Record, Table};
+
+pub use exchange::{apply, run};
+
+/// Number of peers that hold a copy of a record, besides the gateway that made it.
+const COPIES: usize = 2;
+/// Number of peers that are asked for a stream. More than [`COPIES`], since gateways may differ in which peers they
+/// take to be alive.
+const ASKED_PEERS: usize = 8;
+/// How long to wait for peers' answers: several round trips between data centres.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// After this time the peers that have not answered are asked again, as datagrams may be lost.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(40);
+/// The longest time for which a record is kept, whatever deadline the caller states.
+const MAX_LIFETIME: Duration = Duration::from_secs(300);
+
+/// Identifies a stream: a hash of the service, the workspace, and the id of the request whose response brought the
+/// first event. The workspace is part of it so that one can't resume or probe streams of another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key(u64);
+
+impl Key {
+    /// Returns the key of a stream.
+    pub fn new(service: &str, workspace: Option<&str>, request: &str) -> Self {
+        let seed = xxh3_64(service.as_bytes());
+        let seed = match workspace {
+            None => seed,
+            Some(workspace) => xxh3_64_with_seed(workspace.as_bytes(), seed.wrapping_add(1)),
+        };
+        Self(xxh3_64_with_seed(request.as_bytes(), seed))
+    }
+}
+
+/// The build that began the streams with one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Begun {
+    /// All of them began at this build.
+    At(Build),
+    /// Callers have used the same id for streams of several builds, so it is not known which one is meant.
+    Ambiguous,
+}
+
+impl Begun {
+    /// Returns the build, if it is known.
+    pub fn build(self) -> Option<Build> {
+        match self {
+            Self::At(build) => Some(build),
+            Self::Ambiguous => None,
+        }
+    }
+}
+
+/// What this process knows of streams.
+#[derive(Debug, Default)]
+pub struct Streams {
+    table: Table,
+    questions: Questions,
+    outbox: Outbox,
+}
+
+impl Gateway {
+    /// Records that a stream of this process's callers began at a build; its caller may resume it until `expires`.
+    pub fn record_stream(&self, key: Key, build: &Build, expires: Instant) {
+        let expires = expires.min(Instant::now() + MAX_LIFETIME);
+        let begun = Begun::At(build.clone());
+        let dropped = self.streams.table.record(key, begun, expires, true);
+        self.count_dropped_stream(dropped);
+        if self.registry.builds().is_mixed() {
+            self.tell_holders(Instant::now(), Some(key));
+        }
+    }
+
+    /// Returns the build that began a stream as far as this process knows, without asking peers.
+    pub fn known_stream(&self, key: Key) -> Option<Begun> {
+        let record = self.streams.table.get(key, Instant::now());
+        record.map(|record| record.begun)
+    }
+
+    /// Returns the build that began a stream; `None` if neither this process nor the peers that answer know it.
+    pub async fn find_stream(&self, key: Key, request: &str) -> Option<Begun> {
+        if let Some(begun) = self.known_stream(key) {
+            return Some(begun);
+        }
+        let started = Instant::now();
+        let peers = self.peers.ranked(key.0, ASKED_PEERS);
+        let asked = peers.len();
+        let question = self.streams.questions.ask(key, peers);
+        let begun = clock::timeout(ANSWER_TIMEOUT, self.wait_for_answer(key, &question)).await;
+        log::info!(
+            request, asked, unanswered = question.unanswered().len(), found:? = begun,
+            took_us = policy::micros(started.elapsed());
+            "peers were asked which build began a stream"
+        );
+        begun.ok().flatten()
+    }
+
+    /// Waits until a peer has told the build that began a stream, or all have answered that they do not know.
+    async fn wait_for_answer(&self, key: Key, question: &question::Question<'_>) -> Option<Begun> {
+        loop {
+            let unanswered = question.unanswered();
+            self.streams
+                .outbox
+                .push(unanswered.iter().map(|peer| (*peer, Item::Ask(key))));
+            let repeat_at = Instant::now() + REPEAT_INTERVAL;
+            loop {
+                let changed = self.streams.questions.changed();
+                if let Some(begun) = self.known_stream(key) {
+                    return Some(begun);
+                }
+                if question.unanswered().is_empty() {
+                    return None;
+                }
+                if clock::timeout_at(repeat_at, changed).await.is_err() {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Sends the records of this process's own streams to the peers that should hold copies and have none, and forgets
+    /// some that have expired. Called often: peers come, go and restart without their records.
+    pub fn maintain_streams(&self) {
+        let now = Instant::now();
+        self.streams.table.evict_expired(now);
+        let known = i64::try_from(self.streams.table.len()).unwrap_or(i64::MAX);
+        self.metrics.streams.known.set(known);
+        if self.registry.builds().is_mixed() {
+            self.tell_holders(now, None);
+        }
+    }
+
+    /// Sends records of this process's own streams to peers, either that of `only` or all.
+    fn tell_holders(&self, now: Instant, only: Option<Key>) {
+        let ranking = self.peers.ranking();
+        if ranking.is_empty() {
+            return;
+        }
+        let tell = |record: &mut Record| {
+            let holders = ranking.first(record.key.0, COPIES);
+            let token = ranking.token(&holders);
+            if record.told == token {
+                return;
+            }
+            let items = holders
+                .iter()
+                .map(|peer| (ranking.address(*peer), Item::Known(record.clone())));
+            if self.streams.outbox.push(items) {
+                record.told = token;
+            }
+        };
+        self.streams.table.for_each_own(now, only, tell);
+    }
+
+    fn count_dropped_stream(&self, dropped: bool) {
+        if dropped {
+            self.metrics.streams.dropped.inc();
+        }
+    }
+}
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -6,7 +6,7 @@
     Registry,
 };
 
-use super::{LATENCY_BUCKETS_S, counters, histogram, text};
+use super::{LATENCY_BUCKETS_S, counters, histogram, streams::Streams, text};
 
 /// All metrics of a gateway.
 #[derive(Clone, Debug)]
@@ -34,8 +34,8 @@
     pub crashes: IntCounterVec,
     /// Migrations of long answers to another engine, by outcome.
     pub migrations: IntCounterVec,
-    /// Streams that continued at another endpoint, by service and by whether its build is the one that began them.
-    pub continuations: IntCounterVec,
+    /// Streams that continue at another endpoint or are resumed.
+    pub streams: Streams,
     /// Orders to engines, by outcome.
     pub orders: IntCounterVec,
     /// Calls that only the steward makes to the platform, by call and outcome.
@@ -131,11 +131,7 @@
                 "Answers that left their engine.",
                 &["outcome"],
             )?,
-            continuations: counters(
-                "streams_continued_total",
-                "Streams that continued at another endpoint.",
-                &["service", "build"],
-            )?,
+            streams: Streams::new()?,
             orders: counters("orders_total", "Orders to engines.", &["outcome"])?,
             duties: counters(
                 "duties_total",
@@ -205,7 +201,6 @@
             &self.retries,
             &self.crashes,
             &self.migrations,
-            &self.continuations,
             &self.orders,
             &self.duties,
             &self.cache_listings,
@@ -234,6 +229,7 @@
         }
         self.registry
             .register(Box::new(self.unreachable_endpoints.clone()))?;
+        self.streams.register(&self.registry)?;
         self.registry.register(Box::new(self.reloads.clone()))
     }
 }
--- /dev/null
+++ b/components/telemetry/src/metrics/streams.rs
@@ -0,0 +1,60 @@
+//! Metrics of streams that continue at another endpoint or that their callers resume.
+
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Registry};
+
+use super::counters;
+
+/// The metrics.
+#[derive(Clone, Debug)]
+pub struct Streams {
+    /// Streams that continued at another endpoint, by service and by whether its build is the one that began them.
+    pub continued: IntCounterVec,
+    /// Streams that callers resumed, by service and by whether the build that began them was found.
+    pub resumed: IntCounterVec,
+    /// Streams of which this process knows the build that began them.
+    pub known: IntGauge,
+    /// Records of streams that were dropped before they expired, as there were too many.
+    pub dropped: IntCounter,
+}
+
+impl Streams {
+    /// Creates the metrics.
+    ///
+    /// # Errors
+    ///
+    /// An error of the library if a name is not valid.
+    pub fn new() -> prometheus::Result<Self> {
+        Ok(Self {
+            continued: counters(
+                "streams_continued_total",
+                "Streams that continued at another endpoint.",
+                &["service", "build"],
+            )?,
+            resumed: counters(
+                "streams_resumed_total",
+                "Streams that callers resumed.",
+                &["service", "outcome"],
+            )?,
+            known: IntGauge::new(
+                "wrenramp_streams_known",
+                "Streams whose build is known here.",
+            )?,
+            dropped: IntCounter::new(
+                "wrenramp_streams_dropped_total",
+                "Records of streams dropped before they expired.",
+            )?,
+        })
+    }
+
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// An error of the library when another metric has the same name.
+    pub fn register(&self, registry: &Registry) -> prometheus::Result<()> {
+        registry.register(Box::new(self.continued.clone()))?;
+        registry.register(Box::new(self.resumed.clone()))?;
+        registry.register(Box::new(self.known.clone()))?;
+        registry.register(Box::new(self.dropped.clone()))
+    }
+}
