Let streams that have begun wait for engines of their build

Callers that resumed streams were refused with "no endpoint takes requests", and broken streams were broken off, while engines of their build had room milliseconds later: all requests of a service waited in one queue, whose length was compared with the slots of one build, and a broken stream did not wait at all.

--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -11,7 +11,7 @@
 
 use super::Gateway;
 use crate::{
-    endpoint::{Latencies, ServiceDefaults, Stage, Target},
+    endpoint::{Build, Latencies, ServiceDefaults, Stage, Target},
     request::Queue,
 };
 
@@ -63,8 +63,11 @@
     /// The longest inter-token latency, in microseconds, with which every long answer so far could have met
     /// its deadline.
     max_inter_token_latency_us: f64,
-    /// Requests that wait for a slot.
+    /// Requests that wait for a slot on any engine.
     queue: Arc<Queue>,
+    /// Streams that wait for a slot on an engine of the build that began them, sorted by build. They have queues of their
+    /// own, as an engine with a free slot may be of no use to the first of them.
+    continuations: Vec<(Build, Arc<Queue>)>,
 }
 
 impl ServiceState {
@@ -77,10 +80,32 @@
             latencies: Latencies::default(),
             max_inter_token_latency_us: f64::MAX,
             queue: Arc::default(),
+            continuations: Vec::new(),
         }
     }
 }
 
+impl ServiceState {
+    fn continuation_queue(&mut self, build: &Build) -> Arc<Queue> {
+        let index = self
+            .continuations
+            .binary_search_by(|(other, _)| other.cmp(build));
+        if let Ok(index) = index {
+            return Arc::clone(&self.continuations[index].1);
+        }
+        // queues that no stream waits in are not kept
+        self.continuations
+            .retain(|(_, queue)| Arc::strong_count(queue) > 1);
+        let queue = Arc::<Queue>::default();
+        let index = self
+            .continuations
+            .partition_point(|(other, _)| other < build);
+        let entry = (build.clone(), Arc::clone(&queue));
+        self.continuations.insert(index, entry);
+        queue
+    }
+}
+
 /// Permission for one retry from a service's retry budget.
 #[derive(Debug)]
 pub struct RetryPermit {
@@ -231,9 +256,21 @@
         self.with_service(service, |state| learn(&mut state.wait_factor));
     }
 
-    /// Returns the queue of a service's requests that wait for a slot.
-    pub fn queue(&self, service: &Arc<str>) -> Arc<Queue> {
-        self.with_service(service, |state| Arc::clone(&state.queue))
+    /// Returns the queue of a service's requests that wait for a slot on an engine of `build`, or on any.
+    pub fn queue(&self, service: &Arc<str>, build: Option<&Build>) -> Arc<Queue> {
+        self.with_service(service, |state| match build {
+            None => Arc::clone(&state.queue),
+            Some(build) => state.continuation_queue(build),
+        })
+    }
+
+    /// Returns the builds on whose engines streams wait for a slot that other engines can't continue.
+    pub fn awaited_builds(&self, service: &Arc<str>) -> Vec<Build> {
+        self.with_service(service, |state| {
+            let waiting = state.continuations.iter();
+            let waiting = waiting.filter(|(_, queue)| queue.len() > 0);
+            waiting.map(|(build, _)| build.clone()).collect()
+        })
     }
 
     /// Returns the average latencies of the engines of a service.
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -118,7 +118,7 @@
         let choice = snapshot.choose(job);
         (snapshot, choice)
     };
-    let queue = job.gateway.queue(&job.service.name);
+    let queue = job.gateway.queue(&job.service.name, job.build());
     let (snapshot, choice) = try_place();
     if job.begin_demand_count() {
         snapshot::count_demand(job, &snapshot);
@@ -134,13 +134,23 @@
     if !job.ends_before_shutdown(queue::max_wait(job)) {
         return Err(Denial::Final(attempts.shutdown_refusal()));
     }
+    let found = wait_for_room(job, try_place).await;
+    found.ok_or_else(|| Denial::NoRoom(attempts.exhausted_refusal()))
+}
+
+/// Waits in the queue until an engine has room; `None` if none has in time.
+async fn wait_for_room(
+    job: &Job,
+    try_place: impl Fn() -> (Snapshot, Option<Choice>),
+) -> Option<(Snapshot, Choice)> {
+    let queue = job.gateway.queue(&job.service.name, job.build());
     let ticket = queue.join(job);
     while ticket.wait_turn().await {
         if let (snapshot, Some(choice)) = try_place() {
-            return Ok((snapshot, choice));
+            return Some((snapshot, choice));
         }
     }
-    Err(Denial::NoRoom(attempts.exhausted_refusal()))
+    None
 }
 
 /// Resumes a broken stream on another engine than those `tried`. `Ok(None)` if none has room.
@@ -149,8 +159,18 @@
     after: Option<u64>,
     tried: &[Arc<Target>],
 ) -> Result<Option<(Answer, DecodeGuard)>, FailedAttempt> {
-    let snapshot = Snapshot::new(job, tried);
-    let Some(choice) = snapshot.choose(job) else {
+    let try_place = || {
+        let snapshot = Snapshot::new(job, tried);
+        let choice = snapshot.choose(job);
+        (snapshot, choice)
+    };
+    let placed = match try_place() {
+        (snapshot, Some(choice)) => Some((snapshot, choice)),
+        (snapshot, None) if snapshot.targets.is_empty() => None,
+        (_, None) if !job.ends_before_shutdown(queue::max_wait(job)) => None,
+        (_, None) => wait_for_room(job, try_place).await,
+    };
+    let Some((snapshot, choice)) = placed else {
         return Ok(None);
     };
     let engine = match choice.placement {
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -73,7 +73,7 @@
     if let Some(found) = try_choose() {
         return Some(found);
     }
-    let queue = job.gateway.queue(&job.service.name);
+    let queue = job.gateway.queue(&job.service.name, job.build());
     let ticket = queue.join(job);
     while ticket.wait_turn().await {
         if let Some(found) = try_choose() {
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    endpoint::{self, Reach, Stage, Target},
+    endpoint::{self, Build, Reach, Stage, Target},
     process::DemandTotals,
     request::job::Job,
 };
@@ -61,6 +61,10 @@
         let local = &job.gateway.settings.gateway.data_centre;
         let unreachable = job.gateway.peers.unreachable_data_centres();
         let defaults = job.gateway.service_defaults(&job.service.name);
+        let awaited = match job.build() {
+            Some(_) => Vec::new(),
+            None => job.gateway.awaited_builds(&job.service.name),
+        };
         let mut candidates: Vec<(Arc<Target>, endpoint::Snapshot)> = fleet
             .subset()
             .iter()
@@ -74,6 +78,7 @@
             .filter(|(_, seen)| !unreachable.contains(&seen.profile.data_centre))
             .filter(|(_, seen)| job.accepts(&seen.profile.build))
             .collect();
+        leave_to_streams(&mut candidates, &awaited);
         if job.gateway.is_suspect(job.fingerprint) {
             isolate_suspects(&mut candidates);
         }
@@ -214,6 +219,14 @@
     }
 }
 
+/// Leaves the engines of the `awaited` builds out if there are others: streams that only those can continue wait for slots.
+fn leave_to_streams(candidates: &mut Vec<(Arc<Target>, endpoint::Snapshot)>, awaited: &[Build]) {
+    let is_awaited = |seen: &endpoint::Snapshot| awaited.contains(&seen.profile.build);
+    if candidates.iter().any(|(_, seen)| !is_awaited(seen)) {
+        candidates.retain(|(_, seen)| !is_awaited(seen));
+    }
+}
+
 /// Keeps only the engines with the fewest suspects of each stage. Suspects are kept apart, because
 /// a harmless one that is in flight beside one that crashes endpoints would also be blamed for the
 /// next crash.
--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -115,7 +115,8 @@
     let Ok(peer) = digest.address.parse::<SocketAddr>() else {
         return;
     };
-    if peer.ip() != from || !gateway.peers.has_incarnation(from, digest.incarnation) {
+    // a peer that has just started knows the addresses of the others before it hears from them
+    if peer.ip() != from || !gateway.peers.has_ip(from) {
         log::info!(peer:%, from:%; "ignoring what an unknown sender tells of streams");
         return;
     }
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -21,6 +21,8 @@
 
 /// Number of peers that hold a copy of a record, besides the gateway that made it.
 const COPIES: usize = 2;
+/// How often a copy is sent, as datagrams may be lost.
+const SENDS: u32 = 2;
 /// Number of peers that are asked for a stream. More than [`COPIES`], since gateways may differ in which peers they
 /// take to be alive.
 const ASKED_PEERS: usize = 8;
@@ -155,7 +157,10 @@
         let tell = |record: &mut Record| {
             let holders = ranking.first(record.key.0, COPIES);
             let token = ranking.token(&holders);
-            if record.told == token {
+            if record.told != token {
+                record.sent = 0;
+            }
+            if record.sent >= SENDS {
                 return;
             }
             let items = holders
@@ -163,6 +168,7 @@
                 .map(|peer| (ranking.address(*peer), Item::Known(record.clone())));
             if self.streams.outbox.push(items) {
                 record.told = token;
+                record.sent += 1;
             }
         };
         self.streams.table.for_each_own(now, only, tell);
--- a/components/gateway/src/streams/table.rs
+++ b/components/gateway/src/streams/table.rs
@@ -21,8 +21,10 @@
     pub expires: Instant,
     /// Whether it is of this process's own callers, so that this process sends the copies.
     pub is_own: bool,
-    /// Identifies the peers that have been sent a copy; zero for none.
+    /// The peers that have been sent a copy; zero for none.
     pub told: u64,
+    /// How often they have been sent it.
+    pub sent: u32,
 }
 
 /// The records, each shard sorted by key.
@@ -69,6 +71,7 @@
                 expires,
                 is_own,
                 told: 0,
+                sent: 0,
             },
         );
         shard.len() > MAX_RECORDS_PER_SHARD && drop_one(&mut shard, now)
