Use KV caches only at engines of the build that made them

A prompt prefilled by an engine of one build was decoded by one of another, and engines fetched prompt parts from others of any build. What two builds write does not fit together and engines do not check it, so such an answer may be wrong without anybody noticing. Split placements and fetches are now limited to one KV group, which is a build; a prefilled prompt waits for a decode engine of its build. The plan of stages keeps an engine that decodes in each build that has two, and adds prefill engines first where a build has fewest, so that no build's prefill engines are left without use. With one build there is one group, and placement is what it was.

--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -65,9 +65,9 @@
     max_inter_token_latency_us: f64,
     /// Requests that wait for a slot on any engine.
     queue: Arc<Queue>,
-    /// Streams that wait for a slot on an engine of the build that began them, sorted by build. They have queues of their
-    /// own, as an engine with a free slot may be of no use to the first of them.
-    continuations: Vec<(Build, Arc<Queue>)>,
+    /// Streams that have begun and prompts that have been prefilled, which wait for a slot on an engine of one build;
+    /// sorted by build. They have queues of their own, as an engine with a free slot may be of no use to the first of them.
+    build_queues: Vec<(Build, Arc<Queue>)>,
 }
 
 impl ServiceState {
@@ -80,28 +80,28 @@
             latencies: Latencies::default(),
             max_inter_token_latency_us: f64::MAX,
             queue: Arc::default(),
-            continuations: Vec::new(),
+            build_queues: Vec::new(),
         }
     }
 }
 
 impl ServiceState {
-    fn continuation_queue(&mut self, build: &Build) -> Arc<Queue> {
+    fn build_queue(&mut self, build: &Build) -> Arc<Queue> {
         let index = self
-            .continuations
+            .build_queues
             .binary_search_by(|(other, _)| other.cmp(build));
         if let Ok(index) = index {
-            return Arc::clone(&self.continuations[index].1);
+            return Arc::clone(&self.build_queues[index].1);
         }
-        // queues that no stream waits in are not kept
-        self.continuations
+        // queues that nobody waits in are not kept
+        self.build_queues
             .retain(|(_, queue)| Arc::strong_count(queue) > 1);
         let queue = Arc::<Queue>::default();
         let index = self
-            .continuations
+            .build_queues
             .partition_point(|(other, _)| other < build);
         let entry = (build.clone(), Arc::clone(&queue));
-        self.continuations.insert(index, entry);
+        self.build_queues.insert(index, entry);
         queue
     }
 }
@@ -256,18 +256,20 @@
         self.with_service(service, |state| learn(&mut state.wait_factor));
     }
 
-    /// Returns the queue of a service's requests that wait for a slot on an engine of `build`, or on any.
+    /// Returns the queue of a service's requests that wait for a slot on an engine of `build`, or on any. It is the same
+    /// one as long as all engines are of one build.
     pub fn queue(&self, service: &Arc<str>, build: Option<&Build>) -> Arc<Queue> {
+        let build = build.filter(|_| self.registry.builds().of(service).len() > 1);
         self.with_service(service, |state| match build {
             None => Arc::clone(&state.queue),
-            Some(build) => state.continuation_queue(build),
+            Some(build) => state.build_queue(build),
         })
     }
 
-    /// Returns the builds on whose engines streams wait for a slot that other engines can't continue.
+    /// Returns the builds for whose engines requests wait that other engines can't serve.
     pub fn awaited_builds(&self, service: &Arc<str>) -> Vec<Build> {
         self.with_service(service, |state| {
-            let waiting = state.continuations.iter();
+            let waiting = state.build_queues.iter();
             let waiting = waiting.filter(|(_, queue)| queue.len() > 0);
             waiting.map(|(build, _)| build.clone()).collect()
         })
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     adapters::Directive,
-    endpoint::{DecodeGuard, Target, Verdict},
+    endpoint::{Build, DecodeGuard, Target, Verdict},
     request::{
         attempt::{self, Answer, Cause},
         attempts::{Attempts, FailedAttempt, Purpose},
@@ -58,11 +58,16 @@
     Ok((answer, decode_guard))
 }
 
-/// Chooses the engine that decodes the answer to a prefilled prompt; waits in the queue if none has
-/// a free slot.
-async fn wait_for_decode_engine(job: &Job, attempts: &Attempts) -> Option<(Snapshot, usize)> {
+/// Chooses the engine that decodes the answer to a prompt that an engine of `build` has prefilled; waits in the queue if
+/// none has a free slot.
+async fn wait_for_decode_engine(
+    job: &Job,
+    attempts: &Attempts,
+    build: &Build,
+) -> Option<(Snapshot, usize)> {
     let try_choose = || {
-        let snapshot = Snapshot::new(job, attempts.tried());
+        let mut snapshot = Snapshot::new(job, attempts.tried());
+        snapshot.retain_build(build);
         let index = place::choose_decode_engine(
             &snapshot.engines,
             &placement_request(job),
@@ -73,7 +78,7 @@
     if let Some(found) = try_choose() {
         return Some(found);
     }
-    let queue = job.gateway.queue(&job.service.name, job.build());
+    let queue = job.gateway.queue(&job.service.name, Some(build));
     let ticket = queue.join(job);
     while ticket.wait_turn().await {
         if let Some(found) = try_choose() {
@@ -94,7 +99,8 @@
 ) -> AttemptResult {
     let handle = prefill::run(job, snapshot, prefill, attempts, urgency).await?;
     let prefill = &snapshot.targets[prefill];
-    let Some((snapshot, index)) = wait_for_decode_engine(job, attempts).await else {
+    let build = prefill.build();
+    let Some((snapshot, index)) = wait_for_decode_engine(job, attempts, &build).await else {
         return Err(failed(prefill, Cause::NoDecodeCapacity, Purpose::Read));
     };
     let decode = &snapshot.targets[index];
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -30,8 +30,8 @@
     pub targets: Vec<Arc<Target>>,
     /// The same endpoints as inputs to placement.
     pub engines: Vec<place::Engine>,
-    /// The engine from which the others can fetch most of the prompt.
-    fetch_source: Option<usize>,
+    /// The engine of each KV group from which the others of the group can fetch most of the prompt, sorted by group.
+    fetch_sources: Vec<(u32, usize)>,
 }
 
 impl Snapshot {
@@ -78,7 +78,7 @@
             .filter(|(_, seen)| !unreachable.contains(&seen.profile.data_centre))
             .filter(|(_, seen)| job.accepts(&seen.profile.build))
             .collect();
-        leave_to_streams(&mut candidates, &awaited);
+        leave_out_awaited(&mut candidates, &awaited);
         if job.gateway.is_suspect(job.fingerprint) {
             isolate_suspects(&mut candidates);
         }
@@ -86,31 +86,47 @@
             .iter()
             .map(|(_, seen)| seen.fetchable_tokens)
             .collect();
+        let builds = builds(&candidates);
         let (targets, engines) = candidates
             .into_iter()
             .map(|(target, seen)| {
-                let engine = engine(&seen, local, rank(job, &target));
+                let engine = place::Engine {
+                    kv_group: kv_group(&builds, &seen.profile.build),
+                    ..engine(&seen, local, rank(job, &target))
+                };
                 (target, engine)
             })
             .unzip();
         let mut snapshot = Self {
             targets,
             engines,
-            fetch_source: None,
+            fetch_sources: Vec::new(),
         };
         snapshot.add_fetches(job, &fetchable);
         snapshot
     }
 
+    /// Removes the engines of other builds, which can't use the KV caches of this one.
+    pub fn retain_build(&mut self, build: &Build) {
+        let builds = self.targets.iter().map(|target| target.build());
+        let keep: Vec<bool> = builds.map(|other| other == *build).collect();
+        self.retain(&keep);
+    }
+
     /// Removes the engines that only prefill.
     pub fn retain_decode_engines(&mut self) {
         let stages = self.engines.iter().map(|engine| engine.stage);
         let keep: Vec<bool> = stages.map(|stage| stage == place::Stage::Decode).collect();
+        self.retain(&keep);
+    }
+
+    /// Keeps some engines. None fetches anything from then on.
+    fn retain(&mut self, keep: &[bool]) {
         let mut kept = keep.iter();
         self.targets.retain(|_| kept.next() == Some(&true));
         let mut kept = keep.iter();
         self.engines.retain(|_| kept.next() == Some(&true));
-        self.fetch_source = None;
+        self.fetch_sources.clear();
         for engine in &mut self.engines {
             engine.fetch = place::Fetch::default();
         }
@@ -123,12 +139,20 @@
         let Some(engines) = &job.service.engines else {
             return;
         };
-        let sizes = fetchable.iter().copied().enumerate();
-        let Some((index, available_tokens)) = sizes.max_by_key(|(_, tokens)| *tokens) else {
-            return;
-        };
         let transfer_token_us = engines.transfer_per_token.as_secs_f64() * MICROS_PER_SECOND;
+        let mut sources: Vec<(u32, usize)> = Vec::new();
+        for (index, engine) in self.engines.iter().enumerate() {
+            match sources.binary_search_by_key(&engine.kv_group, |(group, _)| *group) {
+                Ok(found) if fetchable[sources[found].1] <= fetchable[index] => {
+                    sources[found].1 = index;
+                }
+                Ok(_) => {}
+                Err(found) => sources.insert(found, (engine.kv_group, index)),
+            }
+        }
         for engine in &mut self.engines {
+            let source = sources.binary_search_by_key(&engine.kv_group, |(group, _)| *group);
+            let available_tokens = source.map_or(0, |found| fetchable[sources[found].1]);
             let tokens = available_tokens.saturating_sub(engine.cached_tokens);
             if tokens >= MIN_FETCH_TOKENS {
                 engine.fetch = place::Fetch {
@@ -137,13 +161,16 @@
                 };
             }
         }
-        self.fetch_source = Some(index);
+        self.fetch_sources = sources;
     }
 
     /// Returns the engine from which an engine should fetch parts of the prompt that it lacks.
     pub fn fetch_from(&self, index: usize) -> Option<SocketAddr> {
-        let fetch_source = &self.targets[self.fetch_source?];
-        let fetches = self.engines[index].fetch.tokens > 0;
+        let engine = &self.engines[index];
+        let sources = &self.fetch_sources;
+        let source = sources.binary_search_by_key(&engine.kv_group, |(group, _)| *group);
+        let fetch_source = &self.targets[sources[source.ok()?].1];
+        let fetches = engine.fetch.tokens > 0;
         fetches.then(|| fetch_source.with(|state| state.profile.address))
     }
 
@@ -219,8 +246,25 @@
     }
 }
 
-/// Leaves the engines of the `awaited` builds out if there are others: streams that only those can continue wait for slots.
-fn leave_to_streams(candidates: &mut Vec<(Arc<Target>, endpoint::Snapshot)>, awaited: &[Build]) {
+/// Returns the builds of engines, sorted.
+fn builds(candidates: &[(Arc<Target>, endpoint::Snapshot)]) -> Vec<Build> {
+    let mut builds: Vec<Build> = Vec::new();
+    for (_, seen) in candidates {
+        if let Err(index) = builds.binary_search(&seen.profile.build) {
+            builds.insert(index, seen.profile.build.clone());
+        }
+    }
+    builds
+}
+
+/// Returns the KV group of a build: only engines of one build can use each other's KV caches.
+fn kv_group(builds: &[Build], build: &Build) -> u32 {
+    let index = builds.binary_search(build).unwrap_or_default();
+    u32::try_from(index).unwrap_or(u32::MAX)
+}
+
+/// Leaves the engines of the `awaited` builds out if there are others: requests that only those can serve wait for slots.
+fn leave_out_awaited(candidates: &mut Vec<(Arc<Target>, endpoint::Snapshot)>, awaited: &[Build]) {
     let is_awaited = |seen: &endpoint::Snapshot| awaited.contains(&seen.profile.build);
     if candidates.iter().any(|(_, seen)| !is_awaited(seen)) {
         candidates.retain(|(_, seen)| !is_awaited(seen));
@@ -272,6 +316,7 @@
         long_answers: seen.load.long_answers,
         decode_slots: seen.profile.slots,
         cached_tokens: seen.cached_tokens,
+        kv_group: 0,
         fetch: place::Fetch::default(),
         latency: seen.latency,
         extra_round_trip: if *seen.profile.data_centre == *local {
--- a/components/gateway/src/steward/plan.rs
+++ b/components/gateway/src/steward/plan.rs
@@ -6,7 +6,7 @@
 use policy::stage::{self, Change, Demand, Fleet, Member, Sample, Weights};
 
 use crate::{
-    endpoint::{Stage, State, Target},
+    endpoint::{Build, Stage, State, Target},
     process::{DemandTotals, Gateway},
 };
 
@@ -39,6 +39,7 @@
     target: Arc<Target>,
     stage: Stage,
     data_centre: Arc<str>,
+    build: Build,
     prefill_work: u64,
     prompts: u64,
     decoding: u64,
@@ -173,6 +174,7 @@
             let decodes = engine.stage == Stage::Decode;
             Member {
                 data_centre: &engine.data_centre,
+                build: &engine.build.0,
                 // one that is changing will be in the other stage
                 decodes: decodes != changing.contains(&engine.target.short_id),
             }
@@ -180,8 +182,8 @@
         .collect()
 }
 
-/// Returns a prefill engine that should decode because no engine of its data centre does: the data centre may
-/// become unreachable later. Engines in data centres that already are unreachable are skipped, as an order
+/// Returns a prefill engine that should decode because no engine of its data centre or of its build does: the data
+/// centre may become unreachable later, and other builds can't use the KV caches of this one. Engines in data centres that already are unreachable are skipped, as an order
 /// would not arrive.
 fn uncovered_prefill_engine<'a>(
     gateway: &Gateway,
@@ -190,7 +192,7 @@
 ) -> Option<&'a Engine> {
     let unreachable = gateway.peers.unreachable_data_centres();
     let uncovered = candidates.iter().filter(|(index, engine)| {
-        let lacks_decode = !stage::can_serve_alone(members, members[*index].data_centre);
+        let lacks_decode = !stage::is_covered(members, *index);
         lacks_decode && engine.stage == Stage::Prefill && !unreachable.contains(&engine.data_centre)
     });
     let engine = uncovered.min_by_key(|(_, engine)| engine.prefill_work)?;
@@ -208,19 +210,28 @@
             |member: &&Member| !member.decodes && *member.data_centre == *engine.data_centre;
         members.iter().filter(is_local_prefill_engine).count()
     };
+    let prefill_engines_of_build = |engine: &Engine| {
+        let is_prefill_engine =
+            |member: &&Member| !member.decodes && *member.build == *engine.build.0;
+        members.iter().filter(is_prefill_engine).count()
+    };
     let (found, stage) = match change {
         Change::MorePrefill => {
             let decode_engines = candidates.iter().filter(|(index, engine)| {
                 engine.stage == Stage::Decode && stage::may_switch_to_prefill(members, *index)
             });
-            let found = decode_engines
-                .min_by_key(|(_, e)| (e.long_answers, local_prefill_engines(e), e.decoding));
+            let found = decode_engines.min_by_key(|(_, e)| {
+                let prefill_engines = (prefill_engines_of_build(e), local_prefill_engines(e));
+                (e.long_answers, prefill_engines, e.decoding)
+            });
             (found, Stage::Prefill)
         }
         Change::MoreDecode => {
             let prefill_engines = candidates.iter().filter(|(_, e)| e.stage == Stage::Prefill);
-            let found = prefill_engines
-                .min_by_key(|(_, e)| (Reverse(local_prefill_engines(e)), e.prefill_work));
+            let found = prefill_engines.min_by_key(|(_, e)| {
+                let prefill_engines = (prefill_engines_of_build(e), local_prefill_engines(e));
+                (Reverse(prefill_engines), e.prefill_work)
+            });
             (found, Stage::Decode)
         }
     };
@@ -244,6 +255,7 @@
                     target: Arc::clone(target),
                     stage,
                     data_centre: Arc::clone(&state.profile.data_centre),
+                    build: state.profile.build.clone(),
                     prefill_work: load.prefill_work,
                     prompts: load.prompts,
                     decoding: load.decoding,
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -35,6 +35,8 @@
     pub decode_slots: u64,
     /// Tokens of the request's prompt that it has cached.
     pub cached_tokens: u64,
+    /// Engines of the same group can use each other's KV caches.
+    pub kv_group: u32,
     /// What it can fetch of the prompt from another engine beyond those.
     pub fetch: Fetch,
     /// Its latencies in this stage.
@@ -174,28 +176,7 @@
             && tolerates_prefill(engine, request, weights);
         is_open.then(|| single_engine_cost(engine, request, weights))
     });
-    let prefill = cheapest(engines, weights, |engine| {
-        (engine.stage == Stage::Prefill).then(|| prefill_cost(engine, request, weights))
-    });
-    let decode = cheapest(engines, weights, |engine| {
-        let is_open = engine.stage == Stage::Decode && has_decode_slot(engine, request, weights);
-        is_open.then(|| decode_cost(engine, request, weights))
-    });
-    let split = prefill.zip(decode).map(|(prefill, decode)| {
-        let placement = Placement::Split {
-            prefill: prefill.engine,
-            decode: decode.engine,
-        };
-        let first_event_us = prefill.duration_us + decode.duration_us;
-        let weighted_us = prefill.weighted_us + decode.weighted_us;
-        (
-            Choice {
-                placement,
-                first_event_us,
-            },
-            weighted_us,
-        )
-    });
+    let split = cheapest_split(engines, request, weights);
     let single = single.map(|found| {
         let placement = Placement::Single {
             engine: found.engine,
@@ -224,6 +205,43 @@
     }
 }
 
+/// Returns the split placement of the lowest cost, and that cost. Both engines must be of one KV group.
+fn cheapest_split(
+    engines: &[Engine],
+    request: &Request,
+    weights: &Weights,
+) -> Option<(Choice, f64)> {
+    let splits = kv_groups(engines).into_iter().filter_map(|group| {
+        let prefill = cheapest(engines, weights, |engine| {
+            let is_open = engine.kv_group == group && engine.stage == Stage::Prefill;
+            is_open.then(|| prefill_cost(engine, request, weights))
+        })?;
+        let decode = cheapest(engines, weights, |engine| {
+            let is_open = engine.kv_group == group
+                && engine.stage == Stage::Decode
+                && has_decode_slot(engine, request, weights);
+            is_open.then(|| decode_cost(engine, request, weights))
+        })?;
+        let choice = Choice {
+            placement: Placement::Split {
+                prefill: prefill.engine,
+                decode: decode.engine,
+            },
+            first_event_us: prefill.duration_us + decode.duration_us,
+        };
+        Some((choice, prefill.weighted_us + decode.weighted_us))
+    });
+    splits.min_by(|(_, first), (_, second)| first.total_cmp(second))
+}
+
+/// Returns the KV groups of engines, sorted.
+fn kv_groups(engines: &[Engine]) -> Vec<u32> {
+    let mut groups: Vec<u32> = engines.iter().map(|engine| engine.kv_group).collect();
+    groups.sort_unstable();
+    groups.dedup();
+    groups
+}
+
 /// Where a deferred prompt is prefilled.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Deferred {
@@ -243,8 +261,15 @@
     weights: &Weights,
     max_prefill_us: f64,
 ) -> Option<Deferred> {
+    // without any decode engine, one of any group may come
+    let is_decode_engine = |engine: &&Engine| engine.stage == Stage::Decode;
+    let none_decodes = !engines.iter().any(|engine| is_decode_engine(&engine));
+    let decodes = |group: u32| {
+        let mut decode_engines = engines.iter().filter(is_decode_engine);
+        none_decodes || decode_engines.any(|engine| engine.kv_group == group)
+    };
     let found = cheapest(engines, weights, |engine| {
-        if engine.stage != Stage::Prefill {
+        if engine.stage != Stage::Prefill || !decodes(engine.kv_group) {
             return None;
         }
         let cost = prefill_cost(engine, request, weights);
--- a/components/policy/src/stage.rs
+++ b/components/policy/src/stage.rs
@@ -217,10 +217,26 @@
 pub struct Member<'a> {
     /// Its data centre.
     pub data_centre: &'a str,
+    /// Its build; only engines of one build can use each other's KV caches.
+    pub build: &'a str,
     /// Whether it decodes, or soon will.
     pub decodes: bool,
 }
 
+/// Whether the engines around one can serve alone: one engine of its data centre decodes, and one of its build.
+#[must_use]
+pub fn is_covered(members: &[Member], index: usize) -> bool {
+    let own = &members[index];
+    can_serve_alone(members, own.data_centre) && can_decode_own_prompts(members, own.build)
+}
+
+/// Whether some engine can decode the prompts that engines of a build prefill. A build with a single engine is left to
+/// the plan for the whole fleet.
+fn can_decode_own_prompts(members: &[Member], build: &str) -> bool {
+    let of_build = || members.iter().filter(|member| member.build == build);
+    of_build().count() < 2 || of_build().any(|member| member.decodes)
+}
+
 /// Whether a data centre can serve its callers alone while it is partitioned from the others: one of its
 /// engines decodes. A decode engine can prefill too, so prefill engines are not needed. A data centre
 /// with a single engine is exempt and left to the plan for the whole fleet.
@@ -237,12 +253,12 @@
     local().count() < 2 || local().any(|member| member.decodes)
 }
 
-/// Whether an engine may stop decoding because its data centre can still serve alone.
+/// Whether an engine may stop decoding because its data centre and its build can still serve alone.
 #[must_use]
 pub fn may_switch_to_prefill(members: &[Member], index: usize) -> bool {
     let mut after = members.to_vec();
     after[index].decodes = false;
-    can_serve_alone(&after, members[index].data_centre)
+    is_covered(&after, index)
 }
 
 /// Whether the prefill engines have about as much load as they should carry, or more.
--- a/components/policy/tests/place.rs
+++ b/components/policy/tests/place.rs
@@ -20,6 +20,7 @@
         long_answers: 0,
         decode_slots: 64,
         cached_tokens: 0,
+        kv_group: 0,
         fetch: Fetch::default(),
         latency: Latency {
             overhead_us: 40.0 * MS,
@@ -164,6 +165,7 @@
             cached_tokens,
             fetch: Fetch::default(),
             latency,
+            kv_group: 0,
             extra_round_trip: 0,
             failure_ratio,
             rank: cached_tokens,
@@ -277,3 +279,25 @@
     );
     assert_eq!(deferred(1_200.0 * MS), None);
 }
+
+#[test]
+fn a_prompt_is_decoded_only_where_its_kv_cache_can_be_used() {
+    let of_group = |kv_group: u32, engine: Engine| Engine { kv_group, ..engine };
+    let engines = [
+        of_group(0, prefill_engine(0)),
+        of_group(1, prefill_engine(40_000)),
+        of_group(1, decode_engine(30)),
+    ];
+    let placement = chosen(&engines, &request(9_000));
+    assert_eq!(
+        placement,
+        Some(Placement::Split {
+            prefill: 1,
+            decode: 2
+        })
+    );
+    let placement = chosen(&engines[..1], &request(9_000));
+    assert_eq!(placement, None);
+    let deferred = choose_deferred(&engines, &request(9_000), &Weights::default(), f64::MAX);
+    assert_eq!(deferred.map(|deferred| deferred.engine), Some(1));
+}
