--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -293,7 +293,8 @@
     }
     let target = Arc::clone(target);
     tokio::spawn(async move {
-        if body.collect().await.is_ok() {
+        let drained = clock::timeout(CALL_TIMEOUT, body.collect()).await;
+        if drained.is_ok_and(|drained| drained.is_ok()) {
             target.put_back_connection(connection);
         }
     });
