Give up a prefill whose response does not end

The body of a response to a prefill was read without a time limit: an engine that sends it without end kept the request beyond its deadline, until the caller left. After 500 ms another engine is tried. a_prefill_response_without_end_does_not_outlast_its_request failed before: no response within 60 s.

--- a/components/gateway/src/request/generate/prefill.rs
+++ b/components/gateway/src/request/generate/prefill.rs
@@ -1,6 +1,6 @@
 //! Prefill of prompts on an engine, and their KV caches until another engine fetches them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use clock::Instant;
 use http_body_util::{BodyExt, Collected, Limited};
@@ -25,6 +25,8 @@
 
 /// Largest response to a prefill-only attempt, in bytes.
 const MAX_HANDLE_RESPONSE_BYTES: usize = 16 << 10;
+/// Maximum time from the head of that response to its end. The engine sends both once it has prefilled the prompt.
+const MAX_HANDLE_RESPONSE_TIME: Duration = Duration::from_millis(500);
 
 /// A prompt in flight on an engine, and the work queued ahead of it.
 pub struct InFlight {
@@ -178,9 +180,11 @@
         }
     };
     let status = answer.head.status;
-    let body = Limited::new(answer.body, MAX_HANDLE_RESPONSE_BYTES)
-        .collect()
-        .await;
+    let body = Limited::new(answer.body, MAX_HANDLE_RESPONSE_BYTES).collect();
+    let Ok(body) = clock::timeout(MAX_HANDLE_RESPONSE_TIME, body).await else {
+        job.sends.record_prefill_failed();
+        return Err(failed(Cause::ForeignResponse));
+    };
     let body = body.map(Collected::to_bytes);
     let body = match body {
         Ok(body) if status.is_success() => body,
