Count a response that goes on after its deadline against its endpoint

An endpoint that sends a body without end had its response cut at the deadline and counted as sound, so it got the next request too. Endpoints stop at the deadline that they are told; one that still sends when the time for the last bytes is half over has failed the request. a_body_without_end_ends_at_the_deadline_and_counts_against_its_endpoint failed before.

--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -17,6 +17,7 @@
     http::response,
 };
 
+
 use super::{
     attempt::{self, Answer, Cause},
     events::EventBuffer,
@@ -333,7 +334,7 @@
     fn fail(&mut self, error: RelayError) -> RelayError {
         let (outcome, verdict) = match error {
             RelayError::Endpoint => ("broken off by the endpoint", Verdict::Failed),
-            RelayError::TimedOut => ("cut when its time was over", Verdict::Fine),
+            RelayError::TimedOut => ("cut when its time was over", self.verdict_at_cutoff()),
         };
         self.log_outcome(outcome);
         if let Some(upstream) = self.upstream.take() {
@@ -344,6 +345,21 @@
         error
     }
 
+    /// Returns what it says about the endpoint that its response was cut: endpoints stop at the deadline by themselves,
+    /// so one that still sent when the time for the last bytes was nearly over sends without end.
+    fn verdict_at_cutoff(&self) -> Verdict {
+        let last = self
+            .upstream
+            .as_ref()
+            .and_then(|upstream| upstream.last_event);
+        let goes_on = last.is_some_and(|last| last > self.job.deadline + DEADLINE_GRACE / 2);
+        if goes_on {
+            Verdict::Failed
+        } else {
+            Verdict::Fine
+        }
+    }
+
     /// Continues with the response of another endpoint.
     fn set_upstream(&mut self, answer: Answer, decode_guard: DecodeGuard) {
         let same_build = self.build == answer.build;
