Limit the size of an event

The incomplete event at the end of a stream is kept in memory until its blank line arrives. From an endpoint that sends none the gateway took as much as came until the deadline. An event of more than 256 KiB now ends the response early, like one that breaks within an event: the stream is resumed elsewhere or visibly broken off, and the endpoint has failed the request.

--- a/components/gateway/src/request/events/mod.rs
+++ b/components/gateway/src/request/events/mod.rs
@@ -9,6 +9,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Maximum size of an event in bytes. An incomplete event is kept in memory.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
 /// Buffers the incomplete event at the end of a stream, so that only complete events are passed on.
@@ -113,6 +115,11 @@
         self.event.has_field || self.line_start < self.partial.len()
     }
 
+    /// Whether the incomplete event is longer than any event may be, so that no more of it is to be read.
+    pub fn is_overlong(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns the remaining bytes of a complete stream.
     pub fn finish(&mut self) -> Option<Bytes> {
         (!self.partial.is_empty()).then(|| self.partial.split().freeze())
--- a/components/gateway/src/request/relay/end.rs
+++ b/components/gateway/src/request/relay/end.rs
@@ -12,6 +12,9 @@
     /// The last event lacks its blank line.
     #[display("within an event")]
     WithinEvent,
+    /// An event exceeds the maximum size.
+    #[display("an event without end")]
+    OverlongEvent,
     /// The engine was asked to stop the answer, and its response ended with the connection.
     #[display("stopped to migrate")]
     Stopped,
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -17,6 +17,7 @@
     http::response,
 };
 
+use end::EarlyEnd;
 
 use super::{
     attempt::{self, Answer, Cause},
@@ -191,6 +192,17 @@
     /// Returns the next bytes for the caller; `None` at the end of a complete response.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
         loop {
+            let is_overlong = self
+                .event_buffer
+                .as_ref()
+                .is_some_and(EventBuffer::is_overlong);
+            if is_overlong {
+                self.record_end(Some(EarlyEnd::OverlongEvent));
+                if self.resume().await {
+                    continue;
+                }
+                return Err(self.fail(RelayError::Endpoint));
+            }
             let may_migrate = self.may_migrate();
             let Some(upstream) = &mut self.upstream else {
                 return Ok(None);
