Resume a stream of a split route at the service that began it

The service of a route with several is picked by a hash of the request's id, and a caller that resumes a stream has another id, so it was often continued by the other service. The hash is now of the id that the caller names. Resumptions that name none are picked by their own id as before.

a_stream_of_a_split_route_is_resumed_at_the_service_that_began_it failed before: v1 in place of v2.

--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -171,7 +171,9 @@
             .route(host(&self.head), self.head.uri.path())
             .ok_or(Reason::NoSuchRoute)?;
         let workspace = authorize(gateway, &configuration, route, &self.metadata, self.arrived)?;
-        let hash = xxhash_rust::xxh3::xxh3_64(self.metadata.id.as_bytes());
+        // of a route with several services, a stream stays at the one that began it
+        let begun_by = self.metadata.resumes.as_ref().unwrap_or(&self.metadata.id);
+        let hash = xxhash_rust::xxh3::xxh3_64(begun_by.as_bytes());
         let service = route
             .pick_service(hash)
             .and_then(|name| configuration.service(name))
