Soak: upgrade engines while callers resume their streams at other gateways

The stand-ins' engines are replaced by others of the next build, in series that overlap, while engines crash and break streams off, connections are cut or go silent, and gateways are killed, paused, shut down or cut off from the store. Callers resume their streams at other gateways and name the request that began them. Checked over all tries of a caller: events of one build, none missing or twice; and of twelve or more streams resumed at undisturbed gateways, while two engines of their build serve, at least half as many go on as new ones begin.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -179,3 +179,17 @@
     assert!(logged("the start of a process took"), "{report:#?}");
     assert!(!logged("the stand-ins were blocked"), "{report:#?}");
 }
+
+/// Seeds of the short run in which engines are upgraded.
+const UPGRADES_SEEDS: [u64; 2] = [52_001, 52_004];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_stay_at_the_builds_that_began_them_in_a_short_soak() {
+    let options = Options {
+        scenario: Scenario::Upgrades,
+        gateways: 4,
+        seconds: 8,
+        ..options()
+    };
+    assert_no_violation(&options, &UPGRADES_SEEDS).await;
+}
