Do not look streams up while the queue of datagrams is locked, and test the records

Items are now collected before the queue is locked. A resumption while no endpoint at all is listed is refused as one without endpoints, with a time to come back.

Tests of the records' bound, expiry and keys, and of the builds that a registry remembers.

--- a/components/gateway/src/request/resumption.rs
+++ b/components/gateway/src/request/resumption.rs
@@ -2,7 +2,10 @@
 
 use derive_more::Display;
 
-use super::{job::Job, refusal::Reason};
+use super::{
+    job::Job,
+    refusal::{DEFAULT_RETRY_AFTER, Reason},
+};
 use crate::{
     endpoint::{Build, State},
     version::Kind,
@@ -22,11 +25,21 @@
 ///
 /// # Errors
 ///
-/// [`Reason::StreamUnknown`] or [`Reason::BuildGone`] if the stream can't be resumed; the request did not run.
+/// [`Reason::StreamUnknown`] or [`Reason::BuildGone`] if the stream can't be resumed, [`Reason::NoEndpoint`] if no
+/// endpoint is listed; the request did not run.
 pub async fn bind(job: &Job) -> Result<(), Reason> {
     let Some(after) = resumed_after(job) else {
         return Ok(());
     };
+    if job
+        .gateway
+        .registry
+        .builds()
+        .of(&job.service.name)
+        .is_empty()
+    {
+        return Err(Reason::NoEndpoint(DEFAULT_RETRY_AFTER));
+    }
     let found = find_build(job).await;
     let outcome = match &found {
         Some((build, _)) if !is_served(job, build) => Err(Reason::BuildGone),
--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -43,6 +43,8 @@
 impl Outbox {
     /// Adds items for peers. Returns false if there is no room, and then adds none.
     pub fn push(&self, items: impl Iterator<Item = (SocketAddr, Item)>) -> bool {
+        // the items may take locks themselves
+        let items: Vec<(SocketAddr, Item)> = items.collect();
         let mut pending = self.pending.lock();
         if pending.len() >= MAX_PENDING {
             return false;
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -6,6 +6,8 @@
 mod exchange;
 mod question;
 mod table;
+#[cfg(test)]
+mod tests;
 
 use std::time::Duration;
 
--- a/components/gateway/tests/registry.rs
+++ b/components/gateway/tests/registry.rs
@@ -172,3 +172,34 @@
     registry.apply(&[Change::Unusable(Id(Arc::from("e0000")))], false);
     assert_eq!(used(&registry), [Id(Arc::from("e0001"))]);
 }
+
+/// An endpoint with a build.
+fn of_build(n: usize, build: &str) -> Change {
+    let Change::Present(profile) = endpoint(n) else {
+        panic!("an endpoint is present");
+    };
+    Change::Present(Profile {
+        build: Build(Arc::from(build)),
+        ..profile
+    })
+}
+
+#[test]
+fn a_build_counts_for_some_time_after_its_last_endpoint_has_left() {
+    let registry = Registry::new("g1", "a");
+    let builds = || {
+        let builds = registry.builds().of("engines");
+        builds.iter().map(ToString::to_string).collect::<Vec<_>>()
+    };
+    registry.apply(&[of_build(0, "v1"), of_build(1, "v1")], true);
+    assert_eq!(builds(), ["v1"]);
+    assert!(!registry.builds().is_mixed());
+    registry.apply(&[of_build(2, "v2")], false);
+    assert_eq!(builds(), ["v1", "v2"]);
+    assert!(registry.builds().is_mixed());
+    registry.apply(&[of_build(2, "v2")], true);
+    assert_eq!(builds(), ["v1", "v2"]);
+    registry.apply(&[], true);
+    assert_eq!(builds(), ["v1", "v2"]);
+    assert!(registry.builds().of("others").is_empty());
+}
