--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -374,10 +374,13 @@
 
     /// Continues with the response of another endpoint.
     fn set_upstream(&mut self, answer: Answer, decode_guard: DecodeGuard) {
-        let same_build = self.build == answer.build;
         let after = self.event_buffer.as_ref().and_then(EventBuffer::last_id);
         let continuations = &self.job.gateway.metrics.streams.continued;
-        let label = if same_build { "same" } else { "other" };
+        let label = match self.job.build() {
+            None => "not-begun",
+            Some(begun) if *begun == answer.build => "same",
+            Some(_) => "other",
+        };
         let labels = [&*self.job.service.name, label];
         continuations.with_label_values(&labels).inc();
         log::info!(
--- a/components/telemetry/src/metrics/streams.rs
+++ b/components/telemetry/src/metrics/streams.rs
@@ -7,7 +7,8 @@
 /// The metrics.
 #[derive(Clone, Debug)]
 pub struct Streams {
-    /// Streams that continued at another endpoint, by service and by whether its build is the one that began them.
+    /// Streams that continued at another endpoint, by service and by whether its build is the one that began them; those
+    /// without an event as yet have not begun at any.
     pub continued: IntCounterVec,
     /// Streams that callers resumed, by service and by whether the build that began them was found.
     pub resumed: IntCounterVec,
