Use the field's terms for the replication of records of streams

Comments, two log messages and a field said that gateways tell, ask and hear; they replicate, query and receive.

--- a/components/gateway/src/peer/ranking.rs
+++ b/components/gateway/src/peer/ranking.rs
@@ -64,7 +64,7 @@
         self.peers[peer].0
     }
 
-    /// Returns a hash of these incarnations of peers, not zero. A peer that restarts has lost what it was told.
+    /// Returns a hash of these incarnations of peers, not zero. A peer that restarts has lost its copies.
     pub fn token(&self, peers: &[usize]) -> u64 {
         let incarnations = peers.iter().map(|peer| self.peers[*peer].1);
         let combined = incarnations.fold(0_u64, |token, incarnation| {
--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -1,4 +1,4 @@
-//! Datagrams in which gateways tell and ask each other which builds began streams.
+//! Datagrams with which gateways replicate and query the records of streams.
 
 use std::{
     net::{IpAddr, SocketAddr},
@@ -22,7 +22,7 @@
 /// How long items are collected before they are sent: far less than a caller takes to come back.
 const BATCH_DELAY: Duration = Duration::from_millis(2);
 
-/// What a peer is told or asked.
+/// A part of a datagram to a peer.
 #[derive(Clone, Debug)]
 pub enum Item {
     /// A stream that this process knows.
@@ -65,7 +65,7 @@
     }
 }
 
-/// Sends what peers are to be told and asked, until the process ends.
+/// Sends the queued items until the process ends.
 pub async fn run(gateway: &Gateway, socket: &UdpSocket) {
     loop {
         let items = gateway.streams.outbox.take().await;
@@ -74,14 +74,14 @@
                 let peer = items[0].0;
                 let bytes = encode(gateway, items).encode_to_vec();
                 if let Err(error) = socket.send_to(&bytes, peer).await {
-                    log::debug!(peer:%, error:%; "failed to send what is known of streams");
+                    log::debug!(peer:%, error:%; "failed to send a datagram about streams");
                 }
             }
         }
     }
 }
 
-/// Encodes items as a digest without a number, which tells nothing else of its sender's state.
+/// Encodes items as a digest without a number, which reports nothing else of its sender's state.
 fn encode(gateway: &Gateway, items: &[(SocketAddr, Item)]) -> Digest {
     let now = Instant::now();
     let mut streams = StreamExchange::default();
@@ -112,14 +112,14 @@
     }
 }
 
-/// Applies what a peer tells and answers what it asks. Only known peers are heard.
+/// Stores the records that a peer sent and answers its queries. Datagrams of unknown senders are ignored.
 pub fn apply(gateway: &Gateway, from: IpAddr, digest: &Digest, streams: &StreamExchange) {
     let Ok(peer) = digest.address.parse::<SocketAddr>() else {
         return;
     };
-    // a peer that has just started knows the addresses of the others before it hears from them
+    // a peer that has just started knows the addresses of the others before it receives their first digest
     if peer.ip() != from || !gateway.peers.has_ip(from) {
-        log::info!(peer:%, from:%; "ignoring what an unknown sender tells of streams");
+        log::info!(peer:%, from:%; "ignoring a datagram about streams from an unknown sender");
         return;
     }
     let now = Instant::now();
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -1,7 +1,7 @@
 //! The builds that began streams, known by a few gateways each, so that a caller can resume its stream at any gateway.
 //!
-//! [`table`] holds the records, [`exchange`] tells and asks peers. As long as one build serves each service, every
-//! gateway keeps only the records of its own streams and tells nobody. See `docs/DESIGN.md#streams-and-builds`.
+//! [`table`] holds the records, [`exchange`] replicates and queries them. As long as one build serves each service, every
+//! gateway keeps only the records of its own streams and sends nothing. See `docs/DESIGN.md#streams-and-builds`.
 
 mod exchange;
 mod question;
@@ -87,7 +87,7 @@
         let dropped = self.streams.table.record(key, begun, expires, true);
         self.count_dropped_stream(dropped);
         if self.registry.builds().is_mixed() {
-            self.tell_holders(Instant::now(), Some(key));
+            self.replicate_streams(Instant::now(), Some(key));
         }
     }
 
@@ -115,7 +115,7 @@
         begun.ok().flatten()
     }
 
-    /// Waits until a peer has told the build that began a stream, or all have answered that they do not know.
+    /// Waits until a peer has sent the record of a stream, or all have answered that they have none.
     async fn wait_for_answer(&self, key: Key, question: &question::Question<'_>) -> Option<Begun> {
         loop {
             let unanswered = question.unanswered();
@@ -146,20 +146,20 @@
         let known = i64::try_from(self.streams.table.len()).unwrap_or(i64::MAX);
         self.metrics.streams.known.set(known);
         if self.registry.builds().is_mixed() {
-            self.tell_holders(now, None);
+            self.replicate_streams(now, None);
         }
     }
 
     /// Sends records of this process's own streams to peers, either that of `only` or all.
-    fn tell_holders(&self, now: Instant, only: Option<Key>) {
+    fn replicate_streams(&self, now: Instant, only: Option<Key>) {
         let ranking = self.peers.ranking();
         if ranking.is_empty() {
             return;
         }
-        let tell = |record: &mut Record| {
+        let replicate = |record: &mut Record| {
             let holders = ranking.first(record.key.0, COPIES);
             let token = ranking.token(&holders);
-            if record.told != token {
+            if record.sent_to != token {
                 record.sent = 0;
             }
             if record.sent >= SENDS {
@@ -169,11 +169,11 @@
                 .iter()
                 .map(|peer| (ranking.address(*peer), Item::Known(record.clone())));
             if self.streams.outbox.push(items) {
-                record.told = token;
+                record.sent_to = token;
                 record.sent += 1;
             }
         };
-        self.streams.table.for_each_own(now, only, tell);
+        self.streams.table.for_each_own(now, only, replicate);
     }
 
     fn count_dropped_stream(&self, dropped: bool) {
--- a/components/gateway/src/streams/table.rs
+++ b/components/gateway/src/streams/table.rs
@@ -22,7 +22,7 @@
     /// Whether it is of this process's own callers, so that this process sends the copies.
     pub is_own: bool,
     /// The peers that have been sent a copy; zero for none.
-    pub told: u64,
+    pub sent_to: u64,
     /// How often they have been sent it.
     pub sent: u32,
 }
@@ -70,7 +70,7 @@
                 begun,
                 expires,
                 is_own,
-                told: 0,
+                sent_to: 0,
                 sent: 0,
             },
         );
@@ -126,7 +126,7 @@
     fn merge(&mut self, begun: &Begun, expires: Instant, is_own: bool) {
         if self.begun != *begun {
             self.begun = Begun::Ambiguous;
-            self.told = 0;
+            self.sent_to = 0;
         }
         self.expires = self.expires.max(expires);
         self.is_own |= is_own;
