Give each daemon of the process tests a loopback address of its own

The tests choose free ports and close them before the daemon opens them, and a test beside it may take one in between.

Waits and assertions are unchanged.

--- a/tests/process.rs
+++ b/tests/process.rs
@@ -2,15 +2,17 @@
 
 use std::{
     io::{self, Read},
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
     time::Duration,
 };
 
 use platform_standin::{
-    any_port,
     caller::{self, RequestSpec},
     configuration,
     endpoint::{End, Ending, Endpoint, EngineRegistry, Fault, Setup},
@@ -34,9 +36,20 @@
     _store: Arc<Store>,
 }
 
+/// Number of gateways that this process has started.
+static STARTED: AtomicU8 = AtomicU8::new(0);
+
+/// Returns an IP address for one gateway alone. Another socket on the same address may take a port between its choice
+/// and the daemon's start.
+fn unique_ip() -> [u8; 4] {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let number = STARTED.fetch_add(1, Ordering::Relaxed);
+    [127, high | 0x80, low, number + 1]
+}
+
 /// Returns an address with a port that is currently free.
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind(any_port()).expect("a free port");
+fn free_address(ip: [u8; 4]) -> SocketAddr {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::from(ip), 0)).expect("a free port");
     listener.local_addr().expect("local address")
 }
 
@@ -49,7 +62,9 @@
         let registry = EngineRegistry::default();
         let engine = Endpoint::start(setup, &store, &ledger, &registry).await;
         let engine = engine.expect("engine");
-        let (callers, ready) = (free_address(), free_address());
+        let ip = unique_ip();
+        let callers = free_address(ip);
+        let ready = free_address(ip);
         let settings = std::env::temp_dir().join(format!("{name}-{}.toml", std::process::id()));
         let text = format!(
             "[gateway]\nname = \"{name}\"\ndata_centre = \"here\"\ncallers = \"{callers}\"\nready = \"{ready}\"\n\
