--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! and the simulation `mixshift` run the same code. See `docs/DESIGN.md#decisions`.
 
 pub mod backlog;
+pub mod culprit;
 pub mod estimate;
 pub mod fair;
 pub mod load;
--- a/components/policy/src/suspect.rs
+++ b/components/policy/src/suspect.rs
@@ -13,9 +13,13 @@
 /// be in flight during two unrelated crashes; more would cost the other requests on those endpoints.
 pub const CRASHES_TO_WITHHOLD: usize = 3;
 /// How long a request is withheld after the last crash; the endpoints may have been fixed by then. If
-/// another endpoint crashes while running it, it is withheld again at once.
+/// another endpoint crashes while running it, it is withheld again at once, and for longer.
 pub const WITHHOLD_DURATION: SignedMicros = 300 * SECOND;
-/// How long a suspect is remembered after the last update.
+/// How many times longer a request is withheld after another crash than it was before.
+pub const WITHHOLD_GROWTH: SignedMicros = 4;
+/// The longest time for which a request is withheld after a crash.
+pub const MAX_WITHHOLD_DURATION: SignedMicros = 24 * 3_600 * SECOND;
+/// How long a suspect is remembered after the last update, if it is not withheld for longer.
 pub const RECORD_TTL: SignedMicros = 2 * WITHHOLD_DURATION;
 /// Maximum number of remembered requests, of about 100 bytes each.
 pub const MAX_RECORDS: usize = 1_024;
@@ -57,10 +61,39 @@
             .crashes
             .last()
             .filter(|_| self.crashes.len() >= CRASHES_TO_WITHHOLD)?;
-        let remaining = last.at + WITHHOLD_DURATION - now;
+        let remaining = last.at + self.withhold_duration() - now;
         (remaining > 0).then_some(remaining)
     }
 
+    /// Whether enough endpoints have crashed that the request is withheld, or was until its time was over.
+    #[must_use]
+    pub fn is_convicted(&self) -> bool {
+        self.crashes.len() >= CRASHES_TO_WITHHOLD
+    }
+
+    /// Returns for how long the request is withheld after the last crash. A crash that comes after the time was over is
+    /// recognised by its distance from the one before.
+    fn withhold_duration(&self) -> SignedMicros {
+        let gap = match self.crashes.as_slice() {
+            [.., before, last] => last.at - before.at,
+            [] | [_] => 0,
+        };
+        if gap < WITHHOLD_DURATION {
+            return WITHHOLD_DURATION;
+        }
+        (gap * WITHHOLD_GROWTH).min(MAX_WITHHOLD_DURATION)
+    }
+
+    /// Whether the record is no longer of use.
+    fn is_expired(&self, now: SignedMicros) -> bool {
+        let ttl = if self.is_convicted() {
+            RECORD_TTL.max(2 * self.withhold_duration())
+        } else {
+            RECORD_TTL
+        };
+        self.last_update().is_none_or(|last| now - last >= ttl)
+    }
+
     /// Merges another record of the same request. Returns whether that changed anything.
     fn merge(&mut self, other: &Self) -> bool {
         let previous = self.clone();
@@ -108,11 +141,8 @@
     /// Merges a record from this process or another source. Returns whether that changed anything.
     pub fn add(&mut self, fingerprint: u64, received: &Record, now: SignedMicros) -> bool {
         self.evict_expired(now);
-        let is_expired = received
-            .last_update()
-            .is_none_or(|last| now - last >= RECORD_TTL);
         match self.find(fingerprint) {
-            _ if is_expired => false,
+            _ if received.is_expired(now) => false,
             Ok(index) => self.0[index].1.merge(received),
             // Success of a request that is not suspected needs no record.
             Err(_) if received.crashes.is_empty() => false,
@@ -127,14 +157,9 @@
         }
     }
 
-    /// Drops records without an update within [`RECORD_TTL`].
+    /// Drops records without an update for a long time.
     pub fn evict_expired(&mut self, now: SignedMicros) {
-        let is_fresh = |record: &Record| {
-            record
-                .last_update()
-                .is_some_and(|last| now - last < RECORD_TTL)
-        };
-        self.0.retain(|(_, record)| is_fresh(record));
+        self.0.retain(|(_, record)| !record.is_expired(now));
     }
 
     /// If the table is full, drops the record with the fewest crashes, and of these the oldest.
--- a/components/policy/tests/suspect.rs
+++ b/components/policy/tests/suspect.rs
@@ -45,6 +45,27 @@
     );
 }
 
+#[test]
+fn a_request_that_crashes_endpoints_again_is_withheld_longer_each_time() {
+    let mut suspects = Suspects::default();
+    for endpoint in 1..=3 {
+        suspects.add(7, &crashed(endpoint, SECOND), SECOND);
+    }
+    let mut at = SECOND;
+    let mut before = 0;
+    for endpoint in 4..=6 {
+        let record = suspects.get(7).expect("a record");
+        let duration = record.remaining_withhold(at).expect("withheld");
+        assert!(duration > before);
+        before = duration;
+        at += duration;
+        assert!(!is_withheld(&suspects, 7, at));
+        suspects.evict_expired(at);
+        suspects.add(7, &crashed(endpoint, at), at);
+        assert!(is_withheld(&suspects, 7, at));
+    }
+}
+
 #[test]
 fn a_crash_reported_several_times_counts_once() {
     let mut suspects = Suspects::default();
