Withhold prompt parts that crash engines, at all gateways

Callers saw: requests with one prompt part in common, otherwise all different, crashed each engine that began to answer them, for as long as they came, and broke off the answers beside them.

Cause: what may crash an endpoint was known by the fingerprint of the whole request only, so nothing was counted that these requests have in common.

Each gateway now reports the requests that an engine had just begun, or not begun, when it crashed, with the parts of their prompts, to all others; all merge the reports and find the parts that explain the crashes (policy::culprit). Such a part is withheld like a request is: refused at once as not run, checked again before anything is sent, told to all gateways, kept in the store. A request in a queue leaves it. Once its time is over, one gateway at a time lets one request through. A part is cleared when others come to explain its crashes, and crashes that a part explains count against no request.

What is known of crashes has moved from five places into `crashes`, which knows nothing of Gateway.

--- /dev/null
+++ b/components/gateway/src/crashes/mod.rs
@@ -0,0 +1,387 @@
+//! Requests and prompt parts that crash endpoints. See `docs/DESIGN.md#requests-that-end-endpoints`.
+//!
+//! 1. Each endpoint has a list of what is in flight there, see [`in_flight`].
+//! 2. When it crashes, the list becomes evidence: [`Crashes::record_crash`].
+//! 3. The evidence is sent to all peers, and theirs is merged, see [`updates`] and [`wire`].
+//! 4. Decisions are made from the merged evidence: [`policy::suspect`] for requests, [`policy::culprit`] for prompt parts.
+//!    Answers speak for both: [`Crashes::record_served`].
+//! 5. What is convicted is withheld from all endpoints, see [`withheld`], sent to all peers, and written to the store,
+//!    see [`store`].
+//! 6. In the end its time is over. One gateway at a time then lets a single request through.
+
+mod in_flight;
+mod store;
+mod updates;
+mod wire;
+mod withheld;
+
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
+
+use clock::Instant;
+use derive_more::Display;
+use parking_lot::Mutex;
+use policy::{
+    culprit::{self, Evidence, ONSET},
+    suspect::{self, Crash, Record, SignedMicros},
+};
+use tokio::sync::Notify;
+
+use crate::request::Fingerprint;
+
+pub use in_flight::{InFlight, Interruption, RequestTracker};
+pub use store::{ROW_PREFIX, Row, Rows};
+use updates::{MAX_REPORTED_REQUESTS, Updates};
+pub use wire::Backlog;
+pub use withheld::Withheld;
+
+/// Time that an answer must have been written for until it speaks for the parts of its prompt.
+pub const TIME_TO_CRASH: Duration = Duration::from_micros(ONSET.unsigned_abs());
+
+/// What may crash endpoints.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Suspect {
+    /// A request, whoever sends it.
+    #[display("request {_0}")]
+    Request(Fingerprint),
+    /// A prompt part, whatever else a request holds.
+    #[display("part {_0:x}")]
+    Part(u64),
+}
+
+/// The source of a report that an endpoint crashed, or that a request was served.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Source<'a> {
+    /// This process saw it.
+    #[display("this process")]
+    Own,
+    /// A peer saw it or received the report.
+    #[display("{_0}")]
+    Peer(&'a str),
+    /// The store holds it.
+    #[display("the store")]
+    Store,
+}
+
+/// The crashes of endpoints, what may have caused them, and what is withheld for it, as far as this process knows.
+#[derive(Debug)]
+pub struct Crashes {
+    started: Instant,
+    state: Mutex<State>,
+    /// Whether anything is suspected. Most of the time nothing is, and every request checks.
+    any: AtomicBool,
+    /// Notified when something becomes withheld.
+    newly_withheld: Notify,
+    rows: Rows,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    requests: suspect::Suspects,
+    /// Convicted prompt parts only.
+    parts: suspect::Suspects,
+    evidence: Evidence,
+    /// Endpoints whose crashes are explained by prompt parts, sorted.
+    explained: Vec<u32>,
+    probes: Vec<withheld::Probe>,
+    updates: updates::Queue,
+}
+
+impl State {
+    fn table(&mut self, suspect: Suspect) -> (&mut suspect::Suspects, u64) {
+        match suspect {
+            Suspect::Request(fingerprint) => (&mut self.requests, fingerprint.into()),
+            Suspect::Part(part) => (&mut self.parts, part),
+        }
+    }
+
+    fn records(&self) -> impl Iterator<Item = (Suspect, &Record)> {
+        let parts = self.parts.records().iter();
+        let parts = parts.map(|(part, record)| (Suspect::Part(*part), record));
+        let requests = self.requests.records().iter();
+        let request = |fingerprint: u64| Suspect::Request(Fingerprint::from(fingerprint));
+        parts.chain(requests.map(move |(fingerprint, record)| (request(*fingerprint), record)))
+    }
+}
+
+impl Default for Crashes {
+    fn default() -> Self {
+        Self {
+            started: Instant::now(),
+            state: Mutex::default(),
+            any: AtomicBool::default(),
+            newly_withheld: Notify::default(),
+            rows: Rows::default(),
+        }
+    }
+}
+
+impl Crashes {
+    /// Returns the current time on the clock of crashes.
+    fn moment(&self) -> SignedMicros {
+        let micros = policy::micros(self.started.elapsed());
+        SignedMicros::try_from(micros).unwrap_or(SignedMicros::MAX)
+    }
+
+    /// Returns the rows in the store.
+    pub fn rows(&self) -> &Rows {
+        &self.rows
+    }
+
+    /// Whether an endpoint has crashed while running a request since the request was last served.
+    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.record(Suspect::Request(fingerprint))
+            .is_some_and(|record| !record.crashes.is_empty())
+    }
+
+    /// Returns the record of a suspect.
+    pub fn record(&self, suspect: Suspect) -> Option<Record> {
+        if !self.any.load(Ordering::Relaxed) {
+            return None;
+        }
+        let mut state = self.state.lock();
+        let (table, key) = state.table(suspect);
+        table.get(key).cloned()
+    }
+
+    /// Records what was in flight at an endpoint that crashed, as this process observed it.
+    pub fn record_crash(&self, endpoint: u32, in_flight: &[InFlight]) {
+        let (at, now) = (self.moment(), Instant::now());
+        let crash = Crash { endpoint, at };
+        let mut state = self.state.lock();
+        for request in in_flight {
+            let record = Record {
+                crashes: vec![crash],
+                last_served: None,
+            };
+            self.merge_own(&mut state, Suspect::Request(request.fingerprint), &record);
+        }
+        let just_begun = in_flight.iter().filter(|request| {
+            let written = request.written_for(now).map(policy::micros);
+            let written = written.map(|micros| SignedMicros::try_from(micros).unwrap_or(ONSET));
+            !request.parts.is_empty() && written.is_none_or(|written| written < ONSET)
+        });
+        let requests: Vec<culprit::Request> = just_begun.map(InFlight::to_evidence).collect();
+        if requests.is_empty() {
+            return;
+        }
+        state.report(crash, &requests);
+        self.add_evidence(&mut state, crash, &requests, Source::Own);
+    }
+
+    /// Merges what a peer observed of a crash.
+    fn apply_crash(&self, crash: Crash, requests: &[culprit::Request], peer: &str) {
+        let mut state = self.state.lock();
+        self.add_evidence(&mut state, crash, requests, Source::Peer(peer));
+    }
+
+    fn add_evidence(
+        &self,
+        state: &mut State,
+        crash: Crash,
+        requests: &[culprit::Request],
+        source: Source,
+    ) {
+        let now = self.moment();
+        if !state.evidence.record_crash(crash, requests, now) {
+            return;
+        }
+        self.any.store(true, Ordering::Relaxed);
+        for culprit in state.evidence.culprits() {
+            let record = Record {
+                crashes: culprit.crashes,
+                last_served: None,
+            };
+            self.merge_from(state, Suspect::Part(culprit.part), &record, source);
+        }
+        self.convict_again(state, crash, requests, source);
+        self.withdraw_unfounded(state, source);
+    }
+
+    /// Withholds a part again whose time is over, after one more crash.
+    fn convict_again(
+        &self,
+        state: &mut State,
+        crash: Crash,
+        requests: &[culprit::Request],
+        source: Source,
+    ) {
+        let record = Record {
+            crashes: vec![crash],
+            last_served: None,
+        };
+        let mut parts: Vec<u64> = requests
+            .iter()
+            .flat_map(|request| request.parts.iter().copied())
+            .filter(|part| state.parts.get(*part).is_some_and(Record::is_convicted))
+            .collect();
+        parts.sort_unstable();
+        parts.dedup();
+        for part in parts {
+            self.merge_from(state, Suspect::Part(part), &record, source);
+        }
+    }
+
+    /// Clears parts whose crashes are all explained by others, now that more is known.
+    fn withdraw_unfounded(&self, state: &mut State, source: Source) {
+        let culprits = state.evidence.culprits();
+        let explained = culprits.iter().flat_map(|culprit| &culprit.crashes);
+        state.explained = explained.map(|crash| crash.endpoint).collect();
+        state.explained.sort_unstable();
+        let is_explained = |crash: &Crash| state.explained.binary_search(&crash.endpoint).is_ok();
+        let unfounded = |(part, record): &&(u64, Record)| {
+            record.is_convicted()
+                && culprits.iter().all(|culprit| culprit.part != *part)
+                && record.crashes.iter().all(is_explained)
+        };
+        let records = state.parts.records().iter();
+        let unfounded: Vec<u64> = records.filter(unfounded).map(|(part, _)| *part).collect();
+        let record = Record {
+            crashes: Vec::new(),
+            last_served: Some(self.moment()),
+        };
+        for part in unfounded {
+            log::info!(part = format!("{part:x}"); "other parts explain the crashes of a withheld prompt part");
+            self.merge_from(state, Suspect::Part(part), &record, source);
+        }
+    }
+
+    /// Records that a request was answered to its end, which clears it and the parts of its prompt of earlier crashes.
+    pub fn record_served(&self, fingerprint: Fingerprint, parts: &[u64]) {
+        if self.is_suspect(fingerprint) {
+            let record = Record {
+                crashes: Vec::new(),
+                last_served: Some(self.moment()),
+            };
+            let suspect = Suspect::Request(fingerprint);
+            self.merge_own(&mut self.state.lock(), suspect, &record);
+        }
+        self.record_parts_served(parts);
+    }
+
+    /// Records that an engine has been writing an answer to a prompt for longer than it takes to crash, which clears the
+    /// parts of the prompt.
+    pub fn record_parts_served(&self, parts: &[u64]) {
+        if parts.is_empty() {
+            return;
+        }
+        let now = self.moment();
+        let mut state = self.state.lock();
+        for part in parts {
+            state.evidence.record_served(*part, now);
+            let record = Record {
+                crashes: Vec::new(),
+                last_served: Some(now),
+            };
+            let crashes = state.parts.get(*part).map(|record| &record.crashes);
+            if crashes.is_some_and(|crashes| !crashes.is_empty()) {
+                self.merge_own(&mut state, Suspect::Part(*part), &record);
+            }
+            state.report_served(*part, now);
+        }
+    }
+
+    /// Merges a record of a suspect that a peer sent or the store holds.
+    pub fn merge(&self, suspect: Suspect, record: &Record, source: Source) {
+        self.merge_into(&mut self.state.lock(), suspect, record, source);
+    }
+
+    /// Merges what follows from evidence. If this process observed it, it is sent to the peers.
+    fn merge_from(&self, state: &mut State, suspect: Suspect, record: &Record, source: Source) {
+        match source {
+            Source::Own => self.merge_own(state, suspect, record),
+            Source::Peer(_) | Source::Store => {
+                self.merge_into(state, suspect, record, source);
+            }
+        }
+    }
+
+    /// Merges what this process observed itself, and queues it for the peers if it is new.
+    fn merge_own(&self, state: &mut State, suspect: Suspect, record: &Record) {
+        if self.merge_into(state, suspect, record, Source::Own) {
+            let (table, key) = state.table(suspect);
+            let known = table.get(key).cloned().unwrap_or_default();
+            state.updates.add_record(suspect, known);
+        }
+    }
+
+    /// Merges a record of a suspect into what is known. Returns whether it added anything.
+    fn merge_into(
+        &self,
+        state: &mut State,
+        suspect: Suspect,
+        record: &Record,
+        source: Source,
+    ) -> bool {
+        let now = self.moment();
+        let (table, key) = state.table(suspect);
+        let remaining = |table: &suspect::Suspects| {
+            let record = table.get(key);
+            record.and_then(|record| record.remaining_withhold(now))
+        };
+        let before = remaining(table).is_some();
+        let is_new = table.add(key, record, now);
+        let after = table.get(key).cloned().unwrap_or_default();
+        self.any.store(true, Ordering::Relaxed);
+        match (before, after.remaining_withhold(now)) {
+            (false, Some(left)) => {
+                log::warn!(
+                    suspect:%, source:%, ends = crash_list(&after), lapses_ms = left / 1_000;
+                    "a suspect is withheld from endpoints"
+                );
+                self.rows.add(suspect, source);
+                self.newly_withheld.notify_waiters();
+            }
+            (true, None) => {
+                log::info!(suspect:%, source:%; "a suspect is no longer withheld");
+            }
+            (false, None) | (true, Some(_)) => {}
+        }
+        is_new
+    }
+
+    /// Evicts suspects whose last crash or success was long ago.
+    pub fn evict_expired(&self) {
+        let now = self.moment();
+        let mut state = self.state.lock();
+        state.requests.evict_expired(now);
+        state.parts.evict_expired(now);
+        let any = state.records().next().is_some();
+        self.any.store(any, Ordering::Relaxed);
+    }
+
+    /// Returns the number of suspects, and of those that are withheld now: requests, then prompt parts.
+    pub fn count(&self) -> [Counts; 2] {
+        let now = self.moment();
+        let state = self.state.lock();
+        [&state.requests, &state.parts].map(|table| {
+            let records = table.records().iter();
+            let withheld = records.filter(|(_, record)| record.remaining_withhold(now).is_some());
+            Counts {
+                suspected: table.records().len(),
+                withheld: withheld.count(),
+            }
+        })
+    }
+}
+
+/// Numbers of suspects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Counts {
+    /// All of them.
+    pub suspected: usize,
+    /// Those that are withheld from all endpoints.
+    pub withheld: usize,
+}
+
+/// Returns the crashed endpoints of a record, by short id, for a log line.
+fn crash_list(record: &Record) -> String {
+    let crashes: Vec<String> = record
+        .crashes
+        .iter()
+        .map(|crash| format!("{:08x}", crash.endpoint))
+        .collect();
+    crashes.join(" ")
+}
--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -27,7 +27,7 @@
 pub use load::{DecodeGuard, Load, PrefillGuard};
 pub use path::{Change as PathChange, LostPaths, Path};
 pub use registry::{Fleet, Registry};
-pub use requests::{InFlight, RequestGuard, RequestTracker};
+pub use requests::RequestGuard;
 pub use target::{
     CONTINUATION_WINDOW, CrashCheck, Latencies, Listening, Reach, ServiceDefaults, Snapshot, Target,
 };
--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -13,9 +13,10 @@
 use tokio::sync::{Mutex as AsyncMutex, Notify};
 
 use super::{
-    Build, BusySet, Connection, Health, Id, Load, LostPaths, Path, Profile, RequestTracker, Stage,
-    State, Verdict, connection::IdleConnection,
+    Build, BusySet, Connection, Health, Id, Load, LostPaths, Path, Profile, Stage, State, Verdict,
+    connection::IdleConnection,
 };
+use crate::crashes::RequestTracker;
 use reach::ListenCheck;
 
 pub use reach::{CrashCheck, Listening};
--- a/components/gateway/src/endpoint/target/reach.rs
+++ b/components/gateway/src/endpoint/target/reach.rs
@@ -8,7 +8,10 @@
 use clock::Instant;
 
 use super::Target;
-use crate::endpoint::{ConnectError, Connection, InFlight, State, connection, path};
+use crate::{
+    crashes::InFlight,
+    endpoint::{ConnectError, Connection, State, connection, path},
+};
 
 /// Minimum time between the beginnings of two checks of an endpoint's path, as each opens a
 /// connection.
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -11,7 +11,6 @@
 mod ranking;
 mod receive;
 mod send;
-mod suspects;
 
 pub use candidates::Candidate;
 pub use changes::Advertisement;
@@ -356,6 +355,14 @@
         self.count_preceding(own, |_| true)
     }
 
+    /// Returns the number of live peers with a lower address.
+    pub fn rank(&self, own: SocketAddr) -> usize {
+        let now = Instant::now();
+        let known = self.known.lock();
+        let before = known.iter().take_while(|peer| peer.address < own);
+        before.filter(|peer| peer.is_alive(now)).count()
+    }
+
     fn count_preceding(&self, own: SocketAddr, is_counted: impl Fn(&Peer) -> bool) -> usize {
         let now = Instant::now();
         let known = self.known.lock();
@@ -560,6 +567,8 @@
         streams: None,
         paces: Vec::new(),
         suspects: Vec::new(),
+        crashes: Vec::new(),
+        served_parts: Vec::new(),
         beat_ms: 0,
         answered_ms: gateway.store_available_since().map_or(0, age_ms),
         ceded: gateway.steward.ceded(),
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Advertisement, MAX_ADVERTISEMENTS, PEER_TTL, Peer, candidates, decode_load,
-    fan_out::HEARTBEAT_INTERVAL, instant_before, latencies, suspects,
+    fan_out::HEARTBEAT_INTERVAL, instant_before, latencies,
 };
 use crate::{
     adapters::StoreTime,
@@ -111,7 +111,7 @@
     record_placements(gateway, &digest.placed);
     queue_changes(gateway, digest);
     latencies::apply(gateway, &digest.paces);
-    suspects::apply(gateway, &digest.suspects, &digest.name);
+    gateway.crashes.apply(digest);
     apply_stage_changes(gateway, &digest.changing, &digest.stages);
 }
 
--- a/components/gateway/src/peer/send.rs
+++ b/components/gateway/src/peer/send.rs
@@ -5,16 +5,16 @@
 use clock::Instant;
 use prost::Message;
 use tokio::net::UdpSocket;
-use wire::{Digest, EndpointChanges, Placed, Suspect, UsageWindow};
+use wire::{Digest, EndpointChanges, Placed, UsageWindow};
 
 use super::{
     MAX_PENDING_PLACEMENTS, encode_load,
     fan_out::{HEARTBEAT_INTERVAL, MIN_DIGEST_INTERVAL, PeerGroup},
     latencies, own_digest,
     receive::apply_stage_changes,
-    suspects,
 };
 use crate::{
+    crashes::Backlog,
     endpoint::Load,
     process::{Gateway, List},
     steward,
@@ -24,9 +24,6 @@
 /// two.
 const MAX_PLACEMENTS_PER_DIGEST: usize = 24;
 
-/// Maximum number of suspect requests in one digest, for the same reason.
-const MAX_SUSPECTS_PER_DIGEST: usize = 24;
-
 /// Minimum interval between two digests to a group that contain latencies; learning more takes
 /// several prompts.
 const LATENCIES_INTERVAL: Duration = Duration::from_millis(50);
@@ -125,7 +122,7 @@
     revisions: [u64; 2],
     /// Whether this process reads the operators' lists from the store itself.
     reads_lists: bool,
-    suspects: Vec<Suspect>,
+    crashes: Backlog,
     /// Number of endpoints that this process can't reach.
     unreachable: usize,
 }
@@ -141,13 +138,7 @@
                 .map(|list| gateway.last_changes.revision(list)),
             reads_lists: gateway.reads_lists(),
             unreachable: gateway.registry.lost_paths().current().len(),
-            suspects: gateway
-                .suspects_to_send()
-                .iter()
-                .map(|(fingerprint, record)| {
-                    suspects::encode(*fingerprint, record, gateway.moment())
-                })
-                .collect(),
+            crashes: gateway.crashes.take_encoded_updates(),
         }
     }
 }
@@ -170,7 +161,7 @@
     /// Placements that no digest has contained yet.
     placed: Vec<Placed>,
     changes: Vec<EndpointChanges>,
-    suspects: Vec<Suspect>,
+    crashes: Backlog,
     /// When a digest last contained latencies.
     latencies_sent: Instant,
     /// When a digest last contained usage.
@@ -190,7 +181,7 @@
             revisions: [0; 2],
             placed: Vec::new(),
             changes: Vec::new(),
-            suspects: Vec::new(),
+            crashes: Backlog::default(),
             latencies_sent: Instant::now(),
             usage_sent: Instant::now(),
         }
@@ -214,7 +205,7 @@
                 .extend(update.placed.iter().take(remaining).cloned());
         }
         self.changes.extend_from_slice(&update.changes);
-        self.suspects.extend_from_slice(&update.suspects);
+        self.crashes.append(&update.crashes);
     }
 
     /// Whether a digest is due.
@@ -223,7 +214,7 @@
         // a revision learnt from a peer needs no urgent digest: the peer that read it has sent it
         // to all
         let urgent = !self.changes.is_empty()
-            || !self.suspects.is_empty()
+            || !self.crashes.is_empty()
             || update.changing != self.changing
             || (update.reads_lists && update.revisions != self.revisions);
         let changed = update.loads != self.loads
@@ -240,7 +231,7 @@
         self.revisions = update.revisions;
         self.unreachable = update.unreachable;
         let count = self.placed.len().min(MAX_PLACEMENTS_PER_DIGEST);
-        let suspects = self.suspects.len().min(MAX_SUSPECTS_PER_DIGEST);
+        let crashes = self.crashes.take_some();
         let latencies = if self.latencies_sent.elapsed() < LATENCIES_INTERVAL {
             Vec::new()
         } else {
@@ -257,7 +248,9 @@
             placed: self.placed.drain(..count).collect(),
             beat_ms: u32::try_from(self.max_interval.as_millis()).unwrap_or(u32::MAX),
             changes: std::mem::take(&mut self.changes),
-            suspects: self.suspects.drain(..suspects).collect(),
+            suspects: crashes.suspects,
+            crashes: crashes.reports,
+            served_parts: crashes.served,
             ..own_digest(gateway, number)
         }
     }
--- a/components/gateway/src/process/crashes.rs
+++ b/components/gateway/src/process/crashes.rs
@@ -6,7 +6,8 @@
 
 use super::Gateway;
 use crate::{
-    endpoint::{CrashCheck, InFlight, Target},
+    crashes::InFlight,
+    endpoint::{CrashCheck, Target},
     forwarding::probe,
     request::Fingerprint,
 };
@@ -81,7 +82,7 @@
             written_ms = format_written(in_flight), parts = format_parts(in_flight);
             "an endpoint crashed with requests in flight"
         );
-        self.suspect_all(target.short_id, &fingerprints);
+        self.crashes.record_crash(target.short_id, in_flight);
     }
 }
 
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -14,14 +14,12 @@
 mod service;
 mod shutdown;
 mod status;
-mod suspects;
 pub mod usage;
 mod withheld;
 
 pub use follow::List;
 pub use service::{DemandTotals, RetryPermit};
 pub use shutdown::Shutdown;
-pub use suspects::Source;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -37,12 +35,12 @@
 use follow::LastChanges;
 use freshness::Confirmation;
 use service::Services;
-use suspects::Suspects;
 use usage::Usage;
 
 use crate::{
     adapters::{Dialect, Directory, Duties, DutyError},
     connection,
+    crashes::Crashes,
     endpoint::Registry,
     error::Error,
     forwarding::{Admission, Connections},
@@ -130,8 +128,8 @@
     pub last_changes: LastChanges,
     /// Counters and learnt values of each service.
     services: Services,
-    /// Requests suspected of crashing endpoints.
-    suspects: Suspects,
+    /// Crashes of endpoints, and what may have caused them.
+    pub crashes: Crashes,
     /// The builds that began streams.
     pub streams: Streams,
     /// Builds in the store.
@@ -248,7 +246,7 @@
             && self.configuration.read().is_some()
             && *self.endpoints_read.borrow()
             && self.accepts_keys()
-            && (self.suspects.is_loaded() || self.started.elapsed() > WITHHELD_READ_TIMEOUT)
+            && (self.crashes.rows().is_loaded() || self.started.elapsed() > WITHHELD_READ_TIMEOUT)
     }
 }
 
@@ -380,7 +378,7 @@
         store_available_since: Mutex::default(),
         last_changes: LastChanges::default(),
         services: Services::default(),
-        suspects: Suspects::default(),
+        crashes: Crashes::default(),
         streams: Streams::default(),
         stored_builds: StoredBuilds::default(),
         started: Instant::now(),
--- a/components/gateway/src/process/status.rs
+++ b/components/gateway/src/process/status.rs
@@ -93,12 +93,9 @@
             unreachable,
         );
     }
-    let suspects = gateway.all_suspects();
-    set(&metrics.suspects, count(suspects.len()));
-    let now = gateway.moment();
-    let withheld = suspects
-        .iter()
-        .filter(|(_, record)| record.remaining_withhold(now).is_some());
-    set(&metrics.withheld, count(withheld.count()));
+    let [requests, parts] = gateway.crashes.count();
+    set(&metrics.suspects, count(requests.suspected));
+    set(&metrics.withheld, count(requests.withheld));
+    set(&metrics.withheld_parts, count(parts.withheld));
     Response::new(Full::new(Bytes::from(metrics.text())))
 }
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -175,7 +175,7 @@
     directive: &Directive,
     timeout: Timeout<'_>,
 ) -> Result<Answer, Cause> {
-    if job.gateway.withheld_for(job.fingerprint).is_some() {
+    if job.withheld().is_some() {
         return Err(Cause::Withheld);
     }
     // endpoints do not check this, so nothing is sent without the check, whatever chose the endpoint
@@ -202,7 +202,7 @@
         return Err(Cause::RetryBudgetExhausted);
     }
     let request = build_request(job, directive);
-    let suspect = job.gateway.is_suspect(job.fingerprint);
+    let suspect = job.gateway.crashes.is_suspect(job.fingerprint);
     let guard = RequestGuard::new(target, job.fingerprint, &job.parts, suspect);
     let executes = purpose == Purpose::Run;
     job.exchange_guard.forwarded(&target.id.0, executes);
--- a/components/gateway/src/request/attempts.rs
+++ b/components/gateway/src/request/attempts.rs
@@ -139,7 +139,7 @@
         let has_time_left = !job.time_left().is_zero();
         let has_attempts_left = self.runs < job.route.max_attempts;
         let has_budget = failed.cause != Cause::RetryBudgetExhausted;
-        let withheld = job.gateway.withheld_for(job.fingerprint);
+        let withheld = job.withheld();
         log::info!(
             request = job.metadata.id, endpoint = &*failed.target.id.0, cause:% = failed.cause,
             phase:? = failed.purpose, runs = self.runs, not_run, repeats = is_retryable, left = has_time_left;
@@ -151,7 +151,7 @@
         }
         match withheld {
             None if is_retryable && has_time_left && has_attempts_left && has_budget => Ok(()),
-            Some(lapses) if !self.may_have_run() => Err(Reason::Withheld(lapses)),
+            Some(withheld) if !self.may_have_run() => Err(Reason::Withheld(withheld.remaining)),
             None | Some(_) => Err(self.refusal(has_time_left)),
         }
     }
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -135,17 +135,20 @@
         return Err(Denial::Final(attempts.shutdown_refusal()));
     }
     let found = wait_for_room(job, try_place).await;
-    found.ok_or_else(|| Denial::NoRoom(attempts.exhausted_refusal()))
+    found.ok_or_else(|| match job.withheld() {
+        Some(withheld) => Denial::Final(Reason::Withheld(withheld.remaining)),
+        None => Denial::NoRoom(attempts.exhausted_refusal()),
+    })
 }
 
-/// Waits in the queue until an engine has room; `None` if none has in time.
+/// Waits in the queue until an engine has room; `None` if none has in time, or if the request is withheld meanwhile.
 async fn wait_for_room(
     job: &Job,
     try_place: impl Fn() -> (Snapshot, Option<Choice>),
 ) -> Option<(Snapshot, Choice)> {
     let queue = job.gateway.queue(&job.service.name, job.build());
     let ticket = queue.join(job);
-    while ticket.wait_turn().await {
+    while ticket.wait_turn(job).await {
         if let (snapshot, Some(choice)) = try_place() {
             return Some((snapshot, choice));
         }
--- a/components/gateway/src/request/generate/queue.rs
+++ b/components/gateway/src/request/generate/queue.rs
@@ -78,8 +78,15 @@
 
 impl Ticket<'_> {
     /// Waits until it is this request's turn to check for a free slot. Returns false if it has
-    /// waited for too long.
-    pub async fn wait_turn(&self) -> bool {
+    /// waited for too long, or is withheld from all engines.
+    pub async fn wait_turn(&self, job: &Job) -> bool {
+        tokio::select! {
+            is_turn = self.wait_until_first() => is_turn,
+            () = job.until_withheld() => false,
+        }
+    }
+
+    async fn wait_until_first(&self) -> bool {
         let recheck_at = Instant::now() + RECHECK_DELAY;
         clock::sleep_until(recheck_at.min(self.until)).await;
         loop {
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -80,7 +80,7 @@
     }
     let queue = job.gateway.queue(&job.service.name, Some(build));
     let ticket = queue.join(job);
-    while ticket.wait_turn().await {
+    while ticket.wait_turn(job).await {
         if let Some(found) = try_choose() {
             return Some(found);
         }
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -79,7 +79,7 @@
             .filter(|(_, seen)| job.accepts(&seen.profile.build))
             .collect();
         leave_out_awaited(&mut candidates, &awaited);
-        if job.gateway.is_suspect(job.fingerprint) {
+        if job.gateway.crashes.is_suspect(job.fingerprint) {
             isolate_suspects(&mut candidates);
         }
         let fetchable: Vec<u64> = candidates
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -17,6 +17,7 @@
 use crate::{
     adapters::Metadata,
     connection::CountGuard,
+    crashes::Withheld,
     endpoint::Build,
     forwarding::{Admitted, Envelope},
     process::Gateway,
@@ -245,6 +246,22 @@
         self.demand_counted.load(Ordering::Relaxed)
     }
 
+    /// Returns why the request is withheld from all endpoints; `None` if it may be sent.
+    pub fn withheld(&self) -> Option<Withheld> {
+        let rank = || self.gateway.peers.rank(self.gateway.settings.gateway.peers);
+        let crashes = &self.gateway.crashes;
+        crashes.withheld(self.fingerprint, &self.parts, rank)
+    }
+
+    /// Waits until the request is withheld from all endpoints.
+    pub async fn until_withheld(&self) {
+        let rank = || self.gateway.peers.rank(self.gateway.settings.gateway.peers);
+        let crashes = &self.gateway.crashes;
+        crashes
+            .until_withheld(self.fingerprint, &self.parts, rank)
+            .await;
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -33,6 +33,7 @@
 
 use crate::{
     adapters::Metadata,
+    crashes::Withheld,
     forwarding::{
         self, Envelope, Refusal, probe,
         receive::{self, Decline, Destination},
@@ -259,13 +260,13 @@
 
 /// Serves a request with the endpoints that this process reaches.
 async fn run(job: Job, attempts: Attempts) -> Result<Response<Body>, Unserved> {
-    if let Some(lapses) = job.gateway.withheld_for(job.fingerprint) {
+    if let Some(Withheld { suspect, remaining }) = job.withheld() {
         log::info!(
-            request = job.metadata.id, content:% = job.fingerprint,
-            lapses_ms = policy::micros(lapses) / 1_000;
+            request = job.metadata.id, content:% = job.fingerprint, suspect:%,
+            lapses_ms = policy::micros(remaining) / 1_000;
             "a request is withheld"
         );
-        return Err(Unserved::Final(Reason::Withheld(lapses)));
+        return Err(Unserved::Final(Reason::Withheld(remaining)));
     }
     match (&job.service.engines, &job.metadata.prompt) {
         (Some(_), Some(_)) => generate::serve(job, attempts).await,
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -99,7 +99,7 @@
     let fleet = job.gateway.registry.fleet(&job.service.name);
     let local = &job.gateway.settings.gateway.data_centre;
     let unreachable = job.gateway.peers.unreachable_data_centres();
-    let suspect = job.gateway.is_suspect(job.fingerprint);
+    let suspect = job.gateway.crashes.is_suspect(job.fingerprint);
     let mut best: Option<(f64, &Arc<Target>)> = None;
     for target in fleet.subset() {
         if tried.iter().any(|other| other.id == target.id) {
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -30,6 +30,7 @@
     job::Job,
 };
 use crate::{
+    crashes::TIME_TO_CRASH,
     endpoint::{Build, Connection, DecodeGuard, Id, RequestGuard, Target, Verdict},
     version::Kind,
 };
@@ -107,6 +108,9 @@
     connection: Connection,
     target: Arc<Target>,
     last_event: Option<Instant>,
+    first_event: Option<Instant>,
+    /// Whether the answer has been written for longer than it takes to crash an engine.
+    outlasted_crash: bool,
     /// Time that the prompts in flight on the engine still needed when the last event arrived, in
     /// microseconds.
     remaining_prefill: Option<policy::Micros>,
@@ -122,6 +126,8 @@
             connection: answer.connection,
             target: answer.target,
             last_event: None,
+            first_event: None,
+            outlasted_crash: false,
             remaining_prefill: None,
             _decode_guard: decode_guard,
             guard: Some(answer.guard),
@@ -289,6 +295,12 @@
         if let (None, Some(guard)) = (gap, &upstream.guard) {
             guard.record_first_event();
         }
+        let first_event = *upstream.first_event.get_or_insert(now);
+        if !upstream.outlasted_crash && now - first_event > TIME_TO_CRASH {
+            upstream.outlasted_crash = true;
+            let crashes = &self.job.gateway.crashes;
+            crashes.record_parts_served(&self.job.parts);
+        }
         let gateway = &self.job.gateway;
         let defaults = gateway.service_defaults(&self.job.service.name);
         let remaining = upstream
@@ -336,7 +348,8 @@
                 guard.finish();
             }
             if self.status.is_success() {
-                self.job.gateway.record_served(self.job.fingerprint);
+                let crashes = &self.job.gateway.crashes;
+                crashes.record_served(self.job.fingerprint, &self.job.parts);
             }
             upstream
                 .target
@@ -414,12 +427,7 @@
         let Some(upstream) = &self.upstream else {
             return;
         };
-        let withheld = self
-            .job
-            .gateway
-            .withheld_for(self.job.fingerprint)
-            .is_some();
-        if withheld || !self.job.sends.reserve(&self.job, MIGRATION_RETRIES) {
+        if self.job.withheld().is_some() || !self.job.sends.reserve(&self.job, MIGRATION_RETRIES) {
             return;
         }
         let outcome = migrate::stop_and_copy(&self.job, &upstream.target).await;
--- a/components/policy/src/suspect.rs
+++ b/components/policy/src/suspect.rs
@@ -71,6 +71,14 @@
         self.crashes.len() >= CRASHES_TO_WITHHOLD
     }
 
+    /// Returns for how long the time is over for which the request was withheld; zero if it is not.
+    #[must_use]
+    pub fn over_for(&self, now: SignedMicros) -> SignedMicros {
+        let ended = |last: &Crash| last.at + self.withhold_duration();
+        let ended = self.crashes.last().map(ended);
+        ended.map_or(0, |ended| (now - ended).max(0))
+    }
+
     /// Returns for how long the request is withheld after the last crash. A crash that comes after the time was over is
     /// recognised by its distance from the one before.
     fn withhold_duration(&self) -> SignedMicros {
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -75,6 +75,8 @@
     pub suspects: IntGauge,
     /// Suspected fingerprints whose requests are withheld from all endpoints.
     pub withheld: IntGauge,
+    /// Prompt parts whose requests are withheld from all endpoints.
+    pub withheld_parts: IntGauge,
     /// Reloads of the settings file after a change.
     pub reloads: IntCounter,
 }
@@ -176,6 +178,10 @@
             )?,
             suspects: gauge("requests_suspected", "Requests that endpoints ended under.")?,
             withheld: gauge("requests_withheld", "Those that get to no endpoint.")?,
+            withheld_parts: gauge(
+                "prompt_parts_withheld",
+                "Prompt parts whose requests get to no endpoint.",
+            )?,
             reloads: IntCounter::new("wrenramp_reloads_total", "Reads of changed settings.")?,
         };
         metrics.register()?;
@@ -224,6 +230,7 @@
             &self.endpoints,
             &self.suspects,
             &self.withheld,
+            &self.withheld_parts,
         ] {
             self.registry.register(Box::new(gauge.clone()))?;
         }
