Close new connections unread while a gateway has more work than it can do

Callers would see: when a load balancer hands most new connections to one gateway, it reads all of their requests, and once more come than it can serve, all of them are late.

Cause: a gateway knew nothing of its own overload, and bounded connections by descriptors only. Now it measures how late its timers fire; when even the least late one of 100 ms was 10 ms late, it closes new connections before it reads from them, so that their callers can retry elsewhere, but takes one each 50 ms at least. It stays ready: reported as not ready it would pass the crowd on to the next gateway. While it is overloaded, its timeouts say nothing about endpoints.

--- a/components/gateway/src/connection/mod.rs
+++ b/components/gateway/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod close;
 mod idle;
+mod overload;
 
 use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
 
@@ -22,6 +23,8 @@
 };
 use close::CloseLogger;
 
+pub use overload::{Overload, watch as watch_overload};
+
 /// Delay before the next accept after one failed, as when the process has run out of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// The smallest read buffer that the HTTP library accepts.
@@ -74,6 +77,11 @@
             continue;
         }
         match origin(from) {
+            Some(Origin::Caller) if !gateway.overload.accepts() => {
+                // closed without reading from it, so that the caller can safely retry on another
+                // process
+                gateway.metrics.shed_connections.inc();
+            }
             Some(origin) => {
                 connections.spawn(serve(Arc::clone(&gateway), stream, origin));
             }
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -39,7 +39,7 @@
 
 use crate::{
     adapters::{Dialect, Directory, Duties, DutyError},
-    connection,
+    connection::{self, Overload},
     crashes::Crashes,
     endpoint::Registry,
     error::Error,
@@ -109,6 +109,8 @@
     /// The number of open caller connections that have carried a request; a graceful shutdown waits until it
     /// is zero.
     pub connections: watch::Sender<usize>,
+    /// Whether this process has more work than it can do.
+    pub overload: Overload,
     /// The number of requests in flight; a graceful shutdown waits until it is zero.
     pub in_flight: watch::Sender<usize>,
     /// The deadlines of the graceful shutdown, once one has begun.
@@ -349,6 +351,8 @@
     tasks.spawn(steward::order_endpoints(Arc::clone(&gateway)));
     tasks.spawn(shutdown::run(Arc::clone(&gateway)));
     let shared = Arc::clone(&gateway);
+    tasks.spawn(async move { connection::watch_overload(&shared).await });
+    let shared = Arc::clone(&gateway);
     tasks.spawn(async move { withheld::run(&shared).await });
     let shared = Arc::clone(&gateway);
     tasks.spawn(async move { builds::run(&shared).await });
@@ -368,6 +372,7 @@
         steward: Steward::default(),
         phase: watch::Sender::new(Phase::Serving),
         connections: watch::Sender::new(0),
+        overload: Overload::default(),
         in_flight: watch::Sender::new(0),
         shutdown: RwLock::default(),
         configuration: RwLock::default(),
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod estimate;
 pub mod fair;
 pub mod load;
+pub mod overload;
 pub mod place;
 pub mod prefix_cache;
 pub mod prompt;
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -77,6 +77,8 @@
     pub withheld: IntGauge,
     /// Prompt parts whose requests are withheld from all endpoints.
     pub withheld_parts: IntGauge,
+    /// New connections that were closed unread because of overload.
+    pub shed_connections: IntCounter,
     /// Reloads of the settings file after a change.
     pub reloads: IntCounter,
 }
@@ -182,6 +184,7 @@
                 "prompt_parts_withheld",
                 "Prompt parts whose requests get to no endpoint.",
             )?,
+            shed_connections: shed_connections()?,
             reloads: IntCounter::new("wrenramp_reloads_total", "Reads of changed settings.")?,
         };
         metrics.register()?;
@@ -237,10 +240,19 @@
         self.registry
             .register(Box::new(self.unreachable_endpoints.clone()))?;
         self.streams.register(&self.registry)?;
+        self.registry
+            .register(Box::new(self.shed_connections.clone()))?;
         self.registry.register(Box::new(self.reloads.clone()))
     }
 }
 
+fn shed_connections() -> prometheus::Result<IntCounter> {
+    IntCounter::new(
+        "wrenramp_connections_shed_total",
+        "New connections that were closed unread because of overload.",
+    )
+}
+
 fn outdated_configurations() -> prometheus::Result<Histogram> {
     Histogram::with_opts(
         HistogramOpts::new(
