Soak: requests with prompt parts that crash engines

Checked: at most three requests with a part reach engines later than 3 s after the fifth crash, from gateways that were not interrupted lately; two windows after it at least half of the sound ones are served.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -133,6 +133,19 @@
     assert_no_violation(&options, &EARLY_ENDS_SEEDS).await;
 }
 
+/// Seeds of the short run in which prompt parts crash engines.
+const CRASHING_PARTS_SEEDS: [u64; 2] = [55_004, 55_005];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_prompt_parts_that_crash_engines_are_withheld_in_a_short_soak() {
+    let options = Options {
+        scenario: Scenario::CrashingParts,
+        seconds: 14,
+        ..options()
+    };
+    assert_no_violation(&options, &CRASHING_PARTS_SEEDS).await;
+}
+
 /// A seed in which a gateway's process is stopped and restarted within two seconds.
 const RESTART_SEED: u64 = 3;
 /// How long a restart is blocked in that run: well above the delay that is logged as blocked stand-ins.
