Do not clear requests by responses that an unconfirmed crash may have cut

Callers saw: where endpoints end their responses with the connection, requests with a part that crashes engines were sent to engines without end.

Cause: such a response is taken for complete unless peers confirm that the endpoint crashed. With most engines down nobody can confirm it, the response counted as an answer to its end, and that cleared the request and its parts of the crashes before. Now the end of such a response clears only if the endpoint accepted a connection right after it. Whether the response is passed on as complete is as before.

Two more tests, green before: crashes that no request causes withhold nothing, and a forwarded stream that ends within an event is not passed off as complete.

--- a/components/gateway/src/endpoint/target/reach.rs
+++ b/components/gateway/src/endpoint/target/reach.rs
@@ -21,6 +21,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ListenCheck {
     began: Instant,
+    listening: Listening,
     /// Whether it showed that the endpoint has crashed.
     crashed: bool,
 }
@@ -39,6 +40,8 @@
 /// What a check for a crash of an endpoint showed.
 #[derive(Clone, Debug)]
 pub enum CrashCheck {
+    /// It has not crashed: it accepts connections.
+    Listens,
     /// It has not crashed, as far as can be known.
     NotCrashed,
     /// It refuses connections of this process and has not crashed.
@@ -178,14 +181,23 @@
             Some(last) if last.began >= since && last.crashed => {
                 return CrashCheck::Crashed(Vec::new());
             }
-            Some(last) if last.began >= since => return CrashCheck::NotCrashed,
+            Some(last) if last.began >= since => {
+                return match last.listening {
+                    Listening::Accepts => CrashCheck::Listens,
+                    Listening::Refuses | Listening::Unknown => CrashCheck::NotCrashed,
+                };
+            }
             Some(_) | None => {}
         }
         let began = Instant::now();
         let listening = self.check_listening().await;
         let crashed = listening == Listening::Refuses && confirm().await;
         self.with(|state| {
-            state.last_check = Some(ListenCheck { began, crashed });
+            state.last_check = Some(ListenCheck {
+                began,
+                listening,
+                crashed,
+            });
             match (crashed, listening) {
                 (true, _) => CrashCheck::Crashed(state.requests.take_all(began)),
                 (false, Listening::Refuses) => {
@@ -193,7 +205,8 @@
                     state.requests.forget_broken();
                     CrashCheck::PathLost
                 }
-                (false, Listening::Accepts | Listening::Unknown) => CrashCheck::NotCrashed,
+                (false, Listening::Accepts) => CrashCheck::Listens,
+                (false, Listening::Unknown) => CrashCheck::NotCrashed,
             }
         })
     }
--- a/components/gateway/src/process/crashes.rs
+++ b/components/gateway/src/process/crashes.rs
@@ -19,38 +19,56 @@
 /// concurrently.
 const MAX_LOGGED_REQUESTS: usize = 48;
 
+/// What is known of an endpoint that ended a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    /// It accepts connections.
+    Listens,
+    /// It has crashed.
+    Crashed,
+    /// Neither is certain.
+    Unknown,
+}
+
 impl Gateway {
     /// Checks whether an endpoint that broke a request's connection has crashed, and if so records the
     /// requests that were in flight there.
     pub async fn check_for_crash(&self, target: &Arc<Target>, request: &str) {
         let since = Instant::now().checked_sub(LISTEN_CHECK_TTL);
-        self.has_crashed_since(target, request, since.unwrap_or_else(Instant::now))
+        self.liveness_since(target, request, since.unwrap_or_else(Instant::now))
             .await;
     }
 
-    /// Whether an endpoint that ended a request's connection in an orderly way has crashed. If so,
+    /// Checks whether an endpoint that ended a request's connection in an orderly way has crashed. If so,
     /// records the requests that were in flight there.
-    pub async fn has_crashed(&self, target: &Arc<Target>, request: &str) -> bool {
-        self.has_crashed_since(target, request, Instant::now())
-            .await
+    pub async fn liveness(&self, target: &Arc<Target>, request: &str) -> Liveness {
+        self.liveness_since(target, request, Instant::now()).await
     }
 
-    async fn has_crashed_since(&self, target: &Arc<Target>, request: &str, since: Instant) -> bool {
+    async fn liveness_since(
+        &self,
+        target: &Arc<Target>,
+        request: &str,
+        since: Instant,
+    ) -> Liveness {
         let confirm = async || probe::confirms_crash(self, target).await;
         match target.check_for_crash(since, confirm).await {
             CrashCheck::PathLost => {
                 self.drop_connections_without_path(&target.service());
-                false
+                Liveness::Unknown
             }
-            CrashCheck::NotCrashed => {
+            check @ (CrashCheck::Listens | CrashCheck::NotCrashed) => {
                 if self.lacks_paths(&target.service()) {
                     target.with(|state| state.requests.forget_broken());
                 }
-                false
+                match check {
+                    CrashCheck::Listens => Liveness::Listens,
+                    _ => Liveness::Unknown,
+                }
             }
             CrashCheck::Crashed(in_flight) => {
                 self.record_crash(target, &in_flight, "it refuses connections", request);
-                true
+                Liveness::Crashed
             }
         }
     }
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod usage;
 mod withheld;
 
+pub use crashes::Liveness;
 pub use follow::List;
 pub use service::{DemandTotals, RetryPermit};
 pub use shutdown::Shutdown;
--- a/components/gateway/src/request/relay/end.rs
+++ b/components/gateway/src/request/relay/end.rs
@@ -4,7 +4,10 @@
 use derive_more::Display;
 
 use super::Relay;
-use crate::request::{events::EventBuffer, framing::Framing};
+use crate::{
+    process::Liveness,
+    request::{events::EventBuffer, framing::Framing},
+};
 
 /// What shows that a response is incomplete at the end of its body.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -42,14 +45,12 @@
 
     /// Whether the response is complete now that its body has ended. A crash closes connections in
     /// an orderly way too.
-    pub(super) async fn ends_complete(&self) -> bool {
+    pub(super) async fn ends_complete(&mut self) -> bool {
         let (gateway, request) = (&self.job.gateway, &self.job.metadata.id);
         let early_end = match (self.early_end(), &self.upstream) {
-            (None, Some(upstream))
-                if self.framing == Framing::Close
-                    && gateway.has_crashed(&upstream.target, request).await =>
-            {
-                Some(EarlyEnd::Crashed)
+            (None, Some(upstream)) if self.framing == Framing::Close => {
+                self.liveness = gateway.liveness(&upstream.target, request).await;
+                (self.liveness == Liveness::Crashed).then_some(EarlyEnd::Crashed)
             }
             (early_end, _) => early_end,
         };
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -32,6 +32,7 @@
 use crate::{
     crashes::TIME_TO_CRASH,
     endpoint::{Build, Connection, DecodeGuard, Id, RequestGuard, Target, Verdict},
+    process::Liveness,
     version::Kind,
 };
 
@@ -93,6 +94,9 @@
     migration: Option<StoppedAnswer>,
     /// Whether the current engine was asked to stop the answer, and has not said that it did not.
     may_be_stopped: bool,
+    /// What is known of the endpoint after a body that ended with its connection. Unless it listens, a crash that could not
+    /// be confirmed may have cut the response, so that it does not clear its request.
+    liveness: Liveness,
     events: u64,
     first_event: Option<Instant>,
     /// The longest time between two events so far.
@@ -163,6 +167,7 @@
         migrations: 0,
         migration: None,
         may_be_stopped: false,
+        liveness: Liveness::Listens,
         events: 0,
         first_event: None,
         longest_gap: Duration::ZERO,
@@ -347,7 +352,7 @@
             if let Some(guard) = upstream.guard {
                 guard.finish();
             }
-            if self.status.is_success() {
+            if self.status.is_success() && self.liveness == Liveness::Listens {
                 let crashes = &self.job.gateway.crashes;
                 crashes.record_served(self.job.fingerprint, &self.job.parts);
             }
