--- a/components/gateway/src/connection/overload.rs
+++ b/components/gateway/src/connection/overload.rs
@@ -14,8 +14,7 @@
 
 /// Interval of the timers whose lag is measured.
 const TIMER_INTERVAL: Duration = Duration::from_millis(10);
-/// Longest time for which no new connection is accepted: the load balancer still sends them here, and what was accepted
-/// before may end at any time.
+/// Longest time for which no new connection is accepted: a gateway that is ready must take some.
 const MAX_REFUSAL: Duration = Duration::from_millis(50);
 
 /// Whether this process has more work than it can do.
--- a/components/gateway/src/crashes/withheld.rs
+++ b/components/gateway/src/crashes/withheld.rs
@@ -7,10 +7,11 @@
 use super::{Crashes, State, Suspect};
 use crate::request::Fingerprint;
 
-/// For how long one gateway more may let requests through after the time of a prompt part is over.
+/// Once the time of a prompt part is over, the time after which one more gateway may let a request through, in
+/// microseconds.
 const PROBE_SLOT_US: SignedMicros = 10_000_000;
-/// Time from one request that is let through to the next: several times the time from a crash until all gateways know
-/// of it.
+/// Interval between two requests that are let through, in microseconds: several times the time from a crash until all
+/// gateways know of it.
 const PROBE_INTERVAL_US: SignedMicros = 2_000_000;
 
 /// Why a request is withheld from all endpoints, and for how much longer.
