--- a/components/gateway/src/connection/overload.rs
+++ b/components/gateway/src/connection/overload.rs
@@ -12,7 +12,7 @@
 
 use crate::process::Gateway;
 
-/// Interval of the timers whose lag is measured.
+/// Interval of the timers that show how far behind this process is.
 const TIMER_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest time for which no new connection is accepted: a gateway that is ready must take some.
 const MAX_REFUSAL: Duration = Duration::from_millis(50);
