Log why no engine has room for a request, and count the engines by reason

A refusal for want of an endpoint had the same text whether engines were full, too slow for the deadline or not to be given a prompt, and nothing said from which tokens and time the pace was computed. has_decode_slot becomes decode_obstacle with the same conditions, so that the log line, wrenramp_no_room_total{service,obstacle,begun} and the decision can't differ. A resumption's line also has how long the gateway has been up and whether it knows of earlier builds. No logic changes.

--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -127,6 +127,7 @@
     if let Some(choice) = choice.filter(|_| queue.len() == 0) {
         return Ok((snapshot, choice));
     }
+    snapshot.log_no_room(job, "no engine has room, or others wait for it");
     if !snapshot.may_get_slot(queue.len()) || forwarding::send::is_possible(job) {
         return Err(Denial::NoRoom(attempts.exhausted_refusal()));
     }
@@ -153,6 +154,9 @@
             return Some((snapshot, choice));
         }
     }
+    try_place()
+        .0
+        .log_no_room(job, "no engine has had room in time");
     None
 }
 
@@ -170,8 +174,14 @@
     let placed = match try_place() {
         (snapshot, Some(choice)) => Some((snapshot, choice)),
         (snapshot, None) if snapshot.targets.is_empty() => None,
-        (_, None) if !job.ends_before_shutdown(queue::max_wait(job)) => None,
-        (_, None) => wait_for_room(job, try_place).await,
+        (snapshot, None) => {
+            snapshot.log_no_room(job, "no engine has room to resume a broken stream as yet");
+            if job.ends_before_shutdown(queue::max_wait(job)) {
+                wait_for_room(job, try_place).await
+            } else {
+                None
+            }
+        }
     };
     let Some((snapshot, choice)) = placed else {
         return Ok(None);
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -4,7 +4,7 @@
 
 use clock::Instant;
 use policy::{
-    place::{self, Choice, Placement, Request, Weights},
+    place::{self, Choice, Obstacle, Placement, Request, Weights},
     prompt::Prompt,
 };
 
@@ -222,6 +222,37 @@
         }
     }
 
+    /// Logs and counts that no engine can take a request, with the reasons and the data they were based on.
+    pub fn log_no_room(&self, job: &Job, message: &str) {
+        let request = placement_request(job);
+        let weights = Weights::default();
+        let found = self.engines.iter();
+        let found: Vec<Obstacle> = found
+            .filter_map(|engine| place::obstacle(engine, &request, &weights))
+            .collect();
+        let count = |obstacle| found.iter().filter(|other| **other == obstacle).count();
+        let begun = if job.build().is_some() { "yes" } else { "no" };
+        for obstacle in [Obstacle::Slots, Obstacle::Pace, Obstacle::Prefill] {
+            let labels = [&*job.service.name, &obstacle.to_string(), begun];
+            let engines = u64::try_from(count(obstacle)).unwrap_or(u64::MAX);
+            let metrics = &job.gateway.metrics;
+            metrics
+                .streams
+                .no_room
+                .with_label_values(&labels)
+                .inc_by(engines);
+        }
+        log::info!(
+            request = job.metadata.id, service = &*job.service.name, build:? = job.build().map(ToString::to_string),
+            engines = self.engines.len(), prefill_only = count(Obstacle::Stage), full = count(Obstacle::Slots),
+            slow = count(Obstacle::Pace), prefilling = count(Obstacle::Prefill), prompt = request.prompt_tokens,
+            output = request.expected_output_tokens, step_limit_us = policy::to_u64(request.max_inter_token_latency_us),
+            left_ms = policy::micros(job.time_left()) / 1_000,
+            waiting = job.gateway.queue(&job.service.name, job.build()).len();
+            "{message}"
+        );
+    }
+
     /// Logs where a request is placed, and the data that the decision was based on.
     pub fn log_placement(&self, job: &Job, choice: &Choice, message: &str) {
         let (first, last) = match choice.placement {
--- a/components/gateway/src/request/resumption.rs
+++ b/components/gateway/src/request/resumption.rs
@@ -53,6 +53,8 @@
     log::info!(
         request = job.metadata.id, resumes = job.metadata.resumes, after, service = &*job.service.name,
         build:? = found.map(|(build, _)| build.to_string()), source,
+        knows_earlier_builds = job.gateway.knows_earlier_builds(), up_ms = job.gateway.micros() / 1_000,
+        left_ms = policy::micros(job.time_left()) / 1_000,
         refused:? = outcome.err().map(|reason| reason.to_string());
         "a caller resumes a stream"
     );
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -5,6 +5,8 @@
 //! another, and prompts that the prefill engines can't take in time may go to a decode engine with few
 //! answers. See `docs/DESIGN.md#placement`.
 
+use derive_more::Display;
+
 use crate::{Micros, estimate::Latency, prompt, to_f64};
 
 /// The stage that an engine serves.
@@ -167,13 +169,34 @@
     pub first_event_us: f64,
 }
 
+/// Why an engine can't take an answer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "kebab-case")]
+pub enum Obstacle {
+    /// It only prefills.
+    Stage,
+    /// Too many of its slots are taken.
+    Slots,
+    /// It decodes too slowly for the answer to meet its deadline.
+    Pace,
+    /// Prefill of the prompt would delay the answers that it decodes for too long.
+    Prefill,
+}
+
+/// Returns why an engine can't prefill the prompt and decode the answer; `None` if it can.
+#[must_use]
+pub fn obstacle(engine: &Engine, request: &Request, weights: &Weights) -> Option<Obstacle> {
+    match decode_obstacle(engine, request, weights) {
+        None if !tolerates_prefill(engine, request, weights) => Some(Obstacle::Prefill),
+        found => found,
+    }
+}
+
 /// Chooses the placement of the lowest cost; `None` if no engine can take the request.
 #[must_use]
 pub fn choose(engines: &[Engine], request: &Request, weights: &Weights) -> Option<Choice> {
     let single = cheapest(engines, weights, |engine| {
-        let is_open = engine.stage == Stage::Decode
-            && has_decode_slot(engine, request, weights)
-            && tolerates_prefill(engine, request, weights);
+        let is_open = obstacle(engine, request, weights).is_none();
         is_open.then(|| single_engine_cost(engine, request, weights))
     });
     let split = cheapest_split(engines, request, weights);
@@ -217,9 +240,8 @@
             is_open.then(|| prefill_cost(engine, request, weights))
         })?;
         let decode = cheapest(engines, weights, |engine| {
-            let is_open = engine.kv_group == group
-                && engine.stage == Stage::Decode
-                && has_decode_slot(engine, request, weights);
+            let is_open =
+                engine.kv_group == group && decode_obstacle(engine, request, weights).is_none();
             is_open.then(|| decode_cost(engine, request, weights))
         })?;
         let choice = Choice {
@@ -298,7 +320,7 @@
     weights: &Weights,
 ) -> Option<usize> {
     let found = cheapest(engines, weights, |engine| {
-        let is_open = engine.stage == Stage::Decode && has_decode_slot(engine, request, weights);
+        let is_open = decode_obstacle(engine, request, weights).is_none();
         is_open.then(|| decode_cost(engine, request, weights))
     });
     found.map(|found| found.engine)
@@ -320,18 +342,27 @@
     tokens_to_prefill: u64,
 }
 
-/// Whether an engine has a slot for the answer and, if the answer is long, would complete it in time. An
-/// engine without long answers is assumed to.
-fn has_decode_slot(engine: &Engine, request: &Request, weights: &Weights) -> bool {
-    let slots = to_f64(engine.decode_slots);
-    let answers = to_f64(engine.answers);
-    if request.expected_output_tokens <= weights.short_answer_max_tokens {
-        return answers < slots * weights.max_slot_ratio;
-    }
-    let meets_deadline = engine.latency.decode_token_us
-        <= request.max_inter_token_latency_us * weights.latency_limit_ratio
+/// Returns why an engine can't decode the answer: it has no slot for it or, if the answer is long, would not
+/// complete it in time. An engine without long answers is assumed to.
+fn decode_obstacle(engine: &Engine, request: &Request, weights: &Weights) -> Option<Obstacle> {
+    let is_long = request.expected_output_tokens > weights.short_answer_max_tokens;
+    let max_slot_ratio = if is_long {
+        weights.long_answer_max_slot_ratio
+    } else {
+        weights.max_slot_ratio
+    };
+    let meets_deadline = !is_long
+        || engine.latency.decode_token_us
+            <= request.max_inter_token_latency_us * weights.latency_limit_ratio
         || engine.long_answers == 0;
-    answers < slots * weights.long_answer_max_slot_ratio && meets_deadline
+    match engine.stage {
+        Stage::Prefill => Some(Obstacle::Stage),
+        Stage::Decode if to_f64(engine.answers) >= to_f64(engine.decode_slots) * max_slot_ratio => {
+            Some(Obstacle::Slots)
+        }
+        Stage::Decode if !meets_deadline => Some(Obstacle::Pace),
+        Stage::Decode => None,
+    }
 }
 
 /// Whether an engine would prefill so few tokens of the prompt that it is prefilled where it is decoded.
--- a/components/telemetry/src/metrics/streams.rs
+++ b/components/telemetry/src/metrics/streams.rs
@@ -12,6 +12,9 @@
     pub continued: IntCounterVec,
     /// Streams that callers resumed, by service and by whether the build that began them was found.
     pub resumed: IntCounterVec,
+    /// Engines that could not take a request which found none with room, by service, by the reason and by whether its
+    /// stream had begun.
+    pub no_room: IntCounterVec,
     /// Streams of which this process knows the build that began them.
     pub known: IntGauge,
     /// Records of streams that were dropped before they expired, as there were too many.
@@ -36,6 +39,11 @@
                 "Streams that callers resumed.",
                 &["service", "outcome"],
             )?,
+            no_room: counters(
+                "no_room_total",
+                "Engines that could not take a request.",
+                &["service", "obstacle", "begun"],
+            )?,
             known: IntGauge::new(
                 "wrenramp_streams_known",
                 "Streams whose build is known here.",
@@ -55,6 +63,7 @@
     pub fn register(&self, registry: &Registry) -> prometheus::Result<()> {
         registry.register(Box::new(self.continued.clone()))?;
         registry.register(Box::new(self.resumed.clone()))?;
+        registry.register(Box::new(self.no_room.clone()))?;
         registry.register(Box::new(self.known.clone()))?;
         registry.register(Box::new(self.dropped.clone()))
     }
