Judge a stream by what remains of it, not by the whole answer

Placement asked for the pace at which the whole maximum fits into the time that is left, so a stream cut half-way needed twice the pace of a new one, and more with each moment.

Remainder says what remains of an answer: the tokens expected after those that its caller has, and the part received, which the engine that goes on prefills. A job knows the last event that its caller has, from the request (also a forwarded one) or from the response under way, and placement, the long or short answer of a slot, migration, demand, the end before a shutdown and the prefill work all start from it. The pace is over the expected length, also of a new stream, no longer over the maximum.

--- a/components/gateway/src/request/generate/prefill.rs
+++ b/components/gateway/src/request/generate/prefill.rs
@@ -4,7 +4,7 @@
 
 use clock::Instant;
 use http_body_util::{BodyExt, Collected, Limited};
-use policy::estimate::WaitFactor;
+use policy::{estimate::WaitFactor, place};
 
 use super::{
     run::failed,
@@ -40,8 +40,7 @@
 pub fn start(job: &Job, snapshot: &Snapshot, index: usize, deferred: bool) -> InFlight {
     let target = &snapshot.targets[index];
     let engine = &snapshot.engines[index];
-    let available_tokens = engine.cached_tokens + engine.fetch.tokens;
-    let work = policy::prompt::prefill_work(placement_request(job).prompt_tokens, available_tokens);
+    let work = place::work_to_prefill(engine, &placement_request(job));
     let latencies = job.gateway.latencies(&job.service.name);
     let now = Instant::now();
     let ahead = target.with(|state| {
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -3,10 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use clock::Instant;
-use policy::{
-    place::{self, Choice, Obstacle, Placement, Request, Weights},
-    prompt::Prompt,
-};
+use policy::place::{self, Choice, Obstacle, Placement, Request, Weights};
 
 use crate::{
     endpoint::{self, Build, Reach, Stage, Target},
@@ -245,7 +242,7 @@
         log::info!(
             request = job.metadata.id, service = &*job.service.name, build:? = job.build().map(ToString::to_string),
             engines = self.engines.len(), prefill_only = count(Obstacle::Stage), full = count(Obstacle::Slots),
-            slow = count(Obstacle::Pace), prefilling = count(Obstacle::Prefill), prompt = request.prompt_tokens,
+            slow = count(Obstacle::Pace), prefilling = count(Obstacle::Prefill), prompt = request.prompt_tokens, received = request.received_tokens,
             output = request.expected_output_tokens, step_limit_us = policy::to_u64(request.max_inter_token_latency_us),
             left_ms = policy::micros(job.time_left()) / 1_000,
             waiting = job.gateway.queue(&job.service.name, job.build()).len();
@@ -266,7 +263,7 @@
             request = job.metadata.id, reads = names.0, writes = names.1,
             expected_us = policy::to_u64(choice.first_event_us),
             margin_us = policy::to_u64(job.gateway.margin_us(&job.service.name)), left_us = request.time_to_objective,
-            prompt = request.prompt_tokens, held = prefill_engine.cached_tokens, fetched = prefill_engine.fetch.tokens, output = request.expected_output_tokens,
+            prompt = request.prompt_tokens, received = request.received_tokens, held = prefill_engine.cached_tokens, fetched = prefill_engine.fetch.tokens, output = request.expected_output_tokens,
             content:% = job.fingerprint, parts = format_parts(job), reading = prefill_engine.prefill_work, writing = decode_engine.answers,
             long = decode_engine.long_answers, start_us = policy::to_u64(decode_engine.latency.overhead_us),
             read_ns = policy::to_u64(prefill_engine.latency.prefill_token_us * NANOS_PER_MICRO),
@@ -360,43 +357,36 @@
     }
 }
 
-/// Returns the input of a request to placement.
+/// Returns the input of a request to placement: what remains of its answer.
 pub fn placement_request(job: &Job) -> Request {
-    let none = Prompt::default();
-    let prompt = job.metadata.prompt.as_ref().unwrap_or(&none);
+    let remainder = job.remainder();
     let left = job.objective.saturating_duration_since(Instant::now());
     Request {
-        prompt_tokens: prompt.tokens,
-        expected_output_tokens: prompt.expected_output_tokens(),
+        prompt_tokens: remainder.prompt_tokens,
+        received_tokens: remainder.received_tokens,
+        expected_output_tokens: remainder.expected_output_tokens,
         time_to_objective: policy::micros(left),
-        max_inter_token_latency_us: policy::to_f64(policy::micros(job.time_left()))
-            / policy::to_f64(prompt.max_output_tokens.max(1)),
+        max_inter_token_latency_us: remainder
+            .max_inter_token_latency_us(policy::micros(job.time_left())),
         service_max_inter_token_latency_us: max_inter_token_latency_us(job),
-        tokens_per_event: tokens_per_event(job),
+        tokens_per_event: job.tokens_per_event(),
         max_stall_us: job
             .max_stall
             .map_or(f64::MAX, |stall| policy::to_f64(policy::micros(stall))),
     }
 }
 
-/// Returns the number of tokens in one event of an answer.
-fn tokens_per_event(job: &Job) -> u64 {
-    let engines = job.service.engines.as_ref();
-    engines.map_or(1, |engines| engines.tokens_per_event.max(1))
-}
-
 /// Returns the highest inter-token latency that long answers of the request's service tolerate, in
 /// microseconds.
 fn max_inter_token_latency_us(job: &Job) -> f64 {
     let service_limit_us = job.gateway.max_inter_token_latency_us(&job.service.name);
-    let tokens_per_event = tokens_per_event(job);
     let limit = job.max_stall.map_or(f64::MAX, |stall| {
-        policy::to_f64(policy::micros(stall)) / policy::to_f64(tokens_per_event)
+        policy::to_f64(policy::micros(stall)) / policy::to_f64(job.tokens_per_event())
     });
     service_limit_us.min(limit)
 }
 
-/// Whether the answer is expected to be long.
+/// Whether what remains of the answer is expected to be long.
 pub fn is_long_answer(job: &Job) -> bool {
     placement_request(job).expected_output_tokens > Weights::default().short_answer_max_tokens
 }
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -12,6 +12,7 @@
 use caller::ExchangeGuard;
 use clock::Instant;
 use hyper::{HeaderMap, Method, Uri, http::request::Parts};
+use policy::{prompt::Prompt, remainder::Remainder};
 
 use super::{attempts::SendCounter, fingerprint::Fingerprint};
 use crate::{
@@ -22,7 +23,7 @@
     forwarding::{Admitted, Envelope},
     process::Gateway,
     streams::Key,
-    version::{Configuration, Route, Service, Workspace},
+    version::{Configuration, Kind, Route, Service, Workspace},
 };
 
 /// How long a caller waits if neither the caller nor the route sets a timeout.
@@ -105,6 +106,8 @@
     pub exchange_guard: ExchangeGuard,
     /// The build that began the stream; unset before its first event.
     build: OnceLock<Build>,
+    /// The number of events of the stream that its caller has received, also in earlier responses.
+    received_events: AtomicU64,
     /// Whether it has been counted in its workspace's usage.
     counted: AtomicBool,
     /// Whether it has been counted in the demand of its service.
@@ -160,6 +163,8 @@
         let fingerprint = Fingerprint::of(&head.method, super::host(&head), &head.uri, &body);
         let prompt = metadata.prompt.as_ref();
         let parts = prompt.map_or_else(Arc::default, |prompt| prompt.shared_parts().collect());
+        let resume_after = metadata.resume_after;
+        let received_events = resume_after.filter(|_| route.kind == Kind::ResumableStream);
         Self {
             gateway,
             route,
@@ -186,6 +191,7 @@
                 .as_ref()
                 .and_then(|envelope| envelope.build.clone())
                 .map_or_else(OnceLock::new, OnceLock::from),
+            received_events: AtomicU64::new(received_events.unwrap_or_default()),
             counted: AtomicBool::new(
                 envelope
                     .as_ref()
@@ -221,6 +227,25 @@
         self.build.get_or_init(|| build.clone());
     }
 
+    /// Records the last event that the caller has received. Endpoints number the events of a stream from one.
+    pub fn record_received(&self, event: u64) {
+        self.received_events.store(event, Ordering::Relaxed);
+    }
+
+    /// Returns the tokens that arrive together in one event of an answer.
+    pub fn tokens_per_event(&self) -> u64 {
+        let engines = self.service.engines.as_ref();
+        engines.map_or(1, |engines| engines.tokens_per_event.max(1))
+    }
+
+    /// Returns what remains of the answer now.
+    pub fn remainder(&self) -> Remainder {
+        let none = Prompt::default();
+        let prompt = self.metadata.prompt.as_ref().unwrap_or(&none);
+        let events = self.received_events.load(Ordering::Relaxed);
+        Remainder::new(prompt, events.saturating_mul(self.tokens_per_event()))
+    }
+
     /// Counts the request in its workspace's usage, once. `at` is when an endpoint began to run it.
     pub fn record_start(&self, at: Instant) {
         let Some(workspace) = &self.workspace else {
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -245,7 +245,7 @@
                         None => Some(bytes),
                         Some(event_buffer) => event_buffer.push(&bytes),
                     };
-                    self.bind_stream();
+                    self.record_progress();
                     let ends = is_last && self.early_end().is_none();
                     let remainder = ends.then(|| self.finish()).flatten();
                     match (complete_events, remainder) {
@@ -323,11 +323,15 @@
         }
     }
 
-    /// Binds the stream to its build once it has an event after which it could be continued, so that its caller can
-    /// resume it at any gateway.
-    fn bind_stream(&mut self) {
+    /// Records which event the caller has, and binds the stream to its build once there is one after which it could be
+    /// continued, so that its caller can resume it at any gateway.
+    fn record_progress(&mut self) {
         let last_id = self.event_buffer.as_ref().and_then(EventBuffer::last_id);
-        if last_id.is_none() || self.recorded {
+        let Some(last_id) = last_id else {
+            return;
+        };
+        self.job.record_received(last_id);
+        if self.recorded {
             return;
         }
         self.recorded = true;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod place;
 pub mod prefix_cache;
 pub mod prompt;
+pub mod remainder;
 pub mod retry;
 pub mod role;
 pub mod route;
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -65,11 +65,13 @@
 pub struct Request {
     /// Length of the prompt.
     pub prompt_tokens: u64,
-    /// Expected length of the answer.
+    /// Length of the part of the answer that the caller has received, which the engine that decodes the rest prefills.
+    pub received_tokens: u64,
+    /// Expected length of the rest of the answer.
     pub expected_output_tokens: u64,
     /// Time left to the latency objective. Not used by the decision.
     pub time_to_objective: Micros,
-    /// Highest inter-token latency at which this answer meets its deadline, in microseconds.
+    /// Highest inter-token latency at which the rest of the answer meets its deadline, in microseconds.
     pub max_inter_token_latency_us: f64,
     /// Highest inter-token latency that long answers of the service tolerate, in microseconds: their
     /// events must not stall, and the last one must meet the deadline.
@@ -386,17 +388,22 @@
     )
 }
 
+/// Returns how much of the prompt an engine would have to prefill. What the caller has received of the answer is not
+/// part of it: it is prefilled where the rest is decoded in any case.
 fn tokens_to_prefill(engine: &Engine, request: &Request) -> u64 {
     request
         .prompt_tokens
         .saturating_sub(engine.cached_tokens + engine.fetch.tokens)
 }
 
-fn work_to_prefill(engine: &Engine, request: &Request) -> u64 {
-    prompt::prefill_work(
-        request.prompt_tokens,
-        engine.cached_tokens + engine.fetch.tokens,
-    )
+/// Returns the work to prefill on an engine: the prompt and, if the engine decodes, the received part of the answer.
+#[must_use]
+pub fn work_to_prefill(engine: &Engine, request: &Request) -> u64 {
+    let tokens = match engine.stage {
+        Stage::Prefill => request.prompt_tokens,
+        Stage::Decode => request.prompt_tokens + request.received_tokens,
+    };
+    prompt::prefill_work(tokens, engine.cached_tokens + engine.fetch.tokens)
 }
 
 /// Whether the answers that an engine decodes tolerate that it prefills the prompt between its decode
@@ -462,10 +469,13 @@
     }
 }
 
-/// Returns the cost of decode alone, with the prompt prefilled elsewhere. The first event waits for the
-/// prompts that the engine prefills.
+/// Returns the cost of decode, with the prompt prefilled elsewhere. The first event waits for the prompts that the
+/// engine prefills, and for the part of the answer that the caller has received.
 fn decode_cost(engine: &Engine, request: &Request, weights: &Weights) -> Cost {
-    let delay_us = prefill_delay_us(engine, request, 0);
+    let context_tokens = request.prompt_tokens + request.received_tokens;
+    let received_us = to_f64(prompt::prefill_work(context_tokens, request.prompt_tokens))
+        * engine.latency.prefill_token_us;
+    let delay_us = prefill_delay_us(engine, request, 0) + received_us;
     let duration_us = to_f64(engine.extra_round_trip) + engine.latency.overhead_us + delay_us;
     Cost {
         duration_us,
--- a/components/policy/src/prompt.rs
+++ b/components/policy/src/prompt.rs
@@ -34,7 +34,7 @@
         shared.iter().map(|part| part.key)
     }
 
-    /// Returns the expected length of the answer, as far as the caller says.
+    /// Returns the expected length of the whole answer, as far as the caller says.
     #[must_use]
     pub fn expected_output_tokens(&self) -> u64 {
         self.output_tokens_hint
--- a/components/policy/tests/place.rs
+++ b/components/policy/tests/place.rs
@@ -2,7 +2,10 @@
 
 use policy::{
     estimate::Latency,
-    place::{Deferred, Engine, Fetch, Placement, Request, Stage, Weights, choose, choose_deferred},
+    place::{
+        Deferred, Engine, Fetch, Placement, Request, Stage, Weights, choose, choose_deferred,
+        work_to_prefill,
+    },
 };
 use proptest::prelude::*;
 
@@ -54,6 +57,7 @@
 fn request(prompt_tokens: u64) -> Request {
     Request {
         prompt_tokens,
+        received_tokens: 0,
         expected_output_tokens: 120,
         time_to_objective: 600_000,
         max_inter_token_latency_us: 50.0 * MS,
@@ -301,3 +305,20 @@
     let deferred = choose_deferred(&engines, &request(9_000), &Weights::default(), f64::MAX);
     assert_eq!(deferred.map(|deferred| deferred.engine), Some(1));
 }
+
+#[test]
+fn the_received_part_of_an_answer_is_prefilled_where_the_rest_is_decoded() {
+    let resumed = Request {
+        received_tokens: 1_000,
+        ..request(200)
+    };
+    let new = Request {
+        received_tokens: 0,
+        ..resumed
+    };
+    let work = |engine: &Engine, request| work_to_prefill(engine, request);
+    let engine = decode_engine(0);
+    assert!(work(&engine, &resumed) >= work(&engine, &new) + 1_000);
+    let engine = prefill_engine(0);
+    assert_eq!(work(&engine, &resumed), work(&engine, &new));
+}
