Let a stream that has begun go on wherever there is a slot, however late

A stream that has begun was left without an engine if none could complete the rest in time, if the prompt would have delayed other answers, or if only the slots kept for short answers were free. New streams with the same needs can still be turned away; this one would lose what its caller has, and waiting only brings its deadline closer. These limits now decide where it goes while an engine keeps them; else it goes to the one that completes it first.

--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -69,6 +69,8 @@
     pub received_tokens: u64,
     /// Expected length of the rest of the answer.
     pub expected_output_tokens: u64,
+    /// Whether the answer has begun as a stream. Then it goes on wherever there is a slot, however late.
+    pub has_begun: bool,
     /// Time left to the latency objective. Not used by the decision.
     pub time_to_objective: Micros,
     /// Highest inter-token latency at which the rest of the answer meets its deadline, in microseconds.
@@ -171,6 +173,26 @@
     pub first_event_us: f64,
 }
 
+/// Which limits an engine must keep to take an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Limits {
+    /// All: it has a slot, the answer meets its deadline, and the answers that it decodes tolerate the prefill.
+    All,
+    /// Only that it has a slot.
+    Slots,
+}
+
+impl Limits {
+    /// Returns the limits of the last resort for a request.
+    fn weakest(request: &Request) -> Self {
+        if request.has_begun {
+            Self::Slots
+        } else {
+            Self::All
+        }
+    }
+}
+
 /// Why an engine can't take an answer.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display(rename_all = "kebab-case")]
@@ -188,20 +210,41 @@
 /// Returns why an engine can't prefill the prompt and decode the answer; `None` if it can.
 #[must_use]
 pub fn obstacle(engine: &Engine, request: &Request, weights: &Weights) -> Option<Obstacle> {
-    match decode_obstacle(engine, request, weights) {
-        None if !tolerates_prefill(engine, request, weights) => Some(Obstacle::Prefill),
+    obstacle_within(engine, request, weights, Limits::weakest(request))
+}
+
+fn obstacle_within(
+    engine: &Engine,
+    request: &Request,
+    weights: &Weights,
+    limits: Limits,
+) -> Option<Obstacle> {
+    let tolerates_prefill = limits == Limits::Slots || tolerates_prefill(engine, request, weights);
+    match decode_obstacle(engine, request, weights, limits) {
+        None if !tolerates_prefill => Some(Obstacle::Prefill),
         found => found,
     }
 }
 
-/// Chooses the placement of the lowest cost; `None` if no engine can take the request.
+/// Chooses the placement of the lowest cost; `None` if no engine can take the request. A stream that has begun
+/// and that no engine would complete in time goes to the one that completes it first.
 #[must_use]
 pub fn choose(engines: &[Engine], request: &Request, weights: &Weights) -> Option<Choice> {
+    let within = |limits| choose_within(engines, request, weights, limits);
+    within(Limits::All).or_else(|| within(Limits::weakest(request)))
+}
+
+fn choose_within(
+    engines: &[Engine],
+    request: &Request,
+    weights: &Weights,
+    limits: Limits,
+) -> Option<Choice> {
     let single = cheapest(engines, weights, |engine| {
-        let is_open = obstacle(engine, request, weights).is_none();
-        is_open.then(|| single_engine_cost(engine, request, weights))
+        let is_open = obstacle_within(engine, request, weights, limits).is_none();
+        is_open.then(|| single_engine_cost(engine, request, weights, limits))
     });
-    let split = cheapest_split(engines, request, weights);
+    let split = cheapest_split(engines, request, weights, limits);
     let single = single.map(|found| {
         let placement = Placement::Single {
             engine: found.engine,
@@ -235,6 +278,7 @@
     engines: &[Engine],
     request: &Request,
     weights: &Weights,
+    limits: Limits,
 ) -> Option<(Choice, f64)> {
     let splits = kv_groups(engines).into_iter().filter_map(|group| {
         let prefill = cheapest(engines, weights, |engine| {
@@ -242,9 +286,9 @@
             is_open.then(|| prefill_cost(engine, request, weights))
         })?;
         let decode = cheapest(engines, weights, |engine| {
-            let is_open =
-                engine.kv_group == group && decode_obstacle(engine, request, weights).is_none();
-            is_open.then(|| decode_cost(engine, request, weights))
+            let is_open = engine.kv_group == group
+                && decode_obstacle(engine, request, weights, limits).is_none();
+            is_open.then(|| decode_cost(engine, request, weights, limits))
         })?;
         let choice = Choice {
             placement: Placement::Split {
@@ -321,10 +365,13 @@
     request: &Request,
     weights: &Weights,
 ) -> Option<usize> {
-    let found = cheapest(engines, weights, |engine| {
-        let is_open = decode_obstacle(engine, request, weights).is_none();
-        is_open.then(|| decode_cost(engine, request, weights))
-    });
+    let within = |limits| {
+        cheapest(engines, weights, |engine| {
+            let is_open = decode_obstacle(engine, request, weights, limits).is_none();
+            is_open.then(|| decode_cost(engine, request, weights, limits))
+        })
+    };
+    let found = within(Limits::All).or_else(|| within(Limits::weakest(request)));
     found.map(|found| found.engine)
 }
 
@@ -346,8 +393,14 @@
 
 /// Returns why an engine can't decode the answer: it has no slot for it or, if the answer is long, would not
 /// complete it in time. An engine without long answers is assumed to.
-fn decode_obstacle(engine: &Engine, request: &Request, weights: &Weights) -> Option<Obstacle> {
-    let is_long = request.expected_output_tokens > weights.short_answer_max_tokens;
+fn decode_obstacle(
+    engine: &Engine,
+    request: &Request,
+    weights: &Weights,
+    limits: Limits,
+) -> Option<Obstacle> {
+    let is_long =
+        limits == Limits::All && request.expected_output_tokens > weights.short_answer_max_tokens;
     let max_slot_ratio = if is_long {
         weights.long_answer_max_slot_ratio
     } else {
@@ -471,7 +524,7 @@
 
 /// Returns the cost of decode, with the prompt prefilled elsewhere. The first event waits for the prompts that the
 /// engine prefills, and for the part of the answer that the caller has received.
-fn decode_cost(engine: &Engine, request: &Request, weights: &Weights) -> Cost {
+fn decode_cost(engine: &Engine, request: &Request, weights: &Weights, limits: Limits) -> Cost {
     let context_tokens = request.prompt_tokens + request.received_tokens;
     let received_us = to_f64(prompt::prefill_work(context_tokens, request.prompt_tokens))
         * engine.latency.prefill_token_us;
@@ -480,6 +533,7 @@
     Cost {
         duration_us,
         weighted_us: duration_us
+            + decode_us(engine, request, limits)
             + long_answer_penalty_us(engine, request, weights)
             + engine_penalty_us(engine, weights),
         tokens_to_prefill: 0,
@@ -487,7 +541,12 @@
 }
 
 /// Returns the cost of prefill and decode on one engine.
-fn single_engine_cost(engine: &Engine, request: &Request, weights: &Weights) -> Cost {
+fn single_engine_cost(
+    engine: &Engine,
+    request: &Request,
+    weights: &Weights,
+    limits: Limits,
+) -> Cost {
     let tokens_to_prefill = tokens_to_prefill(engine, request);
     let own_us = to_f64(work_to_prefill(engine, request)) * engine.latency.prefill_token_us;
     let ahead_us = to_f64(engine_work_ahead(engine)) * engine.latency.prefill_token_us;
@@ -502,6 +561,7 @@
     Cost {
         duration_us,
         weighted_us: duration_us
+            + decode_us(engine, request, limits)
             + interference_us
             + long_answer_penalty_us(engine, request, weights)
             + engine_penalty_us(engine, weights),
@@ -509,6 +569,15 @@
     }
 }
 
+/// Returns the time to decode the rest of an answer that no engine would complete in time. All that would do so count
+/// as equally fast.
+fn decode_us(engine: &Engine, request: &Request, limits: Limits) -> f64 {
+    match limits {
+        Limits::All => 0.0,
+        Limits::Slots => to_f64(request.expected_output_tokens) * engine.latency.decode_token_us,
+    }
+}
+
 /// Returns the penalty for decoding a long answer there: the prefill backlog, which delays it, and the
 /// cost of the first long answer on an engine. Zero for a short answer.
 fn long_answer_penalty_us(engine: &Engine, request: &Request, weights: &Weights) -> f64 {
--- a/components/policy/tests/place.rs
+++ b/components/policy/tests/place.rs
@@ -3,8 +3,8 @@
 use policy::{
     estimate::Latency,
     place::{
-        Deferred, Engine, Fetch, Placement, Request, Stage, Weights, choose, choose_deferred,
-        work_to_prefill,
+        Deferred, Engine, Fetch, Placement, Request, Stage, Weights, choose, choose_decode_engine,
+        choose_deferred, work_to_prefill,
     },
 };
 use proptest::prelude::*;
@@ -59,6 +59,7 @@
         prompt_tokens,
         received_tokens: 0,
         expected_output_tokens: 120,
+        has_begun: false,
         time_to_objective: 600_000,
         max_inter_token_latency_us: 50.0 * MS,
         service_max_inter_token_latency_us: 22.0 * MS,
@@ -306,12 +307,65 @@
     assert_eq!(deferred.map(|deferred| deferred.engine), Some(1));
 }
 
-#[test]
-fn the_received_part_of_an_answer_is_prefilled_where_the_rest_is_decoded() {
-    let resumed = Request {
+/// What remains of a stream whose deadline no engine here can meet: 1,000 tokens, at most 1 ms each.
+fn late_stream() -> Request {
+    Request {
         received_tokens: 1_000,
+        expected_output_tokens: 1_000,
+        has_begun: true,
+        max_inter_token_latency_us: MS,
         ..request(200)
+    }
+}
+
+fn busy_engine(answers: u64, decode_token_us: f64) -> Engine {
+    let latency = Latency {
+        decode_token_us,
+        ..decode_engine(0).latency
     };
+    Engine {
+        long_answers: answers,
+        latency,
+        ..decode_engine(answers)
+    }
+}
+
+#[test]
+fn a_stream_that_has_begun_goes_on_where_no_engine_would_complete_it_in_time() {
+    let engines = [busy_engine(20, 6.0 * MS), busy_engine(20, 4.0 * MS)];
+    let fastest = Some(Placement::Single { engine: 1 });
+    assert_eq!(chosen(&engines, &late_stream()), fastest);
+    let new = Request {
+        has_begun: false,
+        ..late_stream()
+    };
+    assert_eq!(chosen(&engines, &new), None);
+    assert_eq!(
+        choose_decode_engine(&engines, &late_stream(), &Weights::default()),
+        Some(1)
+    );
+}
+
+#[test]
+fn a_stream_that_has_begun_goes_to_an_engine_that_completes_it_in_time_if_there_is_one() {
+    let in_time = Request {
+        max_inter_token_latency_us: 5.0 * MS,
+        ..late_stream()
+    };
+    let engines = [busy_engine(20, 6.0 * MS), busy_engine(20, 4.0 * MS)];
+    let expected = Some(Placement::Single { engine: 1 });
+    assert_eq!(chosen(&engines, &in_time), expected);
+}
+
+#[test]
+fn a_stream_that_has_begun_takes_a_slot_that_is_left_to_short_answers_but_none_that_is_taken() {
+    assert!(chosen(&[busy_engine(50, 4.0 * MS)], &late_stream()).is_some());
+    assert_eq!(chosen(&[busy_engine(62, 4.0 * MS)], &late_stream()), None);
+}
+
+#[test]
+fn the_received_part_of_an_answer_is_prefilled_where_the_rest_is_decoded() {
+    let resumed = late_stream();
     let new = Request {
         received_tokens: 0,
         ..resumed
