Do not let one answer's need for speed bind all placements of its service for ever

One caller with a huge maximum or a short deadline kept other callers' long prompts from every engine that decodes long answers, until the gateway restarted: the smallest time for a token that any answer had ever needed was taken for what all need. Pace keeps what the last 64 long answers of a minute need, leaves out the most demanding eighth, at least one, and what engines do not achieve anyway.

--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -1,11 +1,12 @@
 //! Counters and learnt values of each service: its retry budget, the demand of its callers, and the latencies
 //! of its engines.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use parking_lot::Mutex;
 use policy::{
     estimate::{Latency, Margin, WaitFactor},
+    pace::Pace,
     retry::Window,
 };
 
@@ -60,9 +61,8 @@
     wait_factor: WaitFactor,
     /// Average latencies of its engines in each stage.
     latencies: Latencies,
-    /// The longest inter-token latency, in microseconds, with which every long answer so far could have met
-    /// its deadline.
-    max_inter_token_latency_us: f64,
+    /// The inter-token latencies that its recent long answers need.
+    pace: Pace,
     /// Requests that wait for a slot on any engine.
     queue: Arc<Queue>,
     /// Streams that have begun and prompts that have been prefilled, which wait for a slot on an engine of one build;
@@ -78,7 +78,7 @@
             margin: Margin::default(),
             wait_factor: WaitFactor::default(),
             latencies: Latencies::default(),
-            max_inter_token_latency_us: f64::MAX,
+            pace: Pace::default(),
             queue: Arc::default(),
             build_queues: Vec::new(),
         }
@@ -220,18 +220,20 @@
         own.plus(self.peers.demand(service))
     }
 
-    /// Records a long answer of at most `tokens` tokens that has to be finished within `time`.
-    pub fn record_long_answer(&self, service: &Arc<str>, tokens: u64, time: Duration) {
-        let latency = policy::to_f64(policy::micros(time)) / policy::to_f64(tokens.max(1));
+    /// Records a long answer that meets its deadline at inter-token latencies up to `needed_us` microseconds.
+    pub fn record_long_answer(&self, service: &Arc<str>, needed_us: f64) {
+        let now = self.micros();
         self.with_service(service, |state| {
-            state.max_inter_token_latency_us = state.max_inter_token_latency_us.min(latency);
+            let typical_us = state.latencies.decode.decode_token_us;
+            state.pace.observe(now, needed_us, typical_us);
         });
     }
 
-    /// The longest inter-token latency, in microseconds, with which every long answer so far could have met
-    /// its deadline.
+    /// Returns the highest inter-token latency, in microseconds, with which nearly all recent long answers of a
+    /// service meet their deadlines.
     pub fn max_inter_token_latency_us(&self, service: &Arc<str>) -> f64 {
-        self.with_service(service, |state| state.max_inter_token_latency_us)
+        let now = self.micros();
+        self.with_service(service, |state| state.pace.limit_us(now))
     }
 
     /// Returns the delay beyond the expected time to the first event, in microseconds, that few answers of a
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -396,18 +396,18 @@
 pub fn count_demand(job: &Job, snapshot: &Snapshot) {
     let gateway = &job.gateway;
     let service = &job.service.name;
-    let decode_tokens = if is_long_answer(job) {
-        placement_request(job).expected_output_tokens
-    } else {
-        0
-    };
+    let request = placement_request(job);
+    let is_long = is_long_answer(job);
     let demand = DemandTotals {
         prefill_work: snapshot.prefill_work(job),
-        decode_tokens,
+        decode_tokens: if is_long {
+            request.expected_output_tokens
+        } else {
+            0
+        },
     };
     gateway.count_demand(service, demand);
-    if let Some(prompt) = job.metadata.prompt.as_ref().filter(|_| is_long_answer(job)) {
-        let time = job.deadline - job.arrived;
-        gateway.record_long_answer(service, prompt.max_output_tokens, time);
+    if is_long {
+        gateway.record_long_answer(service, request.max_inter_token_latency_us);
     }
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fair;
 pub mod load;
 pub mod overload;
+pub mod pace;
 pub mod place;
 pub mod prefix_cache;
 pub mod prompt;
