Do not refuse a new answer for its maximum where nothing else is known of its length

Callers that permit 32,768 tokens as a habit and wait seconds were placed only at engines without long answers, and refused where there was none: the maximum was taken for the length. It is an upper bound and shows of no engine that it is too slow, so without a length hint the pace decides only where such an answer goes while an engine has it; else it goes to the one that would complete it first.

--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -365,6 +365,7 @@
         prompt_tokens: remainder.prompt_tokens,
         received_tokens: remainder.received_tokens,
         expected_output_tokens: remainder.expected_output_tokens,
+        has_length_hint: remainder.has_length_hint,
         has_begun: job.build().is_some(),
         time_to_objective: policy::micros(left),
         max_inter_token_latency_us: remainder
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -69,6 +69,9 @@
     pub received_tokens: u64,
     /// Expected length of the rest of the answer.
     pub expected_output_tokens: u64,
+    /// Whether the caller says how long the answer will be. If not, the expected length is an upper bound, which does not
+    /// show that an engine is too slow.
+    pub has_length_hint: bool,
     /// Whether the answer has begun as a stream. Then it goes on wherever there is a slot, however late.
     pub has_begun: bool,
     /// Time left to the latency objective. Not used by the decision.
@@ -178,6 +181,8 @@
 enum Limits {
     /// All: it has a slot, the answer meets its deadline, and the answers that it decodes tolerate the prefill.
     All,
+    /// All but that the answer meets its deadline.
+    WithoutPace,
     /// Only that it has a slot.
     Slots,
 }
@@ -185,10 +190,15 @@
 impl Limits {
     /// Returns the limits of the last resort for a request.
     fn weakest(request: &Request) -> Self {
-        if request.has_begun {
-            Self::Slots
-        } else {
-            Self::All
+        match request {
+            Request {
+                has_begun: true, ..
+            } => Self::Slots,
+            Request {
+                has_length_hint: false,
+                ..
+            } => Self::WithoutPace,
+            Request { .. } => Self::All,
         }
     }
 }
@@ -400,13 +410,14 @@
     limits: Limits,
 ) -> Option<Obstacle> {
     let is_long =
-        limits == Limits::All && request.expected_output_tokens > weights.short_answer_max_tokens;
+        limits != Limits::Slots && request.expected_output_tokens > weights.short_answer_max_tokens;
     let max_slot_ratio = if is_long {
         weights.long_answer_max_slot_ratio
     } else {
         weights.max_slot_ratio
     };
     let meets_deadline = !is_long
+        || limits == Limits::WithoutPace
         || engine.latency.decode_token_us
             <= request.max_inter_token_latency_us * weights.latency_limit_ratio
         || engine.long_answers == 0;
@@ -574,7 +585,9 @@
 fn decode_us(engine: &Engine, request: &Request, limits: Limits) -> f64 {
     match limits {
         Limits::All => 0.0,
-        Limits::Slots => to_f64(request.expected_output_tokens) * engine.latency.decode_token_us,
+        Limits::WithoutPace | Limits::Slots => {
+            to_f64(request.expected_output_tokens) * engine.latency.decode_token_us
+        }
     }
 }
 
--- a/components/policy/src/remainder.rs
+++ b/components/policy/src/remainder.rs
@@ -17,6 +17,9 @@
     pub received_tokens: u64,
     /// Expected length of the rest of the answer, at least one token.
     pub expected_output_tokens: u64,
+    /// Whether the caller says how long the answer will be. Otherwise its maximum is taken for its length, which many
+    /// callers set far too high.
+    pub has_length_hint: bool,
 }
 
 impl Remainder {
@@ -31,6 +34,7 @@
             prompt_tokens: prompt.tokens,
             received_tokens,
             expected_output_tokens: rest.max(overrun).min(limit).max(1),
+            has_length_hint: prompt.output_tokens_hint.is_some(),
         }
     }
 
--- a/components/policy/tests/place.rs
+++ b/components/policy/tests/place.rs
@@ -59,6 +59,7 @@
         prompt_tokens,
         received_tokens: 0,
         expected_output_tokens: 120,
+        has_length_hint: true,
         has_begun: false,
         time_to_objective: 600_000,
         max_inter_token_latency_us: 50.0 * MS,
@@ -346,6 +347,24 @@
     );
 }
 
+#[test]
+fn a_new_answer_is_held_to_its_deadline_only_if_its_length_is_known() {
+    let engines = [busy_engine(20, 6.0 * MS), busy_engine(20, 4.0 * MS)];
+    let new = Request {
+        received_tokens: 0,
+        has_begun: false,
+        ..late_stream()
+    };
+    let unknown = Request {
+        has_length_hint: false,
+        ..new
+    };
+    let fastest = Some(Placement::Single { engine: 1 });
+    assert_eq!(chosen(&engines, &new), None);
+    assert_eq!(chosen(&engines, &unknown), fastest);
+    assert_eq!(chosen(&[busy_engine(50, 4.0 * MS)], &unknown), None);
+}
+
 #[test]
 fn a_stream_that_has_begun_goes_to_an_engine_that_completes_it_in_time_if_there_is_one() {
     let in_time = Request {
