Do not split a resumed stream with a short prompt between two engines

A second engine saves nothing then, and costs a send of the retry budget. The test fails without the change (split chosen) and passes.

--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -254,7 +254,9 @@
         let is_open = obstacle_within(engine, request, weights, limits).is_none();
         is_open.then(|| single_engine_cost(engine, request, weights, limits))
     });
-    let split = cheapest_split(engines, request, weights, limits);
+    let split = split_may_pay(request, weights)
+        .then(|| cheapest_split(engines, request, weights, limits))
+        .flatten();
     let single = single.map(|found| {
         let placement = Placement::Single {
             engine: found.engine,
@@ -283,6 +285,12 @@
     }
 }
 
+/// Whether a second engine for the prompt may save anything. It does not if the prompt is short and the engine that
+/// decodes the rest of the answer must prefill what there is of it in any case.
+fn split_may_pay(request: &Request, weights: &Weights) -> bool {
+    request.received_tokens == 0 || request.prompt_tokens > weights.short_prompt_max_tokens
+}
+
 /// Returns the split placement of the lowest cost, and that cost. Both engines must be of one KV group.
 fn cheapest_split(
     engines: &[Engine],
--- a/components/policy/tests/place.rs
+++ b/components/policy/tests/place.rs
@@ -395,3 +395,15 @@
     let engine = prefill_engine(0);
     assert_eq!(work(&engine, &resumed), work(&engine, &new));
 }
+
+#[test]
+fn a_resumed_stream_with_a_short_prompt_is_not_split_between_engines() {
+    let resumed = Request {
+        received_tokens: 8_000,
+        max_inter_token_latency_us: 50.0 * MS,
+        ..late_stream()
+    };
+    let engines = [busy_engine(20, 4.0 * MS), prefill_engine(0)];
+    let single = Some(Placement::Single { engine: 0 });
+    assert_eq!(chosen(&engines, &resumed), single);
+}
