Hold resumptions until earlier builds are known, and learn them from peers

Callers resume their streams when a gateway has come back, and were refused at once as not known while new streams began there. A gateway that has just started has not read the rows of builds, so it can't tell that the only build listed began every stream; and it has not received the digests of its peers, so with several builds it asked nobody.

A resumption is now held as long as its build may become known, at most a quarter of its remaining time or four latency objectives, the bounds of a wait for room, and not beyond the time after which its caller leaves without an event. It ends early when the rows have been read, when a peer has the record, or when a read has failed and all asked peers have answered. In the first 250 ms of a process peers may be alive that it has not heard of, so an absent answer does not count then. Peers whose own knowledge is complete say which builds have served lately, also those of services with one, since the asking gateway's list may be older or newer than theirs. A gateway that learns nothing still binds nothing to the only build. Gateways of an earlier version ignore the new fields and are waited for no longer than the bound.

--- a/components/gateway/src/endpoint/builds.rs
+++ b/components/gateway/src/endpoint/builds.rs
@@ -45,6 +45,19 @@
         index.map_or_else(|_| Vec::new(), |index| counting(&services[index].1, now))
     }
 
+    /// Returns all services and builds that serve them or have lately.
+    #[must_use]
+    pub fn all(&self) -> Vec<(Arc<str>, Build)> {
+        let now = Instant::now();
+        let services = self.0.read();
+        let of_service = |(service, records): &(Arc<str>, Vec<Record>)| {
+            let service = Arc::clone(service);
+            let builds = counting(records, now).into_iter();
+            builds.map(move |build| (Arc::clone(&service), build))
+        };
+        services.iter().flat_map(of_service).collect()
+    }
+
     /// Returns the services that several builds serve or have served lately, with these builds.
     #[must_use]
     pub fn mixed(&self) -> Vec<(Arc<str>, Vec<Build>)> {
--- a/components/gateway/src/process/builds.rs
+++ b/components/gateway/src/process/builds.rs
@@ -6,6 +6,7 @@
 use cloud::table::{Row, Transaction};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::Gateway;
@@ -34,14 +35,61 @@
     }
 }
 
-/// The rows as this process knows them, sorted; `None` until they have been read.
-#[derive(Debug, Default)]
-pub struct StoredBuilds(Mutex<Option<Vec<StoredBuild>>>);
+/// What this process knows of the builds that served before it started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Knowledge {
+    /// The rows are yet to be read.
+    Pending,
+    /// The store did not answer; a later attempt may succeed.
+    Unavailable,
+    /// The rows have been read, or a peer has told all builds.
+    Complete,
+}
+
+/// The builds in the store.
+#[derive(Debug)]
+pub struct StoredBuilds {
+    /// The rows as this process knows them, sorted; `None` until they have been read.
+    rows: Mutex<Option<Vec<StoredBuild>>>,
+    knowledge: watch::Sender<Knowledge>,
+}
+
+impl Default for StoredBuilds {
+    fn default() -> Self {
+        Self {
+            rows: Mutex::default(),
+            knowledge: watch::Sender::new(Knowledge::Pending),
+        }
+    }
+}
 
 impl Gateway {
     /// Whether this process knows which builds served before it started.
     pub fn knows_earlier_builds(&self) -> bool {
-        self.stored_builds.0.lock().is_some()
+        *self.stored_builds.knowledge.borrow() == Knowledge::Complete
+    }
+
+    /// Returns what this process knows of the builds that served before it started, now and in future.
+    pub fn earlier_builds(&self) -> watch::Receiver<Knowledge> {
+        self.stored_builds.knowledge.subscribe()
+    }
+
+    /// Records that all builds that served before the start of this process are known.
+    pub fn record_earlier_builds_known(&self) {
+        self.stored_builds
+            .knowledge
+            .send_replace(Knowledge::Complete);
+    }
+
+    /// Records that the store did not answer a call that has to succeed before the rows are read.
+    pub fn record_earlier_builds_unavailable(&self) {
+        self.stored_builds.knowledge.send_if_modified(|knowledge| {
+            let was_pending = *knowledge == Knowledge::Pending;
+            if was_pending {
+                *knowledge = Knowledge::Unavailable;
+            }
+            was_pending
+        });
     }
 }
 
@@ -67,14 +115,15 @@
         log::info!(builds:? = stored; "builds that served earlier were read from the store");
     }
     stored.sort_unstable();
-    *gateway.stored_builds.0.lock() = Some(stored);
+    *gateway.stored_builds.rows.lock() = Some(stored);
+    gateway.record_earlier_builds_known();
 }
 
 /// Keeps the rows up to date for the lifetime of the process, at the gateway that reads the lists first.
 pub async fn run(gateway: &Gateway) {
     loop {
         clock::sleep(CHECK_INTERVAL).await;
-        let Some(stored) = gateway.stored_builds.0.lock().clone() else {
+        let Some(stored) = gateway.stored_builds.rows.lock().clone() else {
             continue;
         };
         let wanted = wanted_rows(gateway);
@@ -116,7 +165,7 @@
     match outcome {
         Ok(_) => {
             log::info!(builds:? = wanted; "the builds that serve were written to the store");
-            *gateway.stored_builds.0.lock() = Some(wanted.to_vec());
+            *gateway.stored_builds.rows.lock() = Some(wanted.to_vec());
         }
         Err(error) => {
             log::warn!(error:%; "failed to write the builds that serve to the store; retrying");
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod usage;
 mod withheld;
 
+pub use builds::Knowledge;
 pub use crashes::Liveness;
 pub use follow::List;
 pub use service::{DemandTotals, RetryPermit};
@@ -237,6 +238,11 @@
         *self.shutdown.read()
     }
 
+    /// Returns the time since the start of the process.
+    pub fn uptime(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Returns the microseconds since the start of the process, for the policy's time-based decisions.
     pub fn micros(&self) -> policy::Micros {
         policy::micros(self.started.elapsed())
--- a/components/gateway/src/process/withheld.rs
+++ b/components/gateway/src/process/withheld.rs
@@ -72,6 +72,7 @@
         Ok(rows) => rows,
         Err(error) => {
             log::warn!(error:%; "failed to read the rows of earlier processes from the store");
+            gateway.record_earlier_builds_unavailable();
             clock::sleep(RETRY_DELAY).await;
             return None;
         }
--- a/components/gateway/src/request/resumption.rs
+++ b/components/gateway/src/request/resumption.rs
@@ -1,6 +1,8 @@
 //! Streams that their callers resume, after the connection or the gateway that brought the first part was lost.
 
-use derive_more::Display;
+use std::time::Duration;
+
+use clock::Instant;
 
 use super::{
     job::Job,
@@ -8,18 +10,14 @@
 };
 use crate::{
     endpoint::{Build, State},
+    streams::{Search, Source},
     version::Kind,
 };
 
-/// How it is known which build began a stream.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-#[display(rename_all = "kebab-case")]
-enum Source {
-    /// A record of this process or of a peer says so.
-    Record,
-    /// No other build has served the service lately.
-    OnlyBuild,
-}
+/// A resumption is held for this fraction (1/n) of its remaining time at most, as are requests that wait for room.
+const WAIT_DIVISOR: u32 = 4;
+/// The longest time for which a resumption is held, as a multiple of the latency objective.
+const MAX_WAIT_OBJECTIVES: u32 = 4;
 
 /// Binds a request that resumes a stream to the build that began the stream.
 ///
@@ -74,22 +72,23 @@
         .then(|| metadata.resume_after.unwrap_or_default())
 }
 
-/// Returns the build that began the stream, or `None` if that is not certain.
+/// Returns the build that began the stream, or `None` if that is not certain. Waits for what may still become known.
 async fn find_build(job: &Job) -> Option<(Build, Source)> {
-    let gateway = &job.gateway;
-    let key = job.stream_key();
     let is_named = job.metadata.resumes.is_some();
-    let known = gateway.known_stream(key).filter(|_| is_named);
-    let builds = gateway.registry.builds().of(&job.service.name);
-    match (known, builds.as_slice()) {
-        (Some(begun), _) => begun.build().map(|build| (build, Source::Record)),
-        (None, [only]) if gateway.knows_earlier_builds() => Some((only.clone(), Source::OnlyBuild)),
-        (None, _) if is_named => {
-            let begun = gateway.find_stream(key, &job.metadata.id).await?;
-            begun.build().map(|build| (build, Source::Record))
-        }
-        (None, _) => None,
-    }
+    let search = Search {
+        gateway: &job.gateway,
+        service: &job.service.name,
+        key: is_named.then(|| job.stream_key()),
+    };
+    let until = Instant::now() + max_wait(job);
+    search.run(&job.metadata.id, until).await
+}
+
+/// Returns how long a resumption may be held until the build that began its stream is known.
+fn max_wait(job: &Job) -> Duration {
+    (job.time_left() / WAIT_DIVISOR)
+        .min(job.route.objective * MAX_WAIT_OBJECTIVES)
+        .min(job.first_event_timeout())
 }
 
 /// Whether an endpoint of a build may take the stream, at once or later.
--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -10,15 +10,17 @@
 use parking_lot::Mutex;
 use prost::Message;
 use tokio::{net::UdpSocket, sync::Notify};
-use wire::{Digest, StreamExchange, StreamRecord};
+use wire::{Digest, RecentBuilds, ServiceBuild, StreamExchange, StreamRecord};
 
-use super::{Begun, Key, MAX_LIFETIME, table::Record};
+use super::{Begun, Key, MAX_LIFETIME, question::Subject, table::Record};
 use crate::{endpoint::Build, process::Gateway};
 
 /// Maximum number of items in a datagram, so that it usually fits into a packet.
 const MAX_ITEMS: usize = 32;
 /// Maximum number of items that wait to be sent. Records beyond them are sent later, questions are asked again.
 const MAX_PENDING: usize = 8_192;
+/// Maximum number of builds in a datagram. A gateway that knows more does not answer which ones have served.
+const MAX_BUILDS: usize = 256;
 /// How long items are collected before they are sent: far less than a caller takes to come back.
 const BATCH_DELAY: Duration = Duration::from_millis(2);
 
@@ -27,10 +29,12 @@
 pub enum Item {
     /// A stream that this process knows.
     Known(Record),
-    /// A stream that this process asks for.
-    Ask(Key),
+    /// What this process asks for.
+    Ask(Subject),
     /// A stream that the peer asked for and this process does not know.
     Unknown(Key),
+    /// The builds that have served lately, as far as this process knows.
+    Builds,
 }
 
 /// Items that wait to be sent.
@@ -88,8 +92,10 @@
     for (_, item) in items {
         match item {
             Item::Known(record) => streams.known.push(encode_record(record, now)),
-            Item::Ask(key) => streams.asked.push(key.0),
+            Item::Ask(Subject::Stream(key)) => streams.asked.push(key.0),
+            Item::Ask(Subject::Builds) => streams.asks_builds = true,
             Item::Unknown(key) => streams.unknown.push(key.0),
+            Item::Builds => streams.builds = Some(encode_builds(gateway)),
         }
     }
     Digest {
@@ -100,6 +106,36 @@
     }
 }
 
+fn encode_builds(gateway: &Gateway) -> RecentBuilds {
+    let builds = gateway.registry.builds().all();
+    if !gateway.knows_earlier_builds() || builds.len() > MAX_BUILDS {
+        return RecentBuilds::default();
+    }
+    let builds = builds.into_iter().map(|(service, build)| ServiceBuild {
+        service: service.to_string(),
+        build: build.to_string(),
+    });
+    RecentBuilds {
+        complete: true,
+        builds: builds.collect(),
+    }
+}
+
+/// Takes over which builds have served lately from a peer that knows all of them.
+fn apply_builds(gateway: &Gateway, peer: SocketAddr, recent: &RecentBuilds) {
+    if recent.complete && !gateway.knows_earlier_builds() {
+        for earlier in &recent.builds {
+            let build = Build(Arc::from(earlier.build.as_str()));
+            let builds = gateway.registry.builds();
+            builds.record_earlier(&earlier.service, build);
+        }
+        log::info!(peer:%, builds:? = recent.builds; "a peer knows which builds have served lately");
+        gateway.record_earlier_builds_known();
+    }
+    let questions = &gateway.streams.questions;
+    questions.record_unknown(Subject::Builds, peer);
+}
+
 fn encode_record(record: &Record, now: Instant) -> StreamRecord {
     let left = record.expires.saturating_duration_since(now);
     StreamRecord {
@@ -136,7 +172,11 @@
         gateway.count_dropped_stream(dropped);
     }
     for key in streams.unknown.iter().take(MAX_ITEMS) {
-        gateway.streams.questions.record_unknown(Key(*key), peer);
+        let subject = Subject::Stream(Key(*key));
+        gateway.streams.questions.record_unknown(subject, peer);
+    }
+    if let Some(recent) = &streams.builds {
+        apply_builds(gateway, peer, recent);
     }
     gateway.streams.questions.notify();
     let answers = streams.asked.iter().take(MAX_ITEMS).map(|key| {
@@ -144,7 +184,9 @@
         let known = gateway.streams.table.get(key, now);
         (peer, known.map_or(Item::Unknown(key), Item::Known))
     });
-    if !streams.asked.is_empty() && !gateway.streams.outbox.push(answers) {
+    let builds = streams.asks_builds.then_some((peer, Item::Builds));
+    let is_question = streams.asks_builds || !streams.asked.is_empty();
+    if is_question && !gateway.streams.outbox.push(answers.chain(builds)) {
         log::info!(peer:%; "too much waits to be sent; a question about streams is not answered");
     }
 }
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -1,10 +1,11 @@
 //! The builds that began streams, known by a few gateways each, so that a caller can resume its stream at any gateway.
 //!
-//! [`table`] holds the records, [`exchange`] replicates and queries them. As long as one build serves each service, every
+//! [`table`] holds the records, [`exchange`] replicates and queries them, [`search`] finds the build of a stream. As long as one build serves each service, every
 //! gateway keeps only the records of its own streams and sends nothing. See `docs/DESIGN.md#streams-and-builds`.
 
 mod exchange;
 mod question;
+mod search;
 mod table;
 #[cfg(test)]
 mod tests;
@@ -20,18 +21,12 @@
 use table::{Record, Table};
 
 pub use exchange::{apply, run};
+pub use search::{Search, Source};
 
 /// Number of peers that hold a copy of a record, besides the gateway that made it.
 const COPIES: usize = 2;
 /// How often a copy is sent, as datagrams may be lost.
 const SENDS: u32 = 2;
-/// Number of peers that are asked for a stream. More than [`COPIES`], since gateways may differ in which peers they
-/// take to be alive.
-const ASKED_PEERS: usize = 8;
-/// How long to wait for peers' answers: several round trips between data centres.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
-/// After this time the peers that have not answered are asked again, as datagrams may be lost.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(40);
 /// The longest time for which a record is kept, whatever deadline the caller states.
 const MAX_LIFETIME: Duration = Duration::from_secs(300);
 
@@ -61,16 +56,6 @@
     Ambiguous,
 }
 
-impl Begun {
-    /// Returns the build, if it is known.
-    pub fn build(self) -> Option<Build> {
-        match self {
-            Self::At(build) => Some(build),
-            Self::Ambiguous => None,
-        }
-    }
-}
-
 /// What this process knows of streams.
 #[derive(Debug, Default)]
 pub struct Streams {
@@ -97,47 +82,6 @@
         record.map(|record| record.begun)
     }
 
-    /// Returns the build that began a stream; `None` if neither this process nor the peers that answer know it.
-    pub async fn find_stream(&self, key: Key, request: &str) -> Option<Begun> {
-        if let Some(begun) = self.known_stream(key) {
-            return Some(begun);
-        }
-        let started = Instant::now();
-        let peers = self.peers.ranked(key.0, ASKED_PEERS);
-        let asked = peers.len();
-        let question = self.streams.questions.ask(key, peers);
-        let begun = clock::timeout(ANSWER_TIMEOUT, self.wait_for_answer(key, &question)).await;
-        log::info!(
-            request, asked, unanswered = question.unanswered().len(), found:? = begun,
-            took_us = policy::micros(started.elapsed());
-            "peers were asked which build began a stream"
-        );
-        begun.ok().flatten()
-    }
-
-    /// Waits until a peer has sent the record of a stream, or all have answered that they have none.
-    async fn wait_for_answer(&self, key: Key, question: &question::Question<'_>) -> Option<Begun> {
-        loop {
-            let unanswered = question.unanswered();
-            self.streams
-                .outbox
-                .push(unanswered.iter().map(|peer| (*peer, Item::Ask(key))));
-            let repeat_at = Instant::now() + REPEAT_INTERVAL;
-            loop {
-                let changed = self.streams.questions.changed();
-                if let Some(begun) = self.known_stream(key) {
-                    return Some(begun);
-                }
-                if question.unanswered().is_empty() {
-                    return None;
-                }
-                if clock::timeout_at(repeat_at, changed).await.is_err() {
-                    break;
-                }
-            }
-        }
-    }
-
     /// Sends the records of this process's own streams to the peers that should hold copies and have none, and forgets
     /// some that have expired. Called often: peers come, go and restart without their records.
     pub fn maintain_streams(&self) {
--- a/components/gateway/src/streams/question.rs
+++ b/components/gateway/src/streams/question.rs
@@ -7,6 +7,15 @@
 
 use super::Key;
 
+/// What peers are asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// Which build began the streams with this key.
+    Stream(Key),
+    /// Which builds have served lately.
+    Builds,
+}
+
 /// The open questions.
 #[derive(Debug, Default)]
 pub struct Questions {
@@ -20,8 +29,10 @@
 #[derive(Debug)]
 struct Open {
     number: u64,
-    key: Key,
-    /// Peers that have not answered.
+    subject: Subject,
+    /// Peers that have been asked.
+    asked: Vec<SocketAddr>,
+    /// Those of them that have not answered.
     unanswered: Vec<SocketAddr>,
 }
 
@@ -33,8 +44,8 @@
 }
 
 impl Questions {
-    /// Opens a question to peers.
-    pub fn ask(&self, key: Key, peers: Vec<SocketAddr>) -> Question<'_> {
+    /// Opens a question, to nobody as yet.
+    pub fn open(&self, subject: Subject) -> Question<'_> {
         let number = {
             let mut count = self.count.lock();
             *count += 1;
@@ -42,8 +53,9 @@
         };
         self.open.lock().push(Open {
             number,
-            key,
-            unanswered: peers,
+            subject,
+            asked: Vec::new(),
+            unanswered: Vec::new(),
         });
         Question {
             questions: self,
@@ -51,10 +63,11 @@
         }
     }
 
-    /// Records that a peer does not know a stream.
-    pub fn record_unknown(&self, key: Key, from: SocketAddr) {
+    /// Records that a peer does not know the answer.
+    pub fn record_unknown(&self, subject: Subject, from: SocketAddr) {
         let mut open = self.open.lock();
-        for question in open.iter_mut().filter(|question| question.key == key) {
+        let about_it = |question: &&mut Open| question.subject == subject;
+        for question in open.iter_mut().filter(about_it) {
             question.unanswered.retain(|peer| *peer != from);
         }
     }
@@ -71,12 +84,34 @@
 }
 
 impl Question<'_> {
+    /// Asks peers, besides those that have been asked already.
+    pub fn ask(&self, peers: &[SocketAddr]) {
+        let mut open = self.questions.open.lock();
+        let own = open.iter_mut().find(|open| open.number == self.number);
+        let Some(own) = own else {
+            return;
+        };
+        for peer in peers {
+            if !own.asked.contains(peer) {
+                own.asked.push(*peer);
+                own.unanswered.push(*peer);
+            }
+        }
+    }
+
     /// Returns the peers that have not answered.
     pub fn unanswered(&self) -> Vec<SocketAddr> {
         let open = self.questions.open.lock();
         let own = open.iter().find(|question| question.number == self.number);
         own.map_or_else(Vec::new, |question| question.unanswered.clone())
     }
+
+    /// Returns the number of peers that have been asked.
+    pub fn asked(&self) -> usize {
+        let open = self.questions.open.lock();
+        let own = open.iter().find(|question| question.number == self.number);
+        own.map_or(0, |question| question.asked.len())
+    }
 }
 
 impl Drop for Question<'_> {
--- /dev/null
+++ b/components/gateway/src/streams/search.rs
@@ -0,0 +1,173 @@
+//! Finds the build that began a stream which a caller resumes.
+//!
+//! A process that has just started, or whose peers are busy, learns it late. As long as it may still be learnt the caller
+//! waits; it is refused at once when nobody is left who may know.
+
+use std::time::Duration;
+
+use clock::Instant;
+use derive_more::Display;
+
+use super::{
+    Begun, Key,
+    exchange::Item,
+    question::{Question, Subject},
+};
+use crate::{
+    endpoint::Build,
+    process::{Gateway, Knowledge},
+};
+
+/// Number of peers that are asked. More than hold copies, since gateways may differ in which peers they take to be alive.
+const ASKED_PEERS: usize = 8;
+/// How long to wait for peers' answers: several round trips between data centres.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// After this time the peers that have not answered are asked again, as datagrams may be lost. Doubled each time once all
+/// live peers are known, since a slow peer has to handle all questions.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(40);
+/// Time from the start of the process in which it receives the first digest of each live peer: two heartbeat intervals, its
+/// own and the peer's, and a margin for delays.
+const DISCOVERY_PERIOD: Duration = Duration::from_millis(250);
+
+/// How it is known which build began a stream.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "kebab-case")]
+pub enum Source {
+    /// A record of this process or of a peer says so.
+    Record,
+    /// No other build has served the service lately.
+    OnlyBuild,
+}
+
+/// A search for the build that began a stream.
+#[derive(Clone, Copy)]
+pub struct Search<'a> {
+    /// The process.
+    pub gateway: &'a Gateway,
+    /// The service of the stream.
+    pub service: &'a str,
+    /// The key of the stream, if the caller names it.
+    pub key: Option<Key>,
+}
+
+/// What peers are asked during a search.
+struct Questions<'a> {
+    stream: Option<Question<'a>>,
+    builds: Question<'a>,
+}
+
+impl Search<'_> {
+    /// Returns the build, or `None` if it is not certain by `until` or will not be.
+    pub async fn run(&self, request: &str, until: Instant) -> Option<(Build, Source)> {
+        if let Some(known) = self.known() {
+            return known.ok();
+        }
+        let started = Instant::now();
+        let open = |subject| self.gateway.streams.questions.open(subject);
+        let questions = Questions {
+            stream: self.key.map(|key| open(Subject::Stream(key))),
+            builds: open(Subject::Builds),
+        };
+        let found = clock::timeout_at(until, self.learn(&questions)).await;
+        let asked = |question: &Question<'_>| (question.asked(), question.unanswered().len());
+        log::info!(
+            request, stream_asked_unanswered:? = questions.stream.as_ref().map(asked),
+            builds_asked_unanswered:? = asked(&questions.builds), found:?,
+            earlier_builds:? = *self.gateway.earlier_builds().borrow(),
+            took_us = policy::micros(started.elapsed());
+            "searched for the build that began a stream"
+        );
+        found.ok().flatten()
+    }
+
+    /// Waits until the build is known, or nobody is left who may know it.
+    async fn learn(&self, questions: &Questions<'_>) -> Option<(Build, Source)> {
+        let answer_until = Instant::now() + ANSWER_TIMEOUT;
+        let mut earlier_builds = self.gateway.earlier_builds();
+        let mut interval = REPEAT_INTERVAL;
+        loop {
+            self.ask(questions);
+            let repeat_at = Instant::now() + interval;
+            if !self.is_discovering() {
+                interval *= 2;
+            }
+            loop {
+                let answered = self.gateway.streams.questions.changed();
+                if let Some(known) = self.known() {
+                    return known.ok();
+                }
+                if !self.may_learn(questions, answer_until) {
+                    return None;
+                }
+                let changed = async {
+                    tokio::select! {
+                        () = answered => {}
+                        // the sender lives as long as the process
+                        _ = earlier_builds.changed() => {}
+                    }
+                };
+                if clock::timeout_at(repeat_at, changed).await.is_err() {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Returns what this process knows now: the build, or that it can't be told. `None` if more may become known.
+    fn known(&self) -> Option<Result<(Build, Source), ()>> {
+        let record = self.key.and_then(|key| self.gateway.known_stream(key));
+        match (record, self.builds().as_slice()) {
+            (Some(Begun::At(build)), _) => Some(Ok((build, Source::Record))),
+            (Some(Begun::Ambiguous), _) => Some(Err(())),
+            (None, [only]) if self.gateway.knows_earlier_builds() => {
+                Some(Ok((only.clone(), Source::OnlyBuild)))
+            }
+            (None, _) => None,
+        }
+    }
+
+    /// Whether the build may still become known.
+    fn may_learn(&self, questions: &Questions<'_>, answer_until: Instant) -> bool {
+        let is_discovering = self.is_discovering();
+        let may_answer =
+            |question: &Question<'_>| is_discovering || !question.unanswered().is_empty();
+        let may_answer_in_time =
+            |question| is_discovering || (Instant::now() < answer_until && may_answer(question));
+        let may_learn_builds = match *self.gateway.earlier_builds().borrow() {
+            _ if self.builds().len() > 1 => false,
+            Knowledge::Pending => true,
+            Knowledge::Unavailable => may_answer(&questions.builds),
+            Knowledge::Complete => false,
+        };
+        may_learn_builds || questions.stream.as_ref().is_some_and(may_answer_in_time)
+    }
+
+    /// Asks the peers that may know more and have not answered.
+    fn ask(&self, questions: &Questions<'_>) {
+        let key = self.key.map_or(self.gateway.incarnation, |key| key.0);
+        let peers = self.gateway.peers.ranked(key, ASKED_PEERS);
+        if let (Some(question), Some(key)) = (&questions.stream, self.key) {
+            question.ask(&peers);
+            self.send(question, Subject::Stream(key));
+        }
+        if !self.gateway.knows_earlier_builds() && self.builds().len() == 1 {
+            questions.builds.ask(&peers);
+            self.send(&questions.builds, Subject::Builds);
+        }
+    }
+
+    fn send(&self, question: &Question<'_>, subject: Subject) {
+        let unanswered = question.unanswered();
+        let items = unanswered.iter().map(|peer| (*peer, Item::Ask(subject)));
+        self.gateway.streams.outbox.push(items);
+    }
+
+    /// Whether live peers may not have been heard of as yet.
+    fn is_discovering(&self) -> bool {
+        self.gateway.uptime() < DISCOVERY_PERIOD
+    }
+
+    fn builds(&self) -> Vec<Build> {
+        self.gateway.registry.builds().of(self.service)
+    }
+}
