Wait longer for peers that may know which build began a stream

A resumption was refused while several builds served if the peer that knew the stream took longer than 100 ms to answer, as gateways with a part of a processor or many questions do. The silence of a peer was taken for an answer.

Peers that have not answered are now waited for as long as a resumption may be held, and asked again at growing intervals. It is refused at once only when all that were asked have said that they don't know.

Evidence: a_stream_goes_on_though_the_peer_that_knows_it_answers_late got 503 before and passes; the tests of restarts, resumptions and builds pass, among them those that bound the time of a refusal.

--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -20,8 +20,6 @@
 
 /// Number of peers that are asked. More than hold copies, since gateways may differ in which peers they take to be alive.
 const ASKED_PEERS: usize = 8;
-/// How long to wait for peers' answers: several round trips between data centres.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// After this time the peers that have not answered are asked again, as datagrams may be lost. Doubled each time once all
 /// live peers are known, since a slow peer has to handle all questions.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(40);
@@ -82,7 +80,6 @@
 
     /// Waits until the build is known, or nobody is left who may know it.
     async fn learn(&self, questions: &Questions<'_>) -> Option<(Build, Source)> {
-        let answer_until = Instant::now() + ANSWER_TIMEOUT;
         let mut earlier_builds = self.gateway.earlier_builds();
         let mut interval = REPEAT_INTERVAL;
         loop {
@@ -96,7 +93,7 @@
                 if let Some(known) = self.known() {
                     return known.ok();
                 }
-                if !self.may_learn(questions, answer_until) {
+                if !self.may_learn(questions) {
                     return None;
                 }
                 let changed = async {
@@ -127,19 +124,17 @@
     }
 
     /// Whether the build may still become known.
-    fn may_learn(&self, questions: &Questions<'_>, answer_until: Instant) -> bool {
+    fn may_learn(&self, questions: &Questions<'_>) -> bool {
         let is_discovering = self.is_discovering();
         let may_answer =
             |question: &Question<'_>| is_discovering || !question.unanswered().is_empty();
-        let may_answer_in_time =
-            |question| is_discovering || (Instant::now() < answer_until && may_answer(question));
         let may_learn_builds = match *self.gateway.earlier_builds().borrow() {
             _ if self.builds().len() > 1 => false,
             Knowledge::Pending => true,
             Knowledge::Unavailable => may_answer(&questions.builds),
             Knowledge::Complete => false,
         };
-        may_learn_builds || questions.stream.as_ref().is_some_and(may_answer_in_time)
+        may_learn_builds || questions.stream.as_ref().is_some_and(may_answer)
     }
 
     /// Asks the peers that may know more and have not answered.
