Take over records of streams whose gateway is gone

Callers were refused as not known although engines of their build served, after the gateway of their stream had been killed and its peers had restarted one after the other. Only that gateway sent copies to peers that had none, so each restart lost a copy for good.

A peer that holds a record keeps which incarnation sent it. When that is no longer alive, the peer sends the copies itself, as if the record were of its own caller. At most both holders do: four items of a datagram, twice, for each stream of the gateway that is gone, within the bounds of the outbox.

Evidence: records_outlive_their_gateway_and_then_the_peers_that_held_them got 503 before and passes; the tests of restarts, resumptions, builds and of the table pass. The tests of the table name the owner of a record where they had a boolean; what they assert is the same.

--- a/components/gateway/src/peer/ranking.rs
+++ b/components/gateway/src/peer/ranking.rs
@@ -12,6 +12,8 @@
 pub struct Ranking {
     /// Their addresses and incarnations.
     peers: Vec<(SocketAddr, u64)>,
+    /// The incarnations alone, sorted.
+    incarnations: Vec<u64>,
 }
 
 impl Peers {
@@ -20,8 +22,14 @@
         let now = Instant::now();
         let known = self.known.lock();
         let alive = known.iter().filter(|peer| peer.is_alive(now));
+        let peers: Vec<(SocketAddr, u64)> =
+            alive.map(|peer| (peer.address, peer.incarnation)).collect();
+        let mut incarnations: Vec<u64> =
+            peers.iter().map(|(_, incarnation)| *incarnation).collect();
+        incarnations.sort_unstable();
         Ranking {
-            peers: alive.map(|peer| (peer.address, peer.incarnation)).collect(),
+            peers,
+            incarnations,
         }
     }
 
@@ -42,6 +50,11 @@
         self.peers.is_empty()
     }
 
+    /// Whether a peer of this incarnation is alive.
+    pub fn has_incarnation(&self, incarnation: u64) -> bool {
+        self.incarnations.binary_search(&incarnation).is_ok()
+    }
+
     /// Returns the first peers for a key, by their index, the highest rank first.
     pub fn first(&self, key: u64, count: usize) -> Vec<usize> {
         let mut ranked: Vec<(u64, usize)> = self
--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -12,7 +12,11 @@
 use tokio::{net::UdpSocket, sync::Notify};
 use wire::{Digest, RecentBuilds, ServiceBuild, StreamExchange, StreamRecord};
 
-use super::{Begun, Key, MAX_LIFETIME, question::Subject, table::Record};
+use super::{
+    Begun, Key, MAX_LIFETIME,
+    question::Subject,
+    table::{Owner, Record},
+};
 use crate::{endpoint::Build, process::Gateway};
 
 /// Maximum number of items in a datagram, so that it usually fits into a packet.
@@ -159,6 +163,7 @@
         return;
     }
     let now = Instant::now();
+    let owner = Owner::Peer(digest.incarnation);
     for record in streams.known.iter().take(MAX_ITEMS) {
         let begun = match record.build.as_str() {
             "" => Begun::Ambiguous,
@@ -168,7 +173,7 @@
         let dropped = gateway
             .streams
             .table
-            .record(Key(record.key), begun, now + left, false);
+            .record(Key(record.key), begun, now + left, owner);
         gateway.count_dropped_stream(dropped);
     }
     for key in streams.unknown.iter().take(MAX_ITEMS) {
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -18,7 +18,7 @@
 use crate::{endpoint::Build, process::Gateway};
 use exchange::{Item, Outbox};
 use question::Questions;
-use table::{Record, Table};
+use table::{Owner, Record, Table};
 
 pub use exchange::{apply, run};
 pub use search::{Search, Source};
@@ -69,7 +69,7 @@
     pub fn record_stream(&self, key: Key, build: &Build, expires: Instant) {
         let expires = expires.min(Instant::now() + MAX_LIFETIME);
         let begun = Begun::At(build.clone());
-        let dropped = self.streams.table.record(key, begun, expires, true);
+        let dropped = self.streams.table.record(key, begun, expires, Owner::This);
         self.count_dropped_stream(dropped);
         if self.registry.builds().is_mixed() {
             self.replicate_streams(Instant::now(), Some(key));
@@ -82,8 +82,8 @@
         record.map(|record| record.begun)
     }
 
-    /// Sends the records of this process's own streams to the peers that should hold copies and have none, and forgets
-    /// some that have expired. Called often: peers come, go and restart without their records.
+    /// Sends the records that this process owns to the peers that should hold copies and have none, and forgets some that
+    /// have expired. Called often: peers come, go and restart without their records.
     pub fn maintain_streams(&self) {
         let now = Instant::now();
         self.streams.table.evict_expired(now);
@@ -94,13 +94,19 @@
         }
     }
 
-    /// Sends records of this process's own streams to peers, either that of `only` or all.
+    /// Sends records that this process owns to peers, either that of `only` or all. Takes over those whose owner is gone,
+    /// since nobody else would replace their copies.
     fn replicate_streams(&self, now: Instant, only: Option<Key>) {
         let ranking = self.peers.ranking();
         if ranking.is_empty() {
             return;
         }
         let replicate = |record: &mut Record| {
+            match record.owner {
+                Owner::Peer(incarnation) if ranking.has_incarnation(incarnation) => return,
+                Owner::Peer(_) => record.take_over(),
+                Owner::This => {}
+            }
             let holders = ranking.first(record.key.0, COPIES);
             let token = ranking.token(&holders);
             if record.sent_to != token {
@@ -117,7 +123,7 @@
                 record.sent += 1;
             }
         };
-        self.streams.table.for_each_own(now, only, replicate);
+        self.streams.table.for_each(now, only, replicate);
     }
 
     fn count_dropped_stream(&self, dropped: bool) {
--- a/components/gateway/src/streams/table.rs
+++ b/components/gateway/src/streams/table.rs
@@ -12,6 +12,15 @@
 /// Maximum number of records in a shard; 65,536 in the table, about 6 MB.
 const MAX_RECORDS_PER_SHARD: usize = 1_024;
 
+/// Who sends the copies of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// This process.
+    This,
+    /// The peer of this incarnation, which sent the record.
+    Peer(u64),
+}
+
 /// A stream and the build that began it.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -19,8 +28,8 @@
     pub begun: Begun,
     /// Until when its caller may resume it.
     pub expires: Instant,
-    /// Whether it is of this process's own callers, so that this process sends the copies.
-    pub is_own: bool,
+    /// Who sends the copies: the process whose caller began the stream, or one that has taken the record over.
+    pub owner: Owner,
     /// The peers that have been sent a copy; zero for none.
     pub sent_to: u64,
     /// How often they have been sent it.
@@ -48,12 +57,12 @@
 
 impl Table {
     /// Adds a record, or merges it with the one of the same key. Returns whether another one had to be dropped.
-    pub fn record(&self, key: Key, begun: Begun, expires: Instant, is_own: bool) -> bool {
+    pub fn record(&self, key: Key, begun: Begun, expires: Instant, owner: Owner) -> bool {
         let now = Instant::now();
         let mut shard = self.shard(key).lock();
         let index = match shard.binary_search_by_key(&key, |record| record.key) {
             Ok(index) if shard[index].expires > now => {
-                shard[index].merge(&begun, expires, is_own);
+                shard[index].merge(&begun, expires, owner);
                 return false;
             }
             // the id is used again for another stream
@@ -69,7 +78,7 @@
                 key,
                 begun,
                 expires,
-                is_own,
+                owner,
                 sent_to: 0,
                 sent: 0,
             },
@@ -86,18 +95,18 @@
             .cloned()
     }
 
-    /// Calls a function for the records of this process's own streams, either that of `only` or all.
-    pub fn for_each_own(&self, now: Instant, only: Option<Key>, mut f: impl FnMut(&mut Record)) {
+    /// Calls a function for the records, either that of `only` or all.
+    pub fn for_each(&self, now: Instant, only: Option<Key>, mut f: impl FnMut(&mut Record)) {
         let shards = match only {
             Some(key) => std::slice::from_ref(self.shard(key)),
             None => &self.shards,
         };
         for shard in shards {
             let mut records = shard.lock();
-            let own = records.iter_mut().filter(|record| {
-                record.is_own && record.expires > now && only.is_none_or(|key| key == record.key)
-            });
-            own.for_each(&mut f);
+            let chosen = records
+                .iter_mut()
+                .filter(|record| record.expires > now && only.is_none_or(|key| key == record.key));
+            chosen.for_each(&mut f);
         }
     }
 
@@ -123,13 +132,21 @@
 }
 
 impl Record {
-    fn merge(&mut self, begun: &Begun, expires: Instant, is_own: bool) {
+    /// Makes this process send the copies, as if it had sent none.
+    pub fn take_over(&mut self) {
+        self.owner = Owner::This;
+        self.sent_to = 0;
+    }
+
+    fn merge(&mut self, begun: &Begun, expires: Instant, owner: Owner) {
         if self.begun != *begun {
             self.begun = Begun::Ambiguous;
             self.sent_to = 0;
         }
         self.expires = self.expires.max(expires);
-        self.is_own |= is_own;
+        if self.owner != Owner::This {
+            self.owner = owner;
+        }
     }
 }
 
--- a/components/gateway/src/streams/tests.rs
+++ b/components/gateway/src/streams/tests.rs
@@ -2,7 +2,10 @@
 
 use clock::Instant;
 
-use super::{Begun, Key, table::Table};
+use super::{
+    Begun, Key,
+    table::{Owner, Table},
+};
 use crate::endpoint::Build;
 
 const LIFETIME: Duration = Duration::from_secs(60);
@@ -26,7 +29,7 @@
     let mut dropped = 0;
     for n in 0..MANY {
         let expires = now + LIFETIME + Duration::from_millis(n);
-        dropped += usize::from(table.record(key(n), begun("v1"), expires, true));
+        dropped += usize::from(table.record(key(n), begun("v1"), expires, Owner::This));
     }
     assert!(table.len() <= MAX_RECORDS);
     assert_eq!(dropped + table.len(), usize::try_from(MANY).expect("few"));
@@ -38,13 +41,13 @@
 fn an_expired_record_is_neither_found_nor_merged() {
     let table = Table::default();
     let key = Key::new("engines", None, "r1");
-    table.record(key, begun("v1"), Instant::now(), true);
+    table.record(key, begun("v1"), Instant::now(), Owner::This);
     assert_eq!(find(&table, key), None);
-    table.record(key, begun("v2"), Instant::now() + LIFETIME, true);
+    table.record(key, begun("v2"), Instant::now() + LIFETIME, Owner::This);
     assert_eq!(find(&table, key), Some(begun("v2")));
-    table.record(key, begun("v2"), Instant::now() + LIFETIME, false);
+    table.record(key, begun("v2"), Instant::now() + LIFETIME, Owner::Peer(1));
     assert_eq!(find(&table, key), Some(begun("v2")));
-    table.record(key, begun("v1"), Instant::now() + LIFETIME, false);
+    table.record(key, begun("v1"), Instant::now() + LIFETIME, Owner::Peer(1));
     assert_eq!(find(&table, key), Some(Begun::Ambiguous));
 }
 
