Keep the streams of each gateway in the store while several builds serve

Which build began a stream was known to its gateway and two peers, in memory. When these were killed together while several builds served, every resumption was refused as not known though engines of its build served, and new streams began.

Each gateway now keeps one row with the keys and builds of the streams whose copies it sends, 14 bytes each. It is rewritten once a second if it has changed, only while several builds serve, and less often the more gateways there are, so that all use at most an eighth of the store's writes. A row has at most 48 KiB, those of all gateways 6 MiB; the streams that can be resumed for longest stay, the others are counted in wrenramp_streams_unsaved and logged. A gateway that starts reads the rows together with those of withheld requests and of builds, and holds resumptions until then. One of the same name goes on with its predecessor's streams as its own, so they stay in its row; those of other rows are only known, and nobody copies them. The first reader of the lists removes rows in which all streams have expired, if they have not changed meanwhile. Streams of the last interval before a kill are lost: they are refused.

--- a/components/gateway/src/peer/discovery.rs
+++ b/components/gateway/src/peer/discovery.rs
@@ -95,7 +95,7 @@
         Err(error) => {
             gateway.count_store_call("register", false);
             log::warn!(error:%; "failed to register this gateway; retrying");
-            gateway.record_earlier_builds_unavailable();
+            gateway.record_rows_unavailable();
             error == Error::OutcomeUnknown
         }
     }
@@ -117,7 +117,7 @@
         Err(error) => {
             gateway.count_store_call("peers", false);
             log::warn!(error:%; "failed to read the gateways' registration rows; retrying");
-            gateway.record_earlier_builds_unavailable();
+            gateway.record_rows_unavailable();
             return false;
         }
     };
--- a/components/gateway/src/process/builds.rs
+++ b/components/gateway/src/process/builds.rs
@@ -1,7 +1,13 @@
 //! Builds in the store. Gateways know in memory only which builds have served a service lately; after all of them were
 //! killed at once, the build that began a stream could be taken for the one that is left.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use cloud::table::{Row, Transaction};
 use parking_lot::Mutex;
@@ -35,15 +41,15 @@
     }
 }
 
-/// What this process knows of the builds that served before it started.
+/// Whether this process has read the rows of earlier processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Knowledge {
-    /// The rows are yet to be read.
+pub enum Rows {
+    /// They are yet to be read.
     Pending,
     /// The store did not answer; a later attempt may succeed.
     Unavailable,
-    /// The rows have been read, or a peer has told all builds.
-    Complete,
+    /// They have been read.
+    Read,
 }
 
 /// The builds in the store.
@@ -51,14 +57,18 @@
 pub struct StoredBuilds {
     /// The rows as this process knows them, sorted; `None` until they have been read.
     rows: Mutex<Option<Vec<StoredBuild>>>,
-    knowledge: watch::Sender<Knowledge>,
+    /// Whether the rows have been read, or a peer has told all builds.
+    is_complete: AtomicBool,
+    /// Changes whenever more has become known.
+    reading: watch::Sender<Rows>,
 }
 
 impl Default for StoredBuilds {
     fn default() -> Self {
         Self {
             rows: Mutex::default(),
-            knowledge: watch::Sender::new(Knowledge::Pending),
+            is_complete: AtomicBool::new(false),
+            reading: watch::Sender::new(Rows::Pending),
         }
     }
 }
@@ -66,34 +76,35 @@
 impl Gateway {
     /// Whether this process knows which builds served before it started.
     pub fn knows_earlier_builds(&self) -> bool {
-        *self.stored_builds.knowledge.borrow() == Knowledge::Complete
+        self.stored_builds.is_complete.load(Ordering::Relaxed)
     }
 
-    /// Returns what this process knows of the builds that served before it started, now and in future.
-    pub fn earlier_builds(&self) -> watch::Receiver<Knowledge> {
-        self.stored_builds.knowledge.subscribe()
+    /// Returns whether the rows of earlier processes have been read, now and in future. It changes also when the earlier
+    /// builds become known.
+    pub fn earlier_rows(&self) -> watch::Receiver<Rows> {
+        self.stored_builds.reading.subscribe()
     }
 
     /// Records that all builds that served before the start of this process are known.
     pub fn record_earlier_builds_known(&self) {
-        self.stored_builds
-            .knowledge
-            .send_replace(Knowledge::Complete);
+        let stored = &self.stored_builds;
+        stored.is_complete.store(true, Ordering::Relaxed);
+        stored.reading.send_modify(|_| {});
     }
 
     /// Records that the store did not answer a call that has to succeed before the rows are read.
-    pub fn record_earlier_builds_unavailable(&self) {
-        self.stored_builds.knowledge.send_if_modified(|knowledge| {
-            let was_pending = *knowledge == Knowledge::Pending;
+    pub fn record_rows_unavailable(&self) {
+        self.stored_builds.reading.send_if_modified(|reading| {
+            let was_pending = *reading == Rows::Pending;
             if was_pending {
-                *knowledge = Knowledge::Unavailable;
+                *reading = Rows::Unavailable;
             }
             was_pending
         });
     }
 }
 
-/// Takes in the rows that were read at the start of the process.
+/// Takes in the rows that were read at the start of the process, the last ones of those read together.
 pub(super) fn restore(gateway: &Gateway, rows: &[Row]) {
     let mut stored = Vec::new();
     for row in rows {
@@ -117,6 +128,7 @@
     stored.sort_unstable();
     *gateway.stored_builds.rows.lock() = Some(stored);
     gateway.record_earlier_builds_known();
+    gateway.stored_builds.reading.send_replace(Rows::Read);
 }
 
 /// Keeps the rows up to date for the lifetime of the process, at the gateway that reads the lists first.
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -14,10 +14,11 @@
 mod service;
 mod shutdown;
 mod status;
+mod streams;
 pub mod usage;
 mod withheld;
 
-pub use builds::Knowledge;
+pub use builds::Rows;
 pub use crashes::Liveness;
 pub use follow::List;
 pub use service::{DemandTotals, RetryPermit};
@@ -37,6 +38,7 @@
 use follow::LastChanges;
 use freshness::Confirmation;
 use service::Services;
+use streams::StoredStreams;
 use usage::Usage;
 
 use crate::{
@@ -138,6 +140,8 @@
     pub streams: Streams,
     /// Builds in the store.
     stored_builds: StoredBuilds,
+    /// This process's streams in the store.
+    stored_streams: StoredStreams,
     started: Instant,
 }
 
@@ -363,6 +367,8 @@
     tasks.spawn(async move { withheld::run(&shared).await });
     let shared = Arc::clone(&gateway);
     tasks.spawn(async move { builds::run(&shared).await });
+    let shared = Arc::clone(&gateway);
+    tasks.spawn(async move { streams::run(&shared).await });
     Ok(Running { gateway, tasks })
 }
 
@@ -393,6 +399,7 @@
         crashes: Crashes::default(),
         streams: Streams::default(),
         stored_builds: StoredBuilds::default(),
+        stored_streams: StoredStreams::default(),
         started: Instant::now(),
         settings,
     })
--- a/components/gateway/src/process/withheld.rs
+++ b/components/gateway/src/process/withheld.rs
@@ -5,8 +5,11 @@
 use clock::Instant;
 use cloud::table::{self, Read, Transaction};
 
-use super::{Gateway, builds};
-use crate::crashes::{ROW_PREFIX, Row, Suspect};
+use super::{Gateway, builds, streams};
+use crate::{
+    crashes::{ROW_PREFIX, Row, Suspect},
+    streams::store,
+};
 
 /// How often to check whether the store is available; short, as the process is not ready until the rows have
 /// been read.
@@ -64,7 +67,9 @@
     }
     let read = Read {
         keys: Vec::new(),
-        prefixes: vec![ROW_PREFIX.to_owned(), builds::ROW_PREFIX.to_owned()],
+        prefixes: [ROW_PREFIX, builds::ROW_PREFIX, store::ROW_PREFIX]
+            .map(str::to_owned)
+            .into(),
     };
     let read = gateway.adapters.table.read(read).await;
     gateway.count_store_call("withheld", read.is_ok());
@@ -72,14 +77,18 @@
         Ok(rows) => rows,
         Err(error) => {
             log::warn!(error:%; "failed to read the rows of earlier processes from the store");
-            gateway.record_earlier_builds_unavailable();
+            gateway.record_rows_unavailable();
             clock::sleep(RETRY_DELAY).await;
             return None;
         }
     };
-    let (builds, rows): (Vec<table::Row>, Vec<table::Row>) = rows
-        .into_iter()
-        .partition(|row| row.key.starts_with(builds::ROW_PREFIX));
+    let split = |rows: Vec<table::Row>, prefix: &str| -> (Vec<table::Row>, Vec<table::Row>) {
+        rows.into_iter()
+            .partition(|row| row.key.starts_with(prefix))
+    };
+    let (streams, rows) = split(rows, store::ROW_PREFIX);
+    let (builds, rows) = split(rows, builds::ROW_PREFIX);
+    streams::restore(gateway, &streams);
     builds::restore(gateway, &builds);
     let mut suspects = Vec::new();
     for row in rows {
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod question;
 mod search;
+pub mod store;
 mod table;
 #[cfg(test)]
 mod tests;
@@ -103,8 +104,10 @@
         }
         let replicate = |record: &mut Record| {
             match record.owner {
-                Owner::Peer(incarnation) if ranking.has_incarnation(incarnation) => return,
-                Owner::Peer(_) => record.take_over(),
+                Owner::Peer(incarnation) if !ranking.has_incarnation(incarnation) => {
+                    record.take_over();
+                }
+                Owner::Peer(_) | Owner::Store => return,
                 Owner::This => {}
             }
             let holders = ranking.first(record.key.0, COPIES);
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     endpoint::Build,
-    process::{Gateway, Knowledge},
+    process::{Gateway, Rows},
 };
 
 /// Number of peers that are asked. More than hold copies, since gateways may differ in which peers they take to be alive.
@@ -67,20 +67,24 @@
             builds: open(Subject::Builds),
         };
         let found = clock::timeout_at(until, self.learn(&questions)).await;
-        let asked = |question: &Question<'_>| (question.asked(), question.unanswered().len());
+        let found = found.ok().flatten();
+        let builds = &questions.builds;
+        let stream = questions.stream.as_ref();
         log::info!(
-            request, stream_asked_unanswered:? = questions.stream.as_ref().map(asked),
-            builds_asked_unanswered:? = asked(&questions.builds), found:?,
-            earlier_builds:? = *self.gateway.earlier_builds().borrow(),
+            request, asked = stream.map_or(0, Question::asked),
+            unanswered = stream.map_or(0, |question| question.unanswered().len()),
+            builds_asked = builds.asked(), builds_unanswered = builds.unanswered().len(),
+            rows:? = *self.gateway.earlier_rows().borrow(),
+            build = found.as_ref().map(|(build, _)| build.to_string()),
             took_us = policy::micros(started.elapsed());
             "searched for the build that began a stream"
         );
-        found.ok().flatten()
+        found
     }
 
     /// Waits until the build is known, or nobody is left who may know it.
     async fn learn(&self, questions: &Questions<'_>) -> Option<(Build, Source)> {
-        let mut earlier_builds = self.gateway.earlier_builds();
+        let mut rows = self.gateway.earlier_rows();
         let mut interval = REPEAT_INTERVAL;
         loop {
             self.ask(questions);
@@ -100,7 +104,7 @@
                     tokio::select! {
                         () = answered => {}
                         // the sender lives as long as the process
-                        _ = earlier_builds.changed() => {}
+                        _ = rows.changed() => {}
                     }
                 };
                 if clock::timeout_at(repeat_at, changed).await.is_err() {
@@ -128,13 +132,15 @@
         let is_discovering = self.is_discovering();
         let may_answer =
             |question: &Question<'_>| is_discovering || !question.unanswered().is_empty();
-        let may_learn_builds = match *self.gateway.earlier_builds().borrow() {
+        let rows = *self.gateway.earlier_rows().borrow();
+        let may_learn_builds = match rows {
             _ if self.builds().len() > 1 => false,
-            Knowledge::Pending => true,
-            Knowledge::Unavailable => may_answer(&questions.builds),
-            Knowledge::Complete => false,
+            Rows::Pending => true,
+            Rows::Unavailable => may_answer(&questions.builds),
+            Rows::Read => false,
         };
-        may_learn_builds || questions.stream.as_ref().is_some_and(may_answer)
+        let may_learn_stream = |question| rows == Rows::Pending || may_answer(question);
+        may_learn_builds || questions.stream.as_ref().is_some_and(may_learn_stream)
     }
 
     /// Asks the peers that may know more and have not answered.
--- a/components/gateway/src/streams/table.rs
+++ b/components/gateway/src/streams/table.rs
@@ -19,6 +19,8 @@
     This,
     /// The peer of this incarnation, which sent the record.
     Peer(u64),
+    /// Nobody: it was read from the store, as all gateways do that have started since.
+    Store,
 }
 
 /// A stream and the build that began it.
@@ -144,9 +146,10 @@
             self.sent_to = 0;
         }
         self.expires = self.expires.max(expires);
-        if self.owner != Owner::This {
-            self.owner = owner;
-        }
+        self.owner = match (self.owner, owner) {
+            (Owner::This, _) | (Owner::Peer(_), Owner::Store) => self.owner,
+            (Owner::Peer(_) | Owner::Store, _) => owner,
+        };
     }
 }
 
--- a/components/gateway/src/streams/tests.rs
+++ b/components/gateway/src/streams/tests.rs
@@ -4,6 +4,7 @@
 
 use super::{
     Begun, Key,
+    store::{self, Entry},
     table::{Owner, Table},
 };
 use crate::endpoint::Build;
@@ -65,3 +66,61 @@
         assert!(!keys[..index].contains(key));
     }
 }
+
+/// Size that a row must not exceed, and more streams than fit into it.
+const MAX_ROW_BYTES: usize = 48 << 10;
+const MANY_OWN: u64 = 20_000;
+/// A time far ahead, in Unix seconds.
+const FAR_AHEAD_S: u64 = 4_000_000_000;
+
+fn entries(count: u64) -> Vec<Entry> {
+    let entry = |n: u64| Entry {
+        key: Key::new("engines", None, &n.to_string()),
+        begun: match n % 3 {
+            0 => begun("v1"),
+            1 => begun("a \"quoted\" version, and a long one"),
+            _ => Begun::Ambiguous,
+        },
+        expires_s: FAR_AHEAD_S + n,
+    };
+    (0..count).map(entry).collect()
+}
+
+#[test]
+fn a_row_of_too_many_streams_holds_those_that_can_be_resumed_for_longest() {
+    let selected = store::select(entries(MANY_OWN), MAX_ROW_BYTES);
+    let value = store::encode(&selected);
+    assert!(value.len() <= MAX_ROW_BYTES, "{}", value.len());
+    assert!(selected.len() > 3_000, "{}", selected.len());
+    let first = selected.iter().map(|entry| entry.expires_s).min();
+    let left_out = MANY_OWN - u64::try_from(selected.len()).expect("few");
+    assert_eq!(first, Some(FAR_AHEAD_S + left_out));
+}
+
+#[test]
+fn a_row_has_no_room_for_a_build_with_too_long_a_name() {
+    let long = Entry {
+        begun: begun(&"v".repeat(MAX_ROW_BYTES)),
+        ..entries(1).remove(0)
+    };
+    let selected = store::select([entries(2), vec![long]].concat(), MAX_ROW_BYTES);
+    assert_eq!(selected.len(), 2);
+}
+
+#[test]
+fn the_streams_of_a_row_are_read_as_they_were_written() {
+    let now = std::time::UNIX_EPOCH.elapsed().expect("a time after 1970");
+    let mut written = entries(100);
+    for (entry, left_s) in written.iter_mut().zip(1..) {
+        entry.expires_s = now.as_secs() + left_s;
+    }
+    let written = store::select(written, MAX_ROW_BYTES);
+    assert_eq!(store::decode(&store::encode(&written)), Some(written));
+    for broken in [
+        "",
+        "{}",
+        r#"{"at_s":1,"builds":[{"build":"v1","streams":"AAAA"}]}"#,
+    ] {
+        assert_eq!(store::decode(broken), None, "{broken}");
+    }
+}
--- a/components/telemetry/src/metrics/streams.rs
+++ b/components/telemetry/src/metrics/streams.rs
@@ -19,6 +19,8 @@
     pub known: IntGauge,
     /// Records of streams that were dropped before they expired, as there were too many.
     pub dropped: IntCounter,
+    /// Streams that did not fit into this process's row in the store.
+    pub unsaved: IntGauge,
 }
 
 impl Streams {
@@ -52,6 +54,10 @@
                 "wrenramp_streams_dropped_total",
                 "Records of streams dropped before they expired.",
             )?,
+            unsaved: IntGauge::new(
+                "wrenramp_streams_unsaved",
+                "Streams that did not fit into the row in the store.",
+            )?,
         })
     }
 
@@ -65,6 +71,7 @@
         registry.register(Box::new(self.resumed.clone()))?;
         registry.register(Box::new(self.no_room.clone()))?;
         registry.register(Box::new(self.known.clone()))?;
-        registry.register(Box::new(self.dropped.clone()))
+        registry.register(Box::new(self.dropped.clone()))?;
+        registry.register(Box::new(self.unsaved.clone()))
     }
 }
