Log which evidence suffices against a prompt part

A part is withheld at all gateways on the evidence of the one that comes to the conclusion first, and no line said which crashes these were, how many requests and moments they had, and whether that gateway knew that the part had been served. The line names them, and for how long the gateway has run. It comes once for each part that becomes withheld, at the gateway that concludes it.

--- a/components/gateway/src/crashes/evidence.rs
+++ b/components/gateway/src/crashes/evidence.rs
@@ -4,13 +4,15 @@
 
 use clock::Instant;
 use policy::{
-    culprit::{self, ONSET},
+    culprit::{self, Culprit, ONSET},
     suspect::{Crash, Record, SignedMicros},
 };
 
 use super::{Crashes, InFlight, Source, State, Suspect};
 use crate::request::Fingerprint;
 
+const MICROS_PER_MILLI: SignedMicros = 1_000;
+
 impl Crashes {
     /// Records what was in flight at an endpoint that crashed, as this process observed it.
     pub fn record_crash(&self, endpoint: u32, in_flight: &[InFlight]) {
@@ -56,6 +58,7 @@
         }
         self.any.store(true, Ordering::Relaxed);
         for culprit in state.evidence.culprits() {
+            self.log_new(state, &culprit, source);
             let record = Record {
                 crashes: culprit.crashes,
                 last_served: None,
@@ -66,6 +69,24 @@
         self.withdraw_unfounded(state, source);
     }
 
+    /// Logs which evidence suffices against a part that is not withheld yet.
+    fn log_new(&self, state: &State, culprit: &Culprit, source: Source) {
+        let is_known = |record: &Record| record.is_convicted();
+        if state.parts.get(culprit.part).is_some_and(is_known) {
+            return;
+        }
+        let now = self.moment();
+        let age_ms = |at: SignedMicros| (now - at) / MICROS_PER_MILLI;
+        let crashes = culprit.crashes.iter();
+        let crashes = crashes.map(|crash| format!("{:08x}-{}", crash.endpoint, age_ms(crash.at)));
+        let crashes: Vec<String> = crashes.collect();
+        log::warn!(
+            part = format!("{:x}", culprit.part), source:%, crashes_ms = crashes.join(" "), requests = culprit.requests,
+            moments = culprit.moments, served_ms = state.evidence.last_served(culprit.part).map(age_ms), up_ms = age_ms(0);
+            "the evidence against a prompt part suffices"
+        );
+    }
+
     /// Withholds a part again whose time is over, after one more crash.
     fn convict_again(
         &self,
--- a/components/policy/src/culprit.rs
+++ b/components/policy/src/culprit.rs
@@ -60,6 +60,10 @@
     pub part: u64,
     /// The crashes that it explains, the oldest first.
     pub crashes: Vec<Crash>,
+    /// Number of different requests with it that were in flight in these.
+    pub requests: usize,
+    /// Number of moments at which these happened.
+    pub moments: usize,
 }
 
 /// What speaks against parts and for them.
@@ -177,6 +181,8 @@
             culprits.push(Culprit {
                 part: culprit.part,
                 crashes: crashes.collect(),
+                requests: culprit.requests,
+                moments: self.count_moments(&culprit.cases),
             });
         }
         culprits
