Test that a gateway that has just started withholds no sound part, failing

Two tests of that, both failing: a sound part is withheld by a gateway that starts after the crashes; a gateway that knows of an answer since takes a peer's verdict, and doesn't tell it.

--- a/components/gateway/src/crashes/tests.rs
+++ b/components/gateway/src/crashes/tests.rs
@@ -5,7 +5,9 @@
 use clock::Instant;
 use policy::suspect::{SignedMicros, WITHHOLD_DURATION};
 
-use super::{Crashes, InFlight, RequestTracker, Source, Suspect, wire::Backlog};
+use super::{
+    Crashes, InFlight, RequestTracker, Source, Suspect, updates::RESEND_INTERVAL, wire::Backlog,
+};
 use crate::request::Fingerprint;
 
 const PART: u64 = 7;
@@ -98,6 +100,32 @@
     assert!(is_withheld(&judge, PART));
 }
 
+#[test]
+fn a_gateway_that_has_just_started_withholds_no_part_that_others_know_to_be_sound() {
+    let (crashes, started) = (Crashes::default(), Crashes::default());
+    crashes.record_served(Fingerprint::from(1), &[COMMON_PART]);
+    for n in 0..4 {
+        crash(&crashes, n..n + 1, 100 + u64::from(n));
+    }
+    // what is sent at once reaches other gateways only
+    crashes.take_encoded_updates();
+    std::thread::sleep(RESEND_INTERVAL);
+    send(&crashes, &started);
+    assert!(!is_withheld(&started, COMMON_PART));
+}
+
+#[test]
+fn a_verdict_of_a_peer_does_not_withhold_a_part_that_was_served_since_the_crashes() {
+    let (crashes, peer) = (Crashes::default(), Crashes::default());
+    crash(&peer, 0..4, PART);
+    std::thread::sleep(std::time::Duration::from_millis(5));
+    crashes.record_served(Fingerprint::from(1), &[PART]);
+    send(&peer, &crashes);
+    assert!(!is_withheld(&crashes, PART));
+    send(&crashes, &peer);
+    assert!(!is_withheld(&peer, PART), "the peer is told");
+}
+
 /// Sends all updates of one gateway to another.
 fn send(from: &Crashes, to: &Crashes) {
     let mut backlog = from.take_encoded_updates();
--- a/components/gateway/src/crashes/updates.rs
+++ b/components/gateway/src/crashes/updates.rs
@@ -12,7 +12,7 @@
 
 /// How often records and reports are resent to peers: a datagram may be lost, and a peer may have just started or been
 /// unreachable.
-const RESEND_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 /// How long after its last crash or success a suspect with at most one crash is resent, in microseconds; those with more
 /// crashes are resent as long as they are known.
 const SINGLE_CRASH_RESEND_PERIOD_US: SignedMicros = 5_000_000;
