Send what speaks for prompt parts with the reports of crashes

What callers saw: requests refused for a part of their prompts that engines answered all the time.

Cause: reports of crashes are resent for three seconds, so that a gateway that starts learns of them, but when their parts were last served was sent once. A gateway that had run for 57 ms knew four crashes at two moments and no answer, so four crashes sufficed where a part served lately needs five moments. The others merged its verdict without what they knew themselves.

Change: a report names when the parts in flight were last served, each time it is sent, in one message. A record of a part is merged with the last answer that this process knows of, which clears it of earlier crashes whichever arrives first. A gateway that gets a record of a suspect that it knows to be cleared sends its own. No bound of the decision changes.

Conclusion: fixed for gateways that start while others know of answers. If all start at once nobody knows, and four crashes suffice, as before.

--- a/components/gateway/src/crashes/mod.rs
+++ b/components/gateway/src/crashes/mod.rs
@@ -99,6 +99,31 @@
         }
     }
 
+    /// Returns a record with the last answer to the suspect that this process knows of, which clears it of earlier crashes
+    /// whichever of both arrives first.
+    fn with_last_served(&self, suspect: Suspect, record: &Record) -> Record {
+        let known = match suspect {
+            Suspect::Part(part) => self.evidence.last_served(part),
+            Suspect::Request(_) => None,
+        };
+        Record {
+            crashes: record.crashes.clone(),
+            last_served: record.last_served.max(known),
+        }
+    }
+
+    /// Sends what is known of a suspect to the peers if the record of one of them withholds it for crashes that it has been
+    /// cleared of.
+    fn correct(&mut self, suspect: Suspect, received: &Record) {
+        let (table, key) = self.table(suspect);
+        match table.get(key).cloned() {
+            Some(known) if received.is_convicted() && !known.is_convicted() => {
+                self.updates.add_record(suspect, known);
+            }
+            Some(_) | None => {}
+        }
+    }
+
     fn records(&self) -> impl Iterator<Item = (Suspect, &Record)> {
         let parts = self.parts.records().iter();
         let parts = parts.map(|(part, record)| (Suspect::Part(*part), record));
@@ -150,7 +175,9 @@
 
     /// Merges a record of a suspect that a peer sent or the store holds.
     pub fn merge(&self, suspect: Suspect, record: &Record, source: Source) {
-        self.merge_into(&mut self.state.lock(), suspect, record, source);
+        let mut state = self.state.lock();
+        self.merge_into(&mut state, suspect, record, source);
+        state.correct(suspect, record);
     }
 
     /// Merges what follows from evidence. If this process observed it, it is sent to the peers.
@@ -181,13 +208,14 @@
         source: Source,
     ) -> bool {
         let now = self.moment();
+        let record = state.with_last_served(suspect, record);
         let (table, key) = state.table(suspect);
         let remaining = |table: &suspect::Suspects| {
             let record = table.get(key);
             record.and_then(|record| record.remaining_withhold(now))
         };
         let before = remaining(table).is_some();
-        let is_new = table.add(key, record, now);
+        let is_new = table.add(key, &record, now);
         let after = table.get(key).cloned().unwrap_or_default();
         self.any.store(true, Ordering::Relaxed);
         match (before, after.remaining_withhold(now)) {
--- a/components/gateway/src/crashes/updates.rs
+++ b/components/gateway/src/crashes/updates.rs
@@ -33,6 +33,9 @@
     pub crash: Crash,
     /// Requests that may have caused it, at most [`MAX_REPORTED_REQUESTS`].
     pub requests: Vec<culprit::Request>,
+    /// When their parts were last served, as far as this process knew when the report was sent. A peer that has just
+    /// started knows of no answer, and would take a part of many requests for the cause.
+    pub served: Vec<(u64, SignedMicros)>,
 }
 
 /// What is to be sent to peers now.
@@ -79,25 +82,31 @@
 }
 
 impl State {
-    /// Queues a report of a crash, and when the parts in flight were last served.
+    /// Queues a report of a crash.
     pub(super) fn report(&mut self, crash: Crash, requests: &[culprit::Request]) {
         let reports = requests
             .chunks(MAX_REPORTED_REQUESTS)
             .map(|requests| Report {
                 crash,
                 requests: requests.to_vec(),
+                served: Vec::new(),
             });
         let reports: Vec<Report> = reports.collect();
         let queue = &mut self.updates;
         queue.updates.reports.extend_from_slice(&reports);
         queue.recent_reports.extend(reports);
-        for part in requests.iter().flat_map(|request| &request.parts) {
-            let Some(served) = self.evidence.last_served(*part) else {
-                continue;
-            };
-            if queue.served_at(*part).is_none_or(|known| known < served) {
-                queue.updates.served.push((*part, served));
-                queue.mark_served(*part, served);
+    }
+
+    /// Adds to reports when the parts in flight were last served.
+    fn add_served(&mut self, reports: &mut [Report]) {
+        for report in reports {
+            let parts = report.requests.iter().flat_map(|request| &request.parts);
+            let served = parts.filter_map(|part| Some((*part, self.evidence.last_served(*part)?)));
+            report.served = served.collect();
+            report.served.sort_unstable();
+            report.served.dedup();
+            for (part, at) in &report.served {
+                self.updates.mark_served(*part, *at);
             }
         }
     }
@@ -130,6 +139,7 @@
             updates.reports.extend_from_slice(&queue.recent_reports);
             updates.records.extend(state.records_to_resend(now));
         }
+        state.add_served(&mut updates.reports);
         updates
             .records
             .sort_by_key(|(suspect, _)| matches!(suspect, Suspect::Request(_)));
--- a/components/gateway/src/crashes/wire.rs
+++ b/components/gateway/src/crashes/wire.rs
@@ -70,10 +70,6 @@
             served,
         } = updates;
         let suspects = records.iter();
-        let served = served.iter().map(|(part, at)| ServedPart {
-            part: *part,
-            ago_ms: age_ms(*at, now),
-        });
         Backlog {
             suspects: suspects
                 .map(|(suspect, record)| encode_suspect(*suspect, record, now))
@@ -82,7 +78,7 @@
                 .iter()
                 .map(|report| encode_report(report, now))
                 .collect(),
-            served: served.collect(),
+            served: encode_served(&served, now),
         }
     }
 
@@ -90,7 +86,8 @@
     pub fn apply(&self, digest: &Digest) {
         let now = self.moment();
         let at = |ago_ms: u32| now - SignedMicros::from(ago_ms) * MICROS_PER_MILLI;
-        for served in &digest.served_parts {
+        let in_reports = digest.crashes.iter().flat_map(|report| &report.served);
+        for served in digest.served_parts.iter().chain(in_reports) {
             self.apply_served(served.part, at(served.ago_ms));
         }
         for report in &digest.crashes {
@@ -152,9 +149,18 @@
         endpoint: report.crash.endpoint,
         ago_ms: age_ms(report.crash.at, now),
         requests: requests.collect(),
+        served: encode_served(&report.served, now),
     }
 }
 
+fn encode_served(served: &[(u64, SignedMicros)], now: SignedMicros) -> Vec<ServedPart> {
+    let served = served.iter().map(|(part, at)| ServedPart {
+        part: *part,
+        ago_ms: age_ms(*at, now),
+    });
+    served.collect()
+}
+
 fn decode_record(received: &wire::Suspect, at: impl Fn(u32) -> SignedMicros) -> Record {
     let mut crashes: Vec<Crash> = received
         .ends
