Remove the row of a suspect that is cleared

What callers saw: a request refused for a part that all other gateways had cleared 1.3 s before.

Cause: what is withheld has a row in the store, which was kept for as long as the suspect was remembered, ten minutes, also when it had been cleared.

Change: a suspect that is cleared has no row any more, and clearing it makes its writers look for rows to remove.

Evidence: a_part_that_has_been_cleared_is_not_withheld_by_gateways_that_start_later failed before (the row is there 20 s later), passes now, with the 18 others of crashes at the gateways and those of the gateway crate.

Conclusion: fixed. If the store is away while a suspect is cleared its row stays until a gateway starts, which withholds it until a peer tells that it is cleared.

--- a/components/gateway/src/crashes/mod.rs
+++ b/components/gateway/src/crashes/mod.rs
@@ -210,16 +210,18 @@
         let now = self.moment();
         let record = state.with_last_served(suspect, record);
         let (table, key) = state.table(suspect);
-        let remaining = |table: &suspect::Suspects| {
-            let record = table.get(key);
-            record.and_then(|record| record.remaining_withhold(now))
-        };
-        let before = remaining(table).is_some();
+        let before = table.get(key).cloned().unwrap_or_default();
         let is_new = table.add(key, &record, now);
         let after = table.get(key).cloned().unwrap_or_default();
         self.any.store(true, Ordering::Relaxed);
-        match (before, after.remaining_withhold(now)) {
-            (false, Some(left)) => {
+        if before.is_convicted() && !after.is_convicted() {
+            self.rows.add_cleared(suspect);
+        }
+        match (
+            before.remaining_withhold(now),
+            after.remaining_withhold(now),
+        ) {
+            (None, Some(left)) => {
                 log::warn!(
                     suspect:%, source:%, ends = crash_list(&after), lapses_ms = left / 1_000;
                     "a suspect is withheld from endpoints"
@@ -227,10 +229,10 @@
                 self.rows.add(suspect, source);
                 self.newly_withheld.notify_waiters();
             }
-            (true, None) => {
+            (Some(_), None) => {
                 log::info!(suspect:%, source:%; "a suspect is no longer withheld");
             }
-            (false, None) | (true, Some(_)) => {}
+            (None, None) | (Some(_), Some(_)) => {}
         }
         is_new
     }
--- a/components/gateway/src/crashes/store.rs
+++ b/components/gateway/src/crashes/store.rs
@@ -23,7 +23,7 @@
 /// The rows that this process has yet to write, and whether it has read those of earlier processes.
 #[derive(Debug, Default)]
 pub struct Rows {
-    /// What became withheld, and whether this process observed the last crash itself.
+    /// What became withheld, and whether this process observed the last crash itself; also what was cleared.
     unwritten: Mutex<Vec<(Suspect, bool)>>,
     /// Notified when `unwritten` grows.
     added: Notify,
@@ -52,8 +52,14 @@
         self.added.notify_one();
     }
 
-    /// Waits for the next suspect that has become withheld. Returns it and whether this process observed the last crash
-    /// itself.
+    /// Adds what has just been cleared: a process that starts later would withhold it again for its row.
+    pub(super) fn add_cleared(&self, suspect: Suspect) {
+        self.unwritten.lock().push((suspect, false));
+        self.added.notify_one();
+    }
+
+    /// Waits for the next suspect that has become withheld or was cleared. Returns it and whether this process observed the
+    /// last crash itself.
     pub async fn next(&self) -> (Suspect, bool) {
         loop {
             let added = self.added.notified();
@@ -81,9 +87,9 @@
 }
 
 impl Crashes {
-    /// Returns the row of a suspect; `None` if it is no longer suspected.
+    /// Returns the row of a suspect; `None` if it has been cleared or is no longer suspected.
     pub fn row(&self, suspect: Suspect) -> Option<Row> {
-        let record = self.record(suspect)?;
+        let record = self.record(suspect).filter(Record::is_convicted)?;
         let (now, unix_now) = (self.moment(), unix_millis());
         let crashes = record.crashes.iter().map(|crash| StoredCrash {
             endpoint: crash.endpoint,
--- a/components/gateway/src/process/withheld.rs
+++ b/components/gateway/src/process/withheld.rs
@@ -35,6 +35,10 @@
         while let Ok((suspect, observed)) =
             clock::timeout_at(next_cleanup, gateway.crashes.rows().next()).await
         {
+            if gateway.crashes.row(suspect).is_none() {
+                // cleared: its row is removed at once
+                break;
+            }
             if !observed && gateway.peers.address_rank(gateway.settings.gateway.peers) >= WRITERS {
                 continue;
             }
@@ -50,7 +54,7 @@
         gateway.crashes.evict_expired();
         let (kept, expired) = rows
             .into_iter()
-            .partition(|suspect| gateway.crashes.record(*suspect).is_some());
+            .partition(|suspect| gateway.crashes.row(*suspect).is_some());
         rows = kept;
         remove_rows(gateway, &expired).await;
     }
