Bound the received part of an answer by its maximum

A caller that resumes a stream after event got an internal error where overflow is checked, and its received tokens counted as work of the engine for all other callers. No more is received than the maximum permits.

--- a/components/policy/src/remainder.rs
+++ b/components/policy/src/remainder.rs
@@ -26,14 +26,18 @@
     /// Returns what remains of the answer to a prompt after `received_tokens`.
     #[must_use]
     pub fn new(prompt: &Prompt, received_tokens: u64) -> Self {
+        // a caller may state any number
+        let received_tokens = received_tokens.min(prompt.max_output_tokens);
         let expected = prompt.expected_output_tokens();
-        let rest = expected.saturating_sub(received_tokens);
-        let overrun = received_tokens / OVERRUN_DIVISOR;
+        let rest = match expected.saturating_sub(received_tokens) {
+            0 => received_tokens / OVERRUN_DIVISOR,
+            rest => rest,
+        };
         let limit = prompt.max_output_tokens.saturating_sub(received_tokens);
         Self {
             prompt_tokens: prompt.tokens,
             received_tokens,
-            expected_output_tokens: rest.max(overrun).min(limit).max(1),
+            expected_output_tokens: rest.min(limit).max(1),
             has_length_hint: prompt.output_tokens_hint.is_some(),
         }
     }
--- a/components/policy/tests/remainder.rs
+++ b/components/policy/tests/remainder.rs
@@ -45,3 +45,14 @@
         prop_assert!(rest <= max.saturating_sub(received).max(1));
     }
 }
+
+#[test]
+fn an_event_number_beyond_the_maximum_length_adds_no_received_tokens() {
+    let received = Remainder::new(&prompt(1_000, None), u64::MAX).received_tokens;
+    assert!(received <= 1_000, "{received}");
+}
+
+#[test]
+fn an_answer_within_its_expected_length_is_not_taken_for_longer() {
+    assert_eq!(rest(&prompt(10_000, Some(1_000)), 900), 100);
+}
