Keep the limits on prefill for late streams where an engine keeps them, and a maximum out of the cost

A stream that has begun and would only be late was placed without any limit but the slots, so that its prefill stalled other answers although another engine tolerates it: the limits are now dropped one after the other. A maximum of 32,768 tokens without a hint outweighed failures, backlog and distance by seconds: only the first tokens of an answer of unknown length count. Found by a review; its tests in policy/tests/place.rs failed before and pass.

--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -188,6 +188,15 @@
 }
 
 impl Limits {
+    /// Returns the limits that are tried one after the other for a request.
+    fn in_order(request: &Request) -> &'static [Self] {
+        match Self::weakest(request) {
+            Self::All => &[Self::All],
+            Self::WithoutPace => &[Self::All, Self::WithoutPace],
+            Self::Slots => &[Self::All, Self::WithoutPace, Self::Slots],
+        }
+    }
+
     /// Returns the limits of the last resort for a request.
     fn weakest(request: &Request) -> Self {
         match request {
@@ -252,8 +261,8 @@
 /// and that no engine would complete in time goes to the one that completes it first.
 #[must_use]
 pub fn choose(engines: &[Engine], request: &Request, weights: &Weights) -> Option<Choice> {
-    let within = |limits| choose_within(engines, request, weights, limits);
-    within(Limits::All).or_else(|| within(Limits::weakest(request)))
+    let mut limits = Limits::in_order(request).iter();
+    limits.find_map(|limits| choose_within(engines, request, weights, *limits))
 }
 
 fn choose_within(
@@ -395,13 +404,13 @@
     request: &Request,
     weights: &Weights,
 ) -> Option<usize> {
-    let within = |limits| {
+    let within = |limits: &Limits| {
         cheapest(engines, weights, |engine| {
-            let is_open = decode_obstacle(engine, request, weights, limits).is_none();
-            is_open.then(|| decode_cost(engine, request, weights, limits))
+            let is_open = decode_obstacle(engine, request, weights, *limits).is_none();
+            is_open.then(|| decode_cost(engine, request, weights, *limits))
         })
     };
-    let found = within(Limits::All).or_else(|| within(Limits::weakest(request)));
+    let found = Limits::in_order(request).iter().find_map(within);
     found.map(|found| found.engine)
 }
 
@@ -485,7 +494,9 @@
 pub fn work_to_prefill(engine: &Engine, request: &Request) -> u64 {
     let tokens = match engine.stage {
         Stage::Prefill => request.prompt_tokens,
-        Stage::Decode => request.prompt_tokens + request.received_tokens,
+        Stage::Decode => request
+            .prompt_tokens
+            .saturating_add(request.received_tokens),
     };
     prompt::prefill_work(tokens, engine.cached_tokens + engine.fetch.tokens)
 }
@@ -556,7 +567,9 @@
 /// Returns the cost of decode, with the prompt prefilled elsewhere. The first event waits for the prompts that the
 /// engine prefills, and for the part of the answer that the caller has received.
 fn decode_cost(engine: &Engine, request: &Request, weights: &Weights, limits: Limits) -> Cost {
-    let context_tokens = request.prompt_tokens + request.received_tokens;
+    let context_tokens = request
+        .prompt_tokens
+        .saturating_add(request.received_tokens);
     let received_us = to_f64(prompt::prefill_work(context_tokens, request.prompt_tokens))
         * engine.latency.prefill_token_us;
     let delay_us = prefill_delay_us(engine, request, 0) + received_us;
@@ -564,7 +577,7 @@
     Cost {
         duration_us,
         weighted_us: duration_us
-            + decode_us(engine, request, limits)
+            + decode_us(engine, request, weights, limits)
             + long_answer_penalty_us(engine, request, weights)
             + engine_penalty_us(engine, weights),
         tokens_to_prefill: 0,
@@ -592,7 +605,7 @@
     Cost {
         duration_us,
         weighted_us: duration_us
-            + decode_us(engine, request, limits)
+            + decode_us(engine, request, weights, limits)
             + interference_us
             + long_answer_penalty_us(engine, request, weights)
             + engine_penalty_us(engine, weights),
@@ -601,13 +614,17 @@
 }
 
 /// Returns the time to decode the rest of an answer that no engine would complete in time. All that would do so count
-/// as equally fast.
-fn decode_us(engine: &Engine, request: &Request, limits: Limits) -> f64 {
+/// as equally fast. Of an answer of unknown length only the first tokens count: a maximum says little of its end.
+fn decode_us(engine: &Engine, request: &Request, weights: &Weights, limits: Limits) -> f64 {
+    let tokens = if request.has_length_hint {
+        request.expected_output_tokens
+    } else {
+        let known = weights.short_answer_max_tokens;
+        request.expected_output_tokens.min(known)
+    };
     match limits {
         Limits::All => 0.0,
-        Limits::WithoutPace | Limits::Slots => {
-            to_f64(request.expected_output_tokens) * engine.latency.decode_token_us
-        }
+        Limits::WithoutPace | Limits::Slots => to_f64(tokens) * engine.latency.decode_token_us,
     }
 }
 
--- a/components/policy/tests/place.rs
+++ b/components/policy/tests/place.rs
@@ -423,3 +423,57 @@
     assert!(may_get_room(&[slow, full], &new));
     assert!(may_get_room(&[busy_engine(62, 4.0 * MS)], &late_stream()));
 }
+
+#[test]
+fn a_huge_event_number_does_not_overflow_the_work_of_an_engine() {
+    let resumed = Request {
+        received_tokens: u64::MAX,
+        ..late_stream()
+    };
+    let work = work_to_prefill(&decode_engine(0), &resumed);
+    assert!(work >= resumed.prompt_tokens);
+}
+
+#[test]
+fn a_stream_that_is_only_late_does_not_stall_answers_where_another_engine_tolerates_its_prefill() {
+    let stalls = busy_engine(20, 3.9 * MS);
+    let idle_prefill = Engine {
+        latency: Latency {
+            contended_token_us: Some(10.0 * MS),
+            ..busy_engine(20, 4.0 * MS).latency
+        },
+        ..busy_engine(20, 4.0 * MS)
+    };
+    let resumed = Request {
+        prompt_tokens: 9_000,
+        ..late_stream()
+    };
+    let tolerating = Some(Placement::Single { engine: 1 });
+    let new = Request {
+        has_begun: false,
+        has_length_hint: false,
+        ..resumed
+    };
+    assert_eq!(chosen(&[stalls, idle_prefill], &new), tolerating);
+    assert_eq!(chosen(&[stalls, idle_prefill], &resumed), tolerating);
+}
+
+#[test]
+fn a_maximum_that_is_no_length_does_not_outweigh_the_failures_of_an_engine() {
+    let failing = Engine {
+        failure_ratio: 0.9,
+        ..busy_engine(20, 3.9 * MS)
+    };
+    let habitual = Request {
+        received_tokens: 0,
+        has_begun: false,
+        has_length_hint: false,
+        expected_output_tokens: 32_768,
+        ..late_stream()
+    };
+    let sound = Some(Placement::Single { engine: 0 });
+    assert_eq!(
+        chosen(&[busy_engine(20, 4.0 * MS), failing], &habitual),
+        sound
+    );
+}
