Let streams that have begun wait in a queue of their own, also with one build

A resumed stream was refused 2 s after it came, behind new requests that no engine could take beside its answers, while slots were free: with one build all requests of a service shared a queue, and only the earliest deadline looked for room. Found by a review; a_resumed_stream_is_not_refused_behind_new_requests_... failed before (503 after 2.00 s) and passes.

--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -63,7 +63,7 @@
     latencies: Latencies,
     /// The inter-token latencies that its recent long answers need.
     pace: Pace,
-    /// Requests that wait for a slot on any engine.
+    /// Requests that wait for a slot on any engine and have not begun.
     queue: Arc<Queue>,
     /// Streams that have begun and prompts that have been prefilled, which wait for a slot on an engine of one build;
     /// sorted by build. They have queues of their own, as an engine with a free slot may be of no use to the first of them.
@@ -258,10 +258,10 @@
         self.with_service(service, |state| learn(&mut state.wait_factor));
     }
 
-    /// Returns the queue of a service's requests that wait for a slot on an engine of `build`, or on any. It is the same
-    /// one as long as all engines are of one build.
+    /// Returns the queue of a service's requests that wait for a slot: of those that only engines of `build` can serve, or
+    /// of those that any can. A stream that has begun takes engines that new requests can't, so it must not wait behind
+    /// them.
     pub fn queue(&self, service: &Arc<str>, build: Option<&Build>) -> Arc<Queue> {
-        let build = build.filter(|_| self.registry.builds().of(service).len() > 1);
         self.with_service(service, |state| match build {
             None => Arc::clone(&state.queue),
             Some(build) => state.build_queue(build),
