Hold resumptions while a failed read of the rows of builds is repeated

One failed call to the store at a start made a gateway without peers that know more refuse all resumptions as unknown at once, while new streams began and the read was repeated 400 ms later. They are held for as long as the request may wait. Whether all earlier builds are known is also read before the builds themselves: otherwise one that is told in between could be missed and a stream bound to the wrong one. Found by a review; a_stream_resumed_while_a_failed_read_of_the_rows_is_repeated_goes_on failed before.

--- a/components/gateway/src/process/builds.rs
+++ b/components/gateway/src/process/builds.rs
@@ -76,7 +76,7 @@
 impl Gateway {
     /// Whether this process knows which builds served before it started.
     pub fn knows_earlier_builds(&self) -> bool {
-        self.stored_builds.is_complete.load(Ordering::Relaxed)
+        self.stored_builds.is_complete.load(Ordering::Acquire)
     }
 
     /// Returns whether the rows of earlier processes have been read, now and in future. It changes also when the earlier
@@ -88,7 +88,7 @@
     /// Records that all builds that served before the start of this process are known.
     pub fn record_earlier_builds_known(&self) {
         let stored = &self.stored_builds;
-        stored.is_complete.store(true, Ordering::Relaxed);
+        stored.is_complete.store(true, Ordering::Release);
         stored.reading.send_modify(|_| {});
     }
 
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -117,12 +117,12 @@
     /// Returns what this process knows now: the build, or that it can't be told. `None` if more may become known.
     fn known(&self) -> Option<Result<(Build, Source), ()>> {
         let record = self.key.and_then(|key| self.gateway.known_stream(key));
+        // read before the builds, so that they hold all that it says are known
+        let knows_all = self.gateway.knows_earlier_builds();
         match (record, self.builds().as_slice()) {
             (Some(Begun::At(build)), _) => Some(Ok((build, Source::Record))),
             (Some(Begun::Ambiguous), _) => Some(Err(())),
-            (None, [only]) if self.gateway.knows_earlier_builds() => {
-                Some(Ok((only.clone(), Source::OnlyBuild)))
-            }
+            (None, [only]) if knows_all => Some(Ok((only.clone(), Source::OnlyBuild))),
             (None, _) => None,
         }
     }
@@ -132,14 +132,10 @@
         let is_discovering = self.is_discovering();
         let may_answer =
             |question: &Question<'_>| is_discovering || !question.unanswered().is_empty();
-        let rows = *self.gateway.earlier_rows().borrow();
-        let may_learn_builds = match rows {
-            _ if self.builds().len() > 1 => false,
-            Rows::Pending => true,
-            Rows::Unavailable => may_answer(&questions.builds),
-            Rows::Read => false,
-        };
-        let may_learn_stream = |question| rows == Rows::Pending || may_answer(question);
+        // a read that failed is repeated soon
+        let may_read_rows = *self.gateway.earlier_rows().borrow() != Rows::Read;
+        let may_learn_builds = may_read_rows && self.builds().len() <= 1;
+        let may_learn_stream = |question| may_read_rows || may_answer(question);
         may_learn_builds || questions.stream.as_ref().is_some_and(may_learn_stream)
     }
 
