Do not learn engines' margin from resumptions, nor discard room found at the end of a wait

The time for which a resumption is held until its build is known, and its wait for a slot, counted as delay of the engine's first event: some dozen of them raised the margin by which new requests are deferred or refused. Only new requests teach it now. The last look for room, made for the log, was thrown away even if there was room; it is used. Both found by a review, by reading; no test of their own.

--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -34,6 +34,8 @@
 /// Serves a generation.
 pub async fn serve(job: Job, mut attempts: Attempts) -> Result<Response<Body>, Unserved> {
     let mut may_split = true;
+    // the time that a resumption is held says nothing of the engines
+    let is_new = job.build().is_none();
     loop {
         let (snapshot, choice, timing) = match place(&job, &attempts, may_split).await {
             Ok(placed) => placed,
@@ -55,7 +57,7 @@
         };
         match outcome {
             Ok((answer, decode_guard)) => {
-                if attempts.none_failed() && timing == Timing::Normal {
+                if is_new && attempts.none_failed() && timing == Timing::Normal {
                     let took = policy::micros(job.received.elapsed());
                     job.gateway
                         .learn_margin(&job.service.name, choice.first_event_us, took);
@@ -154,10 +156,14 @@
             return Some((snapshot, choice));
         }
     }
-    try_place()
-        .0
-        .log_no_room(job, "no engine has had room in time");
-    None
+    if job.withheld().is_some() {
+        return None;
+    }
+    let (snapshot, choice) = try_place();
+    if choice.is_none() {
+        snapshot.log_no_room(job, "no engine has had room in time");
+    }
+    choice.map(|choice| (snapshot, choice))
 }
 
 /// Resumes a broken stream on another engine than those `tried`. `Ok(None)` if none has room.
