Place a daemon's broken stream by what remains of it

A stream that broke with 20 of 120 tokens left was aborted under a tight deadline, as the time of the whole expected answer did not fit into what was left of it, though an engine could have finished it. Requirements now have what the caller has received, and the expected output is the rest.

--- a/components/daemon/src/process/pool/mod.rs
+++ b/components/daemon/src/process/pool/mod.rs
@@ -51,6 +51,8 @@
     /// Hashes of the prompt's blocks.
     pub blocks: Vec<u64>,
     pub prompt_tokens: u64,
+    /// Tokens of the response that the caller has received, in earlier attempts.
+    pub received_tokens: u64,
     /// Upper bound for the tokens of the response.
     pub max_output_tokens: u64,
     /// Priority; 9 is the highest.
--- a/components/daemon/src/process/pool/queue.rs
+++ b/components/daemon/src/process/pool/queue.rs
@@ -61,10 +61,12 @@
             .ok()
     }
 
+    /// Returns the expected number of tokens that the caller has yet to receive.
     pub(super) fn expected_output(&self, requirements: &Requirements) -> u64 {
         let mean = self.mean_outputs.get(requirements.group.0).copied();
-        to_u64(mean.unwrap_or(INITIAL_OUTPUT_TOKENS))
-            .clamp(1, requirements.max_output_tokens.max(1))
+        let whole = to_u64(mean.unwrap_or(INITIAL_OUTPUT_TOKENS))
+            .clamp(1, requirements.max_output_tokens.max(1));
+        whole.saturating_sub(requirements.received_tokens).max(1)
     }
 
     pub(super) fn push(
--- a/components/daemon/src/process/pool/tests.rs
+++ b/components/daemon/src/process/pool/tests.rs
@@ -14,6 +14,7 @@
         model: ("m".to_owned(), String::new(), "1".to_owned()),
         blocks: Vec::new(),
         prompt_tokens: 10,
+        received_tokens: 0,
         max_output_tokens: 10,
         priority: 5,
         deadline: now + Duration::from_secs(10),
--- a/components/daemon/src/request/chat.rs
+++ b/components/daemon/src/request/chat.rs
@@ -159,6 +159,7 @@
             model.version.clone(),
         ),
         prompt_tokens: prefix::estimate_tokens(&prompt),
+        received_tokens: 0,
         max_output_tokens: max_tokens,
         priority: caller.priority,
         deadline: caller.deadline,
--- a/components/daemon/src/request/generate/mod.rs
+++ b/components/daemon/src/request/generate/mod.rs
@@ -144,7 +144,11 @@
     async fn start_attempt(&mut self) -> Result<(), Aborted> {
         self.attempts += 1;
         let queued_at = Instant::now();
-        let placed = self.job.pool.place(self.job.requirements.clone()).await;
+        let requirements = Requirements {
+            received_tokens: self.assembler.offset(),
+            ..self.job.requirements.clone()
+        };
+        let placed = self.job.pool.place(requirements).await;
         let metrics = &self.job.context.process.metrics;
         metrics
             .queue_time
--- a/tests/system/failure.rs
+++ b/tests/system/failure.rs
@@ -470,3 +470,26 @@
     .await;
     assert_eq!(fleet.engines[0].counts().conflicting_orders, 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_broken_near_its_end_is_not_refused_as_too_long_for_the_rest_of_its_time() {
+    const TOKENS: u64 = 120;
+    const DELIVERED: u64 = 100;
+    let fleet = Fleet::start(mixed_engines(2), 1).await;
+    fleet.engines[0].set_fault(Fault::ResetAt(DELIVERED));
+    let caller = Caller::new();
+    let bearer = format!("Bearer {FIELD_KEY}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("x-wrenramp-deadline-ms", "1180"),
+    ];
+    let address = fleet.daemons[0].caller_address;
+    let streams = (0..8).map(async |nth| {
+        let body = completion_body(&format!("late {nth}"), TOKENS, true);
+        let path = "/v1/completions";
+        let response = caller.request(address, path, &headers, &body).await;
+        response.is_some_and(|response| parse_stream(&response.body).1)
+    });
+    let complete = futures::future::join_all(streams).await;
+    assert!(complete.iter().all(|complete| *complete), "{complete:?}");
+}
