Add a soak of streams with little time that are resumed at once, failing

Callers that resumed streams after kills, resets and restarts were refused while new streams began, and no soak could show it: its streams were short, their deadlines ample, and shares were compared over the run only, at gateways undisturbed for 3 s.

In each second resumed streams must go on at least half as often as new ones begin, nothing may be refused while an engine of its build has half of its slots free and would end in time, and nine of ten new streams begin.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -206,3 +206,20 @@
     };
     assert_no_violation(&options, &UPGRADES_SEEDS).await;
 }
+
+/// Seeds of the short run in which streams that have little time are resumed; engines are upgraded in the last one.
+const RESUMED_SEEDS: [u64; 3] = [58_004, 58_006, 58_007];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resumed_streams_go_on_as_often_as_new_ones_begin_in_a_short_soak() {
+    let options = Options {
+        scenario: Scenario::Resumed,
+        gateways: 5,
+        seconds: 12,
+        ..options()
+    };
+    // one at a time, as each has hundreds of callers
+    for seed in RESUMED_SEEDS {
+        assert_no_violation(&options, &[seed]).await;
+    }
+}
