--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -65,11 +65,18 @@
 pub struct Request {
     /// Length of the prompt.
     pub prompt_tokens: u64,
-    /// Expected length of the answer.
+    /// Length of the part of the answer that the caller has received, which the engine that decodes the rest prefills.
+    pub received_tokens: u64,
+    /// Expected length of the rest of the answer.
     pub expected_output_tokens: u64,
+    /// Whether the caller says how long the answer will be. If not, the expected length is an upper bound, which does not
+    /// show that an engine is too slow.
+    pub has_length_hint: bool,
+    /// Whether the answer has begun as a stream. Then it goes on wherever there is a slot, however late.
+    pub has_begun: bool,
     /// Time left to the latency objective. Not used by the decision.
     pub time_to_objective: Micros,
-    /// Highest inter-token latency at which this answer meets its deadline, in microseconds.
+    /// Highest inter-token latency at which the rest of the answer meets its deadline, in microseconds.
     pub max_inter_token_latency_us: f64,
     /// Highest inter-token latency that long answers of the service tolerate, in microseconds: their
     /// events must not stall, and the last one must meet the deadline.
@@ -169,6 +176,33 @@
     pub first_event_us: f64,
 }
 
+/// Which limits an engine must keep to take an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Limits {
+    /// All: it has a slot, the answer meets its deadline, and the answers that it decodes tolerate the prefill.
+    All,
+    /// All but that the answer meets its deadline.
+    WithoutPace,
+    /// Only that it has a slot.
+    Slots,
+}
+
+impl Limits {
+    /// Returns the limits of the last resort for a request.
+    fn weakest(request: &Request) -> Self {
+        match request {
+            Request {
+                has_begun: true, ..
+            } => Self::Slots,
+            Request {
+                has_length_hint: false,
+                ..
+            } => Self::WithoutPace,
+            Request { .. } => Self::All,
+        }
+    }
+}
+
 /// Why an engine can't take an answer.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display(rename_all = "kebab-case")]
@@ -186,20 +220,55 @@
 /// Returns why an engine can't prefill the prompt and decode the answer; `None` if it can.
 #[must_use]
 pub fn obstacle(engine: &Engine, request: &Request, weights: &Weights) -> Option<Obstacle> {
-    match decode_obstacle(engine, request, weights) {
-        None if !tolerates_prefill(engine, request, weights) => Some(Obstacle::Prefill),
+    obstacle_within(engine, request, weights, Limits::weakest(request))
+}
+
+fn obstacle_within(
+    engine: &Engine,
+    request: &Request,
+    weights: &Weights,
+    limits: Limits,
+) -> Option<Obstacle> {
+    let tolerates_prefill = limits == Limits::Slots || tolerates_prefill(engine, request, weights);
+    match decode_obstacle(engine, request, weights, limits) {
+        None if !tolerates_prefill => Some(Obstacle::Prefill),
         found => found,
     }
 }
 
-/// Chooses the placement of the lowest cost; `None` if no engine can take the request.
+/// Whether an engine may get room for a request that none can take now. One that is too slow for its deadline hardly
+/// will: the time that is left only gets shorter.
+#[must_use]
+pub fn may_get_room(engines: &[Engine], request: &Request, weights: &Weights) -> bool {
+    engines
+        .iter()
+        .any(|engine| match obstacle(engine, request, weights) {
+            Some(Obstacle::Stage | Obstacle::Pace) => false,
+            Some(Obstacle::Slots | Obstacle::Prefill) | None => true,
+        })
+}
+
+/// Chooses the placement of the lowest cost; `None` if no engine can take the request. A stream that has begun
+/// and that no engine would complete in time goes to the one that completes it first.
 #[must_use]
 pub fn choose(engines: &[Engine], request: &Request, weights: &Weights) -> Option<Choice> {
+    let within = |limits| choose_within(engines, request, weights, limits);
+    within(Limits::All).or_else(|| within(Limits::weakest(request)))
+}
+
+fn choose_within(
+    engines: &[Engine],
+    request: &Request,
+    weights: &Weights,
+    limits: Limits,
+) -> Option<Choice> {
     let single = cheapest(engines, weights, |engine| {
-        let is_open = obstacle(engine, request, weights).is_none();
-        is_open.then(|| single_engine_cost(engine, request, weights))
+        let is_open = obstacle_within(engine, request, weights, limits).is_none();
+        is_open.then(|| single_engine_cost(engine, request, weights, limits))
     });
-    let split = cheapest_split(engines, request, weights);
+    let split = split_may_pay(request, weights)
+        .then(|| cheapest_split(engines, request, weights, limits))
+        .flatten();
     let single = single.map(|found| {
         let placement = Placement::Single {
             engine: found.engine,
@@ -228,11 +297,18 @@
     }
 }
 
+/// Whether a second engine for the prompt may save anything. It does not if the prompt is short and the engine that
+/// decodes the rest of the answer must prefill what there is of it in any case.
+fn split_may_pay(request: &Request, weights: &Weights) -> bool {
+    request.received_tokens == 0 || request.prompt_tokens > weights.short_prompt_max_tokens
+}
+
 /// Returns the split placement of the lowest cost, and that cost. Both engines must be of one KV group.
 fn cheapest_split(
     engines: &[Engine],
     request: &Request,
     weights: &Weights,
+    limits: Limits,
 ) -> Option<(Choice, f64)> {
     let splits = kv_groups(engines).into_iter().filter_map(|group| {
         let prefill = cheapest(engines, weights, |engine| {
@@ -240,9 +316,9 @@
             is_open.then(|| prefill_cost(engine, request, weights))
         })?;
         let decode = cheapest(engines, weights, |engine| {
-            let is_open =
-                engine.kv_group == group && decode_obstacle(engine, request, weights).is_none();
-            is_open.then(|| decode_cost(engine, request, weights))
+            let is_open = engine.kv_group == group
+                && decode_obstacle(engine, request, weights, limits).is_none();
+            is_open.then(|| decode_cost(engine, request, weights, limits))
         })?;
         let choice = Choice {
             placement: Placement::Split {
@@ -319,10 +395,13 @@
     request: &Request,
     weights: &Weights,
 ) -> Option<usize> {
-    let found = cheapest(engines, weights, |engine| {
-        let is_open = decode_obstacle(engine, request, weights).is_none();
-        is_open.then(|| decode_cost(engine, request, weights))
-    });
+    let within = |limits| {
+        cheapest(engines, weights, |engine| {
+            let is_open = decode_obstacle(engine, request, weights, limits).is_none();
+            is_open.then(|| decode_cost(engine, request, weights, limits))
+        })
+    };
+    let found = within(Limits::All).or_else(|| within(Limits::weakest(request)));
     found.map(|found| found.engine)
 }
 
@@ -344,14 +423,21 @@
 
 /// Returns why an engine can't decode the answer: it has no slot for it or, if the answer is long, would not
 /// complete it in time. An engine without long answers is assumed to.
-fn decode_obstacle(engine: &Engine, request: &Request, weights: &Weights) -> Option<Obstacle> {
-    let is_long = request.expected_output_tokens > weights.short_answer_max_tokens;
+fn decode_obstacle(
+    engine: &Engine,
+    request: &Request,
+    weights: &Weights,
+    limits: Limits,
+) -> Option<Obstacle> {
+    let is_long =
+        limits != Limits::Slots && request.expected_output_tokens > weights.short_answer_max_tokens;
     let max_slot_ratio = if is_long {
         weights.long_answer_max_slot_ratio
     } else {
         weights.max_slot_ratio
     };
     let meets_deadline = !is_long
+        || limits == Limits::WithoutPace
         || engine.latency.decode_token_us
             <= request.max_inter_token_latency_us * weights.latency_limit_ratio
         || engine.long_answers == 0;
@@ -386,17 +472,22 @@
     )
 }
 
+/// Returns how much of the prompt an engine would have to prefill. What the caller has received of the answer is not
+/// part of it: it is prefilled where the rest is decoded in any case.
 fn tokens_to_prefill(engine: &Engine, request: &Request) -> u64 {
     request
         .prompt_tokens
         .saturating_sub(engine.cached_tokens + engine.fetch.tokens)
 }
 
-fn work_to_prefill(engine: &Engine, request: &Request) -> u64 {
-    prompt::prefill_work(
-        request.prompt_tokens,
-        engine.cached_tokens + engine.fetch.tokens,
-    )
+/// Returns the work to prefill on an engine: the prompt and, if the engine decodes, the received part of the answer.
+#[must_use]
+pub fn work_to_prefill(engine: &Engine, request: &Request) -> u64 {
+    let tokens = match engine.stage {
+        Stage::Prefill => request.prompt_tokens,
+        Stage::Decode => request.prompt_tokens + request.received_tokens,
+    };
+    prompt::prefill_work(tokens, engine.cached_tokens + engine.fetch.tokens)
 }
 
 /// Whether the answers that an engine decodes tolerate that it prefills the prompt between its decode
@@ -462,14 +553,18 @@
     }
 }
 
-/// Returns the cost of decode alone, with the prompt prefilled elsewhere. The first event waits for the
-/// prompts that the engine prefills.
-fn decode_cost(engine: &Engine, request: &Request, weights: &Weights) -> Cost {
-    let delay_us = prefill_delay_us(engine, request, 0);
+/// Returns the cost of decode, with the prompt prefilled elsewhere. The first event waits for the prompts that the
+/// engine prefills, and for the part of the answer that the caller has received.
+fn decode_cost(engine: &Engine, request: &Request, weights: &Weights, limits: Limits) -> Cost {
+    let context_tokens = request.prompt_tokens + request.received_tokens;
+    let received_us = to_f64(prompt::prefill_work(context_tokens, request.prompt_tokens))
+        * engine.latency.prefill_token_us;
+    let delay_us = prefill_delay_us(engine, request, 0) + received_us;
     let duration_us = to_f64(engine.extra_round_trip) + engine.latency.overhead_us + delay_us;
     Cost {
         duration_us,
         weighted_us: duration_us
+            + decode_us(engine, request, limits)
             + long_answer_penalty_us(engine, request, weights)
             + engine_penalty_us(engine, weights),
         tokens_to_prefill: 0,
@@ -477,7 +572,12 @@
 }
 
 /// Returns the cost of prefill and decode on one engine.
-fn single_engine_cost(engine: &Engine, request: &Request, weights: &Weights) -> Cost {
+fn single_engine_cost(
+    engine: &Engine,
+    request: &Request,
+    weights: &Weights,
+    limits: Limits,
+) -> Cost {
     let tokens_to_prefill = tokens_to_prefill(engine, request);
     let own_us = to_f64(work_to_prefill(engine, request)) * engine.latency.prefill_token_us;
     let ahead_us = to_f64(engine_work_ahead(engine)) * engine.latency.prefill_token_us;
@@ -492,6 +592,7 @@
     Cost {
         duration_us,
         weighted_us: duration_us
+            + decode_us(engine, request, limits)
             + interference_us
             + long_answer_penalty_us(engine, request, weights)
             + engine_penalty_us(engine, weights),
@@ -499,6 +600,17 @@
     }
 }
 
+/// Returns the time to decode the rest of an answer that no engine would complete in time. All that would do so count
+/// as equally fast.
+fn decode_us(engine: &Engine, request: &Request, limits: Limits) -> f64 {
+    match limits {
+        Limits::All => 0.0,
+        Limits::WithoutPace | Limits::Slots => {
+            to_f64(request.expected_output_tokens) * engine.latency.decode_token_us
+        }
+    }
+}
+
 /// Returns the penalty for decoding a long answer there: the prefill backlog, which delays it, and the
 /// cost of the first long answer on an engine. Zero for a short answer.
 fn long_answer_penalty_us(engine: &Engine, request: &Request, weights: &Weights) -> f64 {
