Wait for engines that are too slow for a new answer, as before

A young estimate, or one of a second in which everything is prefilled again, is no knowledge that a request can't be served.

--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -130,7 +130,7 @@
         return Ok((snapshot, choice));
     }
     snapshot.log_no_room(job, "no engine has room, or others wait for it");
-    if !snapshot.may_get_room(job, queue.len()) || forwarding::send::is_possible(job) {
+    if !snapshot.may_get_slot(queue.len()) || forwarding::send::is_possible(job) {
         return Err(Denial::NoRoom(attempts.exhausted_refusal()));
     }
     // a request that still waits when the process exits would get no answer
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -176,16 +176,14 @@
         place::choose(&self.engines, &placement_request(job), &Weights::default())
     }
 
-    /// Whether a request that finds no room may get some before its deadline behind `waiting` others. That holds while an
-    /// engine would complete it in time, and the queue is shorter than the number of slots, which become free one after
-    /// the other as answers end.
-    pub fn may_get_room(&self, job: &Job, waiting: usize) -> bool {
+    /// Whether a request that finds no free slot may get one before its deadline behind `waiting`
+    /// others. That holds while the queue is shorter than the number of slots, which become free
+    /// one after the other as answers end.
+    pub fn may_get_slot(&self, waiting: usize) -> bool {
         let decode_engines = self.engines.iter();
         let decode_engines = decode_engines.filter(|engine| engine.stage == place::Stage::Decode);
         let slots: u64 = decode_engines.map(|engine| engine.decode_slots).sum();
-        let request = placement_request(job);
         u64::try_from(waiting).is_ok_and(|waiting| waiting < slots)
-            && place::may_get_room(&self.engines, &request, &Weights::default())
     }
 
     /// Whether the prompt is prefilled on the engine that decodes the answer, and so little of it
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -245,18 +245,6 @@
     }
 }
 
-/// Whether an engine may get room for a request that none can take now. One that is too slow for its deadline hardly
-/// will: the time that is left only gets shorter.
-#[must_use]
-pub fn may_get_room(engines: &[Engine], request: &Request, weights: &Weights) -> bool {
-    engines
-        .iter()
-        .any(|engine| match obstacle(engine, request, weights) {
-            Some(Obstacle::Stage | Obstacle::Pace) => false,
-            Some(Obstacle::Slots | Obstacle::Prefill) | None => true,
-        })
-}
-
 /// Chooses the placement of the lowest cost; `None` if no engine can take the request. A stream that has begun
 /// and that no engine would complete in time goes to the one that completes it first.
 #[must_use]
