--- a/components/gateway/src/crashes/tests.rs
+++ b/components/gateway/src/crashes/tests.rs
@@ -123,7 +123,7 @@
     send(&peer, &crashes);
     assert!(!is_withheld(&crashes, PART));
     send(&crashes, &peer);
-    assert!(!is_withheld(&peer, PART), "the peer is told");
+    assert!(!is_withheld(&peer, PART), "the peer is corrected");
 }
 
 /// Sends all updates of one gateway to another.
--- a/components/gateway/src/process/builds.rs
+++ b/components/gateway/src/process/builds.rs
@@ -57,7 +57,7 @@
 pub struct StoredBuilds {
     /// The rows as this process knows them, sorted; `None` until they have been read.
     rows: Mutex<Option<Vec<StoredBuild>>>,
-    /// Whether the rows have been read, or a peer has told all builds.
+    /// Whether the rows have been read, or a peer has reported all builds.
     is_complete: AtomicBool,
     /// Changes whenever more has become known.
     reading: watch::Sender<Rows>,
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -1,7 +1,7 @@
 //! The builds that began streams, known by a few gateways each, so that a caller can resume its stream at any gateway.
 //!
-//! [`table`] holds the records, [`exchange`] replicates and queries them, [`search`] finds the build of a stream. As long as one build serves each service, every
-//! gateway keeps only the records of its own streams and sends nothing. See `docs/DESIGN.md#streams-and-builds`.
+//! [`table`] holds the records, [`exchange`] replicates and queries them, [`search`] finds the build of a stream. As long
+//! as one build serves each service, every gateway keeps only the records of its own streams and sends nothing. See `docs/DESIGN.md#streams-and-builds`.
 
 mod exchange;
 mod question;
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Returns what this process knows now: the build, or that it can't be told. `None` if more may become known.
+    /// Returns what this process knows now: the build, or that it can't be known. `None` if more may become known.
     fn known(&self) -> Option<Result<(Build, Source), ()>> {
         let record = self.key.and_then(|key| self.gateway.known_stream(key));
         // read before the builds, so that they hold all that it says are known
@@ -159,7 +159,7 @@
         self.gateway.streams.outbox.push(items);
     }
 
-    /// Whether live peers may not have been heard of as yet.
+    /// Whether live peers may not be known as yet.
     fn is_discovering(&self) -> bool {
         self.gateway.uptime() < DISCOVERY_PERIOD
     }
