Bind no stream to the only build listed while a peer has a later list

What callers see: a gateway that follows the list of endpoints late (its store link is cut and a change of the list did not reach it) knows one build, while its peers already have engines of a second one. A stream that began at the second is resumed there and continued by an engine of the first: events of two builds in one stream. Without a name the same holds for every caller.

Cause: "one build in the list, and no other lately" was concluded from a list that may be older than the peers'. Not to know yet was taken for knowing that there is nothing.

Evidence: stale_lists::a_stream_of_a_build_that_only_peers_know_is_not_taken_to_the_only_build_listed failed before (200, and the request reached d1 of v1; 1 passed, 2 failed), passes now.

Change: heartbeats tell the latest revision of the list that a peer knows. If it is later than the own one, the builds are asked for as after a start; the answer now bears its revision, and counts if no live peer knows a later one. A revision is recorded after it has been applied. Nothing is sent as long as the lists are equal, and with a peer that knows no other build the stream goes on (second test, so that a late list refuses nothing).

Left: a gateway that has heard of the later revision from nobody (100 ms between neighbours, up to some seconds between others in large fleets) still binds by its own list.

--- a/components/gateway/src/process/builds.rs
+++ b/components/gateway/src/process/builds.rs
@@ -4,7 +4,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::Gateway;
+use super::{Gateway, List};
 use crate::endpoint::Build;
 
 /// The prefix of the keys of builds.
@@ -59,6 +59,8 @@
     rows: Mutex<Option<Vec<StoredBuild>>>,
     /// Whether the rows have been read, or a peer has reported all builds.
     is_complete: AtomicBool,
+    /// The latest revision of the list of endpoints whose builds a peer has reported.
+    reported_revision: AtomicU64,
     /// Changes whenever more has become known.
     reading: watch::Sender<Rows>,
 }
@@ -68,6 +70,7 @@
         Self {
             rows: Mutex::default(),
             is_complete: AtomicBool::new(false),
+            reported_revision: AtomicU64::new(0),
             reading: watch::Sender::new(Rows::Pending),
         }
     }
@@ -92,6 +95,32 @@
         stored.reading.send_modify(|_| {});
     }
 
+    /// Whether this process knows all builds that serve, from its own list of endpoints or from a peer with a later one.
+    pub fn knows_listed_builds(&self) -> bool {
+        let reported = self.stored_builds.reported_revision.load(Ordering::Acquire);
+        let own = self.last_changes.revision(List::Endpoints);
+        own.max(reported) >= self.peers.latest_revision(List::Endpoints)
+    }
+
+    /// Takes over the builds that a peer knows, all that served up to this revision of the list of endpoints. Returns
+    /// whether it knows more than this process.
+    pub fn record_reported_builds(&self, builds: &[(String, Build)], revision: u64) -> bool {
+        let is_later = revision > self.last_changes.revision(List::Endpoints);
+        if self.knows_earlier_builds() && !is_later {
+            return false;
+        }
+        for (service, build) in builds {
+            let known = self.registry.builds();
+            known.record_earlier(service, build.clone());
+        }
+        let stored = &self.stored_builds;
+        stored
+            .reported_revision
+            .fetch_max(revision, Ordering::AcqRel);
+        self.record_earlier_builds_known();
+        true
+    }
+
     /// Records that the store did not answer a call that has to succeed before the rows are read.
     pub fn record_rows_unavailable(&self) {
         self.stored_builds.reading.send_if_modified(|reading| {
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -159,8 +159,8 @@
         if recovered {
             log::info!(table = "endpoints", revision = update.revision; "the store has recovered");
         }
+        self.apply(update.changes.clone(), full, recovered);
         self.advertise(&update, full, recovered);
-        self.apply(update.changes, full, recovered);
         if let Some(as_of) = update.as_of {
             self.gateway.confirm_list(List::Endpoints, as_of, started);
         }
--- a/components/gateway/src/process/follow.rs
+++ b/components/gateway/src/process/follow.rs
@@ -89,12 +89,12 @@
 
     /// The revision of the newest change of a list that this process knows.
     pub fn revision(&self, list: List) -> u64 {
-        self.counter(list).load(Ordering::Relaxed)
+        self.counter(list).load(Ordering::Acquire)
     }
 
-    /// Records a change; an older one has no effect.
+    /// Records a change that has been applied; an older one has no effect.
     pub fn record(&self, list: List, revision: u64) {
-        self.counter(list).fetch_max(revision, Ordering::Relaxed);
+        self.counter(list).fetch_max(revision, Ordering::AcqRel);
     }
 }
 
--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -17,7 +17,10 @@
     question::Subject,
     table::{Owner, Record},
 };
-use crate::{endpoint::Build, process::Gateway};
+use crate::{
+    endpoint::Build,
+    process::{Gateway, List},
+};
 
 /// Maximum number of items in a datagram, so that it usually fits into a packet.
 const MAX_ITEMS: usize = 32;
@@ -111,6 +114,8 @@
 }
 
 fn encode_builds(gateway: &Gateway) -> RecentBuilds {
+    // read before the builds, so that they hold all that this revision added
+    let endpoints_changed = gateway.last_changes.revision(List::Endpoints);
     let builds = gateway.registry.builds().all();
     if !gateway.knows_earlier_builds() || builds.len() > MAX_BUILDS {
         return RecentBuilds::default();
@@ -122,19 +127,22 @@
     RecentBuilds {
         complete: true,
         builds: builds.collect(),
+        endpoints_changed,
     }
 }
 
 /// Takes over which builds have served lately from a peer that knows all of them.
 fn apply_builds(gateway: &Gateway, peer: SocketAddr, recent: &RecentBuilds) {
-    if recent.complete && !gateway.knows_earlier_builds() {
-        for earlier in &recent.builds {
-            let build = Build(Arc::from(earlier.build.as_str()));
-            let builds = gateway.registry.builds();
-            builds.record_earlier(&earlier.service, build);
-        }
-        log::info!(peer:%, builds:? = recent.builds; "a peer knows which builds have served lately");
-        gateway.record_earlier_builds_known();
+    let builds = recent.builds.iter().map(|reported| {
+        let build = Build(Arc::from(reported.build.as_str()));
+        (reported.service.clone(), build)
+    });
+    let builds: Vec<(String, Build)> = builds.collect();
+    if recent.complete && gateway.record_reported_builds(&builds, recent.endpoints_changed) {
+        log::info!(
+            peer:%, builds:?, endpoints_changed = recent.endpoints_changed;
+            "a peer knows which builds have served lately"
+        );
     }
     let questions = &gateway.streams.questions;
     questions.record_unknown(Subject::Builds, peer);
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -118,7 +118,7 @@
     fn known(&self) -> Option<Result<(Build, Source), ()>> {
         let record = self.key.and_then(|key| self.gateway.known_stream(key));
         // read before the builds, so that they hold all that it says are known
-        let knows_all = self.gateway.knows_earlier_builds();
+        let knows_all = self.knows_all_builds();
         match (record, self.builds().as_slice()) {
             (Some(Begun::At(build)), _) => Some(Ok((build, Source::Record))),
             (Some(Begun::Ambiguous), _) => Some(Err(())),
@@ -134,7 +134,8 @@
             |question: &Question<'_>| is_discovering || !question.unanswered().is_empty();
         // a read that failed is repeated soon
         let may_read_rows = *self.gateway.earlier_rows().borrow() != Rows::Read;
-        let may_learn_builds = may_read_rows && self.builds().len() <= 1;
+        let may_list_builds = may_read_rows || !self.gateway.knows_listed_builds();
+        let may_learn_builds = may_list_builds && self.builds().len() <= 1;
         let may_learn_stream = |question| may_read_rows || may_answer(question);
         may_learn_builds || questions.stream.as_ref().is_some_and(may_learn_stream)
     }
@@ -147,7 +148,7 @@
             question.ask(&peers);
             self.send(question, Subject::Stream(key));
         }
-        if !self.gateway.knows_earlier_builds() && self.builds().len() == 1 {
+        if !self.knows_all_builds() && self.builds().len() == 1 {
             questions.builds.ask(&peers);
             self.send(&questions.builds, Subject::Builds);
         }
@@ -159,6 +160,11 @@
         self.gateway.streams.outbox.push(items);
     }
 
+    /// Whether this process knows the builds that serve and those that served before it started.
+    fn knows_all_builds(&self) -> bool {
+        self.gateway.knows_earlier_builds() && self.gateway.knows_listed_builds()
+    }
+
     /// Whether live peers may not be known as yet.
     fn is_discovering(&self) -> bool {
         self.gateway.uptime() < DISCOVERY_PERIOD
