Wait for a later list of endpoints before a build counts as gone

What callers see: 503 "the version of the service that began the stream no longer serves" at once, without a time to come back, for a stream of a build that has just begun to serve: a record says which build it is, but the gateway's list of endpoints is older than its peers' and holds none of it.

Cause: "not in the own list" was taken for "gone".

Evidence: stale_lists::a_stream_resumed_before_the_engines_of_its_build_are_listed_goes_on failed before (503, 200 wanted); stale_lists, builds and resumptions pass (26).

Change: while a live peer knows a later revision of the list, such a resumption waits for it, as long as one waits for room; after that it is refused with a time to come back, as nothing shows that the build is gone. Where no peer knows a later list it is refused at once as before.

--- a/components/gateway/src/process/builds.rs
+++ b/components/gateway/src/process/builds.rs
@@ -95,6 +95,11 @@
         stored.reading.send_modify(|_| {});
     }
 
+    /// Whether a live peer knows a later list of endpoints than this process, which may hold further builds.
+    pub fn has_old_endpoints(&self) -> bool {
+        self.last_changes.revision(List::Endpoints) < self.peers.latest_revision(List::Endpoints)
+    }
+
     /// Whether this process knows all builds that serve, from its own list of endpoints or from a peer with a later one.
     pub fn knows_listed_builds(&self) -> bool {
         let reported = self.stored_builds.reported_revision.load(Ordering::Acquire);
--- a/components/gateway/src/request/resumption.rs
+++ b/components/gateway/src/request/resumption.rs
@@ -19,12 +19,15 @@
 /// The longest time for which a resumption is held, as a multiple of the latency objective.
 const MAX_WAIT_OBJECTIVES: u32 = 4;
 
+/// How often a resumption looks whether the list of endpoints has arrived that holds those of its build.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Binds a request that resumes a stream to the build that began the stream.
 ///
 /// # Errors
 ///
 /// [`Reason::StreamUnknown`] or [`Reason::BuildGone`] if the stream can't be resumed, [`Reason::NoEndpoint`] if no
-/// endpoint is listed; the request did not run.
+/// endpoint is listed, or the list is out of date; the request did not run.
 pub async fn bind(job: &Job) -> Result<(), Reason> {
     let Some(after) = resumed_after(job) else {
         return Ok(());
@@ -38,13 +41,12 @@
     {
         return Err(Reason::NoEndpoint(DEFAULT_RETRY_AFTER));
     }
-    let found = find_build(job).await;
+    let until = Instant::now() + max_wait(job);
+    let found = find_build(job, until).await;
     let outcome = match &found {
-        Some((build, _)) if !is_served(job, build) => Err(Reason::BuildGone),
-        Some((build, _)) => {
-            job.bind(build);
-            Ok(())
-        }
+        Some((build, _)) => wait_until_served(job, build, until)
+            .await
+            .map(|()| job.bind(build)),
         None => Err(Reason::StreamUnknown),
     };
     let source = found.as_ref().map(|(_, source)| source.to_string());
@@ -73,14 +75,13 @@
 }
 
 /// Returns the build that began the stream, or `None` if that is not certain. Waits for what may still become known.
-async fn find_build(job: &Job) -> Option<(Build, Source)> {
+async fn find_build(job: &Job, until: Instant) -> Option<(Build, Source)> {
     let is_named = job.metadata.resumes.is_some();
     let search = Search {
         gateway: &job.gateway,
         service: &job.service.name,
         key: is_named.then(|| job.stream_key()),
     };
-    let until = Instant::now() + max_wait(job);
     search.run(&job.metadata.id, until).await
 }
 
@@ -91,6 +92,26 @@
         .min(job.first_event_timeout())
 }
 
+/// Waits until an endpoint of a build may take the stream, as long as peers know a later list that may hold one.
+///
+/// # Errors
+///
+/// [`Reason::BuildGone`] if none does, [`Reason::NoEndpoint`] if the later list has not arrived by `until`.
+async fn wait_until_served(job: &Job, build: &Build, until: Instant) -> Result<(), Reason> {
+    loop {
+        // read before the endpoints, so that they are those of a list as late as the peers'
+        let is_old = job.gateway.has_old_endpoints();
+        match is_served(job, build) {
+            true => return Ok(()),
+            false if !is_old => return Err(Reason::BuildGone),
+            false if Instant::now() >= until => {
+                return Err(Reason::NoEndpoint(DEFAULT_RETRY_AFTER));
+            }
+            false => clock::sleep(LIST_CHECK_INTERVAL).await,
+        }
+    }
+}
+
 /// Whether an endpoint of a build may take the stream, at once or later.
 fn is_served(job: &Job, build: &Build) -> bool {
     let fleet = job.gateway.registry.fleet(&job.service.name);
