Move the changes of a read list to its advertisement instead of copying them twice

The order stays: a revision is recorded once its endpoints are in the registry. followers::, lists::, restarts:: and stale_lists:: of the gateway's tests pass; clippy is clean for gateway and platform.

--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -159,17 +159,19 @@
         if recovered {
             log::info!(table = "endpoints", revision = update.revision; "the store has recovered");
         }
+        let revision = update.revision;
+        let as_of = update.as_of;
         self.apply(update.changes.clone(), full, recovered);
-        self.advertise(&update, full, recovered);
-        if let Some(as_of) = update.as_of {
+        self.advertise(update, full, recovered);
+        if let Some(as_of) = as_of {
             self.gateway.confirm_list(List::Endpoints, as_of, started);
         }
         let wait = long_poll_timeout(&self.gateway, List::Endpoints);
-        self.cursor = next_read(update.revision, wait);
+        self.cursor = next_read(revision, wait);
     }
 
     /// Advertises the changes to the peers, or after a full read only the new revision.
-    fn advertise(&mut self, update: &Update<Change>, full: bool, after_outage: bool) {
+    fn advertise(&mut self, update: Update<Change>, full: bool, after_outage: bool) {
         let last_changes = &self.gateway.last_changes;
         let before = self.revision_before_read;
         if full {
@@ -188,7 +190,7 @@
                     after_revision: before.max(self.full_read_revision),
                     to_revision: update.last_change,
                     after_outage,
-                    changes: update.changes.clone(),
+                    changes: update.changes,
                 });
             }
         }
