Judge what arrived before a planned stop by its expected end, also late in the stop

Callers saw: streams that had begun before a gateway was stopped broken off at once, 2.5 s and more after the SIGTERM, when their engine broke and the others were full for a moment; and requests that had arrived before it answered with 502 when their engine failed, though another had room.

Cause: whether something ends before the stop was decided by the time of the decision. After the balancer's lag everything was held to its deadline, as is right for a request that arrives then (it must not be cut even by a silent engine), but not for one under way, which is broken off for certain if it may not go on.

The two tests that no request is accepted late that a silent engine could delay, nor queued, pass unchanged.

Beside it, not changed: resumptions that arrive late in a stop are refused like new streams.

--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -302,14 +302,14 @@
     /// Whether the request ends before this process shuts down, if it takes as long as `expected`.
     /// A request that arrives when the load balancer should no longer send any must not be
     /// interrupted even if its endpoint goes silent, so it is only accepted if its whole time until
-    /// the deadline fits.
+    /// the deadline fits. One that arrived before goes on as late as it is expected to end in time:
+    /// without that it would be broken off for certain.
     pub fn ends_before_shutdown(&self, expected: Duration) -> bool {
-        let now = Instant::now();
         self.gateway.shutdown().is_none_or(|shutdown| {
             // until `balancer_removed` the load balancer still sends requests, and tolerates one
             // that is interrupted
-            let ends = if now < shutdown.balancer_removed {
-                (now + expected).min(self.deadline)
+            let ends = if self.received < shutdown.balancer_removed {
+                (Instant::now() + expected).min(self.deadline)
             } else {
                 self.deadline
             };
