Let resumed streams not wait behind prompts that have been prefilled

A resumed stream was silent for the whole of its wait beside free slots. Prompts that engines of a build had prefilled waited in one queue with the streams that the build had begun. The first of a queue alone looks for room, and a new answer needs an engine with fewer than three quarters of its slots taken, while a stream that has begun takes any slot. So behind a prefilled long answer with an earlier deadline it was placed only by the look at the end of its wait.

Each build now has a queue for either, and what a request can take (`queues::Claim`) decides where it waits.

--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -13,7 +13,7 @@
 use super::Gateway;
 use crate::{
     endpoint::{Build, Latencies, ServiceDefaults, Stage, Target},
-    request::Queue,
+    request::{Claim, Queue, Queues},
 };
 
 const NANOS_PER_MICRO: f64 = 1e3;
@@ -63,11 +63,8 @@
     latencies: Latencies,
     /// The inter-token latencies that its recent long answers need.
     pace: Pace,
-    /// Requests that wait for a slot on any engine and have not begun.
-    queue: Arc<Queue>,
-    /// Streams that have begun and prompts that have been prefilled, which wait for a slot on an engine of one build;
-    /// sorted by build. They have queues of their own, as an engine with a free slot may be of no use to the first of them.
-    build_queues: Vec<(Build, Arc<Queue>)>,
+    /// The requests that wait for a slot.
+    queues: Queues,
 }
 
 impl ServiceState {
@@ -79,33 +76,11 @@
             wait_factor: WaitFactor::default(),
             latencies: Latencies::default(),
             pace: Pace::default(),
-            queue: Arc::default(),
-            build_queues: Vec::new(),
+            queues: Queues::default(),
         }
     }
 }
 
-impl ServiceState {
-    fn build_queue(&mut self, build: &Build) -> Arc<Queue> {
-        let index = self
-            .build_queues
-            .binary_search_by(|(other, _)| other.cmp(build));
-        if let Ok(index) = index {
-            return Arc::clone(&self.build_queues[index].1);
-        }
-        // queues that nobody waits in are not kept
-        self.build_queues
-            .retain(|(_, queue)| Arc::strong_count(queue) > 1);
-        let queue = Arc::<Queue>::default();
-        let index = self
-            .build_queues
-            .partition_point(|(other, _)| other < build);
-        let entry = (build.clone(), Arc::clone(&queue));
-        self.build_queues.insert(index, entry);
-        queue
-    }
-}
-
 /// Permission for one retry from a service's retry budget.
 #[derive(Debug)]
 pub struct RetryPermit {
@@ -258,23 +233,14 @@
         self.with_service(service, |state| learn(&mut state.wait_factor));
     }
 
-    /// Returns the queue of a service's requests that wait for a slot: of those that only engines of `build` can serve, or
-    /// of those that any can. A stream that has begun takes engines that new requests can't, so it must not wait behind
-    /// them.
-    pub fn queue(&self, service: &Arc<str>, build: Option<&Build>) -> Arc<Queue> {
-        self.with_service(service, |state| match build {
-            None => Arc::clone(&state.queue),
-            Some(build) => state.build_queue(build),
-        })
+    /// Returns the queue of a service's requests that wait for a slot with a claim.
+    pub fn queue(&self, service: &Arc<str>, claim: Claim<'_>) -> Arc<Queue> {
+        self.with_service(service, |state| state.queues.get(claim))
     }
 
     /// Returns the builds for whose engines requests wait that other engines can't serve.
     pub fn awaited_builds(&self, service: &Arc<str>) -> Vec<Build> {
-        self.with_service(service, |state| {
-            let waiting = state.build_queues.iter();
-            let waiting = waiting.filter(|(_, queue)| queue.len() > 0);
-            waiting.map(|(build, _)| build.clone()).collect()
-        })
+        self.with_service(service, |state| state.queues.awaited_builds())
     }
 
     /// Returns the average latencies of the engines of a service.
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -3,6 +3,7 @@
 pub mod migrate;
 mod prefill;
 mod queue;
+mod queues;
 mod run;
 mod snapshot;
 mod timing;
@@ -29,6 +30,7 @@
 use timing::Timing;
 
 pub use queue::Queue;
+pub use queues::{Claim, Queues};
 pub use snapshot::is_long_answer;
 
 /// Serves a generation.
@@ -120,7 +122,7 @@
         let choice = snapshot.choose(job);
         (snapshot, choice)
     };
-    let queue = job.gateway.queue(&job.service.name, job.build());
+    let queue = job.gateway.queue(&job.service.name, Claim::of(job));
     let (snapshot, choice) = try_place();
     if job.begin_demand_count() {
         snapshot::count_demand(job, &snapshot);
@@ -149,7 +151,7 @@
     job: &Job,
     try_place: impl Fn() -> (Snapshot, Option<Choice>),
 ) -> Option<(Snapshot, Choice)> {
-    let queue = job.gateway.queue(&job.service.name, job.build());
+    let queue = job.gateway.queue(&job.service.name, Claim::of(job));
     let ticket = queue.join(job);
     while ticket.wait_turn(job).await {
         if let (snapshot, Some(choice)) = try_place() {
--- /dev/null
+++ b/components/gateway/src/request/generate/queues.rs
@@ -0,0 +1,74 @@
+//! The queues of a service. Requests that can take different slots wait in different queues, as a free slot may be of no
+//! use to the first of a queue. See `docs/DESIGN.md#waiting-for-room`.
+
+use std::sync::Arc;
+
+use super::queue::Queue;
+use crate::{endpoint::Build, request::job::Job};
+
+/// Which slots a request that waits can take.
+#[derive(Clone, Copy, Debug)]
+pub enum Claim<'a> {
+    /// Those for new answers, on engines of any build.
+    New,
+    /// Those for new answers, on engines of the build that has prefilled its prompt.
+    Prefilled(&'a Build),
+    /// All, on engines of the build that has begun its stream.
+    Begun(&'a Build),
+}
+
+impl<'a> Claim<'a> {
+    /// Returns the claim of a request whose prompt no other engine has prefilled.
+    pub fn of(job: &'a Job) -> Self {
+        job.build().map_or(Self::New, Self::Begun)
+    }
+
+    /// Returns the claim of a request whose prompt an engine of `build` has prefilled.
+    pub fn of_prefilled(job: &'a Job, build: &'a Build) -> Self {
+        job.build().map_or(Self::Prefilled(build), Self::Begun)
+    }
+}
+
+/// The queues of one service.
+#[derive(Debug, Default)]
+pub struct Queues {
+    new: Arc<Queue>,
+    prefilled: ByBuild,
+    begun: ByBuild,
+}
+
+impl Queues {
+    /// Returns the queue of the requests with a claim.
+    pub fn get(&mut self, claim: Claim<'_>) -> Arc<Queue> {
+        match claim {
+            Claim::New => Arc::clone(&self.new),
+            Claim::Prefilled(build) => self.prefilled.get(build),
+            Claim::Begun(build) => self.begun.get(build),
+        }
+    }
+
+    /// Returns the builds for whose engines requests wait that other engines can't serve.
+    pub fn awaited_builds(&self) -> Vec<Build> {
+        let queues = self.prefilled.0.iter().chain(&self.begun.0);
+        let waiting = queues.filter(|(_, queue)| queue.len() > 0);
+        waiting.map(|(build, _)| build.clone()).collect()
+    }
+}
+
+/// A queue for each build, sorted by build.
+#[derive(Debug, Default)]
+struct ByBuild(Vec<(Build, Arc<Queue>)>);
+
+impl ByBuild {
+    fn get(&mut self, build: &Build) -> Arc<Queue> {
+        if let Ok(index) = self.0.binary_search_by(|(other, _)| other.cmp(build)) {
+            return Arc::clone(&self.0[index].1);
+        }
+        // queues that nobody waits in are not kept
+        self.0.retain(|(_, queue)| Arc::strong_count(queue) > 1);
+        let queue = Arc::<Queue>::default();
+        let index = self.0.partition_point(|(other, _)| other < build);
+        self.0.insert(index, (build.clone(), Arc::clone(&queue)));
+        queue
+    }
+}
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -7,6 +7,7 @@
 
 use super::{
     prefill,
+    queues::Claim,
     snapshot::{Snapshot, is_long_answer, placement_request},
     timing,
 };
@@ -78,7 +79,8 @@
     if let Some(found) = try_choose() {
         return Some(found);
     }
-    let queue = job.gateway.queue(&job.service.name, Some(build));
+    let claim = Claim::of_prefilled(job, build);
+    let queue = job.gateway.queue(&job.service.name, claim);
     let ticket = queue.join(job);
     while ticket.wait_turn(job).await {
         if let Some(found) = try_choose() {
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -5,6 +5,7 @@
 use clock::Instant;
 use policy::place::{self, Choice, Obstacle, Placement, Request, Weights};
 
+use super::queues::Claim;
 use crate::{
     endpoint::{self, Build, Reach, Stage, Target},
     process::DemandTotals,
@@ -245,7 +246,7 @@
             slow = count(Obstacle::Pace), prefilling = count(Obstacle::Prefill), prompt = request.prompt_tokens, received = request.received_tokens,
             output = request.expected_output_tokens, step_limit_us = policy::to_u64(request.max_inter_token_latency_us),
             left_ms = policy::micros(job.time_left()) / 1_000,
-            waiting = job.gateway.queue(&job.service.name, job.build()).len();
+            waiting = job.gateway.queue(&job.service.name, Claim::of(job)).len();
             "{message}"
         );
     }
