Let waiting requests of a higher priority in other queues have a slot first

A resumption of the lowest priority took the slot that a new request of the highest waited for. Requests that can take different slots wait in different queues, and the first of each looks every 10 ms on its own, so whichever came first took a slot that was of use to both; so did a request that arrived with room in sight and its own queue empty.

Now a request that finds room leaves it while the first of another queue of the same service, for engines of the same build, has a higher priority and has not looked since there is room. It takes it once that one has looked and has no use for it, which is 10 to 20 ms later at most, and once for as long as room lasts: the requests behind it do not wait again. Nothing is left where the request would be refused or forwarded instead of waiting.

--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use clock::Instant;
 use parking_lot::Mutex;
 use policy::{
     estimate::{Latency, Margin, WaitFactor},
@@ -13,7 +14,7 @@
 use super::Gateway;
 use crate::{
     endpoint::{Build, Latencies, ServiceDefaults, Stage, Target},
-    request::{Claim, Queue, Queues},
+    request::{Claim, Queue, Queues, job::Job},
 };
 
 const NANOS_PER_MICRO: f64 = 1e3;
@@ -238,6 +239,14 @@
         self.with_service(service, |state| state.queues.get(claim))
     }
 
+    /// Whether a request of a higher priority than `job` waits for slots that one with this claim can take, and has not
+    /// looked for room after `since`.
+    pub fn is_outranked(&self, job: &Job, claim: Claim<'_>, since: Instant) -> bool {
+        self.with_service(&job.service.name, |state| {
+            state.queues.is_outranked(claim, job.priority, since)
+        })
+    }
+
     /// Returns the builds for whose engines requests wait that other engines can't serve.
     pub fn awaited_builds(&self, service: &Arc<str>) -> Vec<Build> {
         self.with_service(service, |state| state.queues.awaited_builds())
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -10,6 +10,7 @@
 
 use std::sync::Arc;
 
+use clock::Instant;
 use hyper::Response;
 use policy::place::{Choice, Placement};
 
@@ -127,16 +128,24 @@
     if job.begin_demand_count() {
         snapshot::count_demand(job, &snapshot);
     }
+    let goes_elsewhere =
+        || !snapshot.may_get_slot(queue.len()) || forwarding::send::is_possible(job);
+    // a request that still waits when the process exits would get no answer
+    let ends_in_time = || job.ends_before_shutdown(queue::max_wait(job));
+    let is_outranked = || {
+        let now = Instant::now();
+        job.gateway.is_outranked(job, Claim::of(job), now)
+    };
     // requests that already wait go first
-    if let Some(choice) = choice.filter(|_| queue.len() == 0) {
+    let may_go = queue.len() == 0 && !(is_outranked() && !goes_elsewhere() && ends_in_time());
+    if let Some(choice) = choice.filter(|_| may_go) {
         return Ok((snapshot, choice));
     }
     snapshot.log_no_room(job, "no engine has room, or others wait for it");
-    if !snapshot.may_get_slot(queue.len()) || forwarding::send::is_possible(job) {
+    if goes_elsewhere() {
         return Err(Denial::NoRoom(attempts.exhausted_refusal()));
     }
-    // a request that still waits when the process exits would get no answer
-    if !job.ends_before_shutdown(queue::max_wait(job)) {
+    if !ends_in_time() {
         return Err(Denial::Final(attempts.shutdown_refusal()));
     }
     let found = wait_for_room(job, try_place).await;
@@ -151,12 +160,12 @@
     job: &Job,
     try_place: impl Fn() -> (Snapshot, Option<Choice>),
 ) -> Option<(Snapshot, Choice)> {
-    let queue = job.gateway.queue(&job.service.name, Claim::of(job));
-    let ticket = queue.join(job);
-    while ticket.wait_turn(job).await {
-        if let (snapshot, Some(choice)) = try_place() {
-            return Some((snapshot, choice));
-        }
+    let look = || {
+        let (snapshot, choice) = try_place();
+        choice.map(|choice| (snapshot, choice))
+    };
+    if let Some(placed) = queues::wait(job, Claim::of(job), look).await {
+        return Some(placed);
     }
     if job.withheld().is_some() {
         return None;
--- a/components/gateway/src/request/generate/queue.rs
+++ b/components/gateway/src/request/generate/queue.rs
@@ -40,6 +40,10 @@
     positions: Vec<Position>,
     /// Number of requests that have joined so far.
     joined: u64,
+    /// Since when the first request finds room at each look.
+    room_since: Option<Instant>,
+    /// When a first request last found no room.
+    no_room_at: Option<Instant>,
 }
 
 /// A request in the queue; it leaves the queue when this is dropped.
@@ -61,6 +65,14 @@
         self.state.lock().positions.len()
     }
 
+    /// Whether a request of a higher priority than `priority` waits here that has not looked for room after `since`.
+    pub fn outranks(&self, priority: u32, since: Instant) -> bool {
+        let state = self.state.lock();
+        let first = state.positions.first();
+        first.is_some_and(|(first, ..)| *first < priority)
+            && state.no_room_at.is_none_or(|at| at < since)
+    }
+
     /// Adds a request to the queue.
     pub fn join(&self, job: &Job) -> Ticket<'_> {
         let mut state = self.state.lock();
@@ -102,6 +114,19 @@
         }
     }
 
+    /// Records whether the first request has found room. Returns since when there is room for it.
+    pub fn record_look(&self, has_room: bool) -> Option<Instant> {
+        let now = Instant::now();
+        let mut state = self.queue.state.lock();
+        if has_room {
+            state.room_since.get_or_insert(now);
+        } else {
+            state.room_since = None;
+            state.no_room_at = Some(now);
+        }
+        state.room_since
+    }
+
     fn is_first(&self) -> bool {
         self.queue.state.lock().positions.first() == Some(&self.position)
     }
@@ -113,6 +138,9 @@
         if let Ok(index) = state.positions.binary_search(&self.position) {
             state.positions.remove(index);
         }
+        if state.positions.is_empty() {
+            state.room_since = None;
+        }
         drop(state);
         self.queue.changed.notify_waiters();
     }
--- a/components/gateway/src/request/generate/queues.rs
+++ b/components/gateway/src/request/generate/queues.rs
@@ -3,6 +3,8 @@
 
 use std::sync::Arc;
 
+use clock::Instant;
+
 use super::queue::Queue;
 use crate::{endpoint::Build, request::job::Job};
 
@@ -27,6 +29,13 @@
     pub fn of_prefilled(job: &'a Job, build: &'a Build) -> Self {
         job.build().map_or(Self::Prefilled(build), Self::Begun)
     }
+
+    fn build(self) -> Option<&'a Build> {
+        match self {
+            Self::New => None,
+            Self::Prefilled(build) | Self::Begun(build) => Some(build),
+        }
+    }
 }
 
 /// The queues of one service.
@@ -47,6 +56,15 @@
         }
     }
 
+    /// Whether a request of a higher priority than `priority` waits for slots that one with this claim can take, and has
+    /// not looked for room after `since`.
+    pub fn is_outranked(&self, claim: Claim<'_>, priority: u32, since: Instant) -> bool {
+        let bound = self.prefilled.0.iter().chain(&self.begun.0);
+        let mut rivals = bound.filter(|(build, _)| claim.build().is_none_or(|own| own == build));
+        self.new.outranks(priority, since)
+            || rivals.any(|(_, queue)| queue.outranks(priority, since))
+    }
+
     /// Returns the builds for whose engines requests wait that other engines can't serve.
     pub fn awaited_builds(&self) -> Vec<Build> {
         let queues = self.prefilled.0.iter().chain(&self.begun.0);
@@ -55,6 +73,22 @@
     }
 }
 
+/// Waits in the queue of a claim until `look` finds room; `None` if there is none in time, or if the request is withheld
+/// meanwhile.
+pub async fn wait<T>(job: &Job, claim: Claim<'_>, look: impl Fn() -> Option<T>) -> Option<T> {
+    let queue = job.gateway.queue(&job.service.name, claim);
+    let ticket = queue.join(job);
+    while ticket.wait_turn(job).await {
+        let found = look();
+        let room_since = ticket.record_look(found.is_some());
+        // those of a higher priority in other queues look first
+        if room_since.is_some_and(|since| !job.gateway.is_outranked(job, claim, since)) {
+            return found;
+        }
+    }
+    None
+}
+
 /// A queue for each build, sorted by build.
 #[derive(Debug, Default)]
 struct ByBuild(Vec<(Build, Arc<Queue>)>);
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -7,7 +7,7 @@
 
 use super::{
     prefill,
-    queues::Claim,
+    queues::{self, Claim},
     snapshot::{Snapshot, is_long_answer, placement_request},
     timing,
 };
@@ -79,15 +79,7 @@
     if let Some(found) = try_choose() {
         return Some(found);
     }
-    let claim = Claim::of_prefilled(job, build);
-    let queue = job.gateway.queue(&job.service.name, claim);
-    let ticket = queue.join(job);
-    while ticket.wait_turn(job).await {
-        if let Some(found) = try_choose() {
-            return Some(found);
-        }
-    }
-    None
+    queues::wait(job, Claim::of_prefilled(job, build), try_choose).await
 }
 
 /// Runs prefill on one engine and decode on another. The decode engine is chosen after the prefill,
