Say what the log and the counter of engines without room are

`log_no_room` is also called when there is room that is left to requests before it, and its counter counts engines, not requests, at each look. The line's `waiting` is the length of the queue in which the request waits, also for a prompt that has been prefilled.

--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -141,7 +141,11 @@
     if let Some(choice) = choice.filter(|_| may_go) {
         return Ok((snapshot, choice));
     }
-    snapshot.log_no_room(job, "no engine has room, or others wait for it");
+    snapshot.log_obstacles(
+        job,
+        Claim::of(job),
+        "no engine has room, or others wait for it",
+    );
     if goes_elsewhere() {
         return Err(Denial::NoRoom(attempts.exhausted_refusal()));
     }
@@ -182,7 +186,11 @@
         (snapshot, Some(choice)) => Some((snapshot, choice)),
         (snapshot, None) if snapshot.targets.is_empty() => None,
         (snapshot, None) => {
-            snapshot.log_no_room(job, "no engine has room to resume a broken stream as yet");
+            snapshot.log_obstacles(
+                job,
+                Claim::of(job),
+                "no engine has room to resume a broken stream as yet",
+            );
             if job.ends_before_shutdown(queue::max_wait(job)) {
                 wait_for_room(job, try_place).await
             } else {
--- a/components/gateway/src/request/generate/queues.rs
+++ b/components/gateway/src/request/generate/queues.rs
@@ -98,7 +98,7 @@
         return None;
     }
     let found = look().inspect_err(|snapshot| {
-        snapshot.log_no_room(job, "no engine has had room in time");
+        snapshot.log_obstacles(job, claim, "no engine has had room in time");
         if snapshot.is_full(job) {
             ticket.record_left(is_long);
         }
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -230,8 +230,9 @@
         }
     }
 
-    /// Logs and counts that no engine can take a request, with the reasons and the data they were based on.
-    pub fn log_no_room(&self, job: &Job, message: &str) {
+    /// Logs why engines can't take a request that is not placed now, with the data that this is based on, and counts these
+    /// engines. Others may have room that is left to requests before it.
+    pub fn log_obstacles(&self, job: &Job, claim: Claim<'_>, message: &str) {
         let request = placement_request(job);
         let weights = Weights::default();
         let found = self.engines.iter();
@@ -256,7 +257,7 @@
             slow = count(Obstacle::Pace), prefilling = count(Obstacle::Prefill), prompt = request.prompt_tokens, received = request.received_tokens,
             output = request.expected_output_tokens, step_limit_us = policy::to_u64(request.max_inter_token_latency_us),
             left_ms = policy::micros(job.time_left()) / 1_000,
-            waiting = job.gateway.queue(&job.service.name, Claim::of(job)).len();
+            waiting = job.gateway.queue(&job.service.name, claim).len();
             "{message}"
         );
     }
--- a/components/telemetry/src/metrics/streams.rs
+++ b/components/telemetry/src/metrics/streams.rs
@@ -12,8 +12,9 @@
     pub continued: IntCounterVec,
     /// Streams that callers resumed, by service and by whether the build that began them was found.
     pub resumed: IntCounterVec,
-    /// Engines that could not take a request which found none with room, by service, by the reason and by whether its
-    /// stream had begun.
+    /// Engines that could not take a request which was not placed when it looked for room, by service, by the reason and
+    /// by whether its stream had begun. Each such look counts all these engines, also if others have room that is left to
+    /// requests before it.
     pub no_room: IntCounterVec,
     /// Streams of which this process knows the build that began them.
     pub known: IntGauge,
@@ -43,7 +44,7 @@
             )?,
             no_room: counters(
                 "no_room_total",
-                "Engines that could not take a request.",
+                "Engines, not requests: those that could not take a request that was not placed.",
                 &["service", "obstacle", "begun"],
             )?,
             known: IntGauge::new(
