--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -141,7 +141,11 @@
     if let Some(choice) = choice.filter(|_| may_go) {
         return Ok((snapshot, choice));
     }
-    snapshot.log_no_room(job, "no engine has room, or others wait for it");
+    snapshot.log_obstacles(
+        job,
+        Claim::of(job),
+        "no engine has room, or others wait for it",
+    );
     if goes_elsewhere() {
         return Err(Denial::NoRoom(attempts.exhausted_refusal()));
     }
@@ -160,21 +164,11 @@
     job: &Job,
     try_place: impl Fn() -> (Snapshot, Option<Choice>),
 ) -> Option<(Snapshot, Choice)> {
-    let look = || {
-        let (snapshot, choice) = try_place();
-        choice.map(|choice| (snapshot, choice))
+    let look = || match try_place() {
+        (snapshot, Some(choice)) => Ok((snapshot, choice)),
+        (snapshot, None) => Err(snapshot),
     };
-    if let Some(placed) = queues::wait(job, Claim::of(job), look).await {
-        return Some(placed);
-    }
-    if job.withheld().is_some() {
-        return None;
-    }
-    let (snapshot, choice) = try_place();
-    if choice.is_none() {
-        snapshot.log_no_room(job, "no engine has had room in time");
-    }
-    choice.map(|choice| (snapshot, choice))
+    queues::wait(job, Claim::of(job), look).await
 }
 
 /// Resumes a broken stream on another engine than those `tried`. `Ok(None)` if none has room.
@@ -192,7 +186,11 @@
         (snapshot, Some(choice)) => Some((snapshot, choice)),
         (snapshot, None) if snapshot.targets.is_empty() => None,
         (snapshot, None) => {
-            snapshot.log_no_room(job, "no engine has room to resume a broken stream as yet");
+            snapshot.log_obstacles(
+                job,
+                Claim::of(job),
+                "no engine has room to resume a broken stream as yet",
+            );
             if job.ends_before_shutdown(queue::max_wait(job)) {
                 wait_for_room(job, try_place).await
             } else {
