Keep four copies of a stream's record, so that a kill of three of five gateways leaves one

Callers whose gateway was killed together with two others were refused as "it is not known which version of the service began the stream" at the two that were left, beside engines with room.

Cause: two peers held copies of a record. Of five gateways of which three are killed, both holders of a sixth of the streams of a killed one are gone.

Before: streams_go_on_after_three_of_five_gateways_were_killed_together FAILED (two copies; refused at the first of the two that were left). A record now costs eight datagrams, four before.

--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -24,8 +24,9 @@
 pub use exchange::{apply, run};
 pub use search::{Search, Source};
 
-/// Number of peers that hold a copy of a record, besides the gateway that made it.
-const COPIES: usize = 2;
+/// Number of peers that hold a copy of a record, besides the gateway that made it: as long as any of them is left, a
+/// caller need not wait for the store. All peers of a small fleet do.
+const COPIES: usize = 4;
 /// How often a copy is sent, as datagrams may be lost.
 const SENDS: u32 = 2;
 /// The longest time for which a record is kept, whatever deadline the caller states.
