Do not let a peer that has yet to read the rows deny a stream

A gateway that has just started answered that it did not know a stream, though its predecessor's row, which it was about to read, held it. The asking gateway took this for an answer and refused its caller at once.

Found by reading, shown by a_peer_that_has_yet_to_read_its_row_does_not_deny_a_stream (FAILED before).

The peer is silent until it has read the rows; silence is no answer, and the question is repeated.

--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -17,7 +17,10 @@
     question::Subject,
     table::{Owner, Record},
 };
-use crate::{endpoint::Build, process::Gateway};
+use crate::{
+    endpoint::Build,
+    process::{Gateway, Rows},
+};
 
 /// Maximum number of items in a datagram, so that it usually fits into a packet.
 const MAX_ITEMS: usize = 32;
@@ -184,10 +187,13 @@
         apply_builds(gateway, peer, recent);
     }
     gateway.streams.questions.notify();
-    let answers = streams.asked.iter().take(MAX_ITEMS).map(|key| {
+    // until the rows have been read silence makes the peer ask again, while an answer would count for good
+    let knows_rows = *gateway.earlier_rows().borrow() == Rows::Read;
+    let answers = streams.asked.iter().take(MAX_ITEMS).filter_map(|key| {
         let key = Key(*key);
-        let known = gateway.streams.table.get(key, now);
-        (peer, known.map_or(Item::Unknown(key), Item::Known))
+        let known = gateway.streams.table.get(key, now).map(Item::Known);
+        let answer = known.or_else(|| knows_rows.then_some(Item::Unknown(key)));
+        answer.map(|answer| (peer, answer))
     });
     let builds = streams.asks_builds.then_some((peer, Item::Builds));
     let is_question = streams.asks_builds || !streams.asked.is_empty();
