Write the streams of a gateway to the store each 250 ms where few gateways share it

After a kill of all gateways, or of a stream's gateway and all holders of its copies, streams of the last second were refused as not known.

The interval follows from the number of gateways: an eighth of the store's writes is for all rows, so 12 gateways may write each 250 ms; from 50 on nothing changes.

--- a/components/gateway/src/process/streams/mod.rs
+++ b/components/gateway/src/process/streams/mod.rs
@@ -13,7 +13,7 @@
 use crate::streams::store::{self, Entry, ROW_PREFIX};
 
 /// How often the row is compared with the streams. Those of this time are lost when all that know them are killed.
-const WRITE_INTERVAL: Duration = Duration::from_secs(1);
+const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 /// The longest interval: no stream in an older row can still be resumed.
 const MAX_WRITE_INTERVAL: Duration = Duration::from_secs(300);
 /// The fraction (1/n) of the store's writes that the rows of all gateways may use.
