Send the copies of a stream's record before its first event

A gateway collected records for 2 ms before it sent copies. Its caller had the first event by then, so that a kill within this time left a stream that nobody knew.

The datagrams of a new record are handed to the system before the event is passed on. What can't be sent at once waits in the outbox as before, and the repeated copies share datagrams.

--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -485,6 +485,8 @@
 
 /// Runs peer discovery and the exchange of digests until the process ends.
 pub async fn run(gateway: Arc<Gateway>, socket: UdpSocket) {
+    let socket = Arc::new(socket);
+    gateway.streams.attach(&socket);
     tokio::join!(
         discovery::run(&gateway),
         send::run(&gateway, &socket),
--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
-    sync::Arc,
+    sync::{Arc, OnceLock},
     time::Duration,
 };
 
@@ -49,9 +49,16 @@
 pub struct Outbox {
     pending: Mutex<Vec<(SocketAddr, Item)>>,
     filled: Notify,
+    /// Sends what must not wait.
+    socket: OnceLock<Arc<UdpSocket>>,
 }
 
 impl Outbox {
+    /// Sets the socket for items that must not wait.
+    pub fn attach(&self, socket: &Arc<UdpSocket>) {
+        self.socket.get_or_init(|| Arc::clone(socket));
+    }
+
     /// Adds items for peers. Returns false if there is no room, and then adds none.
     pub fn push(&self, items: impl Iterator<Item = (SocketAddr, Item)>) -> bool {
         // the items may take locks themselves
@@ -92,6 +99,19 @@
     }
 }
 
+impl Gateway {
+    /// Sends each item in a datagram of its own before this returns. Returns whether all could be sent.
+    pub(super) fn send_at_once(&self, items: &[(SocketAddr, Item)]) -> bool {
+        let Some(socket) = self.streams.outbox.socket.get() else {
+            return false;
+        };
+        items.chunks(1).all(|item| {
+            let bytes = encode(self, item).encode_to_vec();
+            socket.try_send_to(&bytes, item[0].0).is_ok()
+        })
+    }
+}
+
 /// Encodes items as a digest without a number, which reports nothing else of its sender's state.
 fn encode(gateway: &Gateway, items: &[(SocketAddr, Item)]) -> Digest {
     let now = Instant::now();
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -11,9 +11,10 @@
 #[cfg(test)]
 mod tests;
 
-use std::time::Duration;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clock::Instant;
+use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{endpoint::Build, process::Gateway};
@@ -66,6 +67,13 @@
     outbox: Outbox,
 }
 
+impl Streams {
+    /// Sets the socket through which copies of new records are sent.
+    pub fn attach(&self, socket: &Arc<UdpSocket>) {
+        self.outbox.attach(socket);
+    }
+}
+
 impl Gateway {
     /// Records that a stream of this process's callers began at a build; its caller may resume it until `expires`.
     pub fn record_stream(&self, key: Key, build: &Build, expires: Instant) {
@@ -119,10 +127,13 @@
             if record.sent >= SENDS {
                 return;
             }
-            let items = holders
+            let items: Vec<(SocketAddr, Item)> = holders
                 .iter()
-                .map(|peer| (ranking.address(*peer), Item::Known(record.clone())));
-            if self.streams.outbox.push(items) {
+                .map(|peer| (ranking.address(*peer), Item::Known(record.clone())))
+                .collect();
+            // the copies of a new stream leave before its first event does, since its gateway may be killed at once
+            let is_sent = only.is_some() && self.send_at_once(&items);
+            if is_sent || self.streams.outbox.push(items.into_iter()) {
                 record.sent_to = token;
                 record.sent += 1;
             }
