Read the row of a gateway that is gone at two of those left

A gateway that was not killed read no rows. A stream whose gateway and all holders of its copies were killed stayed unknown until one of them was back, though their rows held it.

Two of those left, ranked by the process that is gone, read its row once and go on with its streams as their own. A resumption waits for this and asks its peers again.

--- /dev/null
+++ b/components/gateway/src/peer/lost.rs
@@ -0,0 +1,48 @@
+//! Peers that are gone: they have been alive, and no digest of them arrives any more.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use clock::Instant;
+
+use super::{MAX_MISSED_HEARTBEATS, Peers};
+
+/// A peer that is gone, or that this process can't reach.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lost {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Identifies its process.
+    pub incarnation: u64,
+}
+
+impl Peers {
+    /// Returns the peers that are gone and have not come back.
+    pub fn lost(&self) -> Vec<Lost> {
+        let now = Instant::now();
+        let known = self.known.lock();
+        let lost = known
+            .iter()
+            .filter(|peer| peer.last_received.is_some() && !peer.is_alive(now));
+        lost.map(|peer| Lost {
+            name: Arc::clone(&peer.name),
+            incarnation: peer.incarnation,
+        })
+        .collect()
+    }
+
+    /// Whether a peer has counted as gone for less than `period`.
+    pub fn has_just_lost(&self, period: Duration) -> bool {
+        let now = Instant::now();
+        let known = self.known.lock();
+        known.iter().any(|peer| {
+            let alive_for = peer.heartbeat_interval * MAX_MISSED_HEARTBEATS;
+            let is_recent = |last| now.saturating_duration_since(last) < alive_for + period;
+            !peer.is_alive(now) && peer.last_received.is_some_and(is_recent)
+        })
+    }
+
+    /// Whether this process is among the first live gateways for a key.
+    pub fn is_among_first(&self, own: SocketAddr, key: u64, count: usize) -> bool {
+        self.ranking().count_before(own, key) < count
+    }
+}
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -8,12 +8,14 @@
 mod discovery;
 mod fan_out;
 mod latencies;
+mod lost;
 mod ranking;
 mod receive;
 mod send;
 
 pub use candidates::Candidate;
 pub use changes::Advertisement;
+pub use lost::Lost;
 
 use std::{
     net::SocketAddr,
--- a/components/gateway/src/peer/ranking.rs
+++ b/components/gateway/src/peer/ranking.rs
@@ -72,6 +72,13 @@
         ranked.into_iter().map(|(_, index)| index).collect()
     }
 
+    /// Returns the number of peers that rank higher for a key than a process with this address.
+    pub fn count_before(&self, own: SocketAddr, key: u64) -> usize {
+        let own = weight(own, key);
+        let before = |(address, _): &&(SocketAddr, u64)| weight(*address, key) > own;
+        self.peers.iter().filter(before).count()
+    }
+
     /// Returns the address of a peer.
     pub fn address(&self, peer: usize) -> SocketAddr {
         self.peers[peer].0
--- a/components/gateway/src/process/streams/mod.rs
+++ b/components/gateway/src/process/streams/mod.rs
@@ -1,6 +1,7 @@
 //! Keeps the streams of this process in the store while several builds serve, one row for each gateway. See
 //! `docs/DESIGN.md#streams-and-builds`.
 
+mod lost;
 #[cfg(test)]
 mod tests;
 
@@ -53,10 +54,14 @@
     *gateway.stored_streams.0.lock() = Some(own);
 }
 
-/// Keeps this process's row up to date, and at the first reader of the lists removes those of gateways that have not come
-/// back, for the lifetime of the process.
+/// Keeps this process's row up to date, reads those of gateways that are gone, and at the first reader of the lists removes
+/// those of gateways that have not come back, for the lifetime of the process.
 pub async fn run(gateway: &Gateway) {
-    tokio::join!(write_own_row(gateway), clean_up(gateway));
+    tokio::join!(
+        write_own_row(gateway),
+        lost::run(gateway),
+        clean_up(gateway)
+    );
 }
 
 async fn write_own_row(gateway: &Gateway) {
--- a/components/gateway/src/streams/question.rs
+++ b/components/gateway/src/streams/question.rs
@@ -99,6 +99,15 @@
         }
     }
 
+    /// Discards the answers that peers don't know, as they may have learnt more.
+    pub fn reopen(&self) {
+        let mut open = self.questions.open.lock();
+        let own = open.iter_mut().find(|open| open.number == self.number);
+        if let Some(own) = own {
+            own.unanswered.clone_from(&own.asked);
+        }
+    }
+
     /// Returns the peers that have not answered.
     pub fn unanswered(&self) -> Vec<SocketAddr> {
         let open = self.questions.open.lock();
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -26,6 +26,8 @@
 /// Time from the start of the process in which it receives the first digest of each live peer: two heartbeat intervals, its
 /// own and the peer's, and a margin for delays.
 const DISCOVERY_PERIOD: Duration = Duration::from_millis(250);
+/// Time in which those left have usually read the rows of a gateway that is gone, and told the peers that are asked.
+const ROWS_OF_LOST_PERIOD: Duration = Duration::from_millis(500);
 
 /// How it is known which build began a stream.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -129,9 +131,9 @@
 
     /// Whether the build may still become known.
     fn may_learn(&self, questions: &Questions<'_>) -> bool {
-        let is_discovering = self.is_discovering();
+        let may_hear_more = self.is_discovering() || self.has_just_lost_peer();
         let may_answer =
-            |question: &Question<'_>| is_discovering || !question.unanswered().is_empty();
+            |question: &Question<'_>| may_hear_more || !question.unanswered().is_empty();
         // a read that failed is repeated soon
         let may_read_rows = *self.gateway.earlier_rows().borrow() != Rows::Read;
         let may_learn_builds = may_read_rows && self.builds().len() <= 1;
@@ -144,6 +146,9 @@
         let key = self.key.map_or(self.gateway.incarnation, |key| key.0);
         let peers = self.gateway.peers.ranked(key, ASKED_PEERS);
         if let (Some(question), Some(key)) = (&questions.stream, self.key) {
+            if self.has_just_lost_peer() {
+                question.reopen();
+            }
             question.ask(&peers);
             self.send(question, Subject::Stream(key));
         }
@@ -164,6 +169,12 @@
         self.gateway.uptime() < DISCOVERY_PERIOD
     }
 
+    /// Whether peers may be about to learn the streams of one that is gone.
+    fn has_just_lost_peer(&self) -> bool {
+        let peers = &self.gateway.peers;
+        peers.has_just_lost(ROWS_OF_LOST_PERIOD)
+    }
+
     fn builds(&self) -> Vec<Build> {
         self.gateway.registry.builds().of(self.service)
     }
