--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -8,12 +8,14 @@
 mod discovery;
 mod fan_out;
 mod latencies;
+mod lost;
 mod ranking;
 mod receive;
 mod send;
 
 pub use candidates::Candidate;
 pub use changes::Advertisement;
+pub use lost::Lost;
 
 use std::{
     net::SocketAddr,
@@ -485,6 +487,8 @@
 
 /// Runs peer discovery and the exchange of digests until the process ends.
 pub async fn run(gateway: Arc<Gateway>, socket: UdpSocket) {
+    let socket = Arc::new(socket);
+    gateway.streams.attach(&socket);
     tokio::join!(
         discovery::run(&gateway),
         send::run(&gateway, &socket),
--- a/components/gateway/src/process/streams/mod.rs
+++ b/components/gateway/src/process/streams/mod.rs
@@ -1,6 +1,7 @@
 //! Keeps the streams of this process in the store while several builds serve, one row for each gateway. See
 //! `docs/DESIGN.md#streams-and-builds`.
 
+mod lost;
 #[cfg(test)]
 mod tests;
 
@@ -13,7 +14,7 @@
 use crate::streams::store::{self, Entry, ROW_PREFIX};
 
 /// How often the row is compared with the streams. Those of this time are lost when all that know them are killed.
-const WRITE_INTERVAL: Duration = Duration::from_secs(1);
+const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 /// The longest interval: no stream in an older row can still be resumed.
 const MAX_WRITE_INTERVAL: Duration = Duration::from_secs(300);
 /// The fraction (1/n) of the store's writes that the rows of all gateways may use.
@@ -53,10 +54,14 @@
     *gateway.stored_streams.0.lock() = Some(own);
 }
 
-/// Keeps this process's row up to date, and at the first reader of the lists removes those of gateways that have not come
-/// back, for the lifetime of the process.
+/// Keeps this process's row up to date, reads those of gateways that are gone, and at the first reader of the lists removes
+/// those of gateways that have not come back, for the lifetime of the process.
 pub async fn run(gateway: &Gateway) {
-    tokio::join!(write_own_row(gateway), clean_up(gateway));
+    tokio::join!(
+        write_own_row(gateway),
+        lost::run(gateway),
+        clean_up(gateway)
+    );
 }
 
 async fn write_own_row(gateway: &Gateway) {
--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
-    sync::Arc,
+    sync::{Arc, OnceLock},
     time::Duration,
 };
 
@@ -19,7 +19,7 @@
 };
 use crate::{
     endpoint::Build,
-    process::{Gateway, List},
+    process::{Gateway, List, Rows},
 };
 
 /// Maximum number of items in a datagram, so that it usually fits into a packet.
@@ -49,9 +49,16 @@
 pub struct Outbox {
     pending: Mutex<Vec<(SocketAddr, Item)>>,
     filled: Notify,
+    /// Sends what must not wait.
+    socket: OnceLock<Arc<UdpSocket>>,
 }
 
 impl Outbox {
+    /// Sets the socket for items that must not wait.
+    pub fn attach(&self, socket: &Arc<UdpSocket>) {
+        self.socket.get_or_init(|| Arc::clone(socket));
+    }
+
     /// Adds items for peers. Returns false if there is no room, and then adds none.
     pub fn push(&self, items: impl Iterator<Item = (SocketAddr, Item)>) -> bool {
         // the items may take locks themselves
@@ -92,6 +99,19 @@
     }
 }
 
+impl Gateway {
+    /// Sends each item in a datagram of its own before this returns. Returns whether all could be sent.
+    pub(super) fn send_at_once(&self, items: &[(SocketAddr, Item)]) -> bool {
+        let Some(socket) = self.streams.outbox.socket.get() else {
+            return false;
+        };
+        items.chunks(1).all(|item| {
+            let bytes = encode(self, item).encode_to_vec();
+            socket.try_send_to(&bytes, item[0].0).is_ok()
+        })
+    }
+}
+
 /// Encodes items as a digest without a number, which reports nothing else of its sender's state.
 fn encode(gateway: &Gateway, items: &[(SocketAddr, Item)]) -> Digest {
     let now = Instant::now();
@@ -192,10 +212,13 @@
         apply_builds(gateway, peer, recent);
     }
     gateway.streams.questions.notify();
-    let answers = streams.asked.iter().take(MAX_ITEMS).map(|key| {
+    // until the rows have been read silence makes the peer ask again, while an answer would count for good
+    let knows_rows = *gateway.earlier_rows().borrow() == Rows::Read;
+    let answers = streams.asked.iter().take(MAX_ITEMS).filter_map(|key| {
         let key = Key(*key);
-        let known = gateway.streams.table.get(key, now);
-        (peer, known.map_or(Item::Unknown(key), Item::Known))
+        let known = gateway.streams.table.get(key, now).map(Item::Known);
+        let answer = known.or_else(|| knows_rows.then_some(Item::Unknown(key)));
+        answer.map(|answer| (peer, answer))
     });
     let builds = streams.asks_builds.then_some((peer, Item::Builds));
     let is_question = streams.asks_builds || !streams.asked.is_empty();
