Answer requests that arrive with the end of their connection

What callers saw: a caller that half-closes right after it has sent its request got no byte of a response.

Cause: the HTTP library reads on before it runs the request that it has just read. If the end of the connection has arrived by then, the caller's socket judged it while no answer was known to be owed (the request's stage was none or receiving), let the library see it, and that dropped the request. The daemon and the gateway share this socket.

Change: the end is held back for one poll, in which the library runs the request, and is judged at the next.

The daemon has no overload check, and no timer is involved.

--- a/components/caller/src/socket.rs
+++ b/components/caller/src/socket.rs
@@ -40,7 +40,9 @@
 pub struct Socket {
     stream: TcpStream,
     exchange: Arc<Exchange>,
-    /// Set once the caller has closed its sending side.
+    /// Whether the caller has closed its sending side.
+    ended: bool,
+    /// Set once that has been withheld from the library.
     half_closed: Option<HalfClosed>,
     /// Whether the last write could not proceed because the send buffer was full.
     write_blocked: bool,
@@ -79,6 +81,7 @@
         Self {
             stream,
             exchange,
+            ended: false,
             half_closed: None,
             write_blocked: false,
             resets_on_close: false,
@@ -108,6 +111,9 @@
 
     /// Waits until the caller has disconnected or no response is pending.
     fn poll_disconnected(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if !self.response_pending() {
+            return Poll::Ready(());
+        }
         let first_poll = self.half_closed.is_none();
         let mut half_closed = self.half_closed.take().unwrap_or_else(HalfClosed::new);
         let mut disconnected = first_poll && self.probe_disconnected();
@@ -163,18 +169,21 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        if this.half_closed.is_none() {
-            let before = buf.filled().len();
-            ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
-            if buf.filled().len() > before {
-                this.exchange.received_bytes();
-            }
-            let eof = buf.filled().len() == before && buf.remaining() > 0;
-            if !eof || !this.response_pending() {
-                return Poll::Ready(Ok(()));
-            }
-        }
-        this.poll_disconnected(cx).map(Ok)
+        if this.ended {
+            return this.poll_disconnected(cx).map(Ok);
+        }
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
+        if buf.filled().len() > before {
+            this.exchange.received_bytes();
+        }
+        this.ended = buf.filled().len() == before && buf.remaining() > 0;
+        if this.ended {
+            // the library reads on before it runs the request that it has just read, whose stage is thus not known yet
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/tests/system/bad_input.rs
+++ b/tests/system/bad_input.rs
@@ -188,3 +188,37 @@
         assert!(parse_stream(&response).1, "after {after_ms} ms: {response}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_arrives_with_the_end_of_its_connection_gets_the_complete_response() {
+    let fleet = Fleet::start(vec![engine_setup(Role::Mixed, false)], 1).await;
+    let daemon = &fleet.daemons[0];
+    let headers = format!("HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {FIELD_KEY}\r\n");
+    let list = format!("GET /v1/models {headers}\r\n");
+    let body = completion_body("half closed", 40, true);
+    let length = body.len();
+    let completion =
+        format!("POST /v1/completions {headers}content-length: {length}\r\n\r\n{body}");
+    for (request, end) in [(completion, "data: [DONE]"), (list.clone(), "}]}")] {
+        let connecting = TcpStream::connect(daemon.caller_address);
+        let mut stream = connecting.await.expect("connected");
+        // once it has answered a request the daemon waits for the next one
+        stream.write_all(list.as_bytes()).await.expect("sent");
+        read_until(&mut stream, "}]}").await;
+        daemon.signal("STOP");
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        stream.shutdown().await.expect("half-closed");
+        daemon.signal("CONT");
+        read_until(&mut stream, end).await;
+    }
+}
+
+/// Reads from a connection until the response contains `end`.
+async fn read_until(stream: &mut TcpStream, end: &str) {
+    let mut response = Vec::new();
+    while !String::from_utf8_lossy(&response).contains(end) {
+        let read = stream.read_buf(&mut response).await.expect("read");
+        let response = String::from_utf8_lossy(&response);
+        assert!(read > 0, "ended without {end}: {response:?}");
+    }
+}
