Read the rows of earlier processes only once the endpoints have been read

Since the registrations are no longer waited for, nothing else made sure of it: a successful read of the registrations also counts as the store being available. A build that left the list between the two reads, without another one beside it before, would be missed, and a stream of it bound to the build that is left. Found by reading, no test shows it.

--- a/components/gateway/src/process/withheld.rs
+++ b/components/gateway/src/process/withheld.rs
@@ -66,7 +66,8 @@
 /// Reads all rows and merges their records. Returns the suspects, or `None` if the store did not answer. The
 /// store is not called while other calls to it fail, so that not all gateways retry at once during an outage.
 async fn read_rows(gateway: &Gateway) -> Option<Vec<Suspect>> {
-    if !gateway.store_available() {
+    // a build that leaves the list between the two reads would be missed if the rows were read first
+    if !*gateway.endpoints_read.borrow() || !gateway.store_available() {
         return None;
     }
     let read = Read {
