Do not refuse answers for the pace of engines that a gateway has not used

Callers of new streams that say how long their answers will be were refused with "no endpoint takes requests" 0.4 to 1.5 s after their gateway had started, beside engines with free slots that would have met their deadlines; others waited behind them in the queue and were refused as well.

Cause: an engine without samples was estimated by the average of its service, and an engine's own estimate began with that average and its many samples. A gateway that had first used a slow engine took all for as slow. Not to know was taken for knowing.

--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -375,7 +375,9 @@
                     prefill_work: state.remaining_prefill(now, default_latency),
                     ..state.total_load()
                 },
-                latency: state.latency.unwrap_or(default_latency),
+                latency: state
+                    .latency
+                    .unwrap_or_else(|| default_latency.without_known_pace()),
                 cached_tokens: state.prefix_cache.cached_tokens(parts),
                 fetchable_tokens: state.prefix_cache.fetchable_tokens(parts, state.age(now)),
                 failure_ratio: state.health.failure_ratio(),
--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -307,7 +307,7 @@
         });
         target.with(|state| match &mut state.latency {
             Some(latency) => learn(latency),
-            None => state.latency = Some(service_latency),
+            None => state.latency = Some(service_latency.without_known_pace()),
         });
     }
 
--- a/components/policy/src/estimate.rs
+++ b/components/policy/src/estimate.rs
@@ -102,6 +102,14 @@
     pub decode: u32,
 }
 
+impl Samples {
+    /// Whether there are enough samples of the inter-token latency for it to be evidence against an engine.
+    #[must_use]
+    pub fn has_known_pace(&self) -> bool {
+        self.decode >= SETTLED_SAMPLES
+    }
+}
+
 impl Latency {
     /// Returns the initial estimate for a prefill engine, used until the first prompt has been prefilled
     /// on any prefill engine. It is faster than any known engine: an engine that is estimated too fast
@@ -153,6 +161,16 @@
 const SHORT_PROMPT_WORK: u64 = 512;
 
 impl Latency {
+    /// Returns it as a first estimate of another engine: its pace is no evidence of that one's.
+    #[must_use]
+    pub fn without_known_pace(self) -> Self {
+        let samples = Samples {
+            decode: 0,
+            ..self.samples
+        };
+        Self { samples, ..self }
+    }
+
     /// Learns from a prompt that was prefilled; `work` includes the work ahead of it when it was sent.
     pub fn observe_prefill(&mut self, work: u64, took: Micros) {
         let expected = to_f64(work) * self.prefill_token_us;
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -419,7 +419,7 @@
 }
 
 /// Returns why an engine can't decode the answer: it has no slot for it or, if the answer is long, would not
-/// complete it in time. An engine without long answers is assumed to.
+/// complete it in time. An engine without long answers, or whose pace is not known yet, is assumed to.
 fn decode_obstacle(
     engine: &Engine,
     request: &Request,
@@ -435,6 +435,7 @@
     };
     let meets_deadline = !is_long
         || limits == Limits::WithoutPace
+        || !engine.latency.samples.has_known_pace()
         || engine.latency.decode_token_us
             <= request.max_inter_token_latency_us * weights.latency_limit_ratio
         || engine.long_answers == 0;
--- a/components/policy/tests/place.rs
+++ b/components/policy/tests/place.rs
@@ -1,7 +1,7 @@
 //! Placement of generations on prefill and decode engines.
 
 use policy::{
-    estimate::Latency,
+    estimate::{Latency, Samples},
     place::{
         Deferred, Engine, Fetch, Placement, Request, Stage, Weights, choose, choose_decode_engine,
         choose_deferred, work_to_prefill,
@@ -11,6 +11,8 @@
 
 /// Milliseconds in microseconds.
 const MS: f64 = 1_000.0;
+/// Number of samples from which an estimate is reliable.
+const MANY: u32 = 100;
 
 /// A decode engine with the given number of answers, whose inter-token latency is 4 ms.
 fn decode_engine(answers: u64) -> Engine {
@@ -29,6 +31,11 @@
             overhead_us: 40.0 * MS,
             prefill_token_us: 30.0,
             decode_token_us: 4.0 * MS,
+            samples: Samples {
+                overhead: MANY,
+                prefill: MANY,
+                decode: MANY,
+            },
             ..Latency::initial_decode()
         },
         extra_round_trip: 0,
@@ -461,3 +468,18 @@
         sound
     );
 }
+
+#[test]
+fn a_new_answer_is_not_refused_because_the_engines_whose_pace_is_known_are_too_slow() {
+    let request = Request {
+        has_begun: false,
+        ..late_stream()
+    };
+    let slow = busy_engine(1, 4.0 * MS);
+    assert_eq!(chosen(&[slow], &request), None);
+    // estimated by the pace of the others
+    let mut unknown = busy_engine(1, 4.0 * MS);
+    unknown.latency.samples.decode = 0;
+    let single = Placement::Single { engine: 1 };
+    assert_eq!(chosen(&[slow, unknown], &request), Some(single));
+}
