Find out that an engine refuses requests because of an order

Callers who resumed streams in the second after all gateways had been killed were refused with "no endpoint took the request" though eleven other engines had room.

Cause: a steward had ordered an engine to change its stage, and was killed with all others. The engine carries the order out and turns everything away with 503 meanwhile, for 3 s there; the list still has it in its former stage, and since nothing is known to run there it is everyone's first choice. The budget of a gateway that has just started has no repeat. A single refusal was taken for a race for the last slot, though all slots seemed free. The same holds when only the steward is killed: what it told its peers expires.

Now an engine with half of its slots free that turns a request away is asked for its report, at most twice a second and gets nothing until the report is there; if an order is in progress it gets nothing for the time of a change, at this gateway and, by the digest, at its peers. It ends sooner if the engine's stage changes in the list or by the word of a steward.

The rule on repeats forbids a fixed number of them for a process that starts: requests that engines turn away count, and the process before may have used its part of the slack in the same window.

--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -75,6 +75,8 @@
     idle: Vec<IdleConnection>,
     /// Until when it counts as changing its stage.
     pub changing_until: Option<Instant>,
+    /// The last check why it refused a request.
+    refusal_check: Option<RefusalCheck>,
     /// Idle timeout of its connections, as last reported by the endpoint.
     idle_timeout: Option<Duration>,
     /// When a request of this process or of a peer last progressed there.
@@ -93,6 +95,18 @@
     last_check: Option<ListenCheck>,
 }
 
+/// A check why an engine refused a request although it seems to have room.
+#[derive(Clone, Copy, Debug)]
+struct RefusalCheck {
+    began: Instant,
+    is_running: bool,
+}
+
+/// Minimum time between two of these checks, each of which is a call to the engine.
+const REFUSAL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// An engine of whose slots more than this fraction (1/n) are taken may refuse requests because others took the last ones.
+const FREE_SLOTS_DIVISOR: u64 = 2;
+
 /// Average latencies of the engines of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Latencies {
@@ -275,6 +289,7 @@
                 prefix_cache: PrefixCache::default(),
                 idle: Vec::new(),
                 changing_until: None,
+                refusal_check: None,
                 idle_timeout: None,
                 last_progress: Instant::now(),
                 last_response: None,
@@ -367,7 +382,8 @@
                     }
                     Reach::Listed => true,
                 }
-                && state.changing_until.is_none_or(|until| until <= now);
+                && state.changing_until.is_none_or(|until| until <= now)
+                && state.refusal_check.is_none_or(|check| !check.is_running);
             let default_latency = defaults.latencies.for_stage(state.profile.stage);
             accepts.then(|| Snapshot {
                 profile: state.profile.clone(),
@@ -451,6 +467,41 @@
         }
     }
 
+    /// Begins a check why it refused a request, unless it is likely full or was checked lately. It gets no requests until
+    /// the check ends. Returns whether the check has begun.
+    pub fn begin_refusal_check(&self) -> bool {
+        let now = Instant::now();
+        self.with(|state| {
+            let is_engine = state.profile.stage.is_some();
+            let has_room = state.total_load().decoding * FREE_SLOTS_DIVISOR < state.profile.slots;
+            let is_due = state
+                .refusal_check
+                .is_none_or(|check| now - check.began >= REFUSAL_CHECK_INTERVAL);
+            let begins = is_engine && has_room && is_due;
+            if begins {
+                state.refusal_check = Some(RefusalCheck {
+                    began: now,
+                    is_running: true,
+                });
+            }
+            begins
+        })
+    }
+
+    /// Ends a check why it refused a request.
+    pub fn end_refusal_check(&self) {
+        self.with(|state| {
+            if let Some(check) = &mut state.refusal_check {
+                check.is_running = false;
+            }
+        });
+    }
+
+    /// Whether it is still in this stage, as far as is known, and not replaced by a later incarnation.
+    pub fn remains_in(&self, stage: Option<Stage>) -> bool {
+        self.with(|state| state.listed && !state.terminated && state.profile.stage == stage)
+    }
+
     /// Updates the profile from the platform's list and returns the previous one.
     pub fn update(&self, profile: &Profile) -> Profile {
         let before = self.with(|state| {
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -573,7 +573,7 @@
         answered_ms: gateway.store_available_since().map_or(0, age_ms),
         ceded: gateway.steward.ceded(),
         last_order_ms: gateway.steward.last_order().map_or(0, age_ms),
-        changing: gateway.steward.changing(),
+        changing: gateway.steward.known_changes(),
         stages: gateway
             .steward
             .stages()
--- a/components/gateway/src/peer/send.rs
+++ b/components/gateway/src/peer/send.rs
@@ -132,7 +132,7 @@
         Self {
             loads: gateway.registry.busy().loads(),
             placed: std::mem::take(&mut *gateway.peers.pending_placements.lock()),
-            changing: gateway.steward.changing(),
+            changing: gateway.steward.known_changes(),
             changes: std::mem::take(&mut *gateway.peers.pending_changes.lock()),
             revisions: [List::Endpoints, List::Configuration]
                 .map(|list| gateway.last_changes.revision(list)),
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -16,6 +16,7 @@
 use crate::{
     adapters::{Call, Directive},
     endpoint::{Build, ConnectError, Connection, RequestGuard, Target, Verdict},
+    steward,
 };
 
 /// An endpoint's response.
@@ -245,6 +246,7 @@
             guard.finish();
             record_not_run(job, executes);
             drain_and_return(target, connection, body);
+            steward::check_refusal(&job.gateway, target);
             Err(Cause::NotRun(head.status.as_u16()))
         }
         () => Ok(Answer {
--- a/components/gateway/src/steward/change.rs
+++ b/components/gateway/src/steward/change.rs
@@ -175,7 +175,7 @@
 }
 
 /// Returns how long the engine is unavailable while it changes its stage, as configured by the operators.
-fn switch_duration(gateway: &Gateway, target: &Target) -> Duration {
+pub(super) fn switch_duration(gateway: &Gateway, target: &Target) -> Duration {
     let service = target.with(|state| Arc::clone(&state.profile.service));
     gateway
         .configuration()
@@ -191,7 +191,7 @@
         .unwrap_or_default()
 }
 
-async fn fetch_report(gateway: &Arc<Gateway>, target: &Arc<Target>) -> Option<Report> {
+pub(super) async fn fetch_report(gateway: &Arc<Gateway>, target: &Arc<Target>) -> Option<Report> {
     let (status, body) = call(target, gateway.adapters.dialect.report_call()).await?;
     status
         .is_success()
--- a/components/gateway/src/steward/mod.rs
+++ b/components/gateway/src/steward/mod.rs
@@ -7,6 +7,7 @@
 mod change;
 mod lease;
 mod plan;
+mod refusals;
 mod scaling;
 mod usage;
 
@@ -19,7 +20,9 @@
 use crate::{adapters::Holder, endpoint::Stage, process::Gateway};
 use lease::{Authority, LeaseKeeper};
 use plan::Planner;
+use refusals::Found;
 
+pub use refusals::check as check_refusal;
 pub use scaling::run as order_endpoints;
 pub use usage::run as report_usage;
 
@@ -42,6 +45,8 @@
     authority: Option<Authority>,
     /// The engines that this process is changing, by short id.
     changing: Vec<u32>,
+    /// Engines that carry out orders of a steward that this process has not heard of them from.
+    found: Vec<Found>,
     /// Stages reported by engines, by short id, with the time of the report.
     stages: Vec<(u32, Stage, Instant)>,
     /// When this process gave its last order.
@@ -75,6 +80,14 @@
         self.state.lock().changing.clone()
     }
 
+    /// Returns the engines that are changing as far as this process knows by itself, for its peers.
+    pub fn known_changes(&self) -> Vec<u32> {
+        let mut state = self.state.lock();
+        state.found.retain(Found::lasts);
+        let found = state.found.iter().map(Found::short_id);
+        state.changing.iter().copied().chain(found).collect()
+    }
+
     /// Returns the stages that engines have reported recently.
     pub fn stages(&self) -> Vec<(u32, Stage)> {
         let now = Instant::now();
