--- a/components/gateway/src/request/events/mod.rs
+++ b/components/gateway/src/request/events/mod.rs
@@ -29,8 +29,6 @@
     /// The complete lines of the incomplete event.
     event: Event,
     last_id: Option<u64>,
-    /// Number of events that have been completed, counted on from the last id, also in earlier responses.
-    completed: u64,
     /// Whether an event without an id has been completed after the last one with an id.
     lacks_id: bool,
 }
@@ -48,7 +46,6 @@
     /// Sets the id of the event after which the stream begins.
     pub fn start_after(&mut self, id: u64) {
         self.last_id = Some(id);
-        self.completed = id;
     }
 
     /// Appends bytes and returns everything up to the end of the last complete event, if one has
@@ -94,14 +91,8 @@
             [] => {
                 let event = std::mem::take(&mut self.event);
                 match event.id {
-                    Some(id) => {
-                        (self.last_id, self.completed, self.lacks_id) = (Some(id), id, false);
-                    }
-                    None if event.has_data => {
-                        self.completed = self.completed.saturating_add(1);
-                        self.lacks_id = true;
-                    }
-                    None => {}
+                    Some(id) => (self.last_id, self.lacks_id) = (Some(id), false),
+                    None => self.lacks_id |= event.has_data,
                 }
                 true
             }
@@ -144,7 +135,6 @@
     pub fn discard_partial(&mut self) {
         *self = Self {
             last_id: self.last_id,
-            completed: self.completed,
             lacks_id: self.lacks_id,
             ..Self::default()
         };
@@ -156,12 +146,6 @@
         !self.lacks_id
     }
 
-    /// Returns the number of complete events of the stream, also those before this response. Events are numbered from one;
-    /// those without an id count as the next ones.
-    pub fn completed(&self) -> u64 {
-        self.completed
-    }
-
     /// Returns the id of the last complete event.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -227,9 +227,9 @@
         self.build.get_or_init(|| build.clone());
     }
 
-    /// Records the number of events that the caller has received, also in earlier responses.
-    pub fn record_received(&self, events: u64) {
-        self.received_events.store(events, Ordering::Relaxed);
+    /// Records the last event that the caller has received. Endpoints number the events of a stream from one.
+    pub fn record_received(&self, event: u64) {
+        self.received_events.store(event, Ordering::Relaxed);
     }
 
     /// Returns the tokens that arrive together in one event of an answer.
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -323,21 +323,19 @@
         }
     }
 
-    /// Records how many events the caller has, and whether what remains is long. Binds the stream to its build once there is
-    /// an event after which it could be continued, so that its caller can resume it at any gateway.
+    /// Records which event the caller has, and whether what remains is long. Binds the stream to its build once there is an
+    /// event after which it could be continued, so that its caller can resume it at any gateway.
     fn record_progress(&mut self) {
-        let Some(events) = &self.event_buffer else {
+        let last_id = self.event_buffer.as_ref().and_then(EventBuffer::last_id);
+        let Some(last_id) = last_id else {
             return;
         };
-        self.job.record_received(events.completed());
+        self.job.record_received(last_id);
         if let Some(upstream) = &mut self.upstream {
             upstream
                 .decode_guard
                 .set_long_answer(is_long_answer(&self.job));
         }
-        if events.last_id().is_none() {
-            return;
-        }
         if self.recorded {
             return;
         }
