--- a/components/gateway/src/endpoint/load.rs
+++ b/components/gateway/src/endpoint/load.rs
@@ -112,17 +112,6 @@
             long_answer,
         }
     }
-
-    /// Updates whether what remains of the answer is expected to be long.
-    pub fn set_long_answer(&mut self, long_answer: bool) {
-        let counted = std::mem::replace(&mut self.long_answer, long_answer);
-        if counted != long_answer {
-            self.target.with(|state| {
-                let load = &mut state.own_load;
-                load.long_answers = load.long_answers - u64::from(counted) + u64::from(long_answer);
-            });
-        }
-    }
 }
 
 impl Drop for DecodeGuard {
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -402,7 +402,7 @@
 
 /// Whether what remains of the answer is expected to be long.
 pub fn is_long_answer(job: &Job) -> bool {
-    job.remainder().expected_output_tokens > Weights::default().short_answer_max_tokens
+    placement_request(job).expected_output_tokens > Weights::default().short_answer_max_tokens
 }
 
 /// Adds a request to the demand of its service.
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -118,7 +118,7 @@
     /// Time that the prompts in flight on the engine still needed when the last event arrived, in
     /// microseconds.
     remaining_prefill: Option<policy::Micros>,
-    decode_guard: DecodeGuard,
+    _decode_guard: DecodeGuard,
     /// The request in flight on the endpoint; `None` once its connection broke.
     guard: Option<RequestGuard>,
 }
@@ -133,7 +133,7 @@
             first_event: None,
             outlasted_crash: false,
             remaining_prefill: None,
-            decode_guard,
+            _decode_guard: decode_guard,
             guard: Some(answer.guard),
         }
     }
@@ -323,19 +323,14 @@
         }
     }
 
-    /// Records which event the caller has, and whether what remains is long. Binds the stream to its build once there is an
-    /// event after which it could be continued, so that its caller can resume it at any gateway.
+    /// Records which event the caller has, and binds the stream to its build once there is one after which it could be
+    /// continued, so that its caller can resume it at any gateway.
     fn record_progress(&mut self) {
         let last_id = self.event_buffer.as_ref().and_then(EventBuffer::last_id);
         let Some(last_id) = last_id else {
             return;
         };
         self.job.record_received(last_id);
-        if let Some(upstream) = &mut self.upstream {
-            upstream
-                .decode_guard
-                .set_long_answer(is_long_answer(&self.job));
-        }
         if self.recorded {
             return;
         }
