--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -90,10 +90,15 @@
         let mut interval = REPEAT_INTERVAL;
         loop {
             self.ask(questions);
-            let repeat_at = Instant::now() + interval;
-            if !self.is_discovering() {
+            let discovery_left = DISCOVERY_PERIOD.saturating_sub(self.gateway.uptime());
+            let repeat_at = if discovery_left.is_zero() {
+                let after = interval;
                 interval *= 2;
-            }
+                Instant::now() + after
+            } else {
+                // when discovery ends the caller may have to be refused at once
+                Instant::now() + interval.min(discovery_left)
+            };
             loop {
                 let answered = self.gateway.streams.questions.changed();
                 if let Some(known) = self.known() {
