--- a/components/gateway/src/steward/mod.rs
+++ b/components/gateway/src/steward/mod.rs
@@ -45,7 +45,7 @@
     authority: Option<Authority>,
     /// The engines that this process is changing, by short id.
     changing: Vec<u32>,
-    /// Engines that carry out orders of a steward that this process has not heard of them from.
+    /// Engines that carry out orders which no steward has reported to this process.
     found: Vec<Found>,
     /// Stages reported by engines, by short id, with the time of the report.
     stages: Vec<(u32, Stage, Instant)>,
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -26,7 +26,8 @@
 /// Time from the start of the process in which it receives the first digest of each live peer: two heartbeat intervals, its
 /// own and the peer's, and a margin for delays.
 const DISCOVERY_PERIOD: Duration = Duration::from_millis(250);
-/// Time in which those left have usually read the rows of a gateway that is gone, and told the peers that are asked.
+/// Time in which those left have usually read the rows of a gateway that is gone, and sent its streams to the peers that
+/// are asked.
 const ROWS_OF_LOST_PERIOD: Duration = Duration::from_millis(500);
 
 /// How it is known which build began a stream.
@@ -90,15 +91,14 @@
         let mut interval = REPEAT_INTERVAL;
         loop {
             self.ask(questions);
-            let discovery_left = DISCOVERY_PERIOD.saturating_sub(self.gateway.uptime());
-            let repeat_at = if discovery_left.is_zero() {
-                let after = interval;
-                interval *= 2;
-                Instant::now() + after
-            } else {
+            let repeat_at = match DISCOVERY_PERIOD.saturating_sub(self.gateway.uptime()) {
+                Duration::ZERO => Instant::now() + interval,
                 // when discovery ends the caller may have to be refused at once
-                Instant::now() + interval.min(discovery_left)
+                left => Instant::now() + interval.min(left),
             };
+            if !self.is_discovering() {
+                interval *= 2;
+            }
             loop {
                 let answered = self.gateway.streams.questions.changed();
                 if let Some(known) = self.known() {
