Keep rows that can't be parsed from passing for nothing known

A gateway that started while the store held the row of a build that it could not parse, such as one of a later version during an upgrade of the gateways, took the builds to be complete. A stream could then be bound to the only build that it knew, though another one had begun it. A row of streams in such a format was taken for expired and removed by the first reader, so that the streams of its gateway were unknown after a kill of all gateways.

Not to be able to read was taken for knowing that there is nothing. With a row of a build that can't be parsed the builds are not certain now: a gateway binds nothing by the list alone, asks its peers, and refuses when they have answered. That ends when a peer reports the builds, or after the two minutes for which a build counts; the first reader then removes the row if it has not changed. Rows of streams that can't be parsed are kept until they have not changed for longer than a stream may be resumed. Both are checked by the version of the row, so that a gateway that writes it meanwhile loses nothing.

--- a/components/gateway/src/endpoint/builds.rs
+++ b/components/gateway/src/endpoint/builds.rs
@@ -12,7 +12,7 @@
 
 /// How long a build counts after its last endpoint has left the list. Twice as long as a caller without a deadline of its
 /// own is served, and so more than it may take to resume a stream.
-const RETENTION: Duration = Duration::from_secs(120);
+pub const RETENTION: Duration = Duration::from_secs(120);
 /// Maximum number of builds of one service that are remembered after they have left the list.
 const MAX_DELISTED: usize = 64;
 
--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -19,7 +19,7 @@
 
 use derive_more::Display;
 
-pub use builds::Builds;
+pub use builds::{Builds, RETENTION as BUILD_RETENTION};
 pub use busy::BusySet;
 pub use connection::{ConnectError, Connection};
 pub(crate) use connection::{IdleConnection, open_from, set_keepalive};
--- a/components/gateway/src/process/builds.rs
+++ b/components/gateway/src/process/builds.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use clock::Instant;
 use cloud::table::{Row, Transaction};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -16,7 +17,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{Gateway, List};
-use crate::endpoint::Build;
+use crate::endpoint::{BUILD_RETENTION, Build};
 
 /// The prefix of the keys of builds.
 pub(super) const ROW_PREFIX: &str = "build/";
@@ -52,12 +53,29 @@
     Read,
 }
 
+/// Rows that can't be parsed, such as those of a later version of the gateway, so that builds are unknown.
+#[derive(Clone, Debug)]
+struct Unparsed {
+    /// The keys of the rows with their versions.
+    rows: Vec<(String, u64)>,
+    read: Instant,
+}
+
+impl Unparsed {
+    /// Whether their builds no longer count, unless they are in the list of endpoints.
+    fn is_expired(&self) -> bool {
+        self.read.elapsed() >= BUILD_RETENTION
+    }
+}
+
 /// The builds in the store.
 #[derive(Debug)]
 pub struct StoredBuilds {
     /// The rows as this process knows them, sorted; `None` until they have been read.
     rows: Mutex<Option<Vec<StoredBuild>>>,
-    /// Whether the rows have been read, or a peer has reported all builds.
+    /// The rows that can't be parsed; `None` if there are none.
+    unparsed: Mutex<Option<Unparsed>>,
+    /// Whether all rows have been read, or a peer has reported all builds.
     is_complete: AtomicBool,
     /// The latest revision of the list of endpoints whose builds a peer has reported.
     reported_revision: AtomicU64,
@@ -69,6 +87,7 @@
     fn default() -> Self {
         Self {
             rows: Mutex::default(),
+            unparsed: Mutex::default(),
             is_complete: AtomicBool::new(false),
             reported_revision: AtomicU64::new(0),
             reading: watch::Sender::new(Rows::Pending),
@@ -141,6 +160,7 @@
 /// Takes in the rows that were read at the start of the process, the last ones of those read together.
 pub(super) fn restore(gateway: &Gateway, rows: &[Row]) {
     let mut stored = Vec::new();
+    let mut unparsed = Vec::new();
     for row in rows {
         match serde_json::from_str::<StoredBuild>(&row.value) {
             Ok(row) => {
@@ -153,6 +173,7 @@
             }
             Err(error) => {
                 log::warn!(key = row.key, error:%; "could not parse the row of a build");
+                unparsed.push((row.key.clone(), row.version));
             }
         }
     }
@@ -161,7 +182,14 @@
     }
     stored.sort_unstable();
     *gateway.stored_builds.rows.lock() = Some(stored);
-    gateway.record_earlier_builds_known();
+    if unparsed.is_empty() {
+        gateway.record_earlier_builds_known();
+    } else {
+        *gateway.stored_builds.unparsed.lock() = Some(Unparsed {
+            rows: unparsed,
+            read: Instant::now(),
+        });
+    }
     gateway.stored_builds.reading.send_replace(Rows::Read);
 }
 
@@ -175,9 +203,27 @@
         let wanted = wanted_rows(gateway);
         let own = gateway.settings.gateway.peers;
         let is_writer = gateway.reads_lists() && !gateway.peers.has_preceding_reader(own);
-        if stored != wanted && is_writer && gateway.store_available() {
+        let may_write = is_writer && gateway.store_available();
+        if may_write && stored != wanted {
             update(gateway, &stored, &wanted).await;
         }
+        // rows that are up to date hold all builds that count
+        expire_unparsed(gateway, may_write && stored == wanted).await;
+    }
+}
+
+/// Takes the builds to be known once those of rows that can't be parsed no longer count, and removes the rows if it may.
+async fn expire_unparsed(gateway: &Gateway, may_remove: bool) {
+    let unparsed = gateway.stored_builds.unparsed.lock().clone();
+    let Some(unparsed) = unparsed.filter(Unparsed::is_expired) else {
+        return;
+    };
+    if !gateway.knows_earlier_builds() {
+        log::info!("the builds of rows that could not be parsed no longer count");
+        gateway.record_earlier_builds_known();
+    }
+    if may_remove {
+        remove_unparsed(gateway, &unparsed.rows).await;
     }
 }
 
@@ -218,3 +264,21 @@
         }
     }
 }
+
+/// Removes rows that have not changed since they were read. One whose removal fails is left to a process that starts later.
+async fn remove_unparsed(gateway: &Gateway, rows: &[(String, u64)]) {
+    for (key, version) in rows.iter().take(MAX_ROWS) {
+        let removal = Transaction::default().check(key, *version).remove(key);
+        let outcome = gateway.adapters.table.commit(removal).await;
+        gateway.count_store_call("builds", outcome.is_ok());
+        match outcome {
+            Ok(outcome) => {
+                log::info!(key, outcome:?; "removed the row of a build unless it has changed");
+            }
+            Err(error) => {
+                log::warn!(key, error:%; "failed to remove the row of a build that could not be parsed");
+            }
+        }
+    }
+    *gateway.stored_builds.unparsed.lock() = None;
+}
--- a/components/gateway/src/process/streams/mod.rs
+++ b/components/gateway/src/process/streams/mod.rs
@@ -4,14 +4,17 @@
 mod lost;
 #[cfg(test)]
 mod tests;
+mod unparsed;
 
 use std::time::Duration;
 
+use clock::Instant;
 use cloud::table::{Read, Row, Transaction};
 use parking_lot::Mutex;
 
 use super::Gateway;
 use crate::streams::store::{self, Entry, ROW_PREFIX};
+use unparsed::Unparsed;
 
 /// How often the row is compared with the streams. Those of this time are lost when all that know them are killed.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
@@ -133,18 +136,19 @@
 
 async fn clean_up(gateway: &Gateway) {
     clock::sleep(FIRST_CLEANUP_DELAY).await;
+    let mut unparsed = Unparsed::default();
     loop {
         let own = gateway.settings.gateway.peers;
         let is_remover = gateway.reads_lists() && !gateway.peers.has_preceding_reader(own);
         if is_remover && gateway.store_available() {
-            remove_expired(gateway).await;
+            remove_expired(gateway, &mut unparsed).await;
         }
         clock::sleep(CLEANUP_INTERVAL).await;
     }
 }
 
 /// Removes the rows in which all streams have expired. One whose removal fails is removed the next time.
-async fn remove_expired(gateway: &Gateway) {
+async fn remove_expired(gateway: &Gateway, unparsed: &mut Unparsed) {
     let read = Read {
         keys: Vec::new(),
         prefixes: vec![ROW_PREFIX.to_owned()],
@@ -159,11 +163,19 @@
         }
     };
     let own_key = own_key(gateway);
-    let is_expired = |row: &&Row| {
-        let entries = store::decode(&row.value);
-        row.key != own_key && entries.is_none_or(|entries| entries.iter().all(Entry::is_expired))
+    let others: Vec<(&Row, Option<Vec<Entry>>)> = rows
+        .iter()
+        .filter(|row| row.key != own_key)
+        .map(|row| (row, store::decode(&row.value)))
+        .collect();
+    let now = Instant::now();
+    let without_entries = others.iter().filter(|(_, entries)| entries.is_none());
+    unparsed.update(without_entries.map(|(row, _)| *row), now);
+    let is_expired = |(row, entries): &&(&Row, Option<Vec<Entry>>)| match entries {
+        Some(entries) => entries.iter().all(Entry::is_expired),
+        None => unparsed.is_expired(&row.key, now),
     };
-    for row in rows.iter().filter(is_expired) {
+    for (row, _) in others.iter().filter(is_expired) {
         // its gateway may have come back and written it meanwhile
         let removal = Transaction::default()
             .check(&row.key, row.version)
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -31,7 +31,7 @@
 /// How often a copy is sent, as datagrams may be lost.
 const SENDS: u32 = 2;
 /// The longest time for which a record is kept, whatever deadline the caller states.
-const MAX_LIFETIME: Duration = Duration::from_secs(300);
+pub const MAX_LIFETIME: Duration = Duration::from_secs(300);
 
 /// Identifies a stream: a hash of the service, the workspace, and the id of the request whose response brought the
 /// first event. The workspace is part of it so that one can't resume or probe streams of another.
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -142,7 +142,9 @@
         // a read that failed is repeated soon
         let may_read_rows = *self.gateway.earlier_rows().borrow() != Rows::Read;
         let may_list_builds = may_read_rows || !self.gateway.knows_listed_builds();
-        let may_learn_builds = may_list_builds && self.builds().len() <= 1;
+        let may_report_builds = !self.gateway.knows_earlier_builds()
+            && (self.is_discovering() || !questions.builds.unanswered().is_empty());
+        let may_learn_builds = (may_list_builds || may_report_builds) && self.builds().len() <= 1;
         let may_learn_stream = |question| may_read_rows || may_answer(question);
         may_learn_builds || questions.stream.as_ref().is_some_and(may_learn_stream)
     }
