Give up a silent engine that is to resume a broken stream

A stream that broke and was resumed within its response waited at the engine that was chosen for it until the deadline of the request. If that engine was silent too, its caller, which leaves after a gap of two seconds at least, lost the stream although other engines had room and the request had attempts left.

The wait of a resumption had no early end, unlike that of a new request. It has the same now: the engine is presumed lost when it has made no progress for three times the expected time and a quarter of the time that is left, which is that until the caller leaves, counted from the last event. It is given up only if another engine would take the stream, an attempt is left and the budget has a retry, which is reserved in the same step; the connection of the attempt is closed first, so that the engine stops. The expected time is that of prefill and decode on one engine, as a resumption is run on one whatever was chosen.

An engine that sends the headers of its response and no event is still waited for, as with a new request.

--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -12,7 +12,7 @@
 
 use clock::Instant;
 use hyper::Response;
-use policy::place::{Choice, Placement};
+use policy::place::{self, Choice, Placement};
 
 use super::{
     attempt::{Answer, Cause},
@@ -20,14 +20,13 @@
     job::Job,
     refusal::{DEFAULT_RETRY_AFTER, Reason},
     relay::{self, Body},
-    timeout::Timeout,
     unserved::{Denial, Unserved},
 };
 use crate::{
     endpoint::{DecodeGuard, Target},
     forwarding,
 };
-use snapshot::Snapshot;
+use snapshot::{Snapshot, placement_request};
 use timing::Timing;
 
 pub use queue::Queue;
@@ -171,14 +170,33 @@
     queues::wait(job, Claim::of(job), look).await
 }
 
-/// Resumes a broken stream on another engine than those `tried`. `Ok(None)` if none has room.
+/// A stream that broke, and what was tried to resume it.
+pub struct Broken<'a> {
+    /// The last complete event.
+    pub after: Option<u64>,
+    /// When the last event arrived, or the request if there was none.
+    pub last_event: Instant,
+    /// The endpoints that broke it off or failed to resume it.
+    pub tried: &'a [Arc<Target>],
+    /// Whether it may be resumed once more if the next attempt is lost.
+    pub may_retry: bool,
+}
+
+impl Broken<'_> {
+    /// Returns the endpoints that must not be tried again, and one more.
+    fn tried_with(&self, target: &Arc<Target>) -> Vec<Arc<Target>> {
+        let more = std::iter::once(target);
+        self.tried.iter().chain(more).map(Arc::clone).collect()
+    }
+}
+
+/// Resumes a broken stream on another engine than those that were tried. `Ok(None)` if none has room.
 pub async fn resume(
     job: &Job,
-    after: Option<u64>,
-    tried: &[Arc<Target>],
+    broken: &Broken<'_>,
 ) -> Result<Option<(Answer, DecodeGuard)>, FailedAttempt> {
     let try_place = || {
-        let snapshot = Snapshot::new(job, tried);
+        let snapshot = Snapshot::new(job, broken.tried);
         let choice = snapshot.choose(job);
         (snapshot, choice)
     };
@@ -205,8 +223,10 @@
         Placement::Single { engine } => engine,
         Placement::Split { decode, .. } => decode,
     };
-    let timeout = Timeout::at(job.deadline);
-    let (answer, decode_guard) = run::single_engine(job, &snapshot, engine, timeout, after).await?;
+    let expected_us = place::first_event_us(&snapshot.engines[engine], &placement_request(job));
+    let timeout = timing::resumption_timeout(job, broken, expected_us);
+    let sent = run::single_engine(job, &snapshot, engine, timeout, broken.after);
+    let (answer, decode_guard) = sent.await?;
     let target = Arc::clone(&answer.target);
     let answer = answer.into_continuation();
     let answer = answer.map_err(|cause| run::failed(&target, cause, Purpose::Run))?;
--- a/components/gateway/src/request/generate/timing.rs
+++ b/components/gateway/src/request/generate/timing.rs
@@ -6,7 +6,10 @@
 use clock::Instant;
 use policy::place::{self, Choice, Placement, Weights};
 
-use super::snapshot::{Snapshot, placement_request};
+use super::{
+    Broken,
+    snapshot::{Snapshot, placement_request},
+};
 use crate::{
     forwarding,
     request::{
@@ -117,7 +120,7 @@
     expected_us: f64,
 ) -> EarlyTimeout<'a> {
     EarlyTimeout {
-        presumed_lost: PresumedLost::Silence(max_silence(job, expected_us)),
+        presumed_lost: PresumedLost::Silence(max_silence(job, job.time_left(), expected_us)),
         has_alternative: Box::new(|target| {
             let snapshot = Snapshot::new(job, &attempts.tried_with(target));
             snapshot.choose(job).is_some() || forwarding::send::is_possible(job)
@@ -125,11 +128,32 @@
     }
 }
 
-/// Returns the longest time for which a healthy engine makes no progress.
-fn max_silence(job: &Job, expected_us: f64) -> Duration {
+/// Returns how long to wait for the next event of a broken stream from an engine that is expected to send it after
+/// `expected_us` microseconds. If another attempt may follow, the wait ends early when the engine stops making progress,
+/// since the caller leaves long before its deadline.
+pub fn resumption_timeout<'a>(
+    job: &'a Job,
+    broken: &'a Broken<'a>,
+    expected_us: f64,
+) -> Timeout<'a> {
+    let early = broken.may_retry.then(|| {
+        let left = job.next_event_timeout(broken.last_event);
+        EarlyTimeout {
+            presumed_lost: PresumedLost::Silence(max_silence(job, left, expected_us)),
+            has_alternative: Box::new(|target| {
+                let snapshot = Snapshot::new(job, &broken.tried_with(target));
+                snapshot.choose(job).is_some()
+            }),
+        }
+    });
+    Timeout::with_early(job.deadline, early)
+}
+
+/// Returns the longest time for which a healthy engine makes no progress, if a request has this much time left.
+fn max_silence(job: &Job, left: Duration, expected_us: f64) -> Duration {
     let expected_us = expected_us + job.gateway.margin_us(&job.service.name);
     let limit = Duration::from_micros(policy::to_u64(expected_us)) * SILENCE_FACTOR;
-    limit.max(job.time_left() / MIN_WAIT_DIVISOR)
+    limit.max(left / MIN_WAIT_DIVISOR)
 }
 
 /// Safety factor on the expected time of an answer during a shutdown, which must not interrupt it.
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -294,7 +294,12 @@
 
     /// Returns the time after which the caller gives up if no event has reached it.
     pub fn first_event_timeout(&self) -> Duration {
-        let silence = self.route.max_silence.map(|silence| self.arrived + silence);
+        self.next_event_timeout(self.arrived)
+    }
+
+    /// Returns the time after which the caller gives up if nothing has reached it after `last_event`.
+    pub fn next_event_timeout(&self, last_event: Instant) -> Duration {
+        let silence = self.route.max_silence.map(|silence| last_event + silence);
         let latest = silence.map_or(self.deadline, |leaves| leaves.min(self.deadline));
         latest.saturating_duration_since(Instant::now())
     }
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -24,7 +24,7 @@
     events::EventBuffer,
     framing::Framing,
     generate::{
-        self, is_long_answer,
+        self, Broken, is_long_answer,
         migrate::{self, Outcome, StoppedAnswer},
     },
     job::Job,
@@ -99,6 +99,7 @@
     liveness: Liveness,
     events: u64,
     first_event: Option<Instant>,
+    last_event: Option<Instant>,
     /// The longest time between two events so far.
     longest_gap: Duration,
     /// Whether the build that began the stream has been recorded.
@@ -170,6 +171,7 @@
         liveness: Liveness::Listens,
         events: 0,
         first_event: None,
+        last_event: None,
         longest_gap: Duration::ZERO,
         recorded: false,
         logged: false,
@@ -289,6 +291,7 @@
     fn record_event(&mut self) {
         let now = Instant::now();
         self.events += 1;
+        self.last_event = Some(now);
         if self.first_event.is_none() {
             self.first_event = Some(now);
             self.job.record_start(now);
@@ -515,7 +518,13 @@
     async fn try_resume(&mut self, after: Option<u64>, mut tried: Vec<Arc<Target>>) -> bool {
         let mut refusals = 0;
         while self.attempts < self.job.route.max_attempts && refusals < MAX_REFUSED_RESUMPTIONS {
-            let failed = match generate::resume(&self.job, after, &tried).await {
+            let broken = Broken {
+                after,
+                last_event: self.last_event.unwrap_or(self.job.arrived),
+                tried: &tried,
+                may_retry: self.attempts + 1 < self.job.route.max_attempts,
+            };
+            let failed = match generate::resume(&self.job, &broken).await {
                 Ok(Some((answer, decode_guard))) => {
                     self.attempts += 1;
                     self.set_upstream(answer, decode_guard);
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -573,6 +573,19 @@
     }
 }
 
+/// Returns the expected time until the first event of an answer that one engine prefills and decodes, in microseconds.
+#[must_use]
+pub fn first_event_us(engine: &Engine, request: &Request) -> f64 {
+    let ahead_us = to_f64(engine_work_ahead(engine)) * engine.latency.prefill_token_us;
+    let start_us = engine.latency.overhead_us + engine.fetch.time_us;
+    let own_us = own_prefill_us(engine, request);
+    to_f64(engine.extra_round_trip) + start_us + ahead_us + own_us
+}
+
+fn own_prefill_us(engine: &Engine, request: &Request) -> f64 {
+    to_f64(work_to_prefill(engine, request)) * engine.latency.prefill_token_us
+}
+
 /// Returns the cost of prefill and decode on one engine.
 fn single_engine_cost(
     engine: &Engine,
@@ -581,10 +594,8 @@
     limits: Limits,
 ) -> Cost {
     let tokens_to_prefill = tokens_to_prefill(engine, request);
-    let own_us = to_f64(work_to_prefill(engine, request)) * engine.latency.prefill_token_us;
-    let ahead_us = to_f64(engine_work_ahead(engine)) * engine.latency.prefill_token_us;
-    let start_us = engine.latency.overhead_us + engine.fetch.time_us;
-    let duration_us = to_f64(engine.extra_round_trip) + start_us + ahead_us + own_us;
+    let own_us = own_prefill_us(engine, request);
+    let duration_us = first_event_us(engine, request);
     let delayed_answers = if tolerates_sustained_prefill(engine, request, weights) {
         engine.long_answers
     } else {
