Give slots that become free to those that have waited longest, and let streams that broke wait apart

- Callers that resumed many streams at full engines got a third of the slots that became free beside a few new requests (8 of 24, 8 of 8 new), although they came first.
Queues are separate since what waits in them can take different slots, and each queue's first request looked on its own, so that a slot went to either queue alike, however many waited in it.
The priority decided between queues, nothing else did.
Now the longer wait decides between first requests of one priority: 16 slots go to the 24 that came first.
New requests that came first are served first in the same way.
- A resumed stream had its next event after 2.02 s beside free slots, a new one after 25 ms: the first of its queue was a stream that had broken at the engine with the free slots and may not return there.
Such streams now wait in a queue of their own.

--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -14,7 +14,7 @@
 use super::Gateway;
 use crate::{
     endpoint::{Build, Latencies, ServiceDefaults, Stage, Target},
-    request::{Claim, Queue, Queues, job::Job},
+    request::{Claim, Queue, Queues, Rank},
 };
 
 const NANOS_PER_MICRO: f64 = 1e3;
@@ -239,11 +239,17 @@
         self.with_service(service, |state| state.queues.get(claim))
     }
 
-    /// Whether a request of a higher priority than `job` waits for slots that one with this claim can take, and has not
+    /// Whether a request that comes before one of this rank waits for slots that one with this claim can take, and has not
     /// looked for room after `since`.
-    pub fn is_outranked(&self, job: &Job, claim: Claim<'_>, since: Instant) -> bool {
-        self.with_service(&job.service.name, |state| {
-            state.queues.is_outranked(claim, job.priority, since)
+    pub fn is_outranked(
+        &self,
+        service: &Arc<str>,
+        claim: Claim<'_>,
+        rank: Rank,
+        since: Instant,
+    ) -> bool {
+        self.with_service(service, |state| {
+            state.queues.is_outranked(claim, rank, since)
         })
     }
 
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -29,7 +29,7 @@
 use snapshot::{Snapshot, placement_request};
 use timing::Timing;
 
-pub use queue::Queue;
+pub use queue::{Queue, Rank};
 pub use queues::{Claim, Queues};
 pub use snapshot::is_long_answer;
 
@@ -122,7 +122,8 @@
         let choice = snapshot.choose(job);
         (snapshot, choice)
     };
-    let queue = job.gateway.queue(&job.service.name, Claim::of(job));
+    let claim = Claim::of(job, attempts.tried());
+    let queue = job.gateway.queue(&job.service.name, claim);
     let (snapshot, choice) = try_place();
     if job.begin_demand_count() {
         snapshot::count_demand(job, &snapshot);
@@ -132,26 +133,27 @@
     // a request that still waits when the process exits would get no answer
     let ends_in_time = || job.ends_before_shutdown(queue::max_wait(job));
     let is_outranked = || {
-        let now = Instant::now();
-        job.gateway.is_outranked(job, Claim::of(job), now)
+        let rank = Rank {
+            priority: job.priority,
+            joined: None,
+        };
+        let service = &job.service.name;
+        job.gateway
+            .is_outranked(service, claim, rank, Instant::now())
     };
     // requests that already wait go first
     let may_go = queue.len() == 0 && !(is_outranked() && !goes_elsewhere() && ends_in_time());
     if let Some(choice) = choice.filter(|_| may_go) {
         return Ok((snapshot, choice));
     }
-    snapshot.log_obstacles(
-        job,
-        Claim::of(job),
-        "no engine has room, or others wait for it",
-    );
+    snapshot.log_obstacles(job, claim, "no engine has room, or others wait for it");
     if goes_elsewhere() {
         return Err(Denial::NoRoom(attempts.exhausted_refusal()));
     }
     if !ends_in_time() {
         return Err(Denial::Final(attempts.shutdown_refusal()));
     }
-    let found = wait_for_room(job, try_place).await;
+    let found = wait_for_room(job, claim, try_place).await;
     found.ok_or_else(|| match job.withheld() {
         Some(withheld) => Denial::Final(Reason::Withheld(withheld.remaining)),
         None => Denial::NoRoom(attempts.exhausted_refusal()),
@@ -161,13 +163,14 @@
 /// Waits in the queue until an engine has room; `None` if none has in time, or if the request is withheld meanwhile.
 async fn wait_for_room(
     job: &Job,
+    claim: Claim<'_>,
     try_place: impl Fn() -> (Snapshot, Option<Choice>),
 ) -> Option<(Snapshot, Choice)> {
     let look = || match try_place() {
         (snapshot, Some(choice)) => Ok((snapshot, choice)),
         (snapshot, None) => Err(snapshot),
     };
-    queues::wait(job, Claim::of(job), look).await
+    queues::wait(job, claim, look).await
 }
 
 /// A stream that broke, and what was tried to resume it.
@@ -195,6 +198,7 @@
     job: &Job,
     broken: &Broken<'_>,
 ) -> Result<Option<(Answer, DecodeGuard)>, FailedAttempt> {
+    let claim = Claim::of(job, broken.tried);
     let try_place = || {
         let snapshot = Snapshot::new(job, broken.tried);
         let choice = snapshot.choose(job);
@@ -206,11 +210,11 @@
         (snapshot, None) => {
             snapshot.log_obstacles(
                 job,
-                Claim::of(job),
+                claim,
                 "no engine has room to resume a broken stream as yet",
             );
             if job.ends_before_shutdown(queue::max_wait(job)) {
-                wait_for_room(job, try_place).await
+                wait_for_room(job, claim, try_place).await
             } else {
                 None
             }
--- a/components/gateway/src/request/generate/queue.rs
+++ b/components/gateway/src/request/generate/queue.rs
@@ -24,8 +24,24 @@
 /// too late has likely left.
 const MAX_WAIT_OBJECTIVES: u32 = 4;
 
-/// A position in the queue: priority class, deadline, and a sequence number.
-type Position = (u32, Instant, u64);
+/// A position in the queue. Those of higher priorities come first, then those of earlier deadlines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Position {
+    priority: u32,
+    deadline: Instant,
+    /// The number of requests that had joined before, which tells positions apart.
+    sequence: u64,
+    joined: Instant,
+}
+
+/// What decides between the first requests of two queues: the higher priority, then the longer wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// The priority class; lower classes are served first.
+    pub priority: u32,
+    /// Since when the request has waited; `None` if it has only come, and then yields to higher priorities only.
+    pub joined: Option<Instant>,
+}
 
 /// The requests of a service that wait for a slot, in the order in which they are served.
 #[derive(Debug, Default)]
@@ -68,30 +84,49 @@
         self.state.lock().positions.len()
     }
 
-    /// Whether a request of a higher priority than `priority` waits here that has not looked for room after `since`.
-    pub fn outranks(&self, priority: u32, since: Instant) -> bool {
+    /// Whether a request that comes before one of this rank waits here, and has not looked for room after `since`.
+    pub fn outranks(&self, rank: Rank, since: Instant) -> bool {
         let state = self.state.lock();
-        let first = state.positions.first();
-        first.is_some_and(|(first, ..)| *first < priority)
-            && state.no_room_at.is_none_or(|at| at < since)
+        let first = state.positions.first().map(Position::rank);
+        first.is_some_and(|first| first < rank) && state.no_room_at.is_none_or(|at| at < since)
     }
 
     /// Adds a request to the queue.
     pub fn join(&self, job: &Job) -> Ticket<'_> {
+        let joined = Instant::now();
         let mut state = self.state.lock();
+        let position = Position {
+            priority: job.priority,
+            deadline: job.deadline,
+            sequence: state.joined,
+            joined,
+        };
         state.joined += 1;
-        let position = (job.priority, job.deadline, state.joined);
         let index = state.positions.partition_point(|other| *other < position);
         state.positions.insert(index, position);
         Ticket {
             queue: self,
             position,
-            until: Instant::now() + max_wait(job),
+            until: joined + max_wait(job),
+        }
+    }
+}
+
+impl Position {
+    fn rank(&self) -> Rank {
+        Rank {
+            priority: self.priority,
+            joined: Some(self.joined),
         }
     }
 }
 
 impl Ticket<'_> {
+    /// Returns what decides between this request and the first ones of other queues.
+    pub fn rank(&self) -> Rank {
+        self.position.rank()
+    }
+
     /// Waits until it is this request's turn to check for a free slot. Returns false if it has
     /// waited for too long, or is withheld from all engines.
     pub async fn wait_turn(&self, job: &Job) -> bool {
--- a/components/gateway/src/request/generate/queues.rs
+++ b/components/gateway/src/request/generate/queues.rs
@@ -6,10 +6,13 @@
 use clock::Instant;
 
 use super::{
-    queue::Queue,
+    queue::{Queue, Rank},
     snapshot::{Snapshot, is_long_answer},
 };
-use crate::{endpoint::Build, request::job::Job};
+use crate::{
+    endpoint::{Build, Target},
+    request::job::Job,
+};
 
 /// Which slots a request that waits can take.
 #[derive(Clone, Copy, Debug)]
@@ -20,12 +23,19 @@
     Prefilled(&'a Build),
     /// All, on engines of the build that has begun its stream.
     Begun(&'a Build),
+    /// The same but for some engines, such as the one at which its stream broke.
+    Broken(&'a Build),
 }
 
 impl<'a> Claim<'a> {
-    /// Returns the claim of a request whose prompt no other engine has prefilled.
-    pub fn of(job: &'a Job) -> Self {
-        job.build().map_or(Self::New, Self::Begun)
+    /// Returns the claim of a request whose prompt no other engine has prefilled, and that may not return to the engines
+    /// that it has `tried`.
+    pub fn of(job: &'a Job, tried: &[Arc<Target>]) -> Self {
+        match job.build() {
+            None => Self::New,
+            Some(build) if tried.is_empty() => Self::Begun(build),
+            Some(build) => Self::Broken(build),
+        }
     }
 
     /// Returns the claim of a request whose prompt an engine of `build` has prefilled.
@@ -36,7 +46,7 @@
     fn build(self) -> Option<&'a Build> {
         match self {
             Self::New => None,
-            Self::Prefilled(build) | Self::Begun(build) => Some(build),
+            Self::Prefilled(build) | Self::Begun(build) | Self::Broken(build) => Some(build),
         }
     }
 }
@@ -47,6 +57,7 @@
     new: Arc<Queue>,
     prefilled: ByBuild,
     begun: ByBuild,
+    broken: ByBuild,
 }
 
 impl Queues {
@@ -56,24 +67,29 @@
             Claim::New => Arc::clone(&self.new),
             Claim::Prefilled(build) => self.prefilled.get(build),
             Claim::Begun(build) => self.begun.get(build),
+            Claim::Broken(build) => self.broken.get(build),
         }
     }
 
-    /// Whether a request of a higher priority than `priority` waits for slots that one with this claim can take, and has
-    /// not looked for room after `since`.
-    pub fn is_outranked(&self, claim: Claim<'_>, priority: u32, since: Instant) -> bool {
-        let bound = self.prefilled.0.iter().chain(&self.begun.0);
-        let mut rivals = bound.filter(|(build, _)| claim.build().is_none_or(|own| own == build));
-        self.new.outranks(priority, since)
-            || rivals.any(|(_, queue)| queue.outranks(priority, since))
+    /// Whether a request that comes before one of this rank waits for slots that one with this claim can take, and has not
+    /// looked for room after `since`.
+    pub fn is_outranked(&self, claim: Claim<'_>, rank: Rank, since: Instant) -> bool {
+        let is_rival = |build: &Build| claim.build().is_none_or(|own| own == build);
+        let mut rivals = self.bound().filter(|(build, _)| is_rival(build));
+        self.new.outranks(rank, since) || rivals.any(|(_, queue)| queue.outranks(rank, since))
     }
 
     /// Returns the builds for whose engines requests wait that other engines can't serve.
     pub fn awaited_builds(&self) -> Vec<Build> {
-        let queues = self.prefilled.0.iter().chain(&self.begun.0);
-        let waiting = queues.filter(|(_, queue)| queue.len() > 0);
+        let waiting = self.bound().filter(|(_, queue)| queue.len() > 0);
         waiting.map(|(build, _)| build.clone()).collect()
     }
+
+    /// Returns the queues of requests that only engines of one build can serve, with these builds.
+    fn bound(&self) -> impl Iterator<Item = &(Build, Arc<Queue>)> {
+        let queues = [&self.prefilled, &self.begun, &self.broken];
+        queues.into_iter().flat_map(|queues| &queues.0)
+    }
 }
 
 /// Waits in the queue of a claim until `look` finds room; `None` if there is none in time, or if the request is withheld
@@ -88,8 +104,12 @@
     while ticket.wait_turn(job).await {
         let found = look();
         let room_since = ticket.record_look(found.is_ok());
-        // those of a higher priority in other queues look first
-        if room_since.is_some_and(|since| !job.gateway.is_outranked(job, claim, since)) {
+        // those in other queues that come before it look first
+        let is_outranked = |since| {
+            job.gateway
+                .is_outranked(&job.service.name, claim, ticket.rank(), since)
+        };
+        if room_since.is_some_and(|since| !is_outranked(since)) {
             return found.ok();
         }
     }
@@ -99,7 +119,8 @@
     }
     let found = look().inspect_err(|snapshot| {
         snapshot.log_obstacles(job, claim, "no engine has had room in time");
-        if snapshot.is_full(job) {
+        // the next one may have tried other engines
+        if snapshot.is_full(job) && !matches!(claim, Claim::Broken(_)) {
             ticket.record_left(is_long);
         }
     });
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -45,7 +45,7 @@
 pub use attempt::{MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, call};
 pub use attempts::Attempts;
 pub use fingerprint::Fingerprint;
-pub use generate::{Claim, Queue, Queues};
+pub use generate::{Claim, Queue, Queues, Rank};
 use job::{Forwarded, Job, Received};
 pub use refusal::Reason;
 use relay::Body;
