Hold a resumption until a starting gateway knows its peers

Callers that resumed streams at a gateway which had just started were refused as "not known" although a live peer knew their build.

Cause: for 250 ms from the start of the process, whatever the store did, peers were taken to be missing from its list. With a store that takes 240 ms a call the registration is written after 240 ms and the others' rows are read after 480 ms, about when the rows of streams are. Nobody had been asked by then, and nobody was left who might know. A stream that its gateway had not yet written to the store was refused.

Now that period begins once the registration rows have been read; until then the resumption is held, within the bound that it had before. The process sends a digest to all peers as soon as it has read who they are, as peers answer nobody whom they don't know; before, those that are not neighbours got none for another second. While it discovers its peers it looks for further ones each 40 ms, and asks only those at once; the repeated questions to the others now always double their interval.

--- a/components/gateway/src/peer/discovery.rs
+++ b/components/gateway/src/peer/discovery.rs
@@ -4,7 +4,7 @@
 //! Of two gateways that start at the same time at least one sees the other's row and sends it
 //! digests, by which the other learns of it.
 
-use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use cloud::table::{Error, Read, Transaction};
 use serde::{Deserialize, Serialize};
@@ -130,10 +130,8 @@
         }
     }
     if *written {
-        gateway
-            .peers
-            .membership_known
-            .store(true, Ordering::Relaxed);
+        let membership_known = &gateway.peers.membership_known;
+        membership_known.get_or_init(tokio::time::Instant::now);
     }
     *written
 }
--- a/components/gateway/src/peer/send.rs
+++ b/components/gateway/src/peer/send.rs
@@ -41,13 +41,17 @@
         PeerGroup::Others,
     ]
     .map(DigestSchedule::new);
+    let mut is_announced = false;
     loop {
         clock::sleep(MIN_DIGEST_INTERVAL).await;
+        // peers accept nothing from a process that they don't know, and read its registration row much later
+        let announces = !is_announced && gateway.peers.is_membership_known();
+        is_announced |= announces;
         let update = Update::collect(gateway);
         apply_stage_changes(gateway, &update.changing, &[]);
         for schedule in &mut schedules {
             schedule.enqueue(&update);
-            if !schedule.is_due(&update) {
+            if !announces && !schedule.is_due(&update) {
                 continue;
             }
             let own = &gateway.settings.gateway;
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -242,11 +242,6 @@
         *self.shutdown.read()
     }
 
-    /// Returns the time since the start of the process.
-    pub fn uptime(&self) -> Duration {
-        self.started.elapsed()
-    }
-
     /// Returns the microseconds since the start of the process, for the policy's time-based decisions.
     pub fn micros(&self) -> policy::Micros {
         policy::micros(self.started.elapsed())
--- a/components/gateway/src/streams/question.rs
+++ b/components/gateway/src/streams/question.rs
@@ -1,9 +1,12 @@
 //! Questions to peers about streams, as long as a request waits for the answers.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use parking_lot::Mutex;
-use tokio::sync::{Notify, futures::Notified};
+use tokio::{
+    sync::{Notify, futures::Notified},
+    time::Instant,
+};
 
 use super::Key;
 
@@ -30,10 +33,16 @@
 struct Open {
     number: u64,
     subject: Subject,
-    /// Peers that have been asked.
-    asked: Vec<SocketAddr>,
-    /// Those of them that have not answered.
-    unanswered: Vec<SocketAddr>,
+    asked: Vec<Asked>,
+}
+
+/// A peer that has been asked.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    peer: SocketAddr,
+    /// When it was first asked; time for which this machine was suspended does not count.
+    since: Instant,
+    is_answered: bool,
 }
 
 /// An open question, closed when this is dropped.
@@ -55,7 +64,6 @@
             number,
             subject,
             asked: Vec::new(),
-            unanswered: Vec::new(),
         });
         Question {
             questions: self,
@@ -68,7 +76,10 @@
         let mut open = self.open.lock();
         let about_it = |question: &&mut Open| question.subject == subject;
         for question in open.iter_mut().filter(about_it) {
-            question.unanswered.retain(|peer| *peer != from);
+            let answered = question.asked.iter_mut().find(|asked| asked.peer == from);
+            if let Some(asked) = answered {
+                asked.is_answered = true;
+            }
         }
     }
 
@@ -84,42 +95,53 @@
 }
 
 impl Question<'_> {
-    /// Asks peers, besides those that have been asked already.
-    pub fn ask(&self, peers: &[SocketAddr]) {
-        let mut open = self.questions.open.lock();
-        let own = open.iter_mut().find(|open| open.number == self.number);
-        let Some(own) = own else {
-            return;
+    /// Asks peers, besides those that have been asked already. Returns those that are asked for the first time.
+    pub fn ask(&self, peers: &[SocketAddr]) -> Vec<SocketAddr> {
+        let since = Instant::now();
+        let ask = |own: &mut Open| {
+            let is_new = |peer: &&SocketAddr| own.asked.iter().all(|asked| asked.peer != **peer);
+            let new: Vec<SocketAddr> = peers.iter().filter(is_new).copied().collect();
+            own.asked.extend(new.iter().map(|peer| Asked {
+                peer: *peer,
+                since,
+                is_answered: false,
+            }));
+            new
         };
-        for peer in peers {
-            if !own.asked.contains(peer) {
-                own.asked.push(*peer);
-                own.unanswered.push(*peer);
-            }
-        }
+        self.with(ask).unwrap_or_default()
     }
 
     /// Discards the answers that peers don't know, as they may have learnt more.
     pub fn reopen(&self) {
-        let mut open = self.questions.open.lock();
-        let own = open.iter_mut().find(|open| open.number == self.number);
-        if let Some(own) = own {
-            own.unanswered.clone_from(&own.asked);
-        }
+        self.with(|own| {
+            for asked in &mut own.asked {
+                asked.is_answered = false;
+            }
+        });
     }
 
-    /// Returns the peers that have not answered.
-    pub fn unanswered(&self) -> Vec<SocketAddr> {
-        let open = self.questions.open.lock();
-        let own = open.iter().find(|question| question.number == self.number);
-        own.map_or_else(Vec::new, |question| question.unanswered.clone())
+    /// Returns the peers that have not answered, with the time since they were first asked.
+    pub fn unanswered(&self) -> Vec<(SocketAddr, Duration)> {
+        let unanswered = |own: &mut Open| {
+            let waiting = own.asked.iter().filter(|asked| !asked.is_answered);
+            waiting
+                .map(|asked| (asked.peer, asked.since.elapsed()))
+                .collect()
+        };
+        self.with(unanswered).unwrap_or_default()
     }
 
     /// Returns the number of peers that have been asked.
     pub fn asked(&self) -> usize {
-        let open = self.questions.open.lock();
-        let own = open.iter().find(|question| question.number == self.number);
-        own.map_or(0, |question| question.asked.len())
+        self.with(|own| own.asked.len()).unwrap_or_default()
+    }
+
+    fn with<T>(&self, use_own: impl FnOnce(&mut Open) -> T) -> Option<T> {
+        let mut open = self.questions.open.lock();
+        let own = open
+            .iter_mut()
+            .find(|question| question.number == self.number);
+        own.map(use_own)
     }
 }
 
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -3,7 +3,7 @@
 //! A process that has just started, or whose peers are busy, learns it late. As long as it may still be learnt the caller
 //! waits; it is refused at once when nobody is left who may know.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use clock::Instant;
 use derive_more::Display;
@@ -15,17 +15,17 @@
 };
 use crate::{
     endpoint::Build,
+    peer::DISCOVERY_PERIOD,
     process::{Gateway, Rows},
 };
 
 /// Number of peers that are asked. More than hold copies, since gateways may differ in which peers they take to be alive.
 const ASKED_PEERS: usize = 8;
-/// After this time the peers that have not answered are asked again, as datagrams may be lost. Doubled each time once all
-/// live peers are known, since a slow peer has to handle all questions.
+/// After this time the peers that have not answered are asked again, as datagrams may be lost. Doubled each time, since a
+/// slow peer has to handle all questions.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(40);
-/// Time from the start of the process in which it receives the first digest of each live peer: two heartbeat intervals, its
-/// own and the peer's, and a margin for delays.
-const DISCOVERY_PERIOD: Duration = Duration::from_millis(250);
+/// How often to look for further peers to ask as long as live ones may not be known.
+const DISCOVERY_INTERVAL: Duration = Duration::from_millis(40);
 /// Time in which those left have usually read the rows of a gateway that is gone, and sent its streams to the peers that
 /// are asked.
 const ROWS_OF_LOST_PERIOD: Duration = Duration::from_millis(500);
@@ -89,16 +89,22 @@
     async fn learn(&self, questions: &Questions<'_>) -> Option<(Build, Source)> {
         let mut rows = self.gateway.earlier_rows();
         let mut interval = REPEAT_INTERVAL;
+        let mut repeat_at = Instant::now() + interval;
         loop {
-            self.ask(questions);
-            let repeat_at = match DISCOVERY_PERIOD.saturating_sub(self.gateway.uptime()) {
-                Duration::ZERO => Instant::now() + interval,
-                // when discovery ends the caller may have to be refused at once
-                left => Instant::now() + interval.min(left),
-            };
-            if !self.is_discovering() {
+            let now = Instant::now();
+            if self.ask(questions) {
+                interval = REPEAT_INTERVAL;
+                repeat_at = now + interval;
+            } else if repeat_at <= now {
+                self.repeat(questions);
                 interval *= 2;
+                repeat_at = now + interval;
             }
+            let check_at = if self.gateway.peers.is_discovering() {
+                repeat_at.min(now + DISCOVERY_INTERVAL)
+            } else {
+                repeat_at
+            };
             loop {
                 let answered = self.gateway.streams.questions.changed();
                 if let Some(known) = self.known() {
@@ -114,7 +120,7 @@
                         _ = rows.changed() => {}
                     }
                 };
-                if clock::timeout_at(repeat_at, changed).await.is_err() {
+                if clock::timeout_at(check_at, changed).await.is_err() {
                     break;
                 }
             }
@@ -136,9 +142,8 @@
 
     /// Whether the build may still become known.
     fn may_learn(&self, questions: &Questions<'_>) -> bool {
-        let may_hear_more = self.is_discovering() || self.has_just_lost_peer();
-        let may_answer =
-            |question: &Question<'_>| may_hear_more || !question.unanswered().is_empty();
+        let may_hear_more = self.gateway.peers.is_discovering() || self.has_just_lost_peer();
+        let may_answer = |question: &Question<'_>| may_hear_more || self.awaits_answer(question);
         // a read that failed is repeated soon
         let may_read_rows = *self.gateway.earlier_rows().borrow() != Rows::Read;
         let may_list_builds = may_read_rows || !self.gateway.knows_listed_builds();
@@ -147,26 +152,55 @@
         may_learn_builds || questions.stream.as_ref().is_some_and(may_learn_stream)
     }
 
-    /// Asks the peers that may know more and have not answered.
-    fn ask(&self, questions: &Questions<'_>) {
+    /// Whether a peer that has been asked may still answer. One that has not been heard from may not be running.
+    fn awaits_answer(&self, question: &Question<'_>) -> bool {
+        let peers = &self.gateway.peers;
+        let unanswered = question.unanswered();
+        let mut unanswered = unanswered.iter();
+        unanswered.any(|(peer, waited)| *waited < DISCOVERY_PERIOD || peers.has_heard_from(*peer))
+    }
+
+    /// Asks the peers that may know more, besides those that have been asked already. Returns whether there are any.
+    fn ask(&self, questions: &Questions<'_>) -> bool {
         let key = self.key.map_or(self.gateway.incarnation, |key| key.0);
         let peers = self.gateway.peers.ranked(key, ASKED_PEERS);
-        if let (Some(question), Some(key)) = (&questions.stream, self.key) {
-            if self.has_just_lost_peer() {
-                question.reopen();
-            }
-            question.ask(&peers);
-            self.send(question, Subject::Stream(key));
+        let mut is_any_new = false;
+        for (question, subject) in self.asked_now(questions) {
+            let new = question.ask(&peers);
+            self.send(&new, subject);
+            is_any_new |= !new.is_empty();
         }
-        if !self.knows_all_builds() && self.builds().len() == 1 {
-            questions.builds.ask(&peers);
-            self.send(&questions.builds, Subject::Builds);
+        is_any_new
+    }
+
+    /// Asks those peers again that have not answered.
+    fn repeat(&self, questions: &Questions<'_>) {
+        if let Some(question) = &questions.stream
+            && self.has_just_lost_peer()
+        {
+            question.reopen();
+        }
+        for (question, subject) in self.asked_now(questions) {
+            let unanswered = question.unanswered();
+            let peers: Vec<SocketAddr> = unanswered.iter().map(|(peer, _)| *peer).collect();
+            self.send(&peers, subject);
         }
     }
 
-    fn send(&self, question: &Question<'_>, subject: Subject) {
-        let unanswered = question.unanswered();
-        let items = unanswered.iter().map(|peer| (*peer, Item::Ask(subject)));
+    /// Returns the questions whose answers may still help.
+    fn asked_now<'a>(
+        &self,
+        questions: &'a Questions<'_>,
+    ) -> impl Iterator<Item = (&'a Question<'a>, Subject)> {
+        let stream = questions.stream.as_ref().zip(self.key);
+        let stream = stream.map(|(question, key)| (question, Subject::Stream(key)));
+        let asks_builds = !self.knows_all_builds() && self.builds().len() == 1;
+        let builds = asks_builds.then_some((&questions.builds, Subject::Builds));
+        stream.into_iter().chain(builds)
+    }
+
+    fn send(&self, peers: &[SocketAddr], subject: Subject) {
+        let items = peers.iter().map(|peer| (*peer, Item::Ask(subject)));
         self.gateway.streams.outbox.push(items);
     }
 
@@ -175,11 +209,6 @@
         self.gateway.knows_earlier_builds() && self.gateway.knows_listed_builds()
     }
 
-    /// Whether live peers may not be known as yet.
-    fn is_discovering(&self) -> bool {
-        self.gateway.uptime() < DISCOVERY_PERIOD
-    }
-
     /// Whether peers may be about to learn the streams of one that is gone.
     fn has_just_lost_peer(&self) -> bool {
         let peers = &self.gateway.peers;
