Rank peers that have not been heard from as holders of copies

In a fleet of more than 32 gateways one that has just started hears from 16 neighbours soon, and from each of the others after a second or more (2.4 s at 300). Peers were ranked among those heard from only. So it asked others than those that hold copies of a stream, all of them denied it, and the caller was refused as "not known"; and it sent the copies of its own streams to peers that no other gateway asks.

Peers of which only the address is known are ranked too: of those that precede the last of the live ones at most as many again, so eight questions or four copies become sixteen or eight at most, at any number of gateways, and as many as before once all have been heard from. The gateway that has heard from fewest then reaches the first four of the whole fleet.

Evidence: the unit tests compare the lists of two gateways for 500 streams at 40 and 300 gateways, where one or both have heard from a seventh of the peers or from none; before the change they failed at the fourth and at the second stream of 40 gateways.

--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -12,6 +12,8 @@
 mod ranking;
 mod receive;
 mod send;
+#[cfg(test)]
+mod tests;
 
 pub use candidates::Candidate;
 pub use changes::Advertisement;
--- a/components/gateway/src/peer/ranking.rs
+++ b/components/gateway/src/peer/ranking.rs
@@ -7,25 +7,37 @@
 
 use super::Peers;
 
-/// The live peers at one moment.
+/// The peers that live at one moment, and those of which only the address is known: one of a large fleet is heard from
+/// seconds after its address has become known.
 #[derive(Clone, Debug, Default)]
 pub struct Ranking {
-    /// Their addresses and incarnations.
-    peers: Vec<(SocketAddr, u64)>,
-    /// The incarnations alone, sorted.
+    peers: Vec<Ranked>,
+    /// The incarnations of the live peers, sorted.
     incarnations: Vec<u64>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Ranked {
+    address: SocketAddr,
+    /// Its incarnation if it is alive; `None` if it has not been heard from.
+    incarnation: Option<u64>,
+}
+
 impl Peers {
-    /// Returns the live peers.
+    /// Returns the peers that are alive or may be.
     pub fn ranking(&self) -> Ranking {
         let now = Instant::now();
         let known = self.known.lock();
-        let alive = known.iter().filter(|peer| peer.is_alive(now));
-        let peers: Vec<(SocketAddr, u64)> =
-            alive.map(|peer| (peer.address, peer.incarnation)).collect();
-        let mut incarnations: Vec<u64> =
-            peers.iter().map(|(_, incarnation)| *incarnation).collect();
+        let ranked = known.iter().filter_map(|peer| {
+            let is_alive = peer.is_alive(now);
+            let may_be_alive = is_alive || peer.last_received.is_none();
+            may_be_alive.then(|| Ranked {
+                address: peer.address,
+                incarnation: is_alive.then_some(peer.incarnation),
+            })
+        });
+        let peers: Vec<Ranked> = ranked.collect();
+        let mut incarnations: Vec<u64> = peers.iter().filter_map(|peer| peer.incarnation).collect();
         incarnations.sort_unstable();
         Ranking {
             peers,
@@ -33,7 +45,7 @@
         }
     }
 
-    /// Returns the first live peers for a key.
+    /// Returns the first peers for a key, see [`Ranking::first`].
     pub fn ranked(&self, key: u64, count: usize) -> Vec<SocketAddr> {
         let ranking = self.ranking();
         let first = ranking.first(key, count);
@@ -45,7 +57,7 @@
 }
 
 impl Ranking {
-    /// Whether no peer is alive.
+    /// Whether there is no peer.
     pub fn is_empty(&self) -> bool {
         self.peers.is_empty()
     }
@@ -55,13 +67,32 @@
         self.incarnations.binary_search(&incarnation).is_ok()
     }
 
-    /// Returns the first peers for a key, by their index, the highest rank first.
+    /// Returns the first live peers for a key, by their index, and as many at most that have not been heard from and rank
+    /// before the last of them. So those that rank first for a gateway that has heard from all are among them.
     pub fn first(&self, key: u64, count: usize) -> Vec<usize> {
+        let alive = self.first_of(key, count, |peer| peer.incarnation.is_some());
+        let last = alive.last().copied().filter(|_| alive.len() == count);
+        let unheard = self.first_of(key, count, |peer| peer.incarnation.is_none());
+        let before = unheard
+            .into_iter()
+            .filter(|unheard| last.is_none_or(|last| *unheard > last));
+        let first = alive.iter().copied().chain(before);
+        first.map(|(_, index)| index).collect()
+    }
+
+    /// Returns the first of some peers for a key, with their weights and indices, the highest rank first.
+    fn first_of(
+        &self,
+        key: u64,
+        count: usize,
+        is_ranked: impl Fn(&Ranked) -> bool,
+    ) -> Vec<(u64, usize)> {
         let mut ranked: Vec<(u64, usize)> = self
             .peers
             .iter()
             .enumerate()
-            .map(|(index, (address, _))| (weight(*address, key), index))
+            .filter(|(_, peer)| is_ranked(peer))
+            .map(|(index, peer)| (weight(peer.address, key), index))
             .collect();
         let count = count.min(ranked.len());
         if count < ranked.len() {
@@ -69,26 +100,29 @@
             ranked.truncate(count);
         }
         ranked.sort_unstable_by(|first, second| second.cmp(first));
-        ranked.into_iter().map(|(_, index)| index).collect()
+        ranked
     }
 
-    /// Returns the number of peers that rank higher for a key than a process with this address.
+    /// Returns the number of live peers that rank higher for a key than a process with this address.
     pub fn count_before(&self, own: SocketAddr, key: u64) -> usize {
         let own = weight(own, key);
-        let before = |(address, _): &&(SocketAddr, u64)| weight(*address, key) > own;
-        self.peers.iter().filter(before).count()
+        let before = |peer: &&Ranked| weight(peer.address, key) > own;
+        let alive = self.peers.iter().filter(|peer| peer.incarnation.is_some());
+        alive.filter(before).count()
     }
 
     /// Returns the address of a peer.
     pub fn address(&self, peer: usize) -> SocketAddr {
-        self.peers[peer].0
+        self.peers[peer].address
     }
 
-    /// Returns a hash of these incarnations of peers, not zero. A peer that restarts has lost its copies.
+    /// Returns a hash of these peers and their incarnations, not zero. A peer that restarts has lost its copies, and one that
+    /// has not been heard from may not have accepted any.
     pub fn token(&self, peers: &[usize]) -> u64 {
-        let incarnations = peers.iter().map(|peer| self.peers[*peer].1);
-        let combined = incarnations.fold(0_u64, |token, incarnation| {
-            token.rotate_left(1) ^ incarnation
+        let peers = peers.iter().map(|peer| self.peers[*peer]);
+        let combined = peers.fold(0_u64, |token, peer| {
+            let incarnation = peer.incarnation.unwrap_or_default();
+            token.rotate_left(1) ^ weight(peer.address, incarnation)
         });
         combined.max(1)
     }
--- /dev/null
+++ b/components/gateway/src/peer/tests.rs
@@ -0,0 +1,75 @@
+use std::net::SocketAddr;
+
+use clock::Instant;
+
+use super::{Peer, Peers};
+
+/// Numbers of gateways: more than exchange frequent heartbeats with all others, and as many as a large deployment has.
+const FLEETS: [u16; 2] = [40, 300];
+/// Numbers of peers that hold copies of a record, and of live ones that are asked for it.
+const COPIES: usize = 4;
+const ASKED: usize = 8;
+/// Number of streams whose holders are compared.
+const KEYS: u64 = 500;
+
+fn address(gateway: u16) -> SocketAddr {
+    let [high, low] = gateway.to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7_000))
+}
+
+/// The peers of a gateway, which has heard from some of them and knows the others by their addresses.
+fn peers(own: u16, fleet: u16, is_heard: impl Fn(u16) -> bool) -> Peers {
+    let peers = Peers::default();
+    for gateway in (0..fleet).filter(|gateway| *gateway != own) {
+        let mut peer = Peer::new(address(gateway), "here");
+        if is_heard(gateway) {
+            peer.incarnation = 1 + u64::from(gateway);
+            peer.last_received = Some(Instant::now());
+        }
+        peers.known.lock().push(peer);
+    }
+    peers
+}
+
+/// Checks that a gateway asks a peer to which another one has sent a copy, however few peers either has heard from.
+fn check_that_holders_are_asked(owner: impl Fn(u16) -> bool, searcher: impl Fn(u16) -> bool) {
+    for fleet in FLEETS {
+        let owner = peers(0, fleet, &owner).ranking();
+        let searcher = peers(1, fleet, &searcher);
+        for key in 0..KEYS {
+            let holders = owner.first(key, COPIES);
+            let holders: Vec<SocketAddr> =
+                holders.iter().map(|peer| owner.address(*peer)).collect();
+            let asked = searcher.ranked(key, ASKED);
+            assert!(holders.len() <= 2 * COPIES && asked.len() <= 2 * ASKED);
+            let is_known = |holder: &SocketAddr| *holder == address(1) || asked.contains(holder);
+            assert!(holders.iter().any(is_known), "{fleet} gateways, key {key}");
+        }
+    }
+}
+
+/// One peer in seven, others for each gateway.
+fn few(first: u16) -> impl Fn(u16) -> bool {
+    move |gateway| gateway % 7 == first
+}
+
+#[test]
+fn a_gateway_that_has_heard_from_few_peers_asks_one_that_holds_a_copy() {
+    check_that_holders_are_asked(|_| true, few(2));
+    check_that_holders_are_asked(|_| true, |_| false);
+}
+
+#[test]
+fn a_gateway_that_has_heard_from_few_peers_sends_copies_to_one_that_is_asked() {
+    check_that_holders_are_asked(few(3), |_| true);
+    check_that_holders_are_asked(few(3), few(4));
+}
+
+#[test]
+fn a_peer_that_restarts_or_is_heard_from_gets_its_copies_again() {
+    let [unheard, heard] = [false, true].map(|is_heard| peers(0, 3, |_| is_heard).ranking());
+    let token = |holders: &[usize]| heard.token(holders);
+    assert_ne!(unheard.token(&[0, 1]), token(&[0, 1]));
+    assert_ne!(unheard.token(&[0]), unheard.token(&[1]));
+    assert_eq!(token(&[0, 1]), token(&[0, 1]));
+}
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -19,7 +19,8 @@
     process::{Gateway, Rows},
 };
 
-/// Number of peers that are asked. More than hold copies, since gateways may differ in which peers they take to be alive.
+/// Number of live peers that are asked, and at most as many again that have not been heard from. More than hold copies,
+/// since gateways may differ in which peers they take to be alive.
 const ASKED_PEERS: usize = 8;
 /// After this time the peers that have not answered are asked again, as datagrams may be lost. Doubled each time, since a
 /// slow peer has to handle all questions.
