Count no refused handle of a changing engine as a prefill failure

When a decode engine refused a prompt's handle, the engine that had prefilled the prompt was counted as failing, since it has lost the KV cache in most cases. A decode engine that carries out an order refuses all requests, so healthy prefill engines got a failure for each handle sent to it, and the next prompts went to engines farther away.

The gateway asks an engine that refuses although it has room for its report already. The failure is now recorded when that check has ended, and only if the engine is not known to change its stage. The request itself does not wait.

--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -38,6 +38,8 @@
     migration: Notify,
     /// Notified when this incarnation has terminated.
     termination: Notify,
+    /// Notified when a check why it refused a request has ended.
+    refusal_check: Notify,
     /// Number of open connections, idle or in use.
     open_connections: Arc<AtomicUsize>,
     /// Set that it is added to while it has requests in flight.
@@ -275,6 +277,7 @@
             lost_paths,
             migration: Notify::new(),
             termination: Notify::new(),
+            refusal_check: Notify::new(),
             listen_check: AsyncMutex::new(()),
             state: Mutex::new(TargetState {
                 profile,
@@ -458,6 +461,13 @@
         }
     }
 
+    /// Whether it changes its stage, as far as is known.
+    #[must_use]
+    pub fn is_changing(&self) -> bool {
+        let now = Instant::now();
+        self.with(|state| state.changing_until.is_some_and(|until| until > now))
+    }
+
     /// Marks it as changing its stage; until `until` it gets no new requests.
     pub fn mark_changing(&self, until: Instant) {
         let now = Instant::now();
@@ -495,6 +505,22 @@
                 check.is_running = false;
             }
         });
+        self.refusal_check.notify_waiters();
+    }
+
+    /// Waits until no check is running why it refused a request.
+    pub async fn refusal_check_ended(&self) {
+        loop {
+            let notified = self.refusal_check.notified();
+            let is_running = |state: &mut TargetState| {
+                let check = state.refusal_check;
+                check.is_some_and(|check| check.is_running)
+            };
+            if !self.with(is_running) {
+                return;
+            }
+            notified.await;
+        }
     }
 
     /// Whether it is still in this stage, as far as is known, and not replaced by a later incarnation.
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -120,9 +120,22 @@
         // the decode engine can't report why, but in most cases the prefill engine has lost the KV
         // cache
         Err(Cause::NotRun(_)) => {
-            prefill.record_verdict(Verdict::Failed, &job.metadata.id);
+            record_failed_fetch(prefill, decode, &job.metadata.id);
             Err(failed(decode, Cause::KvFetchFailed, Purpose::Run))
         }
         Err(cause) => Err(failed(decode, cause, Purpose::Run)),
     }
 }
+
+/// Records that an engine did not give up the KV cache that it held, unless the one that should fetch it turns out to
+/// carry out an order and refuses all requests.
+fn record_failed_fetch(prefill: &Arc<Target>, decode: &Arc<Target>, request: &str) {
+    let (prefill, decode) = (Arc::clone(prefill), Arc::clone(decode));
+    let request = request.to_owned();
+    tokio::spawn(async move {
+        decode.refusal_check_ended().await;
+        if !decode.is_changing() {
+            prefill.record_verdict(Verdict::Failed, &request);
+        }
+    });
+}
