Wait for engines that are backed off from, in place of refusing at once

Callers whose stream could go on at one engine only were refused with 503 at once ("no endpoint takes requests"), and broken streams were broken off, while a gateway backed off from that engine: for 100 ms after two refusals, for 400 ms after two silent attempts, up to 1.6 s. So were new requests where all engines of a service were backed off from.

Slots of engines that are tried again before the request has waited for as long as it may now count as slots that become free. A request whose time ends sooner is refused at once as before, and engines without a path, of other builds or on which it failed don't count.

--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -251,6 +251,22 @@
         self.path.error().is_none() || self.idle.iter().any(|idle| idle.is_open(now))
     }
 
+    /// Whether it could be used if its failures and refusals did not count.
+    fn is_usable(&self, now: Instant, reach: Reach) -> bool {
+        let is_ready = self.profile.state == State::Ready;
+        let takes = match reach {
+            Reach::Own => is_ready && self.has_way(now),
+            Reach::Continuation => (is_ready || self.may_continue_streams()) && self.has_way(now),
+            Reach::Listed => is_ready,
+        };
+        self.listed && takes && self.changing_until.is_none_or(|until| until <= now)
+    }
+
+    /// Whether a check runs why it refused a request.
+    fn is_refusal_checked(&self) -> bool {
+        self.refusal_check.is_some_and(|check| check.is_running)
+    }
+
     /// Whether it has begun to drain so recently that it still takes streams that no other endpoint can continue.
     pub fn may_continue_streams(&self) -> bool {
         self.draining_since
@@ -368,22 +384,8 @@
     ) -> Option<Snapshot> {
         self.with(|state| {
             state.prefix_cache.resize(defaults.kv_capacity_tokens);
-            let takes = match reach {
-                Reach::Own | Reach::Listed => state.profile.state == State::Ready,
-                Reach::Continuation => {
-                    state.profile.state == State::Ready || state.may_continue_streams()
-                }
-            };
-            let accepts = state.listed
-                && takes
-                && match reach {
-                    Reach::Own | Reach::Continuation => {
-                        state.health.accepts_requests(now) && state.has_way(now)
-                    }
-                    Reach::Listed => true,
-                }
-                && state.changing_until.is_none_or(|until| until <= now)
-                && state.refusal_check.is_none_or(|check| !check.is_running);
+            let is_due = reach == Reach::Listed || state.health.accepts_requests(now);
+            let accepts = state.is_usable(now, reach) && is_due && !state.is_refusal_checked();
             let default_latency = defaults.latencies.for_stage(state.profile.stage);
             accepts.then(|| Snapshot {
                 profile: state.profile.clone(),
@@ -401,6 +403,18 @@
         })
     }
 
+    /// Returns its profile if it gets no requests now because it failed or refused some, and gets them again at `by` or
+    /// earlier.
+    #[must_use]
+    pub fn recovering(&self, now: Instant, by: Instant, reach: Reach) -> Option<Profile> {
+        self.with(|state| {
+            let health = &state.health;
+            let is_held_back = !health.accepts_requests(now) || state.is_refusal_checked();
+            let recovers = is_held_back && health.accepts_requests(by);
+            (recovers && state.is_usable(now, reach)).then(|| state.profile.clone())
+        })
+    }
+
     /// Returns its stage, as last reported.
     #[must_use]
     pub fn stage(&self) -> Option<Stage> {
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -128,8 +128,10 @@
     if job.begin_demand_count() {
         snapshot::count_demand(job, &snapshot);
     }
-    let goes_elsewhere =
-        || !snapshot.may_get_slot(queue.len()) || forwarding::send::is_possible(job);
+    let goes_elsewhere = || {
+        !snapshot.may_get_slot(job, attempts.tried(), queue.len())
+            || forwarding::send::is_possible(job)
+    };
     // a request that still waits when the process exits would get no answer
     let ends_in_time = || job.ends_before_shutdown(queue::max_wait(job));
     let is_outranked = || {
@@ -184,7 +186,11 @@
     };
     let placed = match try_place() {
         (snapshot, Some(choice)) => Some((snapshot, choice)),
-        (snapshot, None) if snapshot.targets.is_empty() => None,
+        (snapshot, None)
+            if snapshot.targets.is_empty() && snapshot::recovering_slots(job, tried) == 0 =>
+        {
+            None
+        }
         (snapshot, None) => {
             snapshot.log_obstacles(
                 job,
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -5,7 +5,7 @@
 use clock::Instant;
 use policy::place::{self, Choice, Obstacle, Placement, Request, Weights};
 
-use super::queues::Claim;
+use super::{queue, queues::Claim};
 use crate::{
     endpoint::{self, Build, Reach, Stage, Target},
     process::DemandTotals,
@@ -179,12 +179,13 @@
 
     /// Whether a request that finds no free slot may get one before its deadline behind `waiting`
     /// others. That holds while the queue is shorter than the number of slots, which become free
-    /// one after the other as answers end.
-    pub fn may_get_slot(&self, waiting: usize) -> bool {
+    /// one after the other as answers end, also those of engines that get requests again in time.
+    pub fn may_get_slot(&self, job: &Job, tried: &[Arc<Target>], waiting: usize) -> bool {
         let decode_engines = self.engines.iter();
         let decode_engines = decode_engines.filter(|engine| engine.stage == place::Stage::Decode);
         let slots: u64 = decode_engines.map(|engine| engine.decode_slots).sum();
-        u64::try_from(waiting).is_ok_and(|waiting| waiting < slots)
+        u64::try_from(waiting)
+            .is_ok_and(|waiting| waiting < slots || waiting < slots + recovering_slots(job, tried))
     }
 
     /// Whether no engine has a slot for the request.
@@ -286,6 +287,25 @@
     }
 }
 
+/// Returns the number of slots of the engines that get no requests now, and get them again before a request has waited for
+/// as long as it may, without those on which it failed.
+pub fn recovering_slots(job: &Job, tried: &[Arc<Target>]) -> u64 {
+    let now = Instant::now();
+    let reach = job.build().map_or(Reach::Own, |_| Reach::Continuation);
+    let unreachable = job.gateway.peers.unreachable_data_centres();
+    let fleet = job.gateway.registry.fleet(&job.service.name);
+    let left = fleet
+        .subset()
+        .iter()
+        .filter(|target| !tried.iter().any(|other| other.id == target.id));
+    left.filter_map(|target| target.recovering(now, now + queue::max_wait(job), reach))
+        .filter(|profile| profile.stage != Some(Stage::Prefill))
+        .filter(|profile| !unreachable.contains(&profile.data_centre))
+        .filter(|profile| job.accepts(&profile.build))
+        .map(|profile| profile.slots)
+        .sum()
+}
+
 /// Returns the builds of engines, sorted.
 fn builds(candidates: &[(Arc<Target>, endpoint::Snapshot)]) -> Vec<Build> {
     let mut builds: Vec<Build> = Vec::new();
