Ask peers again which builds have served, as they may have read their rows meanwhile

A gateway whose list is old asks its peers for the builds. One that had yet to read its rows answered with an incomplete list, which counted as its last word: it was not asked again, and a resumption was held to the end of its wait and refused as unknown, though one build has ever served. Refusals at once are as before, since answers count until the next repeat.

--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -209,7 +209,8 @@
     let placed = match try_place() {
         (snapshot, Some(choice)) => Some((snapshot, choice)),
         (snapshot, None)
-            if snapshot.targets.is_empty() && snapshot::recovering_slots(job, tried) == 0 =>
+            if snapshot.targets.is_empty()
+                && snapshot::recovering_slots(job, broken.tried) == 0 =>
         {
             None
         }
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -149,7 +149,7 @@
         let may_read_rows = *self.gateway.earlier_rows().borrow() != Rows::Read;
         let may_list_builds = may_read_rows || !self.gateway.knows_listed_builds();
         let may_report_builds = !self.gateway.knows_earlier_builds()
-            && (self.is_discovering() || !questions.builds.unanswered().is_empty());
+            && (self.gateway.peers.is_discovering() || !questions.builds.unanswered().is_empty());
         let may_learn_builds = (may_list_builds || may_report_builds) && self.builds().len() <= 1;
         let may_learn_stream = |question| may_read_rows || may_answer(question);
         may_learn_builds || questions.stream.as_ref().is_some_and(may_learn_stream)
@@ -183,6 +183,8 @@
         {
             question.reopen();
         }
+        // a peer that did not know all builds when it was asked may have read its rows
+        questions.builds.reopen();
         for (question, subject) in self.asked_now(questions) {
             let unanswered = question.unanswered();
             let peers: Vec<SocketAddr> = unanswered.iter().map(|(peer, _)| *peer).collect();
