Let a request of a higher priority look first after each slot that is taken

A resumed stream took a slot for which a new request of a higher priority waited, when several slots became free within a moment.

Cause: a request leaves room that it finds to those of a higher priority in other queues until the first of them has looked too. It took the room of its previous look for the room of this one. If that had been taken meanwhile, and the next request of a higher priority had looked just then and found nothing, that look counted as if it had declined the new slot.

Evidence: waiting::a_resumed_stream_does_not_take_the_slot_that_a_new_request_of_a_higher_priority_waits_for failed in one of two runs of the target beside three busy processes, and in 3 of 20 runs of its own, four at a time beside these. A log of one such run: the first slot is free at 96.9395, new-0 takes it at 96.9605; a second one at 96.9725; again-0, which looks 3 ms later, takes that at once. The looks themselves are not logged. The new test frees eight slots 6 ms apart and needs no load: it failed in 4 of 4 runs before the fix, with one to three of eight slots taken by resumed streams.

Each queue now knows when a request took the room that it had found, and room that was seen before that counts from the next look on. Afterwards both tests passed in 20 of 20 runs, four at a time beside three busy processes, and the six tests of waiting in one run alone. The whole target was not run on this change. Room that another gateway, or a request that did not wait, takes between two looks is not covered.

--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -247,6 +247,11 @@
         })
     }
 
+    /// Returns when a request that waited for room at a service last took some.
+    pub fn room_taken_at(&self, service: &Arc<str>) -> Option<Instant> {
+        self.with_service(service, |state| state.queues.taken_at())
+    }
+
     /// Returns the builds for whose engines requests wait that other engines can't serve.
     pub fn awaited_builds(&self, service: &Arc<str>) -> Vec<Build> {
         self.with_service(service, |state| state.queues.awaited_builds())
--- a/components/gateway/src/request/generate/queue.rs
+++ b/components/gateway/src/request/generate/queue.rs
@@ -44,6 +44,8 @@
     room_since: Option<Instant>,
     /// When a first request last found no room.
     no_room_at: Option<Instant>,
+    /// When a request last took the room that it had found.
+    taken_at: Option<Instant>,
     /// When a request last found all engines full at the end of its wait, and whether it was for a long answer, which
     /// needs more free slots.
     left_at: Option<(Instant, bool)>,
@@ -76,6 +78,11 @@
             && state.no_room_at.is_none_or(|at| at < since)
     }
 
+    /// Returns when a request last took the room that it had found.
+    pub fn taken_at(&self) -> Option<Instant> {
+        self.state.lock().taken_at
+    }
+
     /// Adds a request to the queue.
     pub fn join(&self, job: &Job) -> Ticket<'_> {
         let mut state = self.state.lock();
@@ -117,12 +124,14 @@
         }
     }
 
-    /// Records whether the first request has found room. Returns since when there is room for it.
-    pub fn record_look(&self, has_room: bool) -> Option<Instant> {
+    /// Records whether the first request has found room. Returns since when there is room for it: what it found before
+    /// another request took room at `taken_at` may have been that.
+    pub fn record_look(&self, has_room: bool, taken_at: Option<Instant>) -> Option<Instant> {
         let now = Instant::now();
         let mut state = self.queue.state.lock();
         if has_room {
-            state.room_since.get_or_insert(now);
+            let since = state.room_since.filter(|since| taken_at < Some(*since));
+            state.room_since = Some(since.unwrap_or(now));
         } else {
             state.room_since = None;
             state.no_room_at = Some(now);
@@ -130,6 +139,11 @@
         state.room_since
     }
 
+    /// Records that the request takes the room that it has found.
+    pub fn record_taken(&self) {
+        self.queue.state.lock().taken_at = Some(Instant::now());
+    }
+
     /// Whether the request may look for room at the end of its wait. Requests that joined together also leave together, and
     /// need not all find that the engines are full.
     pub fn may_look_last(&self, is_long: bool) -> bool {
--- a/components/gateway/src/request/generate/queues.rs
+++ b/components/gateway/src/request/generate/queues.rs
@@ -68,6 +68,13 @@
             || rivals.any(|(_, queue)| queue.outranks(priority, since))
     }
 
+    /// Returns when a request of any queue last took room that it had found.
+    pub fn taken_at(&self) -> Option<Instant> {
+        let bound = self.prefilled.0.iter().chain(&self.begun.0);
+        let taken = bound.filter_map(|(_, queue)| queue.taken_at());
+        taken.chain(self.new.taken_at()).max()
+    }
+
     /// Returns the builds for whose engines requests wait that other engines can't serve.
     pub fn awaited_builds(&self) -> Vec<Build> {
         let queues = self.prefilled.0.iter().chain(&self.begun.0);
@@ -87,9 +94,11 @@
     let ticket = queue.join(job);
     while ticket.wait_turn(job).await {
         let found = look();
-        let room_since = ticket.record_look(found.is_ok());
+        let taken_at = job.gateway.room_taken_at(&job.service.name);
+        let room_since = ticket.record_look(found.is_ok(), taken_at);
         // those of a higher priority in other queues look first
         if room_since.is_some_and(|since| !job.gateway.is_outranked(job, claim, since)) {
+            ticket.record_taken();
             return found.ok();
         }
     }
