--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -253,6 +253,11 @@
         })
     }
 
+    /// Returns when a request that waited for room at a service, and comes before one of this rank, last took some.
+    pub fn room_taken_at(&self, service: &Arc<str>, rank: Rank) -> Option<Instant> {
+        self.with_service(service, |state| state.queues.taken_at(rank))
+    }
+
     /// Returns the builds for whose engines requests wait that other engines can't serve.
     pub fn awaited_builds(&self, service: &Arc<str>) -> Vec<Build> {
         self.with_service(service, |state| state.queues.awaited_builds())
--- a/components/gateway/src/request/generate/queue.rs
+++ b/components/gateway/src/request/generate/queue.rs
@@ -60,6 +60,8 @@
     room_since: Option<Instant>,
     /// When a first request last found no room.
     no_room_at: Option<Instant>,
+    /// The request that last took the room that it had found, and when.
+    taken: Option<(Rank, Instant)>,
     /// When a request last found all engines full at the end of its wait, and whether it was for a long answer, which
     /// needs more free slots.
     left_at: Option<(Instant, bool)>,
@@ -91,6 +93,12 @@
         first.is_some_and(|first| first < rank) && state.no_room_at.is_none_or(|at| at < since)
     }
 
+    /// Returns when the last request to take room took it, if it came before one of this rank.
+    pub fn taken_at(&self, rank: Rank) -> Option<Instant> {
+        let taken = self.state.lock().taken;
+        taken.and_then(|(taker, at)| (taker < rank).then_some(at))
+    }
+
     /// Adds a request to the queue.
     pub fn join(&self, job: &Job) -> Ticket<'_> {
         let joined = Instant::now();
@@ -152,12 +160,14 @@
         }
     }
 
-    /// Records whether the first request has found room. Returns since when there is room for it.
-    pub fn record_look(&self, has_room: bool) -> Option<Instant> {
+    /// Records whether the first request has found room. Returns since when there is room for it: what it found before
+    /// another request took room at `taken_at` may have been that.
+    pub fn record_look(&self, has_room: bool, taken_at: Option<Instant>) -> Option<Instant> {
         let now = Instant::now();
         let mut state = self.queue.state.lock();
         if has_room {
-            state.room_since.get_or_insert(now);
+            let since = state.room_since.filter(|since| taken_at < Some(*since));
+            state.room_since = Some(since.unwrap_or(now));
         } else {
             state.room_since = None;
             state.no_room_at = Some(now);
@@ -165,6 +175,11 @@
         state.room_since
     }
 
+    /// Records that the request takes the room that it has found.
+    pub fn record_taken(&self) {
+        self.queue.state.lock().taken = Some((self.rank(), Instant::now()));
+    }
+
     /// Whether the request may look for room at the end of its wait. Requests that joined together also leave together, and
     /// need not all find that the engines are full.
     pub fn may_look_last(&self, is_long: bool) -> bool {
--- a/components/gateway/src/request/generate/queues.rs
+++ b/components/gateway/src/request/generate/queues.rs
@@ -79,6 +79,12 @@
         self.new.outranks(rank, since) || rivals.any(|(_, queue)| queue.outranks(rank, since))
     }
 
+    /// Returns when a request that comes before one of this rank last took room that it had found.
+    pub fn taken_at(&self, rank: Rank) -> Option<Instant> {
+        let taken = self.bound().filter_map(|(_, queue)| queue.taken_at(rank));
+        taken.chain(self.new.taken_at(rank)).max()
+    }
+
     /// Returns the builds for whose engines requests wait that other engines can't serve.
     pub fn awaited_builds(&self) -> Vec<Build> {
         let waiting = self.bound().filter(|(_, queue)| queue.len() > 0);
@@ -103,13 +109,15 @@
     let ticket = queue.join(job);
     while ticket.wait_turn(job).await {
         let found = look();
-        let room_since = ticket.record_look(found.is_ok());
+        let taken_at = job.gateway.room_taken_at(&job.service.name, ticket.rank());
+        let room_since = ticket.record_look(found.is_ok(), taken_at);
         // those in other queues that come before it look first
         let is_outranked = |since| {
             job.gateway
                 .is_outranked(&job.service.name, claim, ticket.rank(), since)
         };
         if room_since.is_some_and(|since| !is_outranked(since)) {
+            ticket.record_taken();
             return found.ok();
         }
     }
