--- a/components/gateway/src/request/generate/queue.rs
+++ b/components/gateway/src/request/generate/queue.rs
@@ -39,7 +39,7 @@
 pub struct Rank {
     /// The priority class; lower classes are served first.
     pub priority: u32,
-    /// Since when the request has waited; `None` if it has only come, and then yields to higher priorities only.
+    /// Since when the request has waited; `None` if it has just arrived, in which case it yields to higher priorities only.
     pub joined: Option<Instant>,
 }
 
@@ -160,8 +160,8 @@
         }
     }
 
-    /// Records whether the first request has found room. Returns since when there is room for it: what it found before
-    /// another request took room at `taken_at` may have been that.
+    /// Records whether the first request has found room. Returns since when there is room for it, which begins anew once
+    /// another request has taken room at `taken_at`.
     pub fn record_look(&self, has_room: bool, taken_at: Option<Instant>) -> Option<Instant> {
         let now = Instant::now();
         let mut state = self.queue.state.lock();
