--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -45,7 +45,7 @@
 /// How long a peer stays known without a digest from it, as far as this process was running and could
 /// have received one. A peer that recovers sends a digest on its own.
 const PEER_TTL: Duration = Duration::from_secs(60);
-/// Time in which a live peer whose address has become known is heard from or answers a question: two heartbeat intervals,
+/// Time in which a live peer whose address has become known sends a digest or answers a question: two heartbeat intervals,
 /// this process's and its own, and a margin for delays.
 pub const DISCOVERY_PERIOD: Duration = Duration::from_millis(250);
 /// How long after its start a peer counts as new: three times the shortest interval of digests to
@@ -173,15 +173,15 @@
         self.membership_known.get().is_some()
     }
 
-    /// Whether live peers may not be known as yet: the registration rows have not been read, or so recently that those that
-    /// have none may not have been heard from.
+    /// Whether live peers may not be known yet: the registration rows have not been read, or so recently that peers without
+    /// a row may not have sent a digest.
     pub fn is_discovering(&self) -> bool {
         let known_since = self.membership_known.get();
         known_since.is_none_or(|since| since.elapsed() < DISCOVERY_PERIOD)
     }
 
     /// Whether a peer has sent a digest, rather than being known only by its address.
-    pub fn has_heard_from(&self, address: SocketAddr) -> bool {
+    pub fn has_received_from(&self, address: SocketAddr) -> bool {
         let known = self.known.lock();
         let index = known.binary_search_by_key(&address, |peer| peer.address);
         index.is_ok_and(|index| known[index].last_received.is_some())
--- a/components/gateway/src/peer/ranking.rs
+++ b/components/gateway/src/peer/ranking.rs
@@ -7,8 +7,8 @@
 
 use super::Peers;
 
-/// The peers that live at one moment, and those of which only the address is known: one of a large fleet is heard from
-/// seconds after its address has become known.
+/// The peers that are alive at one moment, and those of which only the address is known: in a large fleet the first digest
+/// of a peer arrives seconds after its address has become known.
 #[derive(Clone, Debug, Default)]
 pub struct Ranking {
     peers: Vec<Ranked>,
@@ -19,7 +19,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Ranked {
     address: SocketAddr,
-    /// Its incarnation if it is alive; `None` if it has not been heard from.
+    /// Its incarnation if it is alive; `None` if no digest of it has been received.
     incarnation: Option<u64>,
 }
 
@@ -67,15 +67,15 @@
         self.incarnations.binary_search(&incarnation).is_ok()
     }
 
-    /// Returns the first live peers for a key, by their index, and as many at most that have not been heard from and rank
-    /// before the last of them. So those that rank first for a gateway that has heard from all are among them.
+    /// Returns the indices of the first `count` live peers for a key, and of up to `count` peers that rank before the last of
+    /// them and of which no digest has been received. So they include the first ones of a gateway that knows all peers.
     pub fn first(&self, key: u64, count: usize) -> Vec<usize> {
         let alive = self.first_of(key, count, |peer| peer.incarnation.is_some());
         let last = alive.last().copied().filter(|_| alive.len() == count);
-        let unheard = self.first_of(key, count, |peer| peer.incarnation.is_none());
-        let before = unheard
+        let unconfirmed = self.first_of(key, count, |peer| peer.incarnation.is_none());
+        let before = unconfirmed
             .into_iter()
-            .filter(|unheard| last.is_none_or(|last| *unheard > last));
+            .filter(|peer| last.is_none_or(|last| *peer > last));
         let first = alive.iter().copied().chain(before);
         first.map(|(_, index)| index).collect()
     }
@@ -117,7 +117,7 @@
     }
 
     /// Returns a hash of these peers and their incarnations, not zero. A peer that restarts has lost its copies, and one that
-    /// has not been heard from may not have accepted any.
+    /// has sent no digest may not have accepted any.
     pub fn token(&self, peers: &[usize]) -> u64 {
         let peers = peers.iter().map(|peer| self.peers[*peer]);
         let combined = peers.fold(0_u64, |token, peer| {
--- a/components/gateway/src/peer/tests.rs
+++ b/components/gateway/src/peer/tests.rs
@@ -17,12 +17,12 @@
     SocketAddr::from(([10, 0, high, low], 7_000))
 }
 
-/// The peers of a gateway, which has heard from some of them and knows the others by their addresses.
-fn peers(own: u16, fleet: u16, is_heard: impl Fn(u16) -> bool) -> Peers {
+/// The peers of a gateway, which has received digests of some of them and knows the others by their addresses.
+fn peers(own: u16, fleet: u16, is_confirmed: impl Fn(u16) -> bool) -> Peers {
     let peers = Peers::default();
     for gateway in (0..fleet).filter(|gateway| *gateway != own) {
         let mut peer = Peer::new(address(gateway), "here");
-        if is_heard(gateway) {
+        if is_confirmed(gateway) {
             peer.incarnation = 1 + u64::from(gateway);
             peer.last_received = Some(Instant::now());
         }
@@ -31,7 +31,7 @@
     peers
 }
 
-/// Checks that a gateway asks a peer to which another one has sent a copy, however few peers either has heard from.
+/// Checks that a gateway asks a peer to which another one has sent a copy, however few peers have sent digests to either.
 fn check_that_holders_are_asked(owner: impl Fn(u16) -> bool, searcher: impl Fn(u16) -> bool) {
     for fleet in FLEETS {
         let owner = peers(0, fleet, &owner).ranking();
@@ -54,22 +54,23 @@
 }
 
 #[test]
-fn a_gateway_that_has_heard_from_few_peers_asks_one_that_holds_a_copy() {
+fn a_gateway_with_digests_of_few_peers_asks_one_that_holds_a_copy() {
     check_that_holders_are_asked(|_| true, few(2));
     check_that_holders_are_asked(|_| true, |_| false);
 }
 
 #[test]
-fn a_gateway_that_has_heard_from_few_peers_sends_copies_to_one_that_is_asked() {
+fn a_gateway_with_digests_of_few_peers_sends_copies_to_one_that_is_asked() {
     check_that_holders_are_asked(few(3), |_| true);
     check_that_holders_are_asked(few(3), few(4));
 }
 
 #[test]
-fn a_peer_that_restarts_or_is_heard_from_gets_its_copies_again() {
-    let [unheard, heard] = [false, true].map(|is_heard| peers(0, 3, |_| is_heard).ranking());
-    let token = |holders: &[usize]| heard.token(holders);
-    assert_ne!(unheard.token(&[0, 1]), token(&[0, 1]));
-    assert_ne!(unheard.token(&[0]), unheard.token(&[1]));
+fn a_peer_that_restarts_or_sends_its_first_digest_gets_its_copies_again() {
+    let [unconfirmed, confirmed] =
+        [false, true].map(|is_confirmed| peers(0, 3, |_| is_confirmed).ranking());
+    let token = |holders: &[usize]| confirmed.token(holders);
+    assert_ne!(unconfirmed.token(&[0, 1]), token(&[0, 1]));
+    assert_ne!(unconfirmed.token(&[0]), unconfirmed.token(&[1]));
     assert_eq!(token(&[0, 1]), token(&[0, 1]));
 }
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -19,7 +19,7 @@
     process::{Gateway, Rows},
 };
 
-/// Number of live peers that are asked, and at most as many again that have not been heard from. More than hold copies,
+/// Number of live peers that are asked, and at most as many again of which no digest has been received. More than hold copies,
 /// since gateways may differ in which peers they take to be alive.
 const ASKED_PEERS: usize = 8;
 /// After this time the peers that have not answered are asked again, as datagrams may be lost. Doubled each time, since a
@@ -155,12 +155,13 @@
         may_learn_builds || questions.stream.as_ref().is_some_and(may_learn_stream)
     }
 
-    /// Whether a peer that has been asked may still answer. One that has not been heard from may not be running.
+    /// Whether a peer that has been asked may still answer. One that has sent no digest may not be running.
     fn awaits_answer(&self, question: &Question<'_>) -> bool {
         let peers = &self.gateway.peers;
         let unanswered = question.unanswered();
         let mut unanswered = unanswered.iter();
-        unanswered.any(|(peer, waited)| *waited < DISCOVERY_PERIOD || peers.has_heard_from(*peer))
+        unanswered
+            .any(|(peer, waited)| *waited < DISCOVERY_PERIOD || peers.has_received_from(*peer))
     }
 
     /// Asks the peers that may know more, besides those that have been asked already. Returns whether there are any.
