Reject endpoint entries whose values no endpoint can have

Another writer may leave entries among those of the endpoints. One with the right types but impossible values was used: port 0, an unspecified, multicast or broadcast address, 2^64-1 slots (which overflow when they are added up), a name of 70,000 bytes (which goes into datagrams and rows), a key that fits into no header (so that requests were sent without the expected instance), or a start beyond any date. The last one in place of a sound endpoint's entry shut that endpoint out for good: all its later entries counted as those of an earlier incarnation.

Profiles are now checked where they enter, from the list and from peers' digests; an impossible one is logged and unusable, as one of a wrong type was already, and costs no other.

--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -6,6 +6,7 @@
 
 mod builds;
 mod busy;
+mod check;
 mod connection;
 mod health;
 mod load;
@@ -21,6 +22,7 @@
 
 pub use builds::{Builds, RETENTION as BUILD_RETENTION};
 pub use busy::BusySet;
+pub use check::{Invalid, MAX_NAME_BYTES, MAX_SLOTS, MAX_STARTED};
 pub use connection::{ConnectError, Connection};
 pub(crate) use connection::{IdleConnection, open_from, set_keepalive};
 pub use health::{Health, Verdict};
--- a/components/gateway/src/peer/changes.rs
+++ b/components/gateway/src/peer/changes.rs
@@ -87,7 +87,7 @@
     if change.unusable {
         return Some(Change::Unusable(id));
     }
-    Some(Change::Present(Profile {
+    let profile = Profile {
         id,
         service: Arc::from(change.service.as_str()),
         // a gateway that does not know of builds sends none; the list is then read from the store
@@ -107,5 +107,12 @@
         },
         revocable: change.revocable,
         started: change.started,
-    }))
+    };
+    Some(match profile.check() {
+        Ok(()) => Change::Present(profile),
+        Err(error) => {
+            log::warn!(endpoint = &*profile.id.0, error:%; "an endpoint that a peer lists is invalid and not used");
+            Change::Unusable(profile.id)
+        }
+    })
 }
