Check a request's deadline again just before it is sent

A gateway that was held up after it had chosen an endpoint (no processor, a slow connection, a wait for a slot) sent the request all the same when its deadline had passed: the send and the timeout were both due, and chance decided whether bytes were written. Callers got 504, may have run, for requests that no endpoint had seen; the endpoint was taken for silent, and two such attempts keep it from all requests for 400 ms.

The deadline is now checked in attempt::send, through which plain requests, generations, prefills, decodes of prefilled prompts, resumptions and migrated streams go, after the connection is there and the request is built, and in the same place before a request is forwarded to a peer. What was not sent has the cause 'too-late': it has not run, and says nothing of the endpoint.

Forwarding has no test of its own: nothing can be held up between the connection and the send there.

--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -29,6 +29,8 @@
 enum Failure {
     /// Nothing was sent.
     NotSent,
+    /// The time of the request was over before anything was sent.
+    Expired,
     /// The peer does not serve this request, but may serve others.
     Declined,
     /// The peer reaches no endpoint of the service.
@@ -51,9 +53,12 @@
     fn may_have_run(self) -> bool {
         match self {
             Self::Unknown | Self::Lost | Self::TimedOut => true,
-            Self::NotSent | Self::Declined | Self::NoPath | Self::Unavailable | Self::NotRun(_) => {
-                false
-            }
+            Self::NotSent
+            | Self::Expired
+            | Self::Declined
+            | Self::NoPath
+            | Self::Unavailable
+            | Self::NotRun(_) => false,
         }
     }
 }
@@ -91,6 +96,7 @@
         record_failure(&job, &candidate, failure);
         match failure {
             Failure::NotSent | Failure::Declined | Failure::NoPath | Failure::Unavailable => {}
+            Failure::Expired => return Err(attempts.lost_refusal(&job)),
             Failure::NotRun(after) => return Err(refusal(&attempts, after).unwrap_or(reason)),
             Failure::Unknown | Failure::Lost | Failure::TimedOut => {
                 let runs = granted_runs(&job, &attempts);
@@ -139,6 +145,10 @@
         .connect(candidate.address, max_idle)
         .await
         .map_err(|_| Failure::NotSent)?;
+    if job.time_left() <= TRANSIT {
+        connections.put_back(candidate.address, connection);
+        return Err(Failure::Expired);
+    }
     let request = build_request(job, attempts);
     job.exchange_guard.forwarded(&candidate.name, true);
     log::info!(
@@ -224,6 +234,7 @@
 fn record_failure(job: &Job, candidate: &Candidate, failure: Failure) {
     let outcome = match failure {
         Failure::NotSent => "not sent",
+        Failure::Expired => "too late",
         Failure::Declined => "declined",
         Failure::NoPath => "no path",
         Failure::Unavailable => "unavailable",
@@ -235,7 +246,11 @@
     let paused = match failure {
         Failure::NotSent | Failure::Unavailable | Failure::Lost => Some(Paused::All),
         Failure::NoPath => Some(Paused::Service(short_id(&job.service.name))),
-        Failure::Declined | Failure::NotRun(_) | Failure::Unknown | Failure::TimedOut => None,
+        Failure::Expired
+        | Failure::Declined
+        | Failure::NotRun(_)
+        | Failure::Unknown
+        | Failure::TimedOut => None,
     };
     if let Some(paused) = paused {
         job.gateway.forwarding.pause(candidate.address, paused);
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -89,6 +89,9 @@
     /// The response belongs to another request or is not valid, be it as HTTP or as a KV handle.
     #[display("the answer belongs to another request")]
     ForeignResponse,
+    /// The time of the request was over before anything was sent.
+    #[display("the time was over before it was sent")]
+    Expired,
     /// The attempt timed out, or no engine was available to resume a stream.
     #[display("the time was over")]
     TimedOut,
@@ -110,6 +113,7 @@
                 | Self::KvFetchFailed
                 | Self::OtherBuild
                 | Self::NotRun(_)
+                | Self::Expired
         )
     }
 
@@ -127,6 +131,7 @@
             Self::NotRun(_) => "not-run",
             Self::ConnectionBroken => "broken",
             Self::ForeignResponse => "foreign",
+            Self::Expired => "too-late",
             Self::TimedOut => "time-over",
             Self::ErrorStatus(_) => "failed",
         }
@@ -147,6 +152,7 @@
             | Self::Withheld
             | Self::KvFetchFailed
             | Self::OtherBuild
+            | Self::Expired
             | Self::Starved => None,
         }
     }
@@ -193,6 +199,12 @@
         .connect(max_idle, job.max_connections())
         .await
         .map_err(Cause::NotOpened)?;
+    let request = build_request(job, directive);
+    // whatever the delay since the endpoint was chosen, nobody waits for the answer any more
+    if job.time_left().is_zero() {
+        target.put_back_connection(connection);
+        return Err(Cause::Expired);
+    }
     let purpose = if directive.prefill_only {
         Purpose::Read
     } else {
@@ -202,7 +214,6 @@
         target.put_back_connection(connection);
         return Err(Cause::RetryBudgetExhausted);
     }
-    let request = build_request(job, directive);
     let suspect = job.gateway.crashes.is_suspect(job.fingerprint);
     let guard = RequestGuard::new(target, job.fingerprint, &job.parts, suspect);
     let executes = purpose == Purpose::Run;
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -478,7 +478,8 @@
                 }
                 Err(cause) => {
                     log::warn!(request = self.job.metadata.id, cause:%; "a migrated stream could not be resumed");
-                    next = stopped.back_to_source().filter(|_| cause.not_run());
+                    let may_return = cause.not_run() && cause != Cause::Expired;
+                    next = stopped.back_to_source().filter(|_| may_return);
                     // no further migration, as other engines are likely to refuse it too
                     self.migrations = MAX_MIGRATIONS;
                 }
@@ -548,7 +549,10 @@
             if let Some(verdict) = cause.verdict() {
                 failed.target.record_verdict(verdict, &self.job.metadata.id);
             }
-            if matches!(cause, Cause::RetryBudgetExhausted | Cause::Withheld) {
+            if matches!(
+                cause,
+                Cause::RetryBudgetExhausted | Cause::Withheld | Cause::Expired
+            ) {
                 return false;
             }
             refusals += u32::from(not_run);
