Let a retry wait until a starting gateway knows who shares the slack

A gateway is ready, and gets requests, before it has registered and read the registrations of the others. Until then it did not know how many gateways share the slack of the retry budget and used none of it, so that the first requests after a start were refused beside a second endpoint with room: 503 where the first endpoint had not run them, its own 500 or a 502 for idempotent ones. Not to know yet was taken for knowing that there is nothing.

A retry now waits until the registrations have been read, if the budget would have one then, for no longer than a second after the start of the process, the deadline, and for an endpoint's error the objective. Nothing else changes: who shares the slack, and that a gateway without the rows uses none.

--- a/components/gateway/src/peer/discovery.rs
+++ b/components/gateway/src/peer/discovery.rs
@@ -130,8 +130,7 @@
         }
     }
     if *written {
-        let membership_known = &gateway.peers.membership_known;
-        membership_known.get_or_init(tokio::time::Instant::now);
+        gateway.peers.record_membership_known();
     }
     *written
 }
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -19,17 +19,16 @@
 pub use changes::Advertisement;
 pub use lost::Lost;
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, OnceLock},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clock::Instant;
 use parking_lot::Mutex;
 use policy::prompt::Part;
 use settings::gateway::Settings;
-use tokio::{net::UdpSocket, sync::Notify};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, watch},
+};
 use wire::{Digest, EndpointChanges, EndpointLoad, Placed, ServiceDemand, StageTold};
 
 use crate::{
@@ -137,7 +136,7 @@
     /// service.
     demands: Mutex<Vec<(u32, DemandTotals)>>,
     /// When the registration rows of all gateways were first read.
-    membership_known: OnceLock<tokio::time::Instant>,
+    membership_known: watch::Sender<Option<tokio::time::Instant>>,
 }
 
 impl Peers {
@@ -170,13 +169,28 @@
 
     /// Whether the registration rows of all gateways have been read.
     pub fn is_membership_known(&self) -> bool {
-        self.membership_known.get().is_some()
+        self.membership_known.borrow().is_some()
+    }
+
+    /// Waits until the registration rows of all gateways have been read.
+    pub async fn membership_known(&self) {
+        let mut known = self.membership_known.subscribe();
+        // the sender lives as long as this
+        let _ = known.wait_for(Option::is_some).await;
+    }
+
+    fn record_membership_known(&self) {
+        self.membership_known.send_if_modified(|known| {
+            let is_first = known.is_none();
+            known.get_or_insert_with(tokio::time::Instant::now);
+            is_first
+        });
     }
 
     /// Whether live peers may not be known yet: the registration rows have not been read, or so recently that peers without
     /// a row may not have sent a digest.
     pub fn is_discovering(&self) -> bool {
-        let known_since = self.membership_known.get();
+        let known_since = *self.membership_known.borrow();
         known_since.is_none_or(|since| since.elapsed() < DISCOVERY_PERIOD)
     }
 
--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -1,7 +1,7 @@
 //! Counters and learnt values of each service: its retry budget, the demand of its callers, and the latencies
 //! of its engines.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use clock::Instant;
 use parking_lot::Mutex;
@@ -19,6 +19,9 @@
 
 const NANOS_PER_MICRO: f64 = 1e3;
 
+/// Time after the start of a process in which it registers, unless the store is away or has more to do than it can.
+const REGISTRATION_PERIOD: Duration = Duration::from_secs(1);
+
 /// Cumulative demand of a service's callers; only the difference between two readings is meaningful.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DemandTotals {
@@ -148,6 +151,28 @@
         usage.allows_retry()
     }
 
+    /// Waits until it is known how many processes share the slack of the retry budget, if a retry depends on that, as it does
+    /// in the first moments of a process. Waits no longer than a registration takes, and not after `until`.
+    pub async fn wait_for_retry_share(&self, service: &Arc<str>, until: Instant) {
+        let until = until.min(self.started + REGISTRATION_PERIOD);
+        if Instant::now() < until && self.may_gain_retries(service) {
+            // without the rows the slack stays unknown, and is not used
+            let _ = clock::timeout_at(until, self.peers.membership_known()).await;
+        }
+    }
+
+    /// Whether the service's retry budget has no retry left, and would have one if no other process shared it.
+    fn may_gain_retries(&self, service: &Arc<str>) -> bool {
+        let share = self.retry_share();
+        let (now, whole_slack) = (self.micros(), self.bounds.read().retry_slack);
+        share.sharers.is_none()
+            && self.with_service(service, |state| {
+                let mut allows =
+                    |slack| state.retries.usage(now, share.ratio, slack).allows_retry();
+                !allows(share.slack) && allows(whole_slack)
+            })
+    }
+
     /// Returns an empty retry window for a service without any count yet.
     fn empty_window(&self) -> Window {
         let span = policy::micros(self.bounds.read().retry_window_s);
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -195,6 +195,7 @@
     } else {
         MAX_IDLE_ONCE
     };
+    job.sends.wait_for_budget(job).await;
     let mut connection = target
         .connect(max_idle, job.max_connections())
         .await
--- a/components/gateway/src/request/attempts.rs
+++ b/components/gateway/src/request/attempts.rs
@@ -232,6 +232,20 @@
         self.0.lock().counted += runs;
     }
 
+    /// Waits until it is known whether the retry budget allows the next send, if that is a retry.
+    pub async fn wait_for_budget(&self, job: &Job) {
+        let needs_retry = {
+            let counters = self.0.lock();
+            counters.counted > 0 && counters.reserved.is_empty()
+        };
+        if needs_retry {
+            let gateway = &job.gateway;
+            gateway
+                .wait_for_retry_share(&job.service.name, job.deadline)
+                .await;
+        }
+    }
+
     /// Counts a request that is about to be sent. Returns whether the budget allows it.
     pub fn record(&self, job: &Job, purpose: Purpose) -> bool {
         let mut counters = self.0.lock();
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -56,7 +56,7 @@
             job.record_start(sent);
         }
         match outcome {
-            Ok(answer) if reserve_retry_after_error(&job, &answer, &attempts) => {
+            Ok(answer) if reserve_retry_after_error(&job, &answer, &attempts).await => {
                 attempts.record_endpoint_failure(target);
                 failure.get_or_insert((answer, attempts.runs()));
             }
@@ -153,7 +153,7 @@
 /// Whether to try another endpoint instead of returning this error response: the request may run
 /// again, there is time, another endpoint is available, and the retry budget has a retry, which is
 /// then reserved.
-fn reserve_retry_after_error(job: &Job, answer: &Answer, attempts: &Attempts) -> bool {
+async fn reserve_retry_after_error(job: &Job, answer: &Answer, attempts: &Attempts) -> bool {
     let status = answer.head.status;
     if !status.is_server_error() {
         return false;
@@ -161,10 +161,16 @@
     answer
         .target
         .record_verdict(Verdict::Failed, &job.metadata.id);
-    let may_retry = attempts.may_retry_after_next(job)
+    let may_help = attempts.may_retry_after_next(job)
         && Instant::now() < job.objective
-        && has_alternative(job, attempts, &answer.target)
-        && job.sends.reserve_one(job);
+        && has_alternative(job, attempts, &answer.target);
+    if may_help {
+        let service = &job.service.name;
+        job.gateway
+            .wait_for_retry_share(service, job.objective)
+            .await;
+    }
+    let may_retry = may_help && job.sends.reserve_one(job);
     log::info!(
         request = job.metadata.id, endpoint = &*answer.target.id.0, status = status.as_u16(), may = may_retry;
         "an endpoint failed a request"
