Resume streams at draining engines where the others of their build only prefill

Callers saw resumed streams refused with `no endpoint takes requests` beside an upgrade, while engines of their build still decoded other answers and new streams began at the other build.

An engine that has just begun to drain was considered for a stream only if no engine of its build takes requests at all, and one that only prefills takes them. Now it is considered if none that decodes does.

The test failed before: the resumed stream got no response with events (`left: ([], [])`, `right: (["v1"], [4, 5, 6, 7, 8, 9])`). It also checks that nothing is sent there after the window.

--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -37,12 +37,18 @@
     /// without those on which this request failed.
     pub fn new(job: &Job, tried: &[Arc<Target>]) -> Self {
         let snapshot = Self::with_reach(job, tried, Reach::Own);
-        if job.build().is_none() || !snapshot.targets.is_empty() {
+        if job.build().is_none() || snapshot.has_decode_engine() {
             return snapshot;
         }
         Self::with_reach(job, tried, Reach::Continuation)
     }
 
+    /// Whether an engine decodes; those that only prefill can't continue a stream.
+    fn has_decode_engine(&self) -> bool {
+        let mut engines = self.engines.iter();
+        engines.any(|engine| engine.stage == place::Stage::Decode)
+    }
+
     /// Takes a snapshot of the engines that accept requests, whether this process reaches them or not.
     pub fn of_listed(job: &Job) -> Self {
         Self::with_reach(job, &[], Reach::Listed)
