Write the row of a build before streams may begin there

Callers of gateways that were all killed while a service was upgraded got a 200 for streams that they resumed, with the first part from one build and the rest from another one: if the engines of the first build had left the list when the gateways were back, the only build that was listed was taken for the only one that ever served. Rows of builds existed only once a running gateway had seen two together for up to a second.

A row is now written for each build of a service whose streams callers may resume, also while it is the only one, before the first new stream is sent there. A service without any row is admitted at all its builds at once, a process being ready only then (for at most the second for which it waits for the withheld requests). A further build waits until the streams of those in use have been saved and callers of gateways that were killed have come back, but not if no other endpoint takes requests or requests find no room. The first reader of the lists writes; the others read the rows again while a listed build has none, within an eighth of the store's reads, and write after two such reads if nobody has. With the store away streams begin without a row only where no build in use takes requests any more for a second; a gateway then reports no builds to its peers. Logs say when a build waits, who admitted it and why.

--- a/components/gateway/src/peer/lost.rs
+++ b/components/gateway/src/peer/lost.rs
@@ -41,6 +41,16 @@
         })
     }
 
+    /// Whether a peer has been known for less than `period` under its present incarnation, as it has just started.
+    pub fn has_just_started(&self, period: Duration) -> bool {
+        let now = Instant::now();
+        let known = self.known.lock();
+        known.iter().any(|peer| {
+            let known_for = now.saturating_duration_since(peer.incarnation_since);
+            peer.is_alive(now) && known_for < period
+        })
+    }
+
     /// Whether this process is among the first live gateways for a key.
     pub fn is_among_first(&self, own: SocketAddr, key: u64, count: usize) -> bool {
         self.ranking().count_before(own, key) < count
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -18,7 +18,7 @@
 pub mod usage;
 mod withheld;
 
-pub use builds::Rows;
+pub use builds::{Reported, Rows};
 pub use crashes::Liveness;
 pub use follow::List;
 pub use service::{DemandTotals, RetryPermit};
@@ -247,14 +247,15 @@
         policy::micros(self.started.elapsed())
     }
 
-    /// Whether the process can serve: it is not shutting down and has the configuration, the endpoints and
-    /// the withheld requests, and accepts keys. The load balancer prefers other gateways until then.
+    /// Whether the process can serve: it is not shutting down and has the configuration, the endpoints, the
+    /// withheld requests and builds at which streams may begin, and accepts keys. The load balancer prefers other gateways until then.
     pub fn is_ready(&self) -> bool {
         *self.phase.borrow() == Phase::Serving
             && self.configuration.read().is_some()
             && *self.endpoints_read.borrow()
             && self.accepts_keys()
-            && (self.crashes.rows().is_loaded() || self.started.elapsed() > WITHHELD_READ_TIMEOUT)
+            && (self.started.elapsed() > WITHHELD_READ_TIMEOUT
+                || self.crashes.rows().is_loaded() && self.may_begin_streams())
     }
 }
 
--- a/components/gateway/src/process/streams/mod.rs
+++ b/components/gateway/src/process/streams/mod.rs
@@ -80,7 +80,7 @@
 }
 
 /// Returns how often this process may write.
-fn interval(gateway: &Gateway) -> Duration {
+pub(super) fn interval(gateway: &Gateway) -> Duration {
     let gateways = u32::try_from(gateway.peers.count_alive() + 1).unwrap_or(u32::MAX);
     shared_interval(gateways, gateway.settings.store.writes_per_second)
 }
--- a/components/gateway/src/process/withheld.rs
+++ b/components/gateway/src/process/withheld.rs
@@ -76,6 +76,7 @@
             .map(str::to_owned)
             .into(),
     };
+    let began = Instant::now();
     let read = gateway.adapters.table.read(read).await;
     gateway.count_store_call("withheld", read.is_ok());
     let rows = match read {
@@ -94,7 +95,7 @@
     let (streams, rows) = split(rows, store::ROW_PREFIX);
     let (builds, rows) = split(rows, builds::ROW_PREFIX);
     streams::restore(gateway, &streams);
-    builds::restore(gateway, &builds);
+    builds::restore(gateway, &builds, began);
     let mut suspects = Vec::new();
     for row in rows {
         match (
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -29,7 +29,7 @@
 use snapshot::{Snapshot, placement_request};
 use timing::Timing;
 
-pub use queue::{Queue, Rank};
+pub use queue::{Queue, Rank, max_wait};
 pub use queues::{Claim, Queues};
 pub use snapshot::is_long_answer;
 
@@ -149,6 +149,7 @@
         return Ok((snapshot, choice));
     }
     snapshot.log_obstacles(job, claim, "no engine has room, or others wait for it");
+    job.record_no_room();
     if goes_elsewhere() {
         return Err(Denial::NoRoom(attempts.exhausted_refusal()));
     }
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -7,7 +7,7 @@
 
 use super::{queue, queues::Claim};
 use crate::{
-    endpoint::{self, Build, Reach, Stage, Target},
+    endpoint::{self, Build, Reach, Stage, State, Target},
     process::DemandTotals,
     request::job::Job,
 };
@@ -298,12 +298,25 @@
         .subset()
         .iter()
         .filter(|target| !tried.iter().any(|other| other.id == target.id));
-    left.filter_map(|target| target.recovering(now, now + queue::max_wait(job), reach))
+    // requests are sent to those of a build without a row as soon as it has one
+    let waiting: u64 = left.clone().map(|target| awaited_slots(job, target)).sum();
+    let recovering: u64 = left
+        .filter_map(|target| target.recovering(now, now + queue::max_wait(job), reach))
         .filter(|profile| profile.stage != Some(Stage::Prefill))
         .filter(|profile| !unreachable.contains(&profile.data_centre))
         .filter(|profile| job.accepts(&profile.build))
         .map(|profile| profile.slots)
-        .sum()
+        .sum();
+    recovering.saturating_add(waiting)
+}
+
+/// Returns the slots of an engine that the request may not use yet, as streams may not begin at its build.
+fn awaited_slots(job: &Job, target: &Target) -> u64 {
+    let profile = target.with(|state| state.profile.clone());
+    let is_awaited = profile.state == State::Ready
+        && profile.stage != Some(Stage::Prefill)
+        && job.awaits(&profile.build);
+    if is_awaited { profile.slots } else { 0 }
 }
 
 /// Returns the builds of engines, sorted.
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -219,7 +219,30 @@
 
     /// Whether endpoints of a build can run or continue the request.
     pub fn accepts(&self, build: &Build) -> bool {
-        self.build().is_none_or(|begun| begun == build)
+        match self.build() {
+            Some(begun) => begun == build,
+            None => !self.awaits(build),
+        }
+    }
+
+    /// Whether the request is a stream that may not begin at a build yet.
+    pub fn awaits(&self, build: &Build) -> bool {
+        let builds = self.gateway.registry.builds();
+        self.may_wait_for_build() && !builds.is_admitted(&self.service.name, build)
+    }
+
+    /// Records that the request has found no room, if it would find some at a build where it may not begin yet.
+    pub fn record_no_room(&self) {
+        let builds = self.gateway.registry.builds();
+        let name = &self.service.name;
+        if self.may_wait_for_build() && !builds.without_row(name).is_empty() {
+            self.gateway.record_no_room_at_builds(name);
+        }
+    }
+
+    /// Whether the request is a stream that callers may resume, and that has not begun.
+    pub fn may_wait_for_build(&self) -> bool {
+        self.route.kind == Kind::ResumableStream && self.build().is_none()
     }
 
     /// Binds the stream to the build that began it. The first call counts.
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -17,6 +17,7 @@
 mod resumption;
 mod timeout;
 mod unserved;
+mod waiting;
 
 use std::{net::IpAddr, panic::AssertUnwindSafe, sync::Arc};
 
@@ -268,6 +269,7 @@
         );
         return Err(Unserved::Final(Reason::Withheld(remaining)));
     }
+    waiting::wait_for_build(&job).await;
     match (&job.service.engines, &job.metadata.prompt) {
         (Some(_), Some(_)) => generate::serve(job, attempts).await,
         _ => plain::serve(job, attempts).await,
--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     endpoint::Build,
-    process::{Gateway, List, Rows},
+    process::{Gateway, List, Reported, Rows},
 };
 
 /// Maximum number of items in a datagram, so that it usually fits into a packet.
@@ -137,10 +137,14 @@
     // read before the builds, so that they hold all that this revision added
     let endpoints_changed = gateway.last_changes.revision(List::Endpoints);
     let builds = gateway.registry.builds().all();
-    if !gateway.knows_earlier_builds() || builds.len() > MAX_BUILDS {
+    let known = gateway.registry.builds();
+    let is_recorded = |(service, _): &(Arc<str>, Build)| !known.has_unrecorded(service);
+    let is_complete = gateway.knows_earlier_builds() && builds.iter().all(is_recorded);
+    if !is_complete || builds.len() > MAX_BUILDS {
         return RecentBuilds::default();
     }
     let builds = builds.into_iter().map(|(service, build)| ServiceBuild {
+        used: known.is_used(&service, &build),
         service: service.to_string(),
         build: build.to_string(),
     });
@@ -153,11 +157,12 @@
 
 /// Takes over which builds have served lately from a peer that knows all of them.
 fn apply_builds(gateway: &Gateway, peer: SocketAddr, recent: &RecentBuilds) {
-    let builds = recent.builds.iter().map(|reported| {
-        let build = Build(Arc::from(reported.build.as_str()));
-        (reported.service.clone(), build)
+    let builds = recent.builds.iter().map(|reported| Reported {
+        service: reported.service.clone(),
+        build: Build(Arc::from(reported.build.as_str())),
+        is_used: reported.used,
     });
-    let builds: Vec<(String, Build)> = builds.collect();
+    let builds: Vec<Reported> = builds.collect();
     if recent.complete && gateway.record_reported_builds(&builds, recent.endpoints_changed) {
         log::info!(
             peer:%, builds:?, endpoints_changed = recent.endpoints_changed;
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::{endpoint::Build, process::Gateway};
 use exchange::{Item, Outbox};
-use question::Questions;
+use question::{Questions, Subject};
 use table::{Owner, Record, Table};
 
 pub use exchange::{apply, run};
@@ -141,6 +141,17 @@
         self.streams.table.for_each(now, only, replicate);
     }
 
+    /// Asks some peers which builds have served lately, and at which of them streams may begin.
+    pub fn ask_which_builds(&self) {
+        let peers = self.peers.ranked(self.incarnation, COPIES);
+        let asked = peers
+            .into_iter()
+            .map(|peer| (peer, Item::Ask(Subject::Builds)));
+        if !self.streams.outbox.push(asked) {
+            log::debug!("too much waits to be sent; peers are not asked for the builds");
+        }
+    }
+
     fn count_dropped_stream(&self, dropped: bool) {
         if dropped {
             self.metrics.streams.dropped.inc();
--- a/components/gateway/src/version/mod.rs
+++ b/components/gateway/src/version/mod.rs
@@ -149,6 +149,15 @@
     }
 }
 
+/// A service with a route whose streams callers may resume.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumableService {
+    /// Name of the service.
+    pub name: Arc<str>,
+    /// The longest time without an event after which callers of such a route give up; `None` if no route sets one.
+    pub max_silence: Option<Duration>,
+}
+
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
@@ -158,6 +167,8 @@
     routes: Vec<Arc<Route>>,
     /// Sorted by name.
     services: Vec<Arc<Service>>,
+    /// Sorted by name.
+    resumable_services: Vec<ResumableService>,
     /// Limits for requests and connections of callers.
     pub limits: Limits,
     /// The API keys of the workspaces; `None` if the deployment has no workspaces, and callers need no
@@ -178,6 +189,7 @@
         services.sort_by(|a, b| a.name.cmp(&b.name));
         Self {
             version,
+            resumable_services: resumable_services(&routes),
             routes,
             services,
             limits,
@@ -231,6 +243,12 @@
         routes.filter_map(|route| route.max_stall).min()
     }
 
+    /// Returns the services whose streams callers may resume, sorted by name.
+    #[must_use]
+    pub fn resumable_services(&self) -> &[ResumableService] {
+        &self.resumable_services
+    }
+
     /// Returns all services, sorted by name.
     #[must_use]
     pub fn services(&self) -> &[Arc<Service>] {
@@ -244,6 +262,31 @@
     }
 }
 
+fn resumable_services(routes: &[Arc<Route>]) -> Vec<ResumableService> {
+    let mut services: Vec<ResumableService> = Vec::new();
+    let resumable = routes
+        .iter()
+        .filter(|route| route.kind == Kind::ResumableStream);
+    for route in resumable {
+        for target in &route.targets {
+            match services.binary_search_by(|service| service.name.cmp(&target.service)) {
+                Ok(index) => {
+                    let silence = &mut services[index].max_silence;
+                    *silence = route.max_silence.max(*silence);
+                }
+                Err(index) => services.insert(
+                    index,
+                    ResumableService {
+                        name: Arc::clone(&target.service),
+                        max_silence: route.max_silence,
+                    },
+                ),
+            }
+        }
+    }
+    services
+}
+
 impl Route {
     /// Picks the service for a request according to the weights. `hash` must be evenly distributed
     /// over requests.
--- a/components/telemetry/src/metrics/streams.rs
+++ b/components/telemetry/src/metrics/streams.rs
@@ -22,6 +22,10 @@
     pub dropped: IntCounter,
     /// Streams that did not fit into this process's row in the store.
     pub unsaved: IntGauge,
+    /// Builds at which streams may begin, by how this process came to know it.
+    pub admitted: IntCounterVec,
+    /// Builds that serve and at which no stream may begin, as the store has no row of them.
+    pub waiting_builds: IntGauge,
 }
 
 impl Streams {
@@ -59,6 +63,15 @@
                 "wrenramp_streams_unsaved",
                 "Streams that did not fit into the row in the store.",
             )?,
+            admitted: counters(
+                "builds_admitted_total",
+                "Builds at which streams may begin from then on.",
+                &["outcome"],
+            )?,
+            waiting_builds: IntGauge::new(
+                "wrenramp_builds_waiting",
+                "Builds that serve and at which no stream may begin yet.",
+            )?,
         })
     }
 
@@ -73,6 +86,8 @@
         registry.register(Box::new(self.no_room.clone()))?;
         registry.register(Box::new(self.known.clone()))?;
         registry.register(Box::new(self.dropped.clone()))?;
-        registry.register(Box::new(self.unsaved.clone()))
+        registry.register(Box::new(self.unsaved.clone()))?;
+        registry.register(Box::new(self.admitted.clone()))?;
+        registry.register(Box::new(self.waiting_builds.clone()))
     }
 }
