Resume unknown streams at the only build that has been used, though several serve

What began before the second build was seen is in no row of streams and at no peer that is left. But streams begin only at builds that have a row, so if the rows name one build of a service, every stream that nobody knows began there. Such a resumption is bound to that build once a read of the rows that began after it arrived has named no other one: the store is linearizable, so no gateway, gone or not, can have begun a stream elsewhere before. One read serves all that wait. With the store away all asked peers have to answer that they know neither the stream nor another build in use. Rows that can't be parsed, or builds used without a row, conclude nothing.

--- a/components/gateway/src/request/resumption.rs
+++ b/components/gateway/src/request/resumption.rs
@@ -79,6 +79,7 @@
     let is_named = job.metadata.resumes.is_some();
     let search = Search {
         gateway: &job.gateway,
+        arrived: job.received,
         service: &job.service.name,
         key: is_named.then(|| job.stream_key()),
     };
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -39,6 +39,8 @@
     Record,
     /// No other build has served the service lately.
     OnlyBuild,
+    /// Several builds serve or have lately, and streams may have begun at one of them only.
+    OnlyUsedBuild,
 }
 
 /// A search for the build that began a stream.
@@ -46,6 +48,8 @@
 pub struct Search<'a> {
     /// The process.
     pub gateway: &'a Gateway,
+    /// When the caller's request arrived: its stream had begun by then.
+    pub arrived: Instant,
     /// The service of the stream.
     pub service: &'a str,
     /// The key of the stream, if the caller names it.
@@ -79,6 +83,8 @@
             unanswered = stream.map_or(0, |question| question.unanswered().len()),
             builds_asked = builds.asked(), builds_unanswered = builds.unanswered().len(),
             rows:? = *self.gateway.earlier_rows().borrow(),
+            used:? = self.used().iter().map(Build::to_string).collect::<Vec<String>>(),
+            rows_confirmed:? = self.gateway.confirmed_builds(self.arrived),
             build = found.as_ref().map(|(build, _)| build.to_string()),
             took_us = policy::micros(started.elapsed());
             "searched for the build that began a stream"
@@ -93,6 +99,9 @@
         let mut repeat_at = Instant::now() + interval;
         loop {
             let now = Instant::now();
+            if self.may_confirm() && !self.is_confirmed() {
+                self.gateway.want_rows_of_builds();
+            }
             if self.ask(questions) {
                 interval = REPEAT_INTERVAL;
                 repeat_at = now + interval;
@@ -112,7 +121,7 @@
                     return known.ok();
                 }
                 if !self.may_learn(questions) {
-                    return None;
+                    return self.unconfirmed();
                 }
                 let changed = async {
                     tokio::select! {
@@ -137,10 +146,36 @@
             (Some(Begun::At(build)), _) => Some(Ok((build, Source::Record))),
             (Some(Begun::Ambiguous), _) => Some(Err(())),
             (None, [only]) if knows_all => Some(Ok((only.clone(), Source::OnlyBuild))),
+            (None, [_, _, ..]) if self.is_confirmed() => {
+                let used = self.only_used().map(|only| (only, Source::OnlyUsedBuild));
+                used.map(Ok)
+            }
             (None, _) => None,
         }
     }
 
+    /// Whether no stream can have begun, when the caller's request arrived, at a build of which this process does not know
+    /// that it is used. Read before the builds in use.
+    fn is_confirmed(&self) -> bool {
+        self.gateway.confirmed_builds(self.arrived) == Some(true)
+    }
+
+    /// Returns the build at which all streams of the service have begun, if there is just one.
+    fn only_used(&self) -> Option<Build> {
+        let is_uncertain = !self.gateway.knows_earlier_builds()
+            || self.gateway.has_unparsed_builds()
+            || self.gateway.registry.builds().has_unrecorded(self.service);
+        match self.used().as_slice() {
+            [only] if !is_uncertain => Some(only.clone()),
+            _ => None,
+        }
+    }
+
+    /// Whether streams may have begun at one of several builds only, and that has to be confirmed.
+    fn may_confirm(&self) -> bool {
+        self.builds().len() > 1 && self.only_used().is_some()
+    }
+
     /// Whether the build may still become known.
     fn may_learn(&self, questions: &Questions<'_>) -> bool {
         let may_hear_more = self.gateway.peers.is_discovering() || self.has_just_lost_peer();
@@ -152,9 +187,35 @@
             && (self.gateway.peers.is_discovering() || !questions.builds.unanswered().is_empty());
         let may_learn_builds = (may_list_builds || may_report_builds) && self.builds().len() <= 1;
         let may_learn_stream = |question| may_read_rows || may_answer(question);
+        let may_learn_builds = may_learn_builds || self.may_be_confirmed(questions);
         may_learn_builds || questions.stream.as_ref().is_some_and(may_learn_stream)
     }
 
+    /// Whether the store, or the peers while it is away, may still confirm that streams have begun at one build only.
+    fn may_be_confirmed(&self, questions: &Questions<'_>) -> bool {
+        let builds = &questions.builds;
+        let may_answer =
+            || !builds.unanswered().is_empty() || builds.asked() == 0 && self.has_peer();
+        self.may_confirm() && (!self.has_failed() || may_answer())
+    }
+
+    /// Returns the only build in use if the store is away, and no peer has reported another one.
+    fn unconfirmed(&self) -> Option<(Build, Source)> {
+        let only = self
+            .only_used()
+            .filter(|_| self.may_confirm() && self.has_failed());
+        only.map(|only| (only, Source::OnlyUsedBuild))
+    }
+
+    /// Whether the store did not answer the last time that the rows of builds were read again.
+    fn has_failed(&self) -> bool {
+        self.gateway.confirmed_builds(self.arrived).is_none()
+    }
+
+    fn has_peer(&self) -> bool {
+        !self.gateway.peers.ranking().is_empty()
+    }
+
     /// Whether a peer that has been asked may still answer. One that has sent no digest may not be running.
     fn awaits_answer(&self, question: &Question<'_>) -> bool {
         let peers = &self.gateway.peers;
@@ -200,7 +261,8 @@
     ) -> impl Iterator<Item = (&'a Question<'a>, Subject)> {
         let stream = questions.stream.as_ref().zip(self.key);
         let stream = stream.map(|(question, key)| (question, Subject::Stream(key)));
-        let asks_builds = !self.knows_all_builds() && self.builds().len() == 1;
+        let asks_only = !self.knows_all_builds() && self.builds().len() == 1;
+        let asks_builds = asks_only || self.may_confirm() && self.has_failed();
         let builds = asks_builds.then_some((&questions.builds, Subject::Builds));
         stream.into_iter().chain(builds)
     }
@@ -221,6 +283,10 @@
         peers.has_just_lost(ROWS_OF_LOST_PERIOD)
     }
 
+    fn used(&self) -> Vec<Build> {
+        self.gateway.registry.builds().used(self.service)
+    }
+
     fn builds(&self) -> Vec<Build> {
         self.gateway.registry.builds().of(self.service)
     }
