--- a/components/gateway/src/process/builds/mod.rs
+++ b/components/gateway/src/process/builds/mod.rs
@@ -166,6 +166,8 @@
         for used in reported.iter().filter(|reported| reported.is_used) {
             if builds.record_row(&used.service, used.build.clone()) {
                 log::info!(service = used.service, build:% = used.build; "a peer reported that streams may begin at a build");
+                let outcomes = &self.metrics.streams.admitted;
+                outcomes.with_label_values(&["reported"]).inc();
                 self.stored_builds.admissions.send_replace(());
             }
         }
