Let plain requests wait while all of their endpoints are backed off from

Two refusals in a row keep an endpoint from all requests for 100 ms, two that were not answered in time for 400 ms. If no other endpoint was left, requests to a plain service got 503 at once in that time, while generations wait for an engine in the same state.

They now wait in the queue of the service like generations: as many as the endpoints have slots, a quarter of their time at most, and only if an endpoint is tried again within it. Those that can't wait for so long, that have an endpoint's error to return, or that a peer may serve go on as before.

plain_requests_wait_while_the_only_endpoint_is_backed_off_from failed before, both with 503.

--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -175,6 +175,23 @@
     queues::wait(job, claim, look).await
 }
 
+/// Waits in the queue until `look` finds an endpoint, as long as those on which the request has not failed yet only get none
+/// for a moment; `None` if it finds none in time.
+pub async fn wait_for_recovery<T>(
+    job: &Job,
+    tried: &[Arc<Target>],
+    look: impl Fn() -> Option<T>,
+) -> Option<T> {
+    let waiting = job.gateway.queue(&job.service.name, Claim::New).len();
+    let has_slot = u64::try_from(waiting)
+        .is_ok_and(|waiting| waiting < snapshot::recovering_slots(job, tried));
+    if !has_slot || !job.ends_before_shutdown(queue::max_wait(job)) {
+        return None;
+    }
+    let look = || look().ok_or_else(|| Snapshot::new(job, tried));
+    queues::wait(job, Claim::New, look).await
+}
+
 /// A stream that broke, and what was tried to resume it.
 pub struct Broken<'a> {
     /// The last complete event.
--- a/components/gateway/src/request/plain.rs
+++ b/components/gateway/src/request/plain.rs
@@ -9,6 +9,7 @@
 use super::{
     attempt::{self, Answer, Cause},
     attempts::{Attempts, FailedAttempt, Purpose},
+    generate,
     job::Job,
     relay::{self, Body},
     timeout::{EarlyTimeout, PresumedLost, Timeout},
@@ -44,7 +45,12 @@
     // an endpoint's own error response, which is returned unless another endpoint does better
     let mut failure: Option<(Answer, u32)> = None;
     let denial = loop {
-        let Some(target) = choose(&job, attempts.tried()) else {
+        let mut chosen = choose(&job, attempts.tried());
+        if chosen.is_none() && failure.is_none() && !forwarding::send::is_possible(&job) {
+            let look = || choose(&job, attempts.tried());
+            chosen = generate::wait_for_recovery(&job, attempts.tried(), look).await;
+        }
+        let Some(target) = chosen else {
             break Denial::NoRoom(attempts.exhausted_refusal());
         };
         let decode_guard = DecodeGuard::new(&target, false);
