Try a resumed stream again at the engine that refused it if there is no other

A caller's resumption can only go on at engines of the build that began its stream. If the only one refused it once, its slots taken by another gateway a moment before, the resumption got 503 at once: an engine on which a request has failed is not tried again, which suits requests that others can serve.

If no engine is left, those that refused the request (it has not run there) are tried once more after 50 ms, within the budget of repeats and the request's time, unless a peer reaches more engines. The second refusal is not held against the engine, so that a resumption does not double the time for which others stay away from it.

Of the two new tests the first failed with 503 before, the second counts that there is one repeat and no more.

--- a/components/gateway/src/request/attempts.rs
+++ b/components/gateway/src/request/attempts.rs
@@ -44,6 +44,10 @@
 pub struct Attempts {
     /// Endpoints on which it failed, without those that could not fetch a KV cache.
     tried: Vec<Arc<Target>>,
+    /// Those of them that refused it, and may be tried again if there is no other.
+    refused: Vec<Arc<Target>>,
+    /// Those that may be or have been tried again after that.
+    readmitted: Vec<Arc<Target>>,
     /// Attempts in which it ran or may have run.
     runs: u32,
     /// Those of them that the sender of a forwarded request has made, or has kept for another peer. The
@@ -75,6 +79,17 @@
         self.tried.iter().chain(more).map(Arc::clone).collect()
     }
 
+    /// Lets the endpoints be tried again that refused the request, once. Returns whether there are any.
+    pub fn readmit_refused(&mut self) -> bool {
+        if !self.readmitted.is_empty() || self.refused.is_empty() {
+            return false;
+        }
+        self.readmitted = std::mem::take(&mut self.refused);
+        let is_readmitted = |target: &Arc<Target>| contains(&self.readmitted, target);
+        self.tried.retain(|target| !is_readmitted(target));
+        true
+    }
+
     /// Whether no attempt has failed yet.
     pub fn none_failed(&self) -> bool {
         self.failures == 0
@@ -123,7 +138,10 @@
 
     /// Records a failed attempt. Returns the refusal for the caller if no other attempt may follow.
     pub fn record_failure(&mut self, job: &Job, failed: FailedAttempt) -> Result<(), Reason> {
-        if let Some(verdict) = failed.cause.verdict() {
+        let was_refused = matches!(failed.cause, Cause::NotRun(_));
+        // a second refusal of the same request says no more of the endpoint than the first one
+        let is_repeated = was_refused && contains(&self.readmitted, &failed.target);
+        if let Some(verdict) = failed.cause.verdict().filter(|_| !is_repeated) {
             failed.target.record_verdict(verdict, &job.metadata.id);
         }
         let labels = [&*job.service.name, failed.cause.label()];
@@ -145,6 +163,9 @@
             phase:? = failed.purpose, runs = self.runs, not_run, repeats = is_retryable, left = has_time_left;
             "an attempt failed"
         );
+        if was_refused {
+            self.refused.push(Arc::clone(&failed.target));
+        }
         // an engine that could not fetch the KV cache can still prefill the prompt itself
         if failed.cause != Cause::KvFetchFailed {
             self.tried.push(failed.target);
@@ -309,6 +330,10 @@
     }
 }
 
+fn contains(targets: &[Arc<Target>], target: &Arc<Target>) -> bool {
+    targets.iter().any(|other| Arc::ptr_eq(other, target))
+}
+
 fn spend_retry(job: &Job) -> Option<RetryPermit> {
     job.gateway.spend_retry(&job.service.name, &job.metadata.id)
 }
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -8,7 +8,7 @@
 mod snapshot;
 mod timing;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use clock::Instant;
 use hyper::Response;
@@ -33,6 +33,17 @@
 pub use queues::{Claim, Queues};
 pub use snapshot::is_long_answer;
 
+/// Delay before an engine that refused a stream is tried again, as there is no other: its slots have been taken a moment ago.
+const READMISSION_DELAY: Duration = Duration::from_millis(50);
+
+/// Whether a request may be tried again at the engines that refused it: if it continues a stream, which others can't, and no
+/// peer reaches more of them.
+fn may_readmit(job: &Job) -> bool {
+    job.build().is_some()
+        && job.time_left() > READMISSION_DELAY
+        && !forwarding::send::is_possible(job)
+}
+
 /// Serves a generation.
 pub async fn serve(job: Job, mut attempts: Attempts) -> Result<Response<Body>, Unserved> {
     let mut may_split = true;
@@ -41,6 +52,10 @@
     loop {
         let (snapshot, choice, timing) = match place(&job, &attempts, may_split).await {
             Ok(placed) => placed,
+            Err(Denial::NoRoom(_)) if may_readmit(&job) && attempts.readmit_refused() => {
+                clock::sleep(READMISSION_DELAY).await;
+                continue;
+            }
             Err(denial) => return Err(denial.unserved(job, attempts)),
         };
         let outcome = match (timing, choice.placement) {
