Read the gateways' own rows without overflow

The rows of streams, withheld requests and usage are read together at the start of a gateway. A row whose time lies at the end of its type (a stream's of 2^64-1 seconds, a crash at -2^63 ms, the window 2^64-1) ended the task that reads them, by a panic where overflow is checked: the rows of builds were then never taken in, so that resumed streams were refused for as long as the process ran, and nothing withheld later was written. Without the checks the values wrapped.

The sums saturate now, and the age of a crash is cut to a week. A registration row whose address no gateway can have (port 0, broadcast, multicast) is logged and left out; digests were sent there before. That last part has no test of its own.

--- a/components/gateway/src/crashes/store.rs
+++ b/components/gateway/src/crashes/store.rs
@@ -19,6 +19,8 @@
 /// What follows the prefix in the key of the row of a prompt part.
 const PART_PREFIX: &str = "part-";
 const MICROS_PER_MILLI: SignedMicros = 1_000;
+/// The greatest age of a crash that is calculated with, in milliseconds: a week, longer than any crash counts.
+const MAX_AGE_MS: i64 = 7 * 24 * 3600 * 1_000;
 
 /// The rows that this process has yet to write, and whether it has read those of earlier processes.
 #[derive(Debug, Default)]
@@ -109,7 +111,8 @@
             .map(|crash| Crash {
                 endpoint: crash.endpoint,
                 // a crash that clock skew puts into the future counts as happening now
-                at: now - (unix_now - crash.at_ms).max(0) * MICROS_PER_MILLI,
+                at: now
+                    - unix_now.saturating_sub(crash.at_ms).clamp(0, MAX_AGE_MS) * MICROS_PER_MILLI,
             })
             .collect();
         crashes.sort_unstable_by_key(|crash| crash.at);
--- a/components/gateway/src/endpoint/check.rs
+++ b/components/gateway/src/endpoint/check.rs
@@ -60,7 +60,7 @@
 }
 
 /// Whether a single server can listen at an address.
-fn is_reachable(address: SocketAddr) -> bool {
+pub(crate) fn is_reachable(address: SocketAddr) -> bool {
     let ip = address.ip().to_canonical();
     let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
     address.port() > 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -22,6 +22,7 @@
 
 pub use builds::{Builds, RETENTION as BUILD_RETENTION};
 pub use busy::BusySet;
+pub(crate) use check::is_reachable;
 pub use check::{Invalid, MAX_NAME_BYTES, MAX_SLOTS, MAX_STARTED};
 pub use connection::{ConnectError, Connection};
 pub(crate) use connection::{IdleConnection, open_from, set_keepalive};
--- a/components/gateway/src/peer/discovery.rs
+++ b/components/gateway/src/peer/discovery.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 
 use super::cache_listing;
-use crate::process::Gateway;
+use crate::{endpoint::is_reachable, process::Gateway};
 
 /// Key prefix of registration rows.
 const ROW_PREFIX: &str = "gateway/";
@@ -125,6 +125,9 @@
     for row in rows {
         match serde_json::from_str::<Row>(&row.value) {
             Ok(peer) if peer.address == gateway.settings.gateway.peers => *written = true,
+            Ok(peer) if !is_reachable(peer.address) => {
+                log::warn!(key = row.key, address:% = peer.address; "no gateway can have the address of a registration row");
+            }
             Ok(peer) => gateway.peers.add(peer.address, &peer.data_centre),
             Err(error) => log::warn!(key = row.key, error:%; "could not parse a registration row"),
         }
--- a/components/gateway/src/process/usage/mod.rs
+++ b/components/gateway/src/process/usage/mod.rs
@@ -30,7 +30,8 @@
 impl Counts {
     /// Adds requests of a workspace.
     pub fn add(&mut self, workspace: &Arc<str>, requests: u64) {
-        *self.entry(workspace) += requests;
+        let count = self.entry(workspace);
+        *count = count.saturating_add(requests);
     }
 
     /// Raises the count of a workspace to at least `requests`.
@@ -135,7 +136,7 @@
 impl Usage {
     /// Merges counts of a gateway. Those of windows long past are dropped.
     fn merge(&self, number: u64, source: &Source, current: u64) {
-        if number + KEPT_WINDOWS < current || number > current + 1 {
+        if number.saturating_add(KEPT_WINDOWS) < current || number > current + 1 {
             return;
         }
         let mut windows = self.0.lock();
--- a/components/gateway/src/steward/usage/mod.rs
+++ b/components/gateway/src/steward/usage/mod.rs
@@ -300,7 +300,8 @@
 fn age(gateway: &Gateway, number: u64) -> Option<Age> {
     let (current, since_start) = gateway.usage_window(Instant::now())?;
     let bounds = gateway.bounds.read();
-    let windows = u32::try_from(current.saturating_sub(number + 1)).unwrap_or(u32::MAX);
+    let windows =
+        u32::try_from(current.saturating_sub(number.saturating_add(1))).unwrap_or(u32::MAX);
     let since_end = if number < current {
         bounds.usage_window_s.saturating_mul(windows) + since_start
     } else {
--- a/components/gateway/src/streams/store.rs
+++ b/components/gateway/src/streams/store.rs
@@ -59,7 +59,7 @@
     pub fn is_stored_as(&self, stored: &Self) -> bool {
         self.key == stored.key
             && self.begun == stored.begun
-            && self.expires_s <= stored.expires_s + 1
+            && self.expires_s <= stored.expires_s.saturating_add(1)
     }
 
     fn build(&self) -> &str {
@@ -83,7 +83,7 @@
         Some(Self {
             key: Key(u64::from_be_bytes(*key)),
             begun: begun.clone(),
-            expires_s: at_s + u64::from(left_s),
+            expires_s: at_s.saturating_add(u64::from(left_s)),
         })
     }
 }
