Keep the endpoint changes of a digest within a datagram

Changes that were read within 10 ms go into one digest, up to 32 batches of 32 changes. With long names, or with many changes, that is more than a datagram carries: the digest was not sent at all, and with it were lost the reports of crashes, the placements and the heartbeat, noted only in the debug log.

A batch that would make them more than 30 KB is left out, as others beyond the limits are already: peers then read the list from the store.

The test failed before: 254,462 bytes for 32 batches of 8 changes with the longest names that are accepted.

--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -28,6 +28,7 @@
 use clock::Instant;
 use parking_lot::Mutex;
 use policy::prompt::Part;
+use prost::Message;
 use settings::gateway::Settings;
 use tokio::{net::UdpSocket, sync::Notify};
 use wire::{Digest, EndpointChanges, EndpointLoad, Placed, ServiceDemand, StageTold};
@@ -61,6 +62,9 @@
 /// Maximum number of endpoint changes in one message, so that it fits into a datagram, and maximum
 /// number of messages that wait for the next digest.
 const MAX_CHANGES: usize = 32;
+/// Maximum size of the messages that wait for the next digest together: less than half of a datagram, as a digest has other
+/// parts too. A digest that does not fit into a datagram is not sent at all.
+const MAX_CHANGES_BYTES: usize = 30 << 10;
 /// Number of received advertisements that wait for processing above which those in further digests
 /// are dropped. Their changes are read from the store instead.
 const MAX_ADVERTISEMENTS: usize = 256;
@@ -309,12 +313,18 @@
     }
 
     /// Queues endpoint changes for the peers. Batches of more than [`MAX_CHANGES`] are dropped, and
-    /// so are batches while [`MAX_CHANGES`] of them are queued; peers then read the list from the
-    /// store.
+    /// so are batches while [`MAX_CHANGES`] of them are queued or they would have more than
+    /// [`MAX_CHANGES_BYTES`] together; peers then read the list from the store.
     pub fn advertise(&self, changes: &Advertisement) {
+        if changes.changes.len() > MAX_CHANGES {
+            return;
+        }
+        let encoded = changes.encode();
         let mut pending_changes = self.pending_changes.lock();
-        if changes.changes.len() <= MAX_CHANGES && pending_changes.len() < MAX_CHANGES {
-            pending_changes.push(changes.encode());
+        let pending = pending_changes.iter().map(Message::encoded_len);
+        let bytes = pending.sum::<usize>() + encoded.encoded_len();
+        if bytes <= MAX_CHANGES_BYTES && pending_changes.len() < MAX_CHANGES {
+            pending_changes.push(encoded);
         }
     }
 
--- a/components/gateway/src/peer/tests.rs
+++ b/components/gateway/src/peer/tests.rs
@@ -1,8 +1,14 @@
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use clock::Instant;
+use prost::Message;
+use wire::Digest;
 
-use super::{Peer, Peers};
+use super::{Advertisement, Peer, Peers};
+use crate::{
+    adapters::Change,
+    endpoint::{Build, Id, MAX_NAME_BYTES, Profile, Stage, State},
+};
 
 /// Numbers of gateways: more than exchange frequent heartbeats with all others, and as many as a large deployment has.
 const FLEETS: [u16; 2] = [40, 300];
@@ -74,3 +80,48 @@
     assert_ne!(unconfirmed.token(&[0]), unconfirmed.token(&[1]));
     assert_eq!(token(&[0, 1]), token(&[0, 1]));
 }
+
+/// The bytes that a UDP datagram over IPv4 can carry.
+const DATAGRAM_BYTES: usize = 65_507;
+
+/// Changes of endpoints whose names are as long as they may be.
+fn long_changes(count: usize) -> Vec<Change> {
+    let name = || Arc::from("n".repeat(MAX_NAME_BYTES));
+    let profile = |n: usize| Profile {
+        id: Id(Arc::from(format!("{n}{}", "i".repeat(190)))),
+        service: name(),
+        build: Build(name()),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        data_centre: name(),
+        state: State::Ready,
+        slots: 16,
+        stage: Some(Stage::Decode),
+        revocable: false,
+        started: Some(1),
+    };
+    (0..count).map(|n| Change::Present(profile(n))).collect()
+}
+
+#[test]
+fn endpoint_changes_in_quick_succession_fit_into_a_datagram() {
+    let peers = Peers::default();
+    for revision in 0..32 {
+        peers.advertise(&Advertisement {
+            after_revision: revision,
+            to_revision: revision + 1,
+            after_outage: false,
+            changes: long_changes(8),
+        });
+    }
+    let changes = std::mem::take(&mut *peers.pending_changes.lock());
+    assert!(!changes.is_empty());
+    let digest = Digest {
+        changes,
+        ..Digest::default()
+    };
+    let bytes = digest.encoded_len();
+    assert!(
+        bytes < DATAGRAM_BYTES / 2,
+        "{bytes} bytes, the rest of a digest aside"
+    );
+}
