Add up the demand that peers report without overflow

A digest with a demand near 2^64 ended the task that receives digests, by a panic where overflow is checked: the gateway then heard no peer until it was restarted, nor any change of the list that peers pass on. Without the checks the sum wrapped.

--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -34,8 +34,8 @@
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
         Self {
-            prefill_work: self.prefill_work + other.prefill_work,
-            decode_tokens: self.decode_tokens + other.decode_tokens,
+            prefill_work: self.prefill_work.saturating_add(other.prefill_work),
+            decode_tokens: self.decode_tokens.saturating_add(other.decode_tokens),
         }
     }
 
