Count one load of a peer at each endpoint

A peer's loads are looked up by binary search and subtracted again when its next digest arrives. A digest that listed them unsorted, or one endpoint twice, left a part of them behind for good: streams waited for slots of engines that were idle. They are sorted now, and only one counts for each endpoint.

--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -86,8 +86,7 @@
     peer.name = Arc::from(digest.name.as_str());
     peer.service_state = candidates::ServiceState::of(digest);
     peer.unreachable = candidates::decode_unreachable(digest);
-    let loads = digest.loads.iter().map(decode_load).collect();
-    let before = std::mem::replace(&mut peer.loads, loads);
+    let before = std::mem::replace(&mut peer.loads, decode_loads(digest));
     let after = peer.loads.clone();
     peer.is_steward = digest.steward;
     peer.store_available = digest.store_answers;
@@ -115,6 +114,15 @@
     apply_stage_changes(gateway, &digest.changing, &digest.stages);
 }
 
+/// Returns a peer's load at each endpoint, sorted by endpoint. Of several loads at one endpoint only one counts, as each
+/// is subtracted again when the next digest arrives.
+fn decode_loads(digest: &Digest) -> Vec<(u32, Load)> {
+    let mut loads: Vec<(u32, Load)> = digest.loads.iter().map(decode_load).collect();
+    loads.sort_unstable_by_key(|(endpoint, _)| *endpoint);
+    loads.dedup_by_key(|(endpoint, _)| *endpoint);
+    loads
+}
+
 /// Queues endpoint changes from a peer for the task that follows the endpoint list.
 fn queue_changes(gateway: &Gateway, digest: &Digest) {
     if digest.changes.is_empty() {
