Do not hold resumed streams at the fastest engine while others complete them in time

Callers that resumed streams after a kill of gateways waited up to 0.6 s for the next event, though an engine of their build would have sent it sooner.

An answer whose prefill no engine tolerates beside its other answers is placed with the weakest limits, in which the time to decode all of the rest counts. That is meant for answers that no engine completes in time. Here all did, and a difference of 0.25 ms per token outweighed any backlog. Now that time counts only at engines that would not complete the answer in time, with all limits: those that do are equally fast.

The test failed before (`left: Some(Single { engine: 0 })`, `right: Some(Single { engine: 1 })`); all tests of `policy` pass after.

--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -435,9 +435,7 @@
     };
     let meets_deadline = !is_long
         || limits == Limits::WithoutPace
-        || !engine.latency.samples.has_known_pace()
-        || engine.latency.decode_token_us
-            <= request.max_inter_token_latency_us * weights.latency_limit_ratio
+        || completes_in_time(engine, request, weights)
         || engine.long_answers == 0;
     match engine.stage {
         Stage::Prefill => Some(Obstacle::Stage),
@@ -449,6 +447,12 @@
     }
 }
 
+/// Whether an engine decodes fast enough for the answer to meet its deadline, as far as its pace is known.
+fn completes_in_time(engine: &Engine, request: &Request, weights: &Weights) -> bool {
+    let limit_us = request.max_inter_token_latency_us * weights.latency_limit_ratio;
+    !engine.latency.samples.has_known_pace() || engine.latency.decode_token_us <= limit_us
+}
+
 /// Whether an engine would prefill so few tokens of the prompt that it is prefilled where it is decoded.
 #[must_use]
 pub fn is_short_prefill(engine: &Engine, request: &Request, weights: &Weights) -> bool {
@@ -613,8 +617,8 @@
     }
 }
 
-/// Returns the time to decode the rest of an answer that no engine would complete in time. All that would do so count
-/// as equally fast. Of an answer of unknown length only the first tokens count: a maximum says little of its end.
+/// Returns the time to decode the rest of an answer at an engine that would not complete it in time. All that would do so
+/// count as equally fast. Of an answer of unknown length only the first tokens count: a maximum says little of its end.
 fn decode_us(engine: &Engine, request: &Request, weights: &Weights, limits: Limits) -> f64 {
     let tokens = if request.has_length_hint {
         request.expected_output_tokens
@@ -622,9 +626,10 @@
         let known = weights.short_answer_max_tokens;
         request.expected_output_tokens.min(known)
     };
-    match limits {
-        Limits::All => 0.0,
-        Limits::WithoutPace | Limits::Slots => to_f64(tokens) * engine.latency.decode_token_us,
+    if limits == Limits::All || completes_in_time(engine, request, weights) {
+        0.0
+    } else {
+        to_f64(tokens) * engine.latency.decode_token_us
     }
 }
 
--- a/components/policy/tests/place.rs
+++ b/components/policy/tests/place.rs
@@ -383,6 +383,24 @@
     assert_eq!(chosen(&engines, &in_time), expected);
 }
 
+#[test]
+fn a_stream_that_has_begun_does_not_wait_at_the_fastest_engine_if_others_complete_it_in_time_too() {
+    // neither tolerates the prefill beside its answers
+    let in_time = Request {
+        received_tokens: 8_000,
+        expected_output_tokens: 10_000,
+        max_inter_token_latency_us: 50.0 * MS,
+        ..late_stream()
+    };
+    let fastest = Engine {
+        prefill_work: 20_000,
+        ..busy_engine(20, 3.8 * MS)
+    };
+    let engines = [fastest, busy_engine(20, 4.0 * MS)];
+    let idle = Some(Placement::Single { engine: 1 });
+    assert_eq!(chosen(&engines, &in_time), idle);
+}
+
 #[test]
 fn a_stream_that_has_begun_takes_a_slot_that_is_left_to_short_answers_but_none_that_is_taken() {
     assert!(chosen(&[busy_engine(50, 4.0 * MS)], &late_stream()).is_some());
