Ignore events that arrive together as the first sample of the latency beside prefill

The latency of answers beside prefill is learnt from its first sample on, and each later one raises it to four times at most. Two events that arrive together made 2 us per token that first sample, at an engine that decodes at 700 us and at 2,200 beside prefill: prefill then seems to delay nothing, so that one engine takes any backlog, and those whose latency is not known yet count as ones that do not tolerate it.

A first sample below the pace without prefill now counts for nothing, once that pace has been observed.

--- a/components/policy/src/estimate.rs
+++ b/components/policy/src/estimate.rs
@@ -274,7 +274,13 @@
             .map_or(Micros::MAX, |token_us| to_u64(token_us * to_f64(tokens)))
     }
 
+    /// Learns from an event that prefill may have delayed. One that came faster than without prefill, such as one that
+    /// arrived together with the event before, can't be the first sample: it would hide the delay from the samples after it.
     fn observe_contended(&mut self, sample: f64) {
+        let has_pace = self.samples.decode > 0;
+        if self.contended_token_us.is_none() && has_pace && sample < self.decode_token_us {
+            return;
+        }
         let estimate = self.contended_token_us.get_or_insert(sample);
         let sample = sample.min(*estimate * MAX_SAMPLE_RATIO);
         let weight = if sample > *estimate {
--- a/components/policy/tests/estimates.rs
+++ b/components/policy/tests/estimates.rs
@@ -191,6 +191,19 @@
     assert!(contended_us > 20_000.0, "{contended_us}");
 }
 
+/// Two events that arrive together, which is no sign that prefill does not delay answers.
+#[test]
+fn an_event_that_comes_faster_than_without_prefill_does_not_hide_its_effect() {
+    let mut latency = Latency::initial_decode();
+    latency.observe_event(9, 36_000, None, None);
+    latency.observe_event(9, 20, Some(190_000), None);
+    assert_eq!(latency.contended_token_us, None);
+    latency.observe_event(9, 229_000, Some(400_000), None);
+    latency.observe_event(9, 229_000, Some(400_000), None);
+    let contended_us = latency.contended_token_us.expect("events were observed");
+    assert!(contended_us > 20_000.0, "{contended_us}");
+}
+
 /// Most events that are assumed to coincide with a prefill do not, because the prompt was cached or had not arrived
 /// yet. They are not delayed and say nothing about the effect of prefill.
 #[test]
