Let resumed streams take slots that new requests of a higher priority leave to them

Callers' resumed streams waited beside an engine of their build with room and were refused with `no endpoint takes requests` after their longest wait. New requests on the route of the higher priority waited there too and were placed at engines of other builds all the while.

A request that finds room leaves it to the first ones of other queues that come before it until these have looked too and found none, and starts to wait anew whenever one of them takes room. While a stream waits for its build, new requests leave the engines of that build out, so what they wait for and take is never what the stream found. Still each new request of a higher priority that was placed anywhere made the stream wait once more: with one in each 10 ms it waits to its end. The same held between streams of two builds, and the other way round.

Now only requests that can take the same slots count: new ones and those bound to a build not while the new ones leave that build's engines to others, and streams of two builds never.

--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -253,6 +253,12 @@
         self.path.error().is_none() || self.idle.iter().any(|idle| idle.is_open(now))
     }
 
+    /// Whether it accepts requests now.
+    pub fn accepts(&self, now: Instant, reach: Reach) -> bool {
+        let is_due = reach == Reach::Listed || self.health.accepts_requests(now);
+        self.is_usable(now, reach) && is_due && !self.is_refusal_checked()
+    }
+
     /// Whether it could be used if its failures and refusals did not count.
     fn is_usable(&self, now: Instant, reach: Reach) -> bool {
         let is_ready = self.profile.state == State::Ready;
@@ -387,10 +393,8 @@
     ) -> Option<Snapshot> {
         self.with(|state| {
             state.prefix_cache.resize(defaults.kv_capacity_tokens);
-            let is_due = reach == Reach::Listed || state.health.accepts_requests(now);
-            let accepts = state.is_usable(now, reach) && is_due && !state.is_refusal_checked();
             let default_latency = defaults.latencies.for_stage(state.profile.stage);
-            accepts.then(|| Snapshot {
+            state.accepts(now, reach).then(|| Snapshot {
                 profile: state.profile.clone(),
                 load: Load {
                     prefill_work: state.remaining_prefill(now, default_latency),
--- a/components/gateway/src/process/service.rs
+++ b/components/gateway/src/process/service.rs
@@ -240,22 +240,32 @@
     }
 
     /// Whether a request that comes before one of this rank waits for slots that one with this claim can take, and has not
-    /// looked for room after `since`.
+    /// looked for room after `since`. New requests leave the engines of the `reserved` builds to others.
     pub fn is_outranked(
         &self,
         service: &Arc<str>,
         claim: Claim<'_>,
+        reserved: &[Build],
         rank: Rank,
         since: Instant,
     ) -> bool {
         self.with_service(service, |state| {
-            state.queues.is_outranked(claim, rank, since)
+            state.queues.is_outranked(claim, reserved, rank, since)
         })
     }
 
-    /// Returns when a request that waited for room at a service, and comes before one of this rank, last took some.
-    pub fn room_taken_at(&self, service: &Arc<str>, rank: Rank) -> Option<Instant> {
-        self.with_service(service, |state| state.queues.taken_at(rank))
+    /// Returns when a request that waited for room at a service, and comes before one of this rank, last took some that one
+    /// with this claim could take. New requests leave the engines of the `reserved` builds to others.
+    pub fn room_taken_at(
+        &self,
+        service: &Arc<str>,
+        claim: Claim<'_>,
+        reserved: &[Build],
+        rank: Rank,
+    ) -> Option<Instant> {
+        self.with_service(service, |state| {
+            state.queues.taken_at(claim, reserved, rank)
+        })
     }
 
     /// Returns the builds for whose engines requests wait that other engines can't serve.
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -26,7 +26,7 @@
     endpoint::{DecodeGuard, Target},
     forwarding,
 };
-use snapshot::{Snapshot, placement_request};
+use snapshot::{Snapshot, placement_request, reserved_builds};
 use timing::Timing;
 
 pub use queue::{Queue, Rank};
@@ -140,8 +140,9 @@
             joined: None,
         };
         let service = &job.service.name;
+        let reserved = reserved_builds(job);
         job.gateway
-            .is_outranked(service, claim, rank, Instant::now())
+            .is_outranked(service, claim, &reserved, rank, Instant::now())
     };
     // requests that already wait go first
     let may_go = queue.len() == 0 && !(is_outranked() && !goes_elsewhere() && ends_in_time());
--- a/components/gateway/src/request/generate/queues.rs
+++ b/components/gateway/src/request/generate/queues.rs
@@ -7,7 +7,7 @@
 
 use super::{
     queue::{Queue, Rank},
-    snapshot::{Snapshot, is_long_answer},
+    snapshot::{Snapshot, is_long_answer, reserved_builds},
 };
 use crate::{
     endpoint::{Build, Target},
@@ -72,17 +72,37 @@
     }
 
     /// Whether a request that comes before one of this rank waits for slots that one with this claim can take, and has not
-    /// looked for room after `since`.
-    pub fn is_outranked(&self, claim: Claim<'_>, rank: Rank, since: Instant) -> bool {
-        let is_rival = |build: &Build| claim.build().is_none_or(|own| own == build);
-        let mut rivals = self.bound().filter(|(build, _)| is_rival(build));
-        self.new.outranks(rank, since) || rivals.any(|(_, queue)| queue.outranks(rank, since))
+    /// looked for room after `since`. New requests leave the engines of the `reserved` builds to others.
+    pub fn is_outranked(
+        &self,
+        claim: Claim<'_>,
+        reserved: &[Build],
+        rank: Rank,
+        since: Instant,
+    ) -> bool {
+        let mut rivals = self.rivals(claim, reserved);
+        rivals.any(|queue| queue.outranks(rank, since))
     }
 
-    /// Returns when a request that comes before one of this rank last took room that it had found.
-    pub fn taken_at(&self, rank: Rank) -> Option<Instant> {
-        let taken = self.bound().filter_map(|(_, queue)| queue.taken_at(rank));
-        taken.chain(self.new.taken_at(rank)).max()
+    /// Returns when a request that comes before one of this rank last took room that one with this claim could take.
+    pub fn taken_at(&self, claim: Claim<'_>, reserved: &[Build], rank: Rank) -> Option<Instant> {
+        let rivals = self.rivals(claim, reserved);
+        rivals.filter_map(|queue| queue.taken_at(rank)).max()
+    }
+
+    /// Returns the queues of requests that can take the same slots as one with this claim.
+    fn rivals<'a>(
+        &'a self,
+        claim: Claim<'a>,
+        reserved: &'a [Build],
+    ) -> impl Iterator<Item = &'a Queue> {
+        let is_shared = |build: &Build| !reserved.contains(build);
+        let new = claim.build().is_none_or(is_shared).then_some(&*self.new);
+        let bound = self.bound().filter(move |(build, _)| match claim.build() {
+            Some(own) => own == build,
+            None => is_shared(build),
+        });
+        new.into_iter().chain(bound.map(|(_, queue)| &**queue))
     }
 
     /// Returns the builds for whose engines requests wait that other engines can't serve.
@@ -109,12 +129,16 @@
     let ticket = queue.join(job);
     while ticket.wait_turn(job).await {
         let found = look();
-        let taken_at = job.gateway.room_taken_at(&job.service.name, ticket.rank());
+        let reserved = reserved_builds(job);
+        let service = &job.service.name;
+        let taken_at = job
+            .gateway
+            .room_taken_at(service, claim, &reserved, ticket.rank());
         let room_since = ticket.record_look(found.is_ok(), taken_at);
         // those in other queues that come before it look first
         let is_outranked = |since| {
             job.gateway
-                .is_outranked(&job.service.name, claim, ticket.rank(), since)
+                .is_outranked(service, claim, &reserved, ticket.rank(), since)
         };
         if room_since.is_some_and(|since| !is_outranked(since)) {
             ticket.record_taken();
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -312,6 +312,25 @@
         .sum()
 }
 
+/// Returns the builds whose engines new requests leave to requests that wait for them, since there are engines of others.
+pub fn reserved_builds(job: &Job) -> Vec<Build> {
+    let awaited = job.gateway.awaited_builds(&job.service.name);
+    if awaited.is_empty() {
+        return awaited;
+    }
+    let now = Instant::now();
+    let fleet = job.gateway.registry.fleet(&job.service.name);
+    let unreachable = job.gateway.peers.unreachable_data_centres();
+    let has_others = fleet.subset().iter().any(|target| {
+        target.with(|state| {
+            let profile = &state.profile;
+            let is_reachable = !unreachable.contains(&profile.data_centre);
+            is_reachable && !awaited.contains(&profile.build) && state.accepts(now, Reach::Own)
+        })
+    });
+    if has_others { awaited } else { Vec::new() }
+}
+
 /// Returns the builds of engines, sorted.
 fn builds(candidates: &[(Arc<Target>, endpoint::Snapshot)]) -> Vec<Build> {
     let mut builds: Vec<Build> = Vec::new();
