Use a third build without waiting

While two builds of a service were in use and a third one appeared after a kill of all gateways, new streams kept to the engines of the first two for 1.2 s and more, beside idle ones of the third, and took the room of the streams that callers resumed there. The third build waited for those callers to come back, which protects nothing: with two builds in use an unknown stream is refused anyway. It now gets its row at once.

A gateway that does not write first now waits for one interval of reads rather than two, so that requests that only it could not place do not wait longer.

--- a/components/gateway/src/process/builds/admission.rs
+++ b/components/gateway/src/process/builds/admission.rs
@@ -29,8 +29,6 @@
 const MAX_SETTLING: Duration = Duration::from_secs(10);
 /// Time without an endpoint that takes new streams after which they begin at a build that has no row.
 const UNRECORDED_DELAY: Duration = Duration::from_secs(1);
-/// Number of reads of the rows after which a gateway writes one itself that another one should have written.
-const AWAITED_READS: u32 = 2;
 /// Delay before a failed write is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of rows in one transaction.
@@ -50,6 +48,8 @@
     NothingElse,
     /// A request has found no room at the builds in use.
     NoRoom,
+    /// Several builds are in use already.
+    SeveralUsed,
     /// The streams of the builds in use are saved, and callers of gateways that are gone have come back.
     Settled,
 }
@@ -63,6 +63,8 @@
     Unserved,
     /// A request has found no room.
     Full,
+    /// There are several, so that no stream is known to be of any by the rows.
+    Several,
     /// Requests find room.
     Serving,
 }
@@ -86,6 +88,7 @@
         let (reason, delay) = match self.in_use {
             InUse::None => (Reason::FirstUse, Duration::ZERO),
             InUse::Unserved => (Reason::NothingElse, Duration::ZERO),
+            InUse::Several => (Reason::SeveralUsed, Duration::ZERO),
             InUse::Full => (Reason::NoRoom, self.save_delay),
             InUse::Serving if self.is_settling => return None,
             InUse::Serving => (Reason::Settled, self.save_delay),
@@ -230,7 +233,7 @@
     let yields_for = if is_writer {
         Duration::ZERO
     } else {
-        AWAITED_READS * read::poll_interval(gateway)
+        read::poll_interval(gateway)
     };
     let mut due = Vec::new();
     for waiting in waiting {
@@ -266,10 +269,13 @@
 
 fn in_use(gateway: &Gateway, service: &Arc<str>) -> InUse {
     let without_room = gateway.stored_builds.without_room.lock();
-    if gateway.registry.builds().used(service).is_empty() {
+    let used = gateway.registry.builds().used(service);
+    if used.is_empty() {
         InUse::None
     } else if !has_admitted(gateway, service) {
         InUse::Unserved
+    } else if used.len() > 1 {
+        InUse::Several
     } else if without_room.binary_search(service).is_ok() {
         InUse::Full
     } else {
--- a/components/gateway/src/process/builds/tests.rs
+++ b/components/gateway/src/process/builds/tests.rs
@@ -55,6 +55,15 @@
     assert_eq!(needed(500).reason(), Some(Reason::NoRoom));
 }
 
+#[test]
+fn a_third_build_does_not_wait() {
+    let third = Situation {
+        in_use: InUse::Several,
+        ..waiting(0)
+    };
+    assert_eq!(third.reason(), Some(Reason::SeveralUsed));
+}
+
 #[test]
 fn a_build_that_alone_takes_requests_does_not_wait() {
     let alone = Situation {
