Resume streams from before a further build was used while all gateways are left that would know others

Callers of gateways that were all killed beside an upgrade had their streams refused as not known, 0 of 40, while 200 of 200 new ones began, if new streams filled the engines of the build in use: the row of the further build is then written before callers have come back, and with two builds in use nothing was concluded any more.

A stream of the further build is known to the gateway that began it. So if each gateway has been there since the rows last named one build only, none has ended, and all answer that they do not know a stream, it began before, at that build. One that is gone, or registered and not heard from, makes it uncertain, and the stream is refused as before.

builds_in_use::streams_go_on_after_a_kill_though_new_ones_fill_the_engines_of_their_build failed before (0 of 40) and passes.

--- a/components/gateway/src/peer/lost.rs
+++ b/components/gateway/src/peer/lost.rs
@@ -41,6 +41,18 @@
         })
     }
 
+    /// Whether every gateway that has been heard from, or has registered, is alive and has not ended since then. One that was
+    /// heard from for the first time later may have started before.
+    pub fn are_all_left_since(&self, since: Instant) -> bool {
+        let now = Instant::now();
+        let was_before = |ended: Option<Instant>| ended.is_none_or(|ended| ended < since);
+        let known = self.known.lock();
+        was_before(*self.last_dropped.lock())
+            && known
+                .iter()
+                .all(|peer| peer.is_alive(now) && was_before(peer.replaced_at))
+    }
+
     /// Whether a peer has been known for less than `period` under its present incarnation, as it has just started.
     pub fn has_just_started(&self, period: Duration) -> bool {
         let now = Instant::now();
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -90,6 +90,8 @@
     last_contact: tokio::time::Instant,
     /// When the first digest of its current incarnation was received.
     incarnation_since: Instant,
+    /// When a digest showed that an earlier incarnation had ended; `None` if none has been heard from.
+    replaced_at: Option<Instant>,
     /// Its heartbeat interval, as it reported it.
     heartbeat_interval: Duration,
     /// Whether it reads the operators' lists from the store itself.
@@ -129,6 +131,8 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     known: Mutex<Vec<Peer>>,
+    /// When a peer was last forgotten that had been heard from.
+    last_dropped: Mutex<Option<Instant>>,
     pending_placements: Mutex<Vec<Placed>>,
     /// Encoded endpoint changes that wait for the next digest.
     pending_changes: Mutex<Vec<EndpointChanges>>,
@@ -497,6 +501,7 @@
             last_received: None,
             last_contact: tokio::time::Instant::now(),
             incarnation_since: Instant::now(),
+            replaced_at: None,
             heartbeat_interval: fan_out::HEARTBEAT_INTERVAL,
             reads_lists: false,
             revisions: [0; 2],
--- a/components/gateway/src/peer/receive.rs
+++ b/components/gateway/src/peer/receive.rs
@@ -74,6 +74,9 @@
         log::info!(peer = digest.name, data_centre = digest.data_centre; "peer is reachable");
     }
     if restarted {
+        if peer.last_received.is_some() {
+            peer.replaced_at = Some(now);
+        }
         peer.incarnation_since = now;
     }
     peer.incarnation = digest.incarnation;
@@ -300,7 +303,13 @@
             unreachable.push(std::mem::take(&mut peer.loads));
         }
     }
-    known.retain(|peer| peer.last_contact.elapsed() < PEER_TTL);
+    known.retain(|peer| {
+        let is_kept = peer.last_contact.elapsed() < PEER_TTL;
+        if !is_kept && peer.last_received.is_some() {
+            *gateway.peers.last_dropped.lock() = Some(now);
+        }
+        is_kept
+    });
     drop(known);
     for loads in unreachable {
         log::info!(loads = loads.len(); "peer is unreachable");
--- a/components/gateway/src/process/builds/mod.rs
+++ b/components/gateway/src/process/builds/mod.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod cleanup;
 mod read;
+mod sole;
 #[cfg(test)]
 mod tests;
 
@@ -22,6 +23,7 @@
 
 use super::{Gateway, List};
 use crate::endpoint::{BUILD_RETENTION, Build};
+use sole::Soles;
 
 /// The prefix of the keys of builds.
 pub(super) const ROW_PREFIX: &str = "build/";
@@ -104,6 +106,8 @@
     /// Changes whenever more has become known.
     reading: watch::Sender<Rows>,
     reads: Mutex<Reads>,
+    /// Until when streams can have begun at one build only.
+    soles: Soles,
     /// Notified when a search needs the rows to be read again.
     read_wanted: Notify,
     /// The services whose requests find no room at the builds in use, while another one waits for its row.
@@ -121,6 +125,7 @@
             reported_revision: AtomicU64::new(0),
             reading: watch::Sender::new(Rows::Pending),
             reads: Mutex::default(),
+            soles: Soles::default(),
             read_wanted: Notify::new(),
             without_room: Mutex::default(),
             admissions: watch::Sender::new(()),
--- a/components/gateway/src/process/builds/read.rs
+++ b/components/gateway/src/process/builds/read.rs
@@ -124,6 +124,7 @@
         .collect();
     known.sort_unstable();
     *gateway.stored_builds.rows.lock() = known;
+    gateway.stored_builds.soles.record(&stored, began);
     gateway.stored_builds.reads.lock().succeeded = Some(began);
     gateway.stored_builds.admissions.send_replace(());
     stored
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -41,6 +41,8 @@
     OnlyBuild,
     /// Several builds serve or have lately, and streams may have begun at one of them only.
     OnlyUsedBuild,
+    /// Several are in use, and every gateway that can have begun streams at the later ones is there and does not know it.
+    BuildBeforeOthers,
 }
 
 /// A search for the build that began a stream.
@@ -121,7 +123,8 @@
                     return known.ok();
                 }
                 if !self.may_learn(questions) {
-                    return self.unconfirmed();
+                    let before_others = || self.before_others(questions);
+                    return self.unconfirmed().or_else(before_others);
                 }
                 let changed = async {
                     tokio::select! {
@@ -162,11 +165,8 @@
 
     /// Returns the build at which all streams of the service have begun, if there is just one.
     fn only_used(&self) -> Option<Build> {
-        let is_uncertain = !self.gateway.knows_earlier_builds()
-            || self.gateway.has_unparsed_builds()
-            || self.gateway.registry.builds().has_unrecorded(self.service);
         match self.used().as_slice() {
-            [only] if !is_uncertain => Some(only.clone()),
+            [only] if !self.is_uncertain() => Some(only.clone()),
             _ => None,
         }
     }
@@ -207,6 +207,27 @@
         only.map(|only| (only, Source::OnlyUsedBuild))
     }
 
+    /// Returns the build that was the only one in use before others were, if the stream began before: each gateway that can
+    /// have begun it later has answered that it does not know it.
+    fn before_others(&self, questions: &Questions<'_>) -> Option<(Build, Source)> {
+        let is_asked_of_all = questions
+            .stream
+            .as_ref()
+            .is_some_and(|question| question.unanswered().is_empty());
+        let found = self.gateway.build_before_others(self.service);
+        let is_used = |build: &Build| self.used().contains(build);
+        let certain =
+            found.filter(|build| is_asked_of_all && !self.is_uncertain() && is_used(build));
+        certain.map(|build| (build, Source::BuildBeforeOthers))
+    }
+
+    /// Whether streams may have begun at builds of which this process does not know that they are used.
+    fn is_uncertain(&self) -> bool {
+        !self.gateway.knows_earlier_builds()
+            || self.gateway.has_unparsed_builds()
+            || self.gateway.registry.builds().has_unrecorded(self.service)
+    }
+
     /// Whether the store did not answer the last time that the rows of builds were read again.
     fn has_failed(&self) -> bool {
         self.gateway.confirmed_builds(self.arrived).is_none()
