Break streams off at once where the engines left of their build only prefill

A stream that broke waited for room for up to four objectives although no engine of its build decodes: one that only prefills counted as one that may get a slot. Its caller got nothing meanwhile and could not resume it elsewhere.

Whether one decodes decides now, as it does for those that have begun to drain.

The test failed before: the stream ended after 2.04 s, 0.5 are allowed.

--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -243,7 +243,7 @@
     let placed = match try_place() {
         (snapshot, Some(choice)) => Some((snapshot, choice)),
         (snapshot, None)
-            if snapshot.targets.is_empty()
+            if !snapshot.has_decode_engine()
                 && snapshot::recovering_slots(job, broken.tried) == 0 =>
         {
             None
--- a/components/gateway/src/request/generate/snapshot.rs
+++ b/components/gateway/src/request/generate/snapshot.rs
@@ -44,7 +44,7 @@
     }
 
     /// Whether an engine decodes; those that only prefill can't continue a stream.
-    fn has_decode_engine(&self) -> bool {
+    pub fn has_decode_engine(&self) -> bool {
         let mut engines = self.engines.iter();
         engines.any(|engine| engine.stage == place::Stage::Decode)
     }
