--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -19,17 +19,17 @@
 pub use changes::Advertisement;
 pub use lost::Lost;
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, OnceLock},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clock::Instant;
 use parking_lot::Mutex;
 use policy::prompt::Part;
+use prost::Message;
 use settings::gateway::Settings;
-use tokio::{net::UdpSocket, sync::Notify};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, watch},
+};
 use wire::{Digest, EndpointChanges, EndpointLoad, Placed, ServiceDemand, StageTold};
 
 use crate::{
@@ -61,6 +61,9 @@
 /// Maximum number of endpoint changes in one message, so that it fits into a datagram, and maximum
 /// number of messages that wait for the next digest.
 const MAX_CHANGES: usize = 32;
+/// Maximum size of the messages that wait for the next digest together: less than half of a datagram, as a digest has other
+/// parts too. A digest that does not fit into a datagram is not sent at all.
+const MAX_CHANGES_BYTES: usize = 30 << 10;
 /// Number of received advertisements that wait for processing above which those in further digests
 /// are dropped. Their changes are read from the store instead.
 const MAX_ADVERTISEMENTS: usize = 256;
@@ -137,7 +140,7 @@
     /// service.
     demands: Mutex<Vec<(u32, DemandTotals)>>,
     /// When the registration rows of all gateways were first read.
-    membership_known: OnceLock<tokio::time::Instant>,
+    membership_known: watch::Sender<Option<tokio::time::Instant>>,
 }
 
 impl Peers {
@@ -170,13 +173,28 @@
 
     /// Whether the registration rows of all gateways have been read.
     pub fn is_membership_known(&self) -> bool {
-        self.membership_known.get().is_some()
+        self.membership_known.borrow().is_some()
+    }
+
+    /// Waits until the registration rows of all gateways have been read.
+    pub async fn membership_known(&self) {
+        let mut known = self.membership_known.subscribe();
+        // the sender lives as long as this
+        let _ = known.wait_for(Option::is_some).await;
+    }
+
+    fn record_membership_known(&self) {
+        self.membership_known.send_if_modified(|known| {
+            let is_first = known.is_none();
+            known.get_or_insert_with(tokio::time::Instant::now);
+            is_first
+        });
     }
 
     /// Whether live peers may not be known yet: the registration rows have not been read, or so recently that peers without
     /// a row may not have sent a digest.
     pub fn is_discovering(&self) -> bool {
-        let known_since = self.membership_known.get();
+        let known_since = *self.membership_known.borrow();
         known_since.is_none_or(|since| since.elapsed() < DISCOVERY_PERIOD)
     }
 
@@ -309,12 +327,18 @@
     }
 
     /// Queues endpoint changes for the peers. Batches of more than [`MAX_CHANGES`] are dropped, and
-    /// so are batches while [`MAX_CHANGES`] of them are queued; peers then read the list from the
-    /// store.
+    /// so are batches while [`MAX_CHANGES`] of them are queued or they would have more than
+    /// [`MAX_CHANGES_BYTES`] together; peers then read the list from the store.
     pub fn advertise(&self, changes: &Advertisement) {
+        if changes.changes.len() > MAX_CHANGES {
+            return;
+        }
+        let encoded = changes.encode();
         let mut pending_changes = self.pending_changes.lock();
-        if changes.changes.len() <= MAX_CHANGES && pending_changes.len() < MAX_CHANGES {
-            pending_changes.push(changes.encode());
+        let pending = pending_changes.iter().map(Message::encoded_len);
+        let bytes = pending.sum::<usize>() + encoded.encoded_len();
+        if bytes <= MAX_CHANGES_BYTES && pending_changes.len() < MAX_CHANGES {
+            pending_changes.push(encoded);
         }
     }
 
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -8,7 +8,7 @@
 mod snapshot;
 mod timing;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use clock::Instant;
 use hyper::Response;
@@ -29,10 +29,21 @@
 use snapshot::{Snapshot, placement_request, reserved_builds};
 use timing::Timing;
 
-pub use queue::{Queue, Rank};
+pub use queue::{Queue, Rank, max_wait};
 pub use queues::{Claim, Queues};
 pub use snapshot::is_long_answer;
 
+/// Delay before an engine that refused a stream is tried again, as there is no other: its slots have been taken a moment ago.
+const READMISSION_DELAY: Duration = Duration::from_millis(50);
+
+/// Whether a request may be tried again at the engines that refused it: if it continues a stream, which others can't, and no
+/// peer reaches more of them.
+fn may_readmit(job: &Job) -> bool {
+    job.build().is_some()
+        && job.time_left() > READMISSION_DELAY
+        && !forwarding::send::is_possible(job)
+}
+
 /// Serves a generation.
 pub async fn serve(job: Job, mut attempts: Attempts) -> Result<Response<Body>, Unserved> {
     let mut may_split = true;
@@ -41,6 +52,10 @@
     loop {
         let (snapshot, choice, timing) = match place(&job, &attempts, may_split).await {
             Ok(placed) => placed,
+            Err(Denial::NoRoom(_)) if may_readmit(&job) && attempts.readmit_refused() => {
+                clock::sleep(READMISSION_DELAY).await;
+                continue;
+            }
             Err(denial) => return Err(denial.unserved(job, attempts)),
         };
         let outcome = match (timing, choice.placement) {
@@ -150,6 +165,7 @@
         return Ok((snapshot, choice));
     }
     snapshot.log_obstacles(job, claim, "no engine has room, or others wait for it");
+    job.record_no_room();
     if goes_elsewhere() {
         return Err(Denial::NoRoom(attempts.exhausted_refusal()));
     }
@@ -176,6 +192,23 @@
     queues::wait(job, claim, look).await
 }
 
+/// Waits in the queue until `look` finds an endpoint, as long as those on which the request has not failed yet only get none
+/// for a moment; `None` if it finds none in time.
+pub async fn wait_for_recovery<T>(
+    job: &Job,
+    tried: &[Arc<Target>],
+    look: impl Fn() -> Option<T>,
+) -> Option<T> {
+    let waiting = job.gateway.queue(&job.service.name, Claim::New).len();
+    let has_slot = u64::try_from(waiting)
+        .is_ok_and(|waiting| waiting < snapshot::recovering_slots(job, tried));
+    if !has_slot || !job.ends_before_shutdown(queue::max_wait(job)) {
+        return None;
+    }
+    let look = || look().ok_or_else(|| Snapshot::new(job, tried));
+    queues::wait(job, Claim::New, look).await
+}
+
 /// A stream that broke, and what was tried to resume it.
 pub struct Broken<'a> {
     /// The last complete event.
@@ -210,7 +243,7 @@
     let placed = match try_place() {
         (snapshot, Some(choice)) => Some((snapshot, choice)),
         (snapshot, None)
-            if snapshot.targets.is_empty()
+            if !snapshot.has_decode_engine()
                 && snapshot::recovering_slots(job, broken.tried) == 0 =>
         {
             None
