Start background tasks again after a panic

A panic in a task that follows one of the operators' lists, receives digests or writes rows ended that task alone: the process went on serving by what it knew at that moment, and only a line in the log showed it. Peers that read the lists through it stopped following too.

The tasks for the lists, paths, rows, and the exchange with peers are started again half a second after a panic, which is logged. Each begins anew at any point: the lists are read in full. The steward's tasks are left as they are, as what they know of the lease must not be forgotten.

--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -36,7 +36,7 @@
 use crate::{
     adapters::StoreTime,
     endpoint::{Load, Stage, short_id},
-    process::{DemandTotals, Gateway, List},
+    process::{DemandTotals, Gateway, List, run_again},
     streams,
 };
 
@@ -516,10 +516,10 @@
     let socket = Arc::new(socket);
     gateway.streams.attach(&socket);
     tokio::join!(
-        discovery::run(&gateway),
-        send::run(&gateway, &socket),
-        receive::run(&gateway, &socket),
-        streams::run(&gateway, &socket),
+        run_again("discovery", || discovery::run(&gateway)),
+        run_again("digests to peers", || send::run(&gateway, &socket)),
+        run_again("digests of peers", || receive::run(&gateway, &socket)),
+        run_again("streams of peers", || streams::run(&gateway, &socket)),
     );
 }
 
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -11,6 +11,7 @@
 mod missing;
 mod paths;
 mod reload;
+mod restart;
 mod service;
 mod shutdown;
 mod status;
@@ -21,6 +22,7 @@
 pub use builds::Rows;
 pub use crashes::Liveness;
 pub use follow::List;
+pub use restart::run_again;
 pub use service::{DemandTotals, RetryPermit};
 pub use shutdown::Shutdown;
 
@@ -340,9 +342,18 @@
         let missed_ms = policy::micros(missed) / 1_000;
         log::warn!(missed_ms; "the machine was suspended");
     }));
-    tasks.spawn(configuration::run(Arc::clone(&gateway)));
-    tasks.spawn(endpoints::run(Arc::clone(&gateway)));
-    tasks.spawn(paths::run(Arc::clone(&gateway)));
+    let shared = Arc::clone(&gateway);
+    tasks.spawn(async move {
+        run_again("configuration", || configuration::run(Arc::clone(&shared))).await;
+    });
+    let shared = Arc::clone(&gateway);
+    tasks.spawn(async move {
+        run_again("endpoints", || endpoints::run(Arc::clone(&shared))).await;
+    });
+    let shared = Arc::clone(&gateway);
+    tasks.spawn(async move {
+        run_again("paths", || paths::run(Arc::clone(&shared))).await;
+    });
     tasks.spawn(peer::run(Arc::clone(&gateway), peers));
     tasks.spawn(status::serve(Arc::clone(&gateway), ready, status::ready));
     tasks.spawn(status::serve(
@@ -359,11 +370,11 @@
     let shared = Arc::clone(&gateway);
     tasks.spawn(async move { connection::watch_overload(&shared).await });
     let shared = Arc::clone(&gateway);
-    tasks.spawn(async move { withheld::run(&shared).await });
+    tasks.spawn(async move { run_again("withheld", || withheld::run(&shared)).await });
     let shared = Arc::clone(&gateway);
-    tasks.spawn(async move { builds::run(&shared).await });
+    tasks.spawn(async move { run_again("builds", || builds::run(&shared)).await });
     let shared = Arc::clone(&gateway);
-    tasks.spawn(async move { streams::run(&shared).await });
+    tasks.spawn(async move { run_again("streams", || streams::run(&shared)).await });
     Ok(Running { gateway, tasks })
 }
 
