Bound what builds that wait cost, and judge those in use by the list

A gateway that alone could not reach the build in use took it to serve no more, and wrote the row of the next one at once, which ends the certainty for all.

The checks follow updates of the list of endpoints, and come every 25 ms only while a build waits and in the first seconds of a process. Rows are logged once. Whether a build in use takes requests is judged by the list; only while the store is away, so that the list stands still, by what this process reaches.

--- a/components/gateway/src/endpoint/builds.rs
+++ b/components/gateway/src/endpoint/builds.rs
@@ -8,6 +8,7 @@
 
 use clock::Instant;
 use parking_lot::RwLock;
+use tokio::sync::watch;
 
 use super::{Build, Target};
 
@@ -83,16 +84,21 @@
     }
 }
 
-/// The builds of each service, sorted by the service's name.
+/// The builds of each service.
 #[derive(Debug, Default)]
-pub struct Builds(RwLock<Vec<(Arc<str>, Vec<Record>)>>);
+pub struct Builds {
+    /// Sorted by the service's name.
+    services: RwLock<Vec<(Arc<str>, Vec<Record>)>>,
+    /// Changes with each update of the list.
+    updates: watch::Sender<()>,
+}
 
 impl Builds {
     /// Returns the builds that serve a service or have lately, sorted.
     #[must_use]
     pub fn of(&self, service: &str) -> Vec<Build> {
         let now = Instant::now();
-        let services = self.0.read();
+        let services = self.services.read();
         let index = services.binary_search_by(|(name, _)| (**name).cmp(service));
         index.map_or_else(|_| Vec::new(), |index| counting(&services[index].1, now))
     }
@@ -101,7 +107,7 @@
     #[must_use]
     pub fn all(&self) -> Vec<(Arc<str>, Build)> {
         let now = Instant::now();
-        let services = self.0.read();
+        let services = self.services.read();
         let of_service = |(service, records): &(Arc<str>, Vec<Record>)| {
             let service = Arc::clone(service);
             let builds = counting(records, now).into_iter();
@@ -156,7 +162,7 @@
     }
 
     fn set_admission(&self, service: &str, build: Build, admission: Admission) -> bool {
-        let mut services = self.0.write();
+        let mut services = self.services.write();
         let records = records_of(&mut services, service);
         let index = index_of(records, build, Some(Instant::now()));
         let record = &mut records[index];
@@ -172,7 +178,7 @@
     }
 
     fn select(&self, service: &str, is_selected: impl Fn(&&Record) -> bool) -> Vec<Build> {
-        let services = self.0.read();
+        let services = self.services.read();
         let index = services.binary_search_by(|(name, _)| (**name).cmp(service));
         let records = index.map_or(&[][..], |index| &services[index].1);
         let selected = records.iter().filter(is_selected);
@@ -185,7 +191,7 @@
         build: &Build,
         get: impl FnOnce(&Record) -> T,
     ) -> Option<T> {
-        let services = self.0.read();
+        let services = self.services.read();
         let index = services.binary_search_by(|(name, _)| (**name).cmp(service));
         let records = &services[index.ok()?].1;
         let index = records.binary_search_by(|record| record.build.cmp(build));
@@ -196,15 +202,21 @@
     #[must_use]
     pub fn is_mixed(&self) -> bool {
         let now = Instant::now();
-        let services = self.0.read();
+        let services = self.services.read();
         let is_mixed =
             |records: &[Record]| records.iter().filter(|record| record.counts(now)).count() > 1;
         services.iter().any(|(_, records)| is_mixed(records))
     }
 
+    /// Returns a receiver that changes with each update of the list of endpoints.
+    #[must_use]
+    pub fn updates(&self) -> watch::Receiver<()> {
+        self.updates.subscribe()
+    }
+
     /// Records that a build has served a service until now.
     pub fn record_earlier(&self, service: &str, build: Build) {
-        let mut services = self.0.write();
+        let mut services = self.services.write();
         let records = records_of(&mut services, service);
         index_of(records, build, Some(Instant::now()));
     }
@@ -212,7 +224,7 @@
     /// Records which endpoints are listed now.
     pub(super) fn update(&self, targets: &[Arc<Target>]) {
         let now = Instant::now();
-        let mut services = self.0.write();
+        let mut services = self.services.write();
         for (_, records) in services.iter_mut() {
             for record in records.iter_mut() {
                 record.delisted.get_or_insert(now);
@@ -234,6 +246,8 @@
             forget_oldest(service, records);
         }
         services.retain(|(_, records)| !records.is_empty());
+        drop(services);
+        self.updates.send_replace(());
     }
 }
 
--- a/components/gateway/src/process/builds/admission.rs
+++ b/components/gateway/src/process/builds/admission.rs
@@ -9,6 +9,7 @@
 use clock::Instant;
 use cloud::table::Transaction;
 use derive_more::Display;
+use tokio::sync::watch;
 
 use super::{Gateway, List, Rows, StoredBuild, read};
 use crate::{
@@ -17,8 +18,12 @@
     version::ResumableService,
 };
 
-/// How often to check whether a build waits.
+/// How often to check whether a build that waits may be used.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// How often to check whether one waits when the list of endpoints has not changed, as the routes may have.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time from the start of the process in which it may wait for what it needs to serve.
+const STARTING_PERIOD: Duration = Duration::from_secs(5);
 /// Time in which the gateways learn of a build that has been listed, and in which a call to the store usually ends.
 const SAVE_SLACK: Duration = Duration::from_millis(250);
 /// Time in which callers that have noticed that their gateway is gone come back.
@@ -33,6 +38,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of rows in one transaction.
 const MAX_WRITES: usize = 100;
+/// How often a maximum that keeps builds from being used is logged.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum number of rows. Further builds wait until others have expired.
 const MAX_ROWS: usize = 1_000;
 /// Maximum length of the names of a service and a build together, in bytes, so that all rows can be read at once.
@@ -110,8 +117,9 @@
 pub(super) async fn run(gateway: &Gateway) {
     let mut waiting: Vec<Waiting> = Vec::new();
     let mut retry_at = Instant::now();
+    let mut updates = gateway.registry.builds().updates();
     loop {
-        clock::sleep(CHECK_INTERVAL).await;
+        until_check(gateway, &mut updates, !waiting.is_empty()).await;
         update(gateway, &mut waiting);
         let gauge = &gateway.metrics.streams.waiting_builds;
         gauge.set(i64::try_from(waiting.len()).unwrap_or(i64::MAX));
@@ -120,7 +128,13 @@
             continue;
         }
         let due = due(gateway, &mut waiting);
-        if !due.is_empty() && !write(gateway, &due).await {
+        if due.is_empty() {
+            continue;
+        }
+        if gateway.stored_builds.rows.lock().len() + due.len() > MAX_ROWS {
+            log::warn!(builds = due.len(); "too many builds; no stream begins at further ones until others have expired");
+            retry_at = Instant::now() + LOG_INTERVAL;
+        } else if !write(gateway, &due).await {
             retry_at = Instant::now() + RETRY_DELAY;
         }
     }
@@ -130,12 +144,15 @@
 /// lifetime of the process.
 pub(super) async fn run_without_rows(gateway: &Gateway) {
     let mut unserved: Vec<(Arc<str>, Instant)> = Vec::new();
+    let mut updates = gateway.registry.builds().updates();
     loop {
-        clock::sleep(CHECK_INTERVAL).await;
+        let is_any_waiting = is_any_waiting(gateway);
+        until_check(gateway, &mut updates, is_any_waiting).await;
         let now = Instant::now();
         let services = services(gateway);
         let names = services.iter().map(|service| &service.name);
-        let without: Vec<&Arc<str>> = names.filter(|name| is_unserved(gateway, name)).collect();
+        let is_unserved = |name: &&Arc<str>| is_unserved(gateway, name, Reach::Own);
+        let without: Vec<&Arc<str>> = names.filter(is_unserved).collect();
         unserved.retain(|(name, _)| without.contains(&name));
         for name in without {
             let known = unserved.iter().find(|(other, _)| other == name);
@@ -153,11 +170,30 @@
     }
 }
 
-/// Whether a build of a resumable service is listed and has no row.
+/// Waits until it is time to check whether builds may be used.
+async fn until_check(gateway: &Gateway, updates: &mut watch::Receiver<()>, is_any_waiting: bool) {
+    if is_any_waiting || gateway.started.elapsed() < STARTING_PERIOD {
+        clock::sleep(CHECK_INTERVAL).await;
+        return;
+    }
+    // the sender lives as long as the process, and a check too many does no harm
+    let _ = clock::timeout_at(Instant::now() + IDLE_INTERVAL, updates.changed()).await;
+}
+
+/// Whether a build of a resumable service is listed and waits for its row.
 pub(super) fn is_any_waiting(gateway: &Gateway) -> bool {
     let builds = gateway.registry.builds();
-    let mut services = services(gateway).into_iter();
-    services.any(|service| !builds.without_row(&service.name).is_empty())
+    services(gateway).iter().any(|service| {
+        let waiting = builds.without_row(&service.name);
+        waiting
+            .iter()
+            .any(|build| may_have_row(&service.name, build))
+    })
+}
+
+/// Whether the names of a build and its service are short enough for a row.
+fn may_have_row(service: &str, build: &Build) -> bool {
+    service.len() + build.0.len() <= MAX_NAME_BYTES
 }
 
 impl Gateway {
@@ -167,13 +203,13 @@
         services.iter().all(|service| {
             let builds = self.registry.builds();
             let waiting = builds.without_row(&service.name);
-            waiting.is_empty() || has_admitted(self, &service.name)
+            waiting.is_empty() || has_admitted(self, &service.name, Reach::Listed)
         })
     }
 
     /// Whether a build of a service waits for its row, and no endpoint of another one takes requests.
     pub fn awaits_build(&self, service: &str) -> bool {
-        is_unserved(self, service)
+        is_unserved(self, service, Reach::Listed)
     }
 }
 
@@ -185,14 +221,19 @@
     })
 }
 
+/// Updates the builds that wait, sorted by service and build.
 fn update(gateway: &Gateway, waiting: &mut Vec<Waiting>) {
     let now = Instant::now();
     let builds = gateway.registry.builds();
     let mut still = Vec::new();
     for service in services(gateway) {
         for build in builds.without_row(&service.name) {
-            let is_same = |known: &&Waiting| known.service == service.name && known.build == build;
-            let known = waiting.iter().find(is_same);
+            let order = |known: &Waiting| {
+                let names = (&known.service, &known.build);
+                names.cmp(&(&service.name, &build))
+            };
+            let known = waiting.binary_search_by(order).ok();
+            let known = known.map(|index| &waiting[index]);
             if known.is_none() {
                 log_waiting(gateway, &service.name, &build);
             }
@@ -216,7 +257,7 @@
         service = &**service, build:% = build, in_use:? = used, up_ms = gateway.micros() / 1_000;
         "a build waits until its row has been written"
     );
-    if service.len() + build.0.len() > MAX_NAME_BYTES {
+    if !may_have_row(service, build) {
         log::warn!(
             service_bytes = service.len(), build_bytes = build.0.len();
             "the name of a build is too long for a row; no stream begins there"
@@ -254,7 +295,7 @@
     let configuration = gateway.configuration()?;
     let mut services = configuration.resumable_services().iter();
     let service = services.find(|service| service.name == *name)?;
-    if name.len() + waiting.build.0.len() > MAX_NAME_BYTES {
+    if !may_have_row(name, &waiting.build) {
         return None;
     }
     let waited = now.saturating_duration_since(waiting.since);
@@ -272,7 +313,7 @@
     let used = gateway.registry.builds().used(service);
     if used.is_empty() {
         InUse::None
-    } else if !has_admitted(gateway, service) {
+    } else if !has_admitted(gateway, service, Reach::Listed) {
         InUse::Unserved
     } else if used.len() > 1 {
         InUse::Several
@@ -292,26 +333,42 @@
         || gateway.peers.has_just_started(period)
 }
 
+/// Which endpoints count as taking requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    /// Those that are listed as ready; peers may reach them where this process does not.
+    Listed,
+    /// Those that this process reaches.
+    Own,
+}
+
 /// Whether an endpoint of a service takes new streams.
-fn has_admitted(gateway: &Gateway, service: &str) -> bool {
+fn has_admitted(gateway: &Gateway, service: &str, reach: Reach) -> bool {
     let builds = gateway.registry.builds();
-    has_endpoint(gateway, service, |build| builds.is_admitted(service, build))
+    let is_admitted = |build: &Build| builds.is_admitted(service, build);
+    has_endpoint(gateway, service, reach, is_admitted)
 }
 
 /// Whether no endpoint of a service takes new streams, and one would whose build has no row.
-fn is_unserved(gateway: &Gateway, service: &str) -> bool {
-    let waiting = gateway.registry.builds().without_row(service);
-    !waiting.is_empty()
-        && !has_admitted(gateway, service)
-        && has_endpoint(gateway, service, |build| waiting.contains(build))
+fn is_unserved(gateway: &Gateway, service: &str, reach: Reach) -> bool {
+    let builds = gateway.registry.builds();
+    !builds.without_row(service).is_empty()
+        && !has_admitted(gateway, service, reach)
+        && has_endpoint(gateway, service, reach, |_| true)
 }
 
 /// Whether an endpoint of a build that takes requests is listed.
-fn has_endpoint(gateway: &Gateway, service: &str, is_counted: impl Fn(&Build) -> bool) -> bool {
+fn has_endpoint(
+    gateway: &Gateway,
+    service: &str,
+    reach: Reach,
+    is_counted: impl Fn(&Build) -> bool,
+) -> bool {
     let fleet = gateway.registry.fleet(service);
     fleet.targets().iter().any(|target| {
         let build = target.with(|state| {
-            let is_ready = state.profile.state == State::Ready && state.path.error().is_none();
+            let is_reached = reach == Reach::Listed || state.path.error().is_none();
+            let is_ready = state.profile.state == State::Ready && is_reached;
             is_ready.then(|| state.profile.build.clone())
         });
         build.is_some_and(|build| is_counted(&build))
@@ -320,11 +377,6 @@
 
 /// Writes rows. Returns whether the store accepted them.
 async fn write(gateway: &Gateway, due: &[(&Waiting, Reason)]) -> bool {
-    let known = gateway.stored_builds.rows.lock().len();
-    if known + due.len() > MAX_ROWS {
-        log::warn!(rows = known, builds = due.len(); "too many builds; no stream begins at further ones until others have expired");
-        return false;
-    }
     let endpoints_changed = gateway.last_changes.revision(List::Endpoints);
     let rows = due.iter().map(|(waiting, _)| StoredBuild {
         service: waiting.service.to_string(),
--- a/components/gateway/src/process/builds/mod.rs
+++ b/components/gateway/src/process/builds/mod.rs
@@ -201,7 +201,8 @@
 
     /// Whether rows of builds that can't be parsed may name builds at which streams have begun.
     pub fn has_unparsed_builds(&self) -> bool {
-        self.stored_builds.unparsed.lock().is_some()
+        let unparsed = self.stored_builds.unparsed.lock();
+        unparsed.as_ref().is_some_and(|rows| !rows.is_expired())
     }
 
     /// Records that a request has found no room at the builds of its service in use.
--- a/components/gateway/src/process/builds/read.rs
+++ b/components/gateway/src/process/builds/read.rs
@@ -94,13 +94,10 @@
     for row in rows {
         match serde_json::from_str::<StoredBuild>(&row.value) {
             Ok(row) => stored.push(row),
-            Err(error) => {
-                log::warn!(key = row.key, error:%; "could not parse the row of a build");
-                unparsed.push((row.key.clone(), row.version));
-            }
+            Err(error) => unparsed.push((row, error)),
         }
     }
-    record_unparsed(gateway, unparsed);
+    record_unparsed(gateway, &unparsed);
     let builds = gateway.registry.builds();
     for row in &stored {
         let build = Build(Arc::from(row.build.as_str()));
@@ -129,18 +126,20 @@
     stored
 }
 
-/// Records the rows that can't be parsed. Their time counts from when the first of them was read.
-fn record_unparsed(gateway: &Gateway, rows: Vec<(String, u64)>) {
+/// Records the rows that can't be parsed. Their time counts anew when there are further ones.
+fn record_unparsed(gateway: &Gateway, rows: &[(&Row, serde_json::Error)]) {
     let mut unparsed = gateway.stored_builds.unparsed.lock();
-    let is_known = |row: &(String, u64)| {
-        unparsed
-            .as_ref()
-            .is_some_and(|unparsed| unparsed.rows.contains(row))
-    };
-    if !rows.is_empty() && !rows.iter().all(is_known) {
-        *unparsed = Some(Unparsed {
-            rows,
-            read: Instant::now(),
-        });
+    let versions = rows.iter().map(|(row, _)| (row.key.clone(), row.version));
+    let versions: Vec<(String, u64)> = versions.collect();
+    let known = unparsed.as_ref().map_or(&[][..], |known| &known.rows);
+    if versions.iter().all(|row| known.contains(row)) {
+        return;
+    }
+    for (row, error) in rows {
+        log::warn!(key = row.key, error:%; "could not parse the row of a build");
     }
+    *unparsed = Some(Unparsed {
+        rows: versions,
+        read: Instant::now(),
+    });
 }
