Do not keep requests without room from a second build in large fleets

By reading: where requests find no room, a further build waited until all gateways had saved their streams, six seconds at 300 gateways, so that each upgrade that replaces many endpoints at once would have refused new streams beside idle ones. It waits for half a second at most then. The gateway that writes the row tells its peers at once, as their reads of the store are 1.2 s apart at 300 gateways.

No large fleet has been played with it.

--- a/components/gateway/src/process/builds/admission.rs
+++ b/components/gateway/src/process/builds/admission.rs
@@ -30,6 +30,8 @@
 const RESUMPTION_SLACK: Duration = Duration::from_secs(1);
 /// How long callers take to notice it if the operators don't say.
 const DEFAULT_SILENCE: Duration = Duration::from_secs(2);
+/// The longest time for which a build waits for streams to be saved while requests find no room without it.
+const MAX_SAVING_WITHOUT_ROOM: Duration = Duration::from_millis(500);
 /// The longest time for which a build waits for callers to come back.
 const MAX_SETTLING: Duration = Duration::from_secs(10);
 /// Time without an endpoint that takes new streams after which they begin at a build that has no row.
@@ -96,7 +98,7 @@
             InUse::None => (Reason::FirstUse, Duration::ZERO),
             InUse::Unserved => (Reason::NothingElse, Duration::ZERO),
             InUse::Several => (Reason::SeveralUsed, Duration::ZERO),
-            InUse::Full => (Reason::NoRoom, self.save_delay),
+            InUse::Full => (Reason::NoRoom, self.save_delay.min(MAX_SAVING_WITHOUT_ROOM)),
             InUse::Serving if self.is_settling => return None,
             InUse::Serving => (Reason::Settled, self.save_delay),
         };
@@ -400,6 +402,7 @@
         record_written(gateway, waiting, *reason);
     }
     gateway.stored_builds.admissions.send_replace(());
+    gateway.report_builds();
     true
 }
 
--- a/components/gateway/src/process/builds/tests.rs
+++ b/components/gateway/src/process/builds/tests.rs
@@ -55,6 +55,17 @@
     assert_eq!(needed(500).reason(), Some(Reason::NoRoom));
 }
 
+#[test]
+fn a_further_build_that_requests_need_does_not_wait_until_a_large_fleet_has_saved_its_streams() {
+    let needed = |waited| Situation {
+        in_use: InUse::Full,
+        save_delay: Duration::from_secs(6),
+        ..waiting(waited)
+    };
+    assert_eq!(needed(499).reason(), None);
+    assert_eq!(needed(500).reason(), Some(Reason::NoRoom));
+}
+
 #[test]
 fn a_third_build_does_not_wait() {
     let third = Situation {
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -141,6 +141,16 @@
         self.streams.table.for_each(now, only, replicate);
     }
 
+    /// Tells all peers which builds have served lately, and at which of them streams may begin, as that has changed. Those
+    /// that it does not reach read it from the store.
+    pub fn report_builds(&self) {
+        let peers = self.peers.ranked(self.incarnation, usize::MAX);
+        let reports = peers.into_iter().map(|peer| (peer, Item::Builds));
+        if !self.streams.outbox.push(reports) {
+            log::debug!("too much waits to be sent; peers are not told of the builds");
+        }
+    }
+
     /// Asks some peers which builds have served lately, and at which of them streams may begin.
     pub fn ask_which_builds(&self) {
         let peers = self.peers.ranked(self.incarnation, COPIES);
