Keep to the builds in use whose endpoints only peers reach

After a kill of all gateways beside an upgrade, callers had 0 of 40 streams refused at gateways that reach all engines if the first reader of the lists does not reach those of the build in use, as it then wrote the row of the further build at once, and if a request found no room there after half a second. A gateway that could not write it began streams without a row after a second, and an unnamed stream of its callers went on at the other build at a peer.

Endpoints that peers reach do take streams: such requests are forwarded. So a build is now taken to be unserved, and a request without room counts, only if peers do not reach more of the service's endpoints, as for forwarding.

streams_go_on_after_a_kill_though_one_gateway_does_not_reach_their_engines (0 of 40 before, 40 now) and an_unnamed_stream_begun_without_a_row_does_not_go_on_at_ another_build_at_a_peer (joined before) pass. The latter no longer demands that the stream begins at v2, where it does not begin any more; what it guards is checked whichever build begins it.

--- a/components/gateway/src/process/builds/admission.rs
+++ b/components/gateway/src/process/builds/admission.rs
@@ -169,7 +169,7 @@
     }
 
     /// Whether a build of a service waits for its row, and no endpoint of another one takes requests.
-    pub fn awaits_build(&self, service: &str) -> bool {
+    pub fn awaits_build(&self, service: &Arc<str>) -> bool {
         is_unserved(self, service)
     }
 }
@@ -268,7 +268,7 @@
     let without_room = gateway.stored_builds.without_room.lock();
     if gateway.registry.builds().used(service).is_empty() {
         InUse::None
-    } else if !has_admitted(gateway, service) {
+    } else if is_unserved(gateway, service) {
         InUse::Unserved
     } else if without_room.binary_search(service).is_ok() {
         InUse::Full
@@ -292,12 +292,14 @@
     has_endpoint(gateway, service, |build| builds.is_admitted(service, build))
 }
 
-/// Whether no endpoint of a service takes new streams, and one would whose build has no row.
-fn is_unserved(gateway: &Gateway, service: &str) -> bool {
+/// Whether no endpoint of a service takes new streams, and one would whose build has no row. Those that peers reach take
+/// streams, which are forwarded to these peers.
+fn is_unserved(gateway: &Gateway, service: &Arc<str>) -> bool {
     let waiting = gateway.registry.builds().without_row(service);
     !waiting.is_empty()
         && !has_admitted(gateway, service)
         && has_endpoint(gateway, service, |build| waiting.contains(build))
+        && !gateway.lacks_paths(service)
 }
 
 /// Whether an endpoint of a build that takes requests is listed.
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -231,11 +231,13 @@
         self.may_wait_for_build() && !builds.is_admitted(&self.service.name, build)
     }
 
-    /// Records that the request has found no room, if it would find some at a build where it may not begin yet.
+    /// Records that the request has found no room, if it would find some at a build where it may not begin yet. That says
+    /// nothing of the build in use if peers reach more of its endpoints.
     pub fn record_no_room(&self) {
         let builds = self.gateway.registry.builds();
         let name = &self.service.name;
-        if self.may_wait_for_build() && !builds.without_row(name).is_empty() {
+        let is_waiting = self.may_wait_for_build() && !builds.without_row(name).is_empty();
+        if is_waiting && !self.gateway.lacks_paths(name) {
             self.gateway.record_no_room_at_builds(name);
         }
     }
