Take no build as the only one in use where a peer cannot say so

With the store away, callers could get a 200 for a stream of another build: a gateway binds unknown streams to the only build in use once all asked peers have answered, but an answer that the peer does not know all builds in use counted as well. A peer that has begun streams without a row, has yet to read the rows, or is of an earlier version, which does not state what is in use, gives such an answer.

Such an answer now leaves the question open: the resumption is held as long as a peer may come to know more, and refused then. An answer without any build in use is one of an earlier version.

--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -169,8 +169,14 @@
             "a peer knows which builds have served lately"
         );
     }
+    // gateways of an earlier version state of no build that it is in use
+    let states_use = recent.builds.iter().any(|reported| reported.used);
     let questions = &gateway.streams.questions;
-    questions.record_unknown(Subject::Builds, peer);
+    if recent.complete && states_use {
+        questions.record_unknown(Subject::Builds, peer);
+    } else {
+        questions.record_uncertain(Subject::Builds, peer);
+    }
 }
 
 fn encode_record(record: &Record, now: Instant) -> StreamRecord {
--- a/components/gateway/src/streams/question.rs
+++ b/components/gateway/src/streams/question.rs
@@ -43,6 +43,8 @@
     /// When it was first asked; time for which this machine was suspended does not count.
     since: Instant,
     is_answered: bool,
+    /// Whether its answer says nothing, as it does not know all builds in use.
+    is_uncertain: bool,
 }
 
 /// An open question, closed when this is dropped.
@@ -73,12 +75,22 @@
 
     /// Records that a peer does not know the answer.
     pub fn record_unknown(&self, subject: Subject, from: SocketAddr) {
+        self.record(subject, from, false);
+    }
+
+    /// Records that a peer has answered and does not know all builds in use.
+    pub fn record_uncertain(&self, subject: Subject, from: SocketAddr) {
+        self.record(subject, from, true);
+    }
+
+    fn record(&self, subject: Subject, from: SocketAddr, is_uncertain: bool) {
         let mut open = self.open.lock();
         let about_it = |question: &&mut Open| question.subject == subject;
         for question in open.iter_mut().filter(about_it) {
             let answered = question.asked.iter_mut().find(|asked| asked.peer == from);
             if let Some(asked) = answered {
                 asked.is_answered = true;
+                asked.is_uncertain = is_uncertain;
             }
         }
     }
@@ -105,6 +117,7 @@
                 peer: *peer,
                 since,
                 is_answered: false,
+                is_uncertain: false,
             }));
             new
         };
@@ -131,6 +144,12 @@
         self.with(unanswered).unwrap_or_default()
     }
 
+    /// Whether a peer has answered that does not know all builds in use.
+    pub fn is_uncertain(&self) -> bool {
+        let is_uncertain = |own: &mut Open| own.asked.iter().any(|asked| asked.is_uncertain);
+        self.with(is_uncertain).unwrap_or_default()
+    }
+
     /// Returns the number of peers that have been asked.
     pub fn asked(&self) -> usize {
         self.with(|own| own.asked.len()).unwrap_or_default()
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -194,8 +194,11 @@
     /// Whether the store, or the peers while it is away, may still confirm that streams have begun at one build only.
     fn may_be_confirmed(&self, questions: &Questions<'_>) -> bool {
         let builds = &questions.builds;
-        let may_answer =
-            || !builds.unanswered().is_empty() || builds.asked() == 0 && self.has_peer();
+        let may_answer = || {
+            !builds.unanswered().is_empty()
+                || builds.is_uncertain()
+                || builds.asked() == 0 && self.has_peer()
+        };
         self.may_confirm() && (!self.has_failed() || may_answer())
     }
 
