--- a/components/gateway/src/process/builds/admission.rs
+++ b/components/gateway/src/process/builds/admission.rs
@@ -210,9 +210,14 @@
     }
 
     /// Whether a build of a service waits for its row, and no endpoint of another one takes requests.
-    pub fn awaits_build(&self, service: &str) -> bool {
+    pub fn awaits_build(&self, service: &Arc<str>) -> bool {
         is_unserved(self, service, Reach::Listed)
     }
+
+    /// Whether an endpoint of a build is listed that takes new streams.
+    pub fn serves_build(&self, service: &str, build: &Build) -> bool {
+        has_endpoint(self, service, Reach::Listed, |other| other == build)
+    }
 }
 
 /// Returns the services whose streams callers may resume.
@@ -351,12 +356,14 @@
     has_endpoint(gateway, service, reach, is_admitted)
 }
 
-/// Whether no endpoint of a service takes new streams, and one would whose build has no row.
-fn is_unserved(gateway: &Gateway, service: &str, reach: Reach) -> bool {
+/// Whether no endpoint of a service takes new streams, and one would whose build has no row. Those that only peers reach
+/// take streams, which are forwarded to these peers.
+fn is_unserved(gateway: &Gateway, service: &Arc<str>, reach: Reach) -> bool {
     let builds = gateway.registry.builds();
     !builds.without_row(service).is_empty()
         && !has_admitted(gateway, service, reach)
         && has_endpoint(gateway, service, reach, |_| true)
+        && (reach == Reach::Listed || !gateway.lacks_paths(service))
 }
 
 /// Whether an endpoint of a build that takes requests is listed.
