Bind streams from before a further build only where theirs still serves

A build none of whose endpoints takes new streams may have been replaced without a row, so nothing is bound to it in this way.

--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -218,9 +218,10 @@
             .as_ref()
             .is_some_and(|question| question.unanswered().is_empty());
         let found = self.gateway.build_before_others(self.service);
-        let is_used = |build: &Build| self.used().contains(build);
+        // where it no longer serves, streams may have begun elsewhere without a row
+        let serves = |build: &Build| self.gateway.serves_build(self.service, build);
         let certain =
-            found.filter(|build| is_asked_of_all && !self.is_uncertain() && is_used(build));
+            found.filter(|build| is_asked_of_all && !self.is_uncertain() && serves(build));
         certain.map(|build| (build, Source::BuildBeforeOthers))
     }
 
