--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -223,3 +223,30 @@
         assert_no_violation(&options, &[seed]).await;
     }
 }
+
+/// Seeds of the short run in which all gateways are killed around upgrades, and those in which the store is slow or silent
+/// beside a kill that lost streams.
+const UPGRADE_KILLS_SEEDS: [u64; 1] = [61_008];
+const UPGRADE_KILLS_STORE_SEEDS: [u64; 4] = [61_002, 61_003, 61_013, 61_014];
+
+async fn assert_streams_survive_upgrade_kills(seeds: &[u64]) {
+    let options = Options {
+        scenario: Scenario::UpgradeKills,
+        gateways: 5,
+        seconds: 12,
+        ..options()
+    };
+    for seed in seeds {
+        assert_no_violation(&options, &[*seed]).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_from_before_an_upgrade_go_on_after_all_gateways_were_killed_in_a_short_soak() {
+    assert_streams_survive_upgrade_kills(&UPGRADE_KILLS_SEEDS).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_from_before_an_upgrade_go_on_beside_a_failing_store_in_a_short_soak() {
+    assert_streams_survive_upgrade_kills(&UPGRADE_KILLS_STORE_SEEDS).await;
+}
