Conclude from the answers of all gateways without waiting for the rows

Where every gateway is left that can have begun streams elsewhere, and all answer that they do not know a stream, no read is needed, be the other builds in use by now or not. The answers come within milliseconds, so the resumption is bound by them at once.

--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -41,7 +41,8 @@
     OnlyBuild,
     /// Several builds serve or have lately, and streams may have begun at one of them only.
     OnlyUsedBuild,
-    /// Several are in use, and every gateway that can have begun streams at the later ones is there and does not know it.
+    /// Only this one was in use before, and every gateway that can have begun streams at others since is there and does not
+    /// know it.
     BuildBeforeOthers,
 }
 
@@ -122,9 +123,11 @@
                 if let Some(known) = self.known() {
                     return known.ok();
                 }
+                if let Some(found) = self.before_others(questions) {
+                    return Some(found);
+                }
                 if !self.may_learn(questions) {
-                    let before_others = || self.before_others(questions);
-                    return self.unconfirmed().or_else(before_others);
+                    return self.unconfirmed();
                 }
                 let changed = async {
                     tokio::select! {
@@ -210,19 +213,19 @@
         only.map(|only| (only, Source::OnlyUsedBuild))
     }
 
-    /// Returns the build that was the only one in use before others were, if the stream began before: each gateway that can
-    /// have begun it later has answered that it does not know it.
+    /// Returns the build that was the only one in use before others may have been, if the stream began before: each gateway
+    /// that can have begun it later has answered that it does not know it.
     fn before_others(&self, questions: &Questions<'_>) -> Option<(Build, Source)> {
-        let is_asked_of_all = questions
-            .stream
-            .as_ref()
-            .is_some_and(|question| question.unanswered().is_empty());
-        let found = self.gateway.build_before_others(self.service);
+        let stream = questions.stream.as_ref()?;
+        let are_all_asked = stream.asked() > 0 || !self.has_peer();
+        let may_know = self.gateway.peers.is_discovering() || !stream.unanswered().is_empty();
+        if !are_all_asked || may_know || self.is_uncertain() {
+            return None;
+        }
+        let found = self.gateway.build_before_others(self.service)?;
         // where it no longer serves, streams may have begun elsewhere without a row
-        let serves = |build: &Build| self.gateway.serves_build(self.service, build);
-        let certain =
-            found.filter(|build| is_asked_of_all && !self.is_uncertain() && serves(build));
-        certain.map(|build| (build, Source::BuildBeforeOthers))
+        let serves = self.gateway.serves_build(self.service, &found);
+        serves.then_some((found, Source::BuildBeforeOthers))
     }
 
     /// Whether streams may have begun at builds of which this process does not know that they are used.
