Read the rows of builds less often while a build waits

With the row of a further build reported to peers as it is written, the reads while a build waits only make up for reports that are lost: each second in place of four times.

--- a/components/gateway/src/process/builds/admission.rs
+++ b/components/gateway/src/process/builds/admission.rs
@@ -36,6 +36,8 @@
 const MAX_SETTLING: Duration = Duration::from_secs(10);
 /// Time without an endpoint that takes new streams after which they begin at a build that has no row.
 const UNRECORDED_DELAY: Duration = Duration::from_secs(1);
+/// The shortest time for which a gateway leaves a row to the one that writes first.
+const MIN_YIELDING: Duration = Duration::from_millis(250);
 /// Delay before a failed write is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of rows in one transaction.
@@ -276,7 +278,7 @@
     let yields_for = if is_writer {
         Duration::ZERO
     } else {
-        read::poll_interval(gateway)
+        read::interval(gateway).max(MIN_YIELDING)
     };
     let mut due = Vec::new();
     for waiting in waiting {
--- a/components/gateway/src/process/builds/read.rs
+++ b/components/gateway/src/process/builds/read.rs
@@ -13,8 +13,8 @@
 const READS_DIVISOR: f64 = 8.0;
 /// The shortest time between two reads for searches.
 const MIN_INTERVAL: Duration = Duration::from_millis(10);
-/// The shortest time between two reads while a build waits.
-const MIN_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// The shortest time between two reads while a build waits; peers usually report its row before.
+const MIN_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// The longest time between two reads.
 pub(super) const MAX_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -46,13 +46,13 @@
 }
 
 /// Returns how often this process may read the rows.
-fn interval(gateway: &Gateway) -> Duration {
+pub(super) fn interval(gateway: &Gateway) -> Duration {
     let gateways = u32::try_from(gateway.peers.count_alive() + 1).unwrap_or(u32::MAX);
     shared_interval(gateways, gateway.settings.store.reads_per_second)
 }
 
 /// Returns how often this process reads the rows while a build waits.
-pub(super) fn poll_interval(gateway: &Gateway) -> Duration {
+fn poll_interval(gateway: &Gateway) -> Duration {
     interval(gateway).max(MIN_POLL_INTERVAL)
 }
 
