Confirm by the rows that only known gateways have used further builds

A row of a build now names the process that wrote it. A stream is bound so only after a read of the rows that began after the resumption arrived, and if the writers of the others are this process or live peers. Rows without a writer leave it open, and the stream is refused.

--- a/components/gateway/src/process/builds/admission.rs
+++ b/components/gateway/src/process/builds/admission.rs
@@ -393,6 +393,7 @@
         service: waiting.service.to_string(),
         build: waiting.build.to_string(),
         endpoints_changed,
+        writer: gateway.incarnation,
     });
     let transaction = rows.fold(Transaction::default(), |transaction, row| {
         // a row of plain fields always has a JSON form
--- a/components/gateway/src/process/builds/mod.rs
+++ b/components/gateway/src/process/builds/mod.rs
@@ -36,6 +36,9 @@
     /// The revision of the list of endpoints that its writer knew; a gateway with an older list does not remove the row.
     #[serde(default)]
     endpoints_changed: u64,
+    /// The incarnation of its writer; zero if that is not known.
+    #[serde(default)]
+    writer: u64,
 }
 
 impl StoredBuild {
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -102,7 +102,7 @@
         let mut repeat_at = Instant::now() + interval;
         loop {
             let now = Instant::now();
-            if self.may_confirm() && !self.is_confirmed() {
+            if (self.may_confirm() || self.may_be_before_others()) && !self.is_confirmed() {
                 self.gateway.want_rows_of_builds();
             }
             if self.ask(questions) {
@@ -190,7 +190,9 @@
             && (self.gateway.peers.is_discovering() || !questions.builds.unanswered().is_empty());
         let may_learn_builds = (may_list_builds || may_report_builds) && self.builds().len() <= 1;
         let may_learn_stream = |question| may_read_rows || may_answer(question);
-        let may_learn_builds = may_learn_builds || self.may_be_confirmed(questions);
+        let may_learn_builds = may_learn_builds
+            || self.may_be_confirmed(questions)
+            || (self.may_be_before_others() && !self.is_confirmed() && !self.has_failed());
         may_learn_builds || questions.stream.as_ref().is_some_and(may_learn_stream)
     }
 
@@ -219,7 +221,7 @@
         let stream = questions.stream.as_ref()?;
         let are_all_asked = stream.asked() > 0 || !self.has_peer();
         let may_know = self.gateway.peers.is_discovering() || !stream.unanswered().is_empty();
-        if !are_all_asked || may_know || self.is_uncertain() {
+        if !are_all_asked || may_know || !self.is_confirmed() || self.is_uncertain() {
             return None;
         }
         let found = self.gateway.build_before_others(self.service)?;
@@ -228,6 +230,13 @@
         serves.then_some((found, Source::BuildBeforeOthers))
     }
 
+    /// Whether the stream may be one from before further builds were used, which a read of the rows has to confirm.
+    fn may_be_before_others(&self) -> bool {
+        self.key.is_some()
+            && self.used().len() > 1
+            && self.gateway.build_before_others(self.service).is_some()
+    }
+
     /// Whether streams may have begun at builds of which this process does not know that they are used.
     fn is_uncertain(&self) -> bool {
         !self.gateway.knows_earlier_builds()
