--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -250,7 +250,7 @@
     let paused = match failure {
         Failure::NotSent | Failure::Unavailable | Failure::Lost => Some(Paused::All),
         Failure::NoPath => Some(Paused::Service(short_id(&job.service.name))),
-        // a silent peer is no candidate until it is heard from again
+        // a silent peer is no candidate until its next digest is received
         Failure::Silent
         | Failure::Expired
         | Failure::Declined
--- a/components/gateway/src/peer/lost.rs
+++ b/components/gateway/src/peer/lost.rs
@@ -41,8 +41,8 @@
         })
     }
 
-    /// Whether every gateway that has been heard from, or has registered, is alive and has not ended since then. One that was
-    /// heard from for the first time later may have started before.
+    /// Whether every known gateway is alive and has not restarted or been forgotten since then. Known are those whose digests
+    /// were received and those with a registration row. A first digest that was received later shows no restart.
     pub fn are_all_left_since(&self, since: Instant) -> bool {
         let now = Instant::now();
         let was_before = |ended: Option<Instant>| ended.is_none_or(|ended| ended < since);
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -90,7 +90,7 @@
     last_contact: tokio::time::Instant,
     /// When the first digest of its current incarnation was received.
     incarnation_since: Instant,
-    /// When a digest showed that an earlier incarnation had ended; `None` if none has been heard from.
+    /// When the first digest of a later incarnation was received; `None` if all were of the same one.
     replaced_at: Option<Instant>,
     /// Its heartbeat interval, as it reported it.
     heartbeat_interval: Duration,
@@ -131,7 +131,7 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     known: Mutex<Vec<Peer>>,
-    /// When a peer was last forgotten that had been heard from.
+    /// When a peer whose digests had been received was last forgotten.
     last_dropped: Mutex<Option<Instant>>,
     pending_placements: Mutex<Vec<Placed>>,
     /// Encoded endpoint changes that wait for the next digest.
--- a/components/gateway/src/streams/mod.rs
+++ b/components/gateway/src/streams/mod.rs
@@ -141,13 +141,13 @@
         self.streams.table.for_each(now, only, replicate);
     }
 
-    /// Tells all peers which builds have served lately, and at which of them streams may begin, as that has changed. Those
+    /// Reports to all peers which builds have served lately, and at which of them streams may begin, as that has changed. Those
     /// that it does not reach read it from the store.
     pub fn report_builds(&self) {
         let peers = self.peers.ranked(self.incarnation, usize::MAX);
         let reports = peers.into_iter().map(|peer| (peer, Item::Builds));
         if !self.streams.outbox.push(reports) {
-            log::debug!("too much waits to be sent; peers are not told of the builds");
+            log::debug!("the queue of datagrams is full; the builds are not reported to peers");
         }
     }
 
@@ -158,7 +158,7 @@
             .into_iter()
             .map(|peer| (peer, Item::Ask(Subject::Builds)));
         if !self.streams.outbox.push(asked) {
-            log::debug!("too much waits to be sent; peers are not asked for the builds");
+            log::debug!("the queue of datagrams is full; peers are not asked for the builds");
         }
     }
 
