Log when a caller's side of its connection ends, and what is sent after it

Cause: the logs could not tell a caller that has left from one that waits, nor when the gateway knew it, nor whether anything was sent afterwards. Change: the exchange of a connection shares its socket, so the end of the caller's side is seen also before it has been read (one system call a send). A line when the end is first seen with a request under way, one for each send after it, stage and time since the end in the line of a connection that ended; a histogram of the time from that end to the end of work, and a counter of sends after it. No decision changes.

--- a/components/caller/src/exchange.rs
+++ b/components/caller/src/exchange.rs
@@ -1,16 +1,25 @@
 //! The state of one caller's connection and of the request in flight on it.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU32, Ordering},
+use std::{
+    io,
+    mem::MaybeUninit,
+    sync::{
+        Arc, OnceLock, Weak,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 use clock::Instant;
+use derive_more::Display;
+use futures::FutureExt;
 use hyper::Version;
 use parking_lot::Mutex;
+use socket2::SockRef;
+use tokio::{io::Interest, net::TcpStream};
 
 /// Progress of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "kebab-case")]
 pub enum Stage {
     /// The body is being received.
     Receiving,
@@ -46,12 +55,25 @@
     Request,
 }
 
+/// What a caller's socket shows of its side of the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// It may send more.
+    Open,
+    /// It has ended: the caller has shut down its sending side, or has disconnected.
+    Ended,
+    /// The connection was reset, or has failed.
+    Reset,
+}
+
 /// The state of one connection. At most one request is in flight: HTTP/1 requests are served one at a time.
 #[derive(Debug)]
 pub struct Exchange {
     state: Mutex<State>,
     /// Number of attempts that may have executed the last request; kept after the request has ended.
     executions: AtomicU32,
+    /// The connection's socket, as long as it is open.
+    stream: OnceLock<Weak<TcpStream>>,
 }
 
 #[derive(Debug)]
@@ -63,6 +85,8 @@
     head_since: Option<Instant>,
     /// Number of requests so far.
     requests: u64,
+    /// When the caller's side was first seen to have ended.
+    ended_at: Option<Instant>,
 }
 
 impl Default for Exchange {
@@ -81,11 +105,54 @@
                 idle_since: Instant::now(),
                 head_since: None,
                 requests: 0,
+                ended_at: None,
             }),
             executions: AtomicU32::new(0),
+            stream: OnceLock::new(),
         }
     }
 
+    /// Sets the socket of the connection. The first call counts.
+    pub(crate) fn attach(&self, stream: &Arc<TcpStream>) {
+        self.stream.get_or_init(|| Arc::downgrade(stream));
+    }
+
+    /// Looks at the socket itself, which may know more than has been read from it. Costs one system call.
+    #[must_use]
+    pub fn side(&self) -> Side {
+        let Some(stream) = self.stream.get().and_then(Weak::upgrade) else {
+            return Side::Reset;
+        };
+        let side = side_of(&stream);
+        if side != Side::Open {
+            self.record_end();
+        }
+        side
+    }
+
+    /// Returns when the caller's side was first seen to have ended; `None` if it has not.
+    #[must_use]
+    pub fn ended_at(&self) -> Option<Instant> {
+        self.state.lock().ended_at
+    }
+
+    /// Records that the caller's side has ended.
+    pub(crate) fn record_end(&self) {
+        let mut state = self.state.lock();
+        if state.ended_at.is_some() {
+            return;
+        }
+        state.ended_at = Some(Instant::now());
+        let Some(request) = &state.request else {
+            return;
+        };
+        log::info!(
+            request = request.id, stage:% = request.stage, endpoint = request.endpoint.as_deref(),
+            took_us = u64::try_from(request.arrived.elapsed().as_micros()).unwrap_or(u64::MAX);
+            "a caller's side of its connection has ended with its request under way"
+        );
+    }
+
     /// Returns what the connection is waiting for.
     #[must_use]
     pub fn waiting_for(&self) -> Wait {
@@ -184,6 +251,12 @@
 pub struct ExchangeGuard(Arc<Exchange>);
 
 impl ExchangeGuard {
+    /// Returns the exchange of the request.
+    #[must_use]
+    pub fn exchange(&self) -> &Exchange {
+        &self.0
+    }
+
     /// Records that the request body is complete.
     pub fn body_received(&self) {
         self.with(|request| request.stage = Stage::Waiting);
@@ -216,3 +289,29 @@
         state.idle_since = Instant::now();
     }
 }
+
+/// Returns what the system knows of the other side of a socket.
+fn side_of(stream: &TcpStream) -> Side {
+    match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(0) => Side::Ended,
+        // unread bytes hide the end from a read, but not from the event queue
+        Ok(_) => match stream.ready(Interest::READABLE).now_or_never() {
+            Some(Ok(ready)) if ready.is_read_closed() => Side::Ended,
+            Some(_) | None => Side::Open,
+        },
+        Err(error) if is_disconnect(&error) => Side::Reset,
+        Err(_) => Side::Open,
+    }
+}
+
+/// Whether an error of a socket says that the connection is lost.
+pub(crate) fn is_disconnect(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionReset
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::BrokenPipe
+            | io::ErrorKind::NotConnected
+            | io::ErrorKind::TimedOut
+    )
+}
--- a/components/caller/src/lib.rs
+++ b/components/caller/src/lib.rs
@@ -3,5 +3,5 @@
 mod exchange;
 mod socket;
 
-pub use exchange::{Exchange, ExchangeGuard, Request, Stage, Wait};
+pub use exchange::{Exchange, ExchangeGuard, Request, Side, Stage, Wait};
 pub use socket::Socket;
--- a/components/caller/src/socket.rs
+++ b/components/caller/src/socket.rs
@@ -11,6 +11,7 @@
 
 use std::{
     io,
+    net::Shutdown,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -19,7 +20,7 @@
 
 use socket2::SockRef;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::TcpStream,
     time::{Instant, Sleep},
 };
@@ -38,7 +39,7 @@
 /// The socket of a caller's connection.
 #[derive(Debug)]
 pub struct Socket {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     exchange: Arc<Exchange>,
     /// Whether the caller has closed its sending side.
     ended: bool,
@@ -78,6 +79,8 @@
 impl Socket {
     /// Wraps the socket of a connection whose requests are recorded in `exchange`.
     pub fn new(stream: TcpStream, exchange: Arc<Exchange>) -> Self {
+        let stream = Arc::new(stream);
+        exchange.attach(&stream);
         Self {
             stream,
             exchange,
@@ -95,7 +98,7 @@
         }
         let linger = resets.then_some(Duration::ZERO);
         // fails only if the connection is closed already
-        if SockRef::from(&self.stream).set_linger(linger).is_ok() {
+        if SockRef::from(&*self.stream).set_linger(linger).is_ok() {
             self.resets_on_close = resets;
         }
     }
@@ -142,6 +145,43 @@
         }
     }
 
+    /// Reads from the socket, which the exchange shares.
+    fn poll_receive(
+        &self,
+        cx: &mut Context<'_>,
+        mut buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<usize>> {
+        let room = buf.remaining();
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(&mut buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(read) if 0 < read && read < room => {
+                    // nothing more is there; this saves the read that would find so
+                    let nothing = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+                    let _ = self.stream.try_io(Interest::READABLE, nothing);
+                    return Poll::Ready(Ok(read));
+                }
+                read => return Poll::Ready(read),
+            }
+        }
+    }
+
+    /// Writes to the socket, which the exchange shares.
+    fn poll_send(
+        &self,
+        cx: &mut Context<'_>,
+        send: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match send(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                sent => return Poll::Ready(sent),
+            }
+        }
+    }
+
     /// Records the result of a write.
     fn record_write<T>(
         &mut self,
@@ -172,13 +212,14 @@
         if this.ended {
             return this.poll_disconnected(cx).map(Ok);
         }
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
-        if buf.filled().len() > before {
+        let room = buf.remaining();
+        let read = ready!(this.poll_receive(cx, buf))?;
+        if read > 0 {
             this.exchange.received_bytes();
         }
-        this.ended = buf.filled().len() == before && buf.remaining() > 0;
+        this.ended = read == 0 && room > 0;
         if this.ended {
+            this.exchange.record_end();
             // the library reads on before it runs the request that it has just read, whose stage is thus not known yet
             cx.waker().wake_by_ref();
             return Poll::Pending;
@@ -197,7 +238,7 @@
         if this.exchange.lacks_chunks() {
             this.set_reset_on_close(true);
         }
-        let written = Pin::new(&mut this.stream).poll_write(cx, buf);
+        let written = this.poll_send(cx, |stream| stream.try_write(buf));
         this.record_write(cx, written)
     }
 
@@ -210,7 +251,7 @@
         if this.exchange.lacks_chunks() {
             this.set_reset_on_close(true);
         }
-        let written = Pin::new(&mut this.stream).poll_write_vectored(cx, bufs);
+        let written = this.poll_send(cx, |stream| stream.try_write_vectored(bufs));
         this.record_write(cx, written)
     }
 
@@ -218,14 +259,18 @@
         self.stream.is_write_vectored()
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         // only shut down after a complete response
         this.set_reset_on_close(false);
-        Pin::new(&mut this.stream).poll_shutdown(cx)
+        match SockRef::from(&*this.stream).shutdown(Shutdown::Write) {
+            // the caller has closed its side as well
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => Poll::Ready(Ok(())),
+            shut_down => Poll::Ready(shut_down),
+        }
     }
 }
--- a/components/gateway/src/connection/close.rs
+++ b/components/gateway/src/connection/close.rs
@@ -1,6 +1,7 @@
 //! Why a caller's connection ended. It is logged if a request was in flight on it.
 
 use caller::Exchange;
+use clock::Instant;
 use derive_more::Display;
 
 use crate::{process::Gateway, request::Origin};
@@ -82,8 +83,14 @@
         };
         let interrupted = &self.gateway.metrics.interrupted_connections;
         interrupted.with_label_values(&[reason.label()]).inc();
+        let since_end = self.exchange.ended_at().map(Instant::elapsed);
+        if let Some(since_end) = since_end {
+            let work_after_end = &self.gateway.metrics.disconnects.work_after_end;
+            work_after_end.observe(since_end.as_secs_f64());
+        }
         log::info!(
             request = request.id, endpoint = request.endpoint.as_deref(), origin:% = self.origin, reason:%,
+            stage:% = request.stage, since_end_us = since_end.map(policy::micros),
             took_us = policy::micros(request.arrived.elapsed());
             "a caller's connection ended with its request under way"
         );
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -4,6 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use caller::Side;
 use derive_more::Display;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -215,6 +216,7 @@
         target.put_back_connection(connection);
         return Err(Cause::RetryBudgetExhausted);
     }
+    record_caller_side(job, target);
     let suspect = job.gateway.crashes.is_suspect(job.fingerprint);
     let guard = RequestGuard::new(target, job.fingerprint, &job.parts, suspect);
     let executes = purpose == Purpose::Run;
@@ -272,6 +274,25 @@
     }
 }
 
+/// Logs and counts that a request is sent though its caller's side has ended.
+fn record_caller_side(job: &Job, target: &Target) {
+    let exchange = job.exchange_guard.exchange();
+    let caller = match exchange.side() {
+        Side::Open => return,
+        Side::Ended => "ended",
+        Side::Reset => "reset",
+    };
+    let sends = &job.gateway.metrics.disconnects.sends;
+    sends.with_label_values(&[caller]).inc();
+    log::info!(
+        request = job.metadata.id, endpoint = &*target.id.0, caller,
+        since_end_us = exchange.ended_at().map(|at| policy::micros(at.elapsed())),
+        stage:? = exchange.stage().map(|stage| stage.to_string()), sends = job.sends.count(),
+        took_us = policy::micros(job.arrived.elapsed());
+        "a request is sent though its caller's side has ended"
+    );
+}
+
 /// Records that an attempt did not run the request, unless it was only meant to prefill the prompt.
 fn record_not_run(job: &Job, executes: bool) {
     if executes {
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -6,7 +6,9 @@
     Registry,
 };
 
-use super::{LATENCY_BUCKETS_S, counters, histogram, streams::Streams, text};
+use super::{
+    LATENCY_BUCKETS_S, counters, disconnects::Disconnects, histogram, streams::Streams, text,
+};
 
 /// All metrics of a gateway.
 #[derive(Clone, Debug)]
@@ -22,6 +24,8 @@
     pub refusals: IntCounterVec,
     /// Callers' connections that ended with a request in flight, by reason.
     pub interrupted_connections: IntCounterVec,
+    /// Callers that disconnected before their response was complete.
+    pub disconnects: Disconnects,
     /// Requests forwarded to a peer, by service and outcome.
     pub forwarded: IntCounterVec,
     /// Requests that peers forwarded to this process, by outcome.
@@ -105,6 +109,7 @@
                 "Callers' connections that ended with a request under way.",
                 &["reason"],
             )?,
+            disconnects: Disconnects::new()?,
             forwarded: counters(
                 "forwarded_total",
                 "Requests forwarded to a peer.",
@@ -240,6 +245,7 @@
         self.registry
             .register(Box::new(self.unreachable_endpoints.clone()))?;
         self.streams.register(&self.registry)?;
+        self.disconnects.register(&self.registry)?;
         self.registry
             .register(Box::new(self.shed_connections.clone()))?;
         self.registry.register(Box::new(self.reloads.clone()))
--- a/components/telemetry/src/metrics/mod.rs
+++ b/components/telemetry/src/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! Metrics of one daemon. Label sets are bounded: services and groups come from the settings.
 
+pub mod disconnects;
 pub mod gateway;
 pub mod streams;
 
