Send nothing for callers that have disconnected

Callers saw nothing; endpoints ran requests of callers that had left long ago. Cause: a caller whose side has ended was known to have left only a round trip later, and sends did not wait for that. If the end came with the request, as after the process stood still, each request was sent. Change: before each send to an endpoint or a peer the socket itself is looked at (one system call).

--- a/components/caller/src/exchange.rs
+++ b/components/caller/src/exchange.rs
@@ -87,8 +87,17 @@
     requests: u64,
     /// When the caller's side was first seen to have ended.
     ended_at: Option<Instant>,
+    /// When the caller was last probed.
+    probed_at: Option<Instant>,
+    /// Whether the connection is known to be lost.
+    is_lost: bool,
+    /// Whether the last write could not proceed because the send buffer was full.
+    write_blocked: bool,
 }
 
+/// Sent to a caller that may have disconnected. HTTP/1.1 clients skip interim responses and go on waiting.
+const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+
 impl Default for Exchange {
     fn default() -> Self {
         Self::new()
@@ -106,6 +115,9 @@
                 head_since: None,
                 requests: 0,
                 ended_at: None,
+                probed_at: None,
+                is_lost: false,
+                write_blocked: false,
             }),
             executions: AtomicU32::new(0),
             stream: OnceLock::new(),
@@ -120,7 +132,7 @@
     /// Looks at the socket itself, which may know more than has been read from it. Costs one system call.
     #[must_use]
     pub fn side(&self) -> Side {
-        let Some(stream) = self.stream.get().and_then(Weak::upgrade) else {
+        let Some(stream) = self.stream().filter(|_| !self.has_recorded_loss()) else {
             return Side::Reset;
         };
         let side = side_of(&stream);
@@ -130,6 +142,11 @@
         side
     }
 
+    /// Returns the socket of the connection; `None` once it is closed.
+    pub(crate) fn stream(&self) -> Option<Arc<TcpStream>> {
+        self.stream.get().and_then(Weak::upgrade)
+    }
+
     /// Returns when the caller's side was first seen to have ended; `None` if it has not.
     #[must_use]
     pub fn ended_at(&self) -> Option<Instant> {
@@ -209,13 +226,50 @@
         state.request.as_ref().map(|request| request.stage)
     }
 
-    /// Whether an interim response may be sent now: the caller speaks HTTP/1.1, and its response has not begun.
-    #[must_use]
-    pub fn accepts_interim_response(&self) -> bool {
+    /// Returns bytes that may be sent now to probe the caller: an interim response if the caller speaks HTTP/1.1 and its
+    /// response has not begun.
+    pub(crate) fn probe_bytes(&self) -> Option<&'static [u8]> {
         let state = self.state.lock();
-        state.request.as_ref().is_some_and(|request| {
-            request.stage == Stage::Waiting && request.version == Version::HTTP_11
-        })
+        let request = state.request.as_ref().filter(|_| !state.write_blocked)?;
+        match request.stage {
+            Stage::Waiting if request.version == Version::HTTP_11 => Some(INTERIM_RESPONSE),
+            Stage::Receiving | Stage::Waiting | Stage::Responding => None,
+        }
+    }
+
+    /// Returns when the caller was last probed.
+    pub(crate) fn last_probe(&self) -> Option<Instant> {
+        self.state.lock().probed_at
+    }
+
+    /// Records that the caller was probed.
+    pub(crate) fn record_probe(&self) {
+        self.state.lock().probed_at = Some(Instant::now());
+    }
+
+    /// Whether the connection is known to be lost.
+    pub(crate) fn has_recorded_loss(&self) -> bool {
+        self.state.lock().is_lost
+    }
+
+    /// Records that the connection is lost.
+    pub(crate) fn record_loss(&self) {
+        self.state.lock().is_lost = true;
+    }
+
+    /// Records whether the send buffer is full, and returns whether it was before.
+    pub(crate) fn set_write_blocked(&self, is_blocked: bool) -> bool {
+        std::mem::replace(&mut self.state.lock().write_blocked, is_blocked)
+    }
+
+    /// Whether a complete request has not been answered completely.
+    pub(crate) fn is_response_pending(&self) -> bool {
+        let state = self.state.lock();
+        match state.request.as_ref().map(|request| request.stage) {
+            Some(Stage::Waiting | Stage::Responding) => true,
+            Some(Stage::Receiving) => false,
+            None => state.write_blocked,
+        }
     }
 
     /// Whether the request in flight is of a version without chunks. If its response has no length, the end of the
--- a/components/caller/src/lib.rs
+++ b/components/caller/src/lib.rs
@@ -1,7 +1,9 @@
 //! Connections of callers: the request in flight on each, and detection of callers that have disconnected.
 
 mod exchange;
+mod presence;
 mod socket;
 
 pub use exchange::{Exchange, ExchangeGuard, Request, Side, Stage, Wait};
+pub use presence::Presence;
 pub use socket::Socket;
--- a/components/caller/src/socket.rs
+++ b/components/caller/src/socket.rs
@@ -25,16 +25,14 @@
     time::{Instant, Sleep},
 };
 
-use crate::{Exchange, Stage};
+use crate::{
+    Exchange,
+    presence::{MAX_PROBE_INTERVAL, Probe},
+};
 
-/// Sent to a caller that may have disconnected. HTTP/1.1 clients skip interim responses and go on waiting.
-const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
 /// Delay before the second check for a disconnected caller, a few round-trip times. The first check is made at the end
 /// of stream.
 const FIRST_CHECK_DELAY: Duration = Duration::from_millis(10);
-/// Maximum time between checks, which doubles from `FIRST_CHECK_DELAY`. Operators require that a disconnected caller is
-/// noticed within half a second.
-const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(160);
 
 /// The socket of a caller's connection.
 #[derive(Debug)]
@@ -45,8 +43,6 @@
     ended: bool,
     /// Set once that has been withheld from the library.
     half_closed: Option<HalfClosed>,
-    /// Whether the last write could not proceed because the send buffer was full.
-    write_blocked: bool,
     /// Whether the connection is reset when the socket is closed, by this process or at its end.
     resets_on_close: bool,
 }
@@ -68,7 +64,7 @@
     /// Waits until the next check is due.
     fn poll_check(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         ready!(self.next_check.as_mut().poll(cx));
-        self.interval = (self.interval * 2).min(MAX_CHECK_INTERVAL);
+        self.interval = (self.interval * 2).min(MAX_PROBE_INTERVAL);
         self.next_check
             .as_mut()
             .reset(Instant::now() + self.interval);
@@ -86,7 +82,6 @@
             exchange,
             ended: false,
             half_closed: None,
-            write_blocked: false,
             resets_on_close: false,
         }
     }
@@ -103,48 +98,28 @@
         }
     }
 
-    /// Whether a complete request has not been answered completely.
-    fn response_pending(&self) -> bool {
-        match self.exchange.stage() {
-            Some(Stage::Waiting | Stage::Responding) => true,
-            Some(Stage::Receiving) => false,
-            None => self.write_blocked,
-        }
-    }
-
     /// Waits until the caller has disconnected or no response is pending.
     fn poll_disconnected(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        if !self.response_pending() {
+        if !self.exchange.is_response_pending() {
             return Poll::Ready(());
         }
         let first_poll = self.half_closed.is_none();
         let mut half_closed = self.half_closed.take().unwrap_or_else(HalfClosed::new);
-        let mut disconnected = first_poll && self.probe_disconnected();
-        while !disconnected && self.response_pending() && half_closed.poll_check(cx).is_ready() {
-            disconnected = self.probe_disconnected();
+        let mut disconnected = first_poll && self.exchange.probe() == Probe::Lost;
+        while !disconnected
+            && self.exchange.is_response_pending()
+            && half_closed.poll_check(cx).is_ready()
+        {
+            disconnected = self.exchange.probe() == Probe::Lost;
         }
         self.half_closed = Some(half_closed);
-        if disconnected || !self.response_pending() {
+        if disconnected || !self.exchange.is_response_pending() {
             Poll::Ready(())
         } else {
             Poll::Pending
         }
     }
 
-    /// Whether the connection was reset. Sends an interim response, which makes the operating system of a disconnected
-    /// caller reset the connection.
-    fn probe_disconnected(&self) -> bool {
-        // after a connection error nobody reads what is sent
-        let is_healthy = matches!(self.stream.take_error(), Ok(None));
-        if !is_healthy || self.write_blocked || !self.exchange.accepts_interim_response() {
-            return !is_healthy;
-        }
-        match self.stream.try_write(INTERIM_RESPONSE) {
-            Ok(written) => written < INTERIM_RESPONSE.len(),
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        }
-    }
-
     /// Reads from the socket, which the exchange shares.
     fn poll_receive(
         &self,
@@ -188,10 +163,8 @@
         cx: &Context<'_>,
         written: Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
-        if std::mem::replace(&mut self.write_blocked, written.is_pending())
-            && !self.write_blocked
-            && self.half_closed.is_some()
-        {
+        let was_blocked = self.exchange.set_write_blocked(written.is_pending());
+        if was_blocked && written.is_ready() && self.half_closed.is_some() {
             // the end of stream was withheld until the response was written; let the library read it
             cx.waker().wake_by_ref();
         }
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -11,7 +11,9 @@
 use crate::{
     endpoint::{Connection, short_id},
     peer::Candidate,
-    request::{Attempts, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, job::Job, relay::Body},
+    request::{
+        Attempts, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, job::Job, presence, relay::Body,
+    },
 };
 
 /// Maximum number of peers that one request is forwarded to, one after the other.
@@ -31,6 +33,8 @@
     NotSent,
     /// The time of the request was over before anything was sent.
     Expired,
+    /// The caller had disconnected before anything was sent.
+    CallerGone,
     /// The peer does not serve this request, but may serve others.
     Declined,
     /// The peer reaches no endpoint of the service.
@@ -57,6 +61,7 @@
             Self::Unknown | Self::Lost | Self::Silent | Self::TimedOut => true,
             Self::NotSent
             | Self::Expired
+            | Self::CallerGone
             | Self::Declined
             | Self::NoPath
             | Self::Unavailable
@@ -98,7 +103,7 @@
         record_failure(&job, &candidate, failure);
         match failure {
             Failure::NotSent | Failure::Declined | Failure::NoPath | Failure::Unavailable => {}
-            Failure::Expired => return Err(attempts.lost_refusal(&job)),
+            Failure::Expired | Failure::CallerGone => return Err(attempts.lost_refusal(&job)),
             Failure::NotRun(after) => return Err(refusal(&attempts, after).unwrap_or(reason)),
             Failure::Unknown | Failure::Lost | Failure::Silent | Failure::TimedOut => {
                 let runs = granted_runs(&job, &attempts);
@@ -148,6 +153,10 @@
         .connect(candidate.address, max_idle)
         .await
         .map_err(|_| Failure::NotSent)?;
+    if !presence::may_send(job, &candidate.name).await {
+        connections.put_back(candidate.address, connection);
+        return Err(Failure::CallerGone);
+    }
     if job.time_left() <= TRANSIT {
         connections.put_back(candidate.address, connection);
         return Err(Failure::Expired);
@@ -238,6 +247,7 @@
     let outcome = match failure {
         Failure::NotSent => "not sent",
         Failure::Expired => "too late",
+        Failure::CallerGone => "caller gone",
         Failure::Declined => "declined",
         Failure::NoPath => "no path",
         Failure::Unavailable => "unavailable",
@@ -253,6 +263,7 @@
         // a silent peer is no candidate until its next digest is received
         Failure::Silent
         | Failure::Expired
+        | Failure::CallerGone
         | Failure::Declined
         | Failure::NotRun(_)
         | Failure::Unknown
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -4,7 +4,6 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use caller::Side;
 use derive_more::Display;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -13,7 +12,7 @@
     http::response,
 };
 
-use super::{attempts::Purpose, job::Job, timeout::Timeout};
+use super::{attempts::Purpose, job::Job, presence, timeout::Timeout};
 use crate::{
     adapters::{Call, Directive},
     endpoint::{Build, ConnectError, Connection, RequestGuard, Target, Verdict},
@@ -93,6 +92,9 @@
     /// The time of the request was over before anything was sent.
     #[display("the time was over before it was sent")]
     Expired,
+    /// The caller had disconnected before anything was sent.
+    #[display("the caller had left before it was sent")]
+    CallerGone,
     /// The attempt timed out, or no engine was available to resume a stream.
     #[display("the time was over")]
     TimedOut,
@@ -115,6 +117,7 @@
                 | Self::OtherBuild
                 | Self::NotRun(_)
                 | Self::Expired
+                | Self::CallerGone
         )
     }
 
@@ -133,6 +136,7 @@
             Self::ConnectionBroken => "broken",
             Self::ForeignResponse => "foreign",
             Self::Expired => "too-late",
+            Self::CallerGone => "caller-gone",
             Self::TimedOut => "time-over",
             Self::ErrorStatus(_) => "failed",
         }
@@ -154,6 +158,7 @@
             | Self::KvFetchFailed
             | Self::OtherBuild
             | Self::Expired
+            | Self::CallerGone
             | Self::Starved => None,
         }
     }
@@ -202,6 +207,10 @@
         .await
         .map_err(Cause::NotOpened)?;
     let request = build_request(job, directive);
+    if !presence::may_send(job, &target.id.0).await {
+        target.put_back_connection(connection);
+        return Err(Cause::CallerGone);
+    }
     // whatever the delay since the endpoint was chosen, nobody waits for the answer any more
     if job.time_left().is_zero() {
         target.put_back_connection(connection);
@@ -216,7 +225,6 @@
         target.put_back_connection(connection);
         return Err(Cause::RetryBudgetExhausted);
     }
-    record_caller_side(job, target);
     let suspect = job.gateway.crashes.is_suspect(job.fingerprint);
     let guard = RequestGuard::new(target, job.fingerprint, &job.parts, suspect);
     let executes = purpose == Purpose::Run;
@@ -274,25 +282,6 @@
     }
 }
 
-/// Logs and counts that a request is sent though its caller's side has ended.
-fn record_caller_side(job: &Job, target: &Target) {
-    let exchange = job.exchange_guard.exchange();
-    let caller = match exchange.side() {
-        Side::Open => return,
-        Side::Ended => "ended",
-        Side::Reset => "reset",
-    };
-    let sends = &job.gateway.metrics.disconnects.sends;
-    sends.with_label_values(&[caller]).inc();
-    log::info!(
-        request = job.metadata.id, endpoint = &*target.id.0, caller,
-        since_end_us = exchange.ended_at().map(|at| policy::micros(at.elapsed())),
-        stage:? = exchange.stage().map(|stage| stage.to_string()), sends = job.sends.count(),
-        took_us = policy::micros(job.arrived.elapsed());
-        "a request is sent though its caller's side has ended"
-    );
-}
-
 /// Records that an attempt did not run the request, unless it was only meant to prefill the prompt.
 fn record_not_run(job: &Job, executes: bool) {
     if executes {
--- a/components/gateway/src/request/attempts.rs
+++ b/components/gateway/src/request/attempts.rs
@@ -156,7 +156,10 @@
         let is_retryable = not_run || job.route.kind.is_retryable();
         let has_time_left = !job.time_left().is_zero();
         let has_attempts_left = self.runs < job.route.max_attempts;
-        let has_budget = failed.cause != Cause::RetryBudgetExhausted;
+        let may_follow = !matches!(
+            failed.cause,
+            Cause::RetryBudgetExhausted | Cause::CallerGone
+        );
         let withheld = job.withheld();
         log::info!(
             request = job.metadata.id, endpoint = &*failed.target.id.0, cause:% = failed.cause,
@@ -171,7 +174,7 @@
             self.tried.push(failed.target);
         }
         match withheld {
-            None if is_retryable && has_time_left && has_attempts_left && has_budget => Ok(()),
+            None if is_retryable && has_time_left && has_attempts_left && may_follow => Ok(()),
             Some(withheld) if !self.may_have_run() => Err(Reason::Withheld(withheld.remaining)),
             None | Some(_) => Err(self.refusal(has_time_left)),
         }
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -12,6 +12,7 @@
 mod generate;
 pub mod job;
 mod plain;
+pub mod presence;
 mod refusal;
 pub mod relay;
 mod resumption;
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -478,7 +478,8 @@
                 }
                 Err(cause) => {
                     log::warn!(request = self.job.metadata.id, cause:%; "a migrated stream could not be resumed");
-                    let may_return = cause.not_run() && cause != Cause::Expired;
+                    let may_return =
+                        cause.not_run() && !matches!(cause, Cause::Expired | Cause::CallerGone);
                     next = stopped.back_to_source().filter(|_| may_return);
                     // no further migration, as other engines are likely to refuse it too
                     self.migrations = MAX_MIGRATIONS;
@@ -551,7 +552,7 @@
             }
             if matches!(
                 cause,
-                Cause::RetryBudgetExhausted | Cause::Withheld | Cause::Expired
+                Cause::RetryBudgetExhausted | Cause::Withheld | Cause::Expired | Cause::CallerGone
             ) {
                 return false;
             }
--- a/components/telemetry/src/metrics/disconnects.rs
+++ b/components/telemetry/src/metrics/disconnects.rs
@@ -10,7 +10,8 @@
     /// Time from when a caller's side of its connection was seen to have ended until work on its request ended, for
     /// connections that ended with a request in flight.
     pub work_after_end: Histogram,
-    /// Sends of requests whose callers' sides had ended, by what was known of the caller.
+    /// Requests that were about to be sent when their callers' sides had ended, by what was known of the caller and whether
+    /// they were sent.
     pub sends: IntCounterVec,
 }
 
@@ -31,8 +32,8 @@
             )?,
             sends: counters(
                 "sends_after_end_total",
-                "Sends of requests whose callers' sides had ended.",
-                &["caller"],
+                "Requests about to be sent whose callers' sides had ended.",
+                &["caller", "outcome"],
             )?,
         })
     }
