Notice callers that disconnect while their response is in progress

Cause: a caller was asked only before its response had begun. Once it has, an interim response is no longer allowed, and nothing else was sent. Change: between two chunks the caller is sent a leading zero of the size of the next chunk, at most eight for one size, only if its side has ended. That is no part of the body, and the system of a disconnected caller resets the connection. As some clients take a zero before an orderly end for the last chunk, the connection is reset if it ends before the next chunk. Half-closed callers get the same bytes of the body as others, and a reset where their stream breaks off.

--- a/components/caller/src/exchange.rs
+++ b/components/caller/src/exchange.rs
@@ -7,12 +7,13 @@
         Arc, OnceLock, Weak,
         atomic::{AtomicU32, Ordering},
     },
+    time::Duration,
 };
 
 use clock::Instant;
 use derive_more::Display;
 use futures::FutureExt;
-use hyper::Version;
+use hyper::{Method, Response, StatusCode, Version, body::Body, header};
 use parking_lot::Mutex;
 use socket2::SockRef;
 use tokio::{io::Interest, net::TcpStream};
@@ -103,10 +104,22 @@
     is_lost: bool,
     /// Whether the last write could not proceed because the send buffer was full.
     write_blocked: bool,
+    /// Whether the response in progress is sent in chunks.
+    is_chunked: bool,
+    /// Whether all bytes that the HTTP library has produced are written, so that the next ones begin a chunk.
+    is_flushed: bool,
+    /// Leading zeros of the size of the next chunk that have been sent.
+    zeros: u8,
+    /// Whether the connection is reset when the socket is closed, by this process or at its end.
+    resets_on_close: bool,
 }
 
 /// Sent to a caller that may have disconnected. HTTP/1.1 clients skip interim responses and go on waiting.
 const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+/// Sent ahead of the size of the next chunk of a response, which may have leading zeros.
+const LEADING_ZERO: &[u8] = b"0";
+/// Leading zeros of one size. Some clients accept 16 digits at most, and sizes need up to eight.
+const MAX_LEADING_ZEROS: u8 = 8;
 
 impl Exchange {
     /// Creates the state of a newly accepted connection.
@@ -123,6 +136,10 @@
                 probed_at: None,
                 is_lost: false,
                 write_blocked: false,
+                is_chunked: false,
+                is_flushed: false,
+                zeros: 0,
+                resets_on_close: false,
             }),
             executions: AtomicU32::new(0),
             stream: OnceLock::new(),
@@ -215,6 +232,7 @@
         let mut state = self.state.lock();
         state.requests += 1;
         state.head_since = None;
+        state.is_chunked = false;
         state.request = Some(Request {
             id: id.to_owned(),
             arrived,
@@ -239,25 +257,53 @@
         state.request.as_ref().map(|request| request.stage)
     }
 
-    /// Returns bytes that may be sent now to probe the caller: an interim response if the caller speaks HTTP/1.1 and its
-    /// response has not begun.
+    /// Records the response to the request in flight, of which no byte has been sent.
+    pub fn record_response(&self, method: &Method, response: &Response<impl Body>) {
+        self.state.lock().is_chunked = is_chunked(method, response);
+    }
+
+    /// Records that all bytes that the HTTP library has produced are written.
+    pub(crate) fn record_flush(&self) {
+        self.state.lock().is_flushed = true;
+    }
+
+    /// Returns bytes that may be sent now to probe the caller, if it speaks HTTP/1.1: an interim response before its response
+    /// has begun, later a digit between two chunks that does not change the size of the next one.
     pub(crate) fn probe_bytes(&self) -> Option<&'static [u8]> {
         let state = self.state.lock();
         let request = state.request.as_ref().filter(|_| !state.write_blocked)?;
         match request.stage {
             Stage::Waiting if request.version == Version::HTTP_11 => Some(INTERIM_RESPONSE),
+            Stage::Responding
+                if request.version == Version::HTTP_11
+                    && state.is_chunked
+                    && state.is_flushed
+                    && state.zeros < MAX_LEADING_ZEROS =>
+            {
+                Some(LEADING_ZERO)
+            }
             Stage::Receiving | Stage::Waiting | Stage::Responding => None,
         }
     }
 
+    /// Prepares the connection for a probe with these bytes.
+    pub(crate) fn prepare_probe(&self, bytes: &[u8]) {
+        if bytes == LEADING_ZERO {
+            // some clients take a zero before an orderly end for the last chunk
+            self.set_reset_on_close(true);
+        }
+    }
+
     /// Returns when the caller was last probed.
     pub(crate) fn last_probe(&self) -> Option<Instant> {
         self.state.lock().probed_at
     }
 
-    /// Records that the caller was probed.
-    pub(crate) fn record_probe(&self) {
-        self.state.lock().probed_at = Some(Instant::now());
+    /// Records that the caller was probed with these bytes.
+    pub(crate) fn record_probe(&self, bytes: &[u8]) {
+        let mut state = self.state.lock();
+        state.probed_at = Some(Instant::now());
+        state.zeros += u8::from(bytes == LEADING_ZERO);
     }
 
     /// Whether the connection is known to be lost.
@@ -270,9 +316,28 @@
         self.state.lock().is_lost = true;
     }
 
-    /// Records whether the send buffer is full, and returns whether it was before.
-    pub(crate) fn set_write_blocked(&self, is_blocked: bool) -> bool {
-        std::mem::replace(&mut self.state.lock().write_blocked, is_blocked)
+    /// Sets whether the connection is reset when the socket is closed.
+    pub(crate) fn set_reset_on_close(&self, resets: bool) {
+        let mut state = self.state.lock();
+        let Some(stream) = self.stream().filter(|_| state.resets_on_close != resets) else {
+            return;
+        };
+        let linger = resets.then_some(Duration::ZERO);
+        // fails only if the connection is closed already
+        if SockRef::from(&*stream).set_linger(linger).is_ok() {
+            state.resets_on_close = resets;
+        }
+    }
+
+    /// Records a write of the HTTP library, and whether the send buffer is full. Returns whether it was before.
+    pub(crate) fn record_write(&self, is_blocked: bool) -> bool {
+        let mut state = self.state.lock();
+        state.is_flushed = false;
+        if !is_blocked {
+            state.zeros = 0;
+            state.begin_response();
+        }
+        std::mem::replace(&mut state.write_blocked, is_blocked)
     }
 
     /// Whether a complete request has not been answered completely.
@@ -299,10 +364,12 @@
     pub fn may_have_executed(&self) -> bool {
         self.executions.load(Ordering::Relaxed) > 0
     }
+}
 
+impl State {
     /// Records that bytes of the response were sent.
-    pub fn sent_bytes(&self) {
-        if let Some(request) = &mut self.state.lock().request {
+    fn begin_response(&mut self) {
+        if let Some(request) = &mut self.request {
             request.stage = match request.stage {
                 // an interim or early response does not end the reception of the body
                 Stage::Receiving => Stage::Receiving,
@@ -357,6 +424,19 @@
     }
 }
 
+/// Whether the HTTP library sends a response in chunks if the caller speaks HTTP/1.1.
+fn is_chunked(method: &Method, response: &Response<impl Body>) -> bool {
+    let has_body = !matches!(*method, Method::HEAD | Method::CONNECT)
+        && !response.status().is_informational()
+        && !matches!(
+            response.status(),
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+    let has_length = response.body().size_hint().exact().is_some()
+        || response.headers().contains_key(header::CONTENT_LENGTH);
+    has_body && !has_length
+}
+
 /// Returns what the system knows of the other side of a socket.
 fn side_of(stream: &TcpStream) -> Side {
     match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
--- a/components/caller/src/presence.rs
+++ b/components/caller/src/presence.rs
@@ -92,9 +92,10 @@
         let Some(bytes) = self.probe_bytes() else {
             return Probe::Impossible;
         };
+        self.prepare_probe(bytes);
         match stream.try_write(bytes) {
             Ok(written) if written == bytes.len() => {
-                self.record_probe();
+                self.record_probe(bytes);
                 Probe::Sent
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Probe::Impossible,
--- a/components/caller/src/socket.rs
+++ b/components/caller/src/socket.rs
@@ -43,8 +43,6 @@
     ended: bool,
     /// Set once that has been withheld from the library.
     half_closed: Option<HalfClosed>,
-    /// Whether the connection is reset when the socket is closed, by this process or at its end.
-    resets_on_close: bool,
 }
 
 #[derive(Debug)]
@@ -82,19 +80,6 @@
             exchange,
             ended: false,
             half_closed: None,
-            resets_on_close: false,
-        }
-    }
-
-    /// Sets whether the connection is reset when the socket is closed.
-    fn set_reset_on_close(&mut self, resets: bool) {
-        if self.resets_on_close == resets {
-            return;
-        }
-        let linger = resets.then_some(Duration::ZERO);
-        // fails only if the connection is closed already
-        if SockRef::from(&*self.stream).set_linger(linger).is_ok() {
-            self.resets_on_close = resets;
         }
     }
 
@@ -157,20 +142,25 @@
         }
     }
 
-    /// Records the result of a write.
-    fn record_write<T>(
-        &mut self,
-        cx: &Context<'_>,
-        written: Poll<io::Result<T>>,
-    ) -> Poll<io::Result<T>> {
-        let was_blocked = self.exchange.set_write_blocked(written.is_pending());
+    /// Writes a part of a response, and records the result.
+    fn poll_write_with(
+        &self,
+        cx: &mut Context<'_>,
+        send: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        let lacks_chunks = self.exchange.lacks_chunks();
+        if lacks_chunks {
+            self.exchange.set_reset_on_close(true);
+        }
+        let written = self.poll_send(cx, send);
+        if written.is_ready() {
+            self.exchange.set_reset_on_close(lacks_chunks);
+        }
+        let was_blocked = self.exchange.record_write(written.is_pending());
         if was_blocked && written.is_ready() && self.half_closed.is_some() {
             // the end of stream was withheld until the response was written; let the library read it
             cx.waker().wake_by_ref();
         }
-        if written.is_ready() {
-            self.exchange.sent_bytes();
-        }
         written
     }
 }
@@ -208,11 +198,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        if this.exchange.lacks_chunks() {
-            this.set_reset_on_close(true);
-        }
-        let written = this.poll_send(cx, |stream| stream.try_write(buf));
-        this.record_write(cx, written)
+        this.poll_write_with(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
@@ -221,25 +207,23 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        if this.exchange.lacks_chunks() {
-            this.set_reset_on_close(true);
-        }
-        let written = this.poll_send(cx, |stream| stream.try_write_vectored(bufs));
-        this.record_write(cx, written)
+        this.poll_write_with(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 
+    /// The library flushes the socket when it has written all that it has produced, which are whole chunks.
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.exchange.record_flush();
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         // only shut down after a complete response
-        this.set_reset_on_close(false);
+        this.exchange.set_reset_on_close(false);
         match SockRef::from(&*this.stream).shutdown(Shutdown::Write) {
             // the caller has closed its side as well
             Err(error) if error.kind() == io::ErrorKind::NotConnected => Poll::Ready(Ok(())),
--- a/components/daemon/src/request/mod.rs
+++ b/components/daemon/src/request/mod.rs
@@ -68,6 +68,7 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let id = format!("{:016x}", rand::random::<u64>());
+    let method = request.method().clone();
     let exchange_guard = exchange.begin(&id, request.version(), Instant::now());
     let mut response = match route(&process, &id, exchange_guard, request).await {
         Ok(response) => response,
@@ -89,6 +90,7 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert("connection", close);
     }
+    exchange.record_response(&method, &response);
     response
 }
 
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -73,6 +73,7 @@
 ) -> Response<Body> {
     let arrived = Instant::now();
     let (mut head, body) = request.into_parts();
+    let method = head.method.clone();
     if let Origin::Peer(from) = origin
         && let Some(probe_request) = probe::take_request(&mut head.headers)
     {
@@ -149,6 +150,7 @@
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
+    exchange.record_response(&method, &response);
     response
 }
 
