Notice callers over HTTP/1.0 that disconnect before their response begins

Cause: HTTP/1.0 has no interim response, so such a caller could not be asked: an endpoint worked on for 19.9 s, to the deadline, and requests whose callers left while the process stood still were sent. Change: the first bytes of the status line, the same in each response to that version, are sent ahead one at a time, nine at most, only to callers whose side has ended; the library's own are then left out. Once the response has begun nothing more can be asked; such requests are not repeated. Half-closed callers of that version get the same response as before.

--- a/components/caller/src/exchange.rs
+++ b/components/caller/src/exchange.rs
@@ -112,10 +112,15 @@
     zeros: u8,
     /// Whether the connection is reset when the socket is closed, by this process or at its end.
     resets_on_close: bool,
+    /// Bytes of the status line that were sent before the HTTP library has produced them.
+    sent_ahead: usize,
 }
 
 /// Sent to a caller that may have disconnected. HTTP/1.1 clients skip interim responses and go on waiting.
 const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+/// The beginning of each response to an older version, which has neither interim responses nor chunks. Its bytes are sent one
+/// at a time.
+const STATUS_LINE: &[u8] = b"HTTP/1.0 ";
 /// Sent ahead of the size of the next chunk of a response, which may have leading zeros.
 const LEADING_ZERO: &[u8] = b"0";
 /// Leading zeros of one size. Some clients accept 16 digits at most, and sizes need up to eight.
@@ -140,6 +145,7 @@
                 is_flushed: false,
                 zeros: 0,
                 resets_on_close: false,
+                sent_ahead: 0,
             }),
             executions: AtomicU32::new(0),
             stream: OnceLock::new(),
@@ -267,13 +273,15 @@
         self.state.lock().is_flushed = true;
     }
 
-    /// Returns bytes that may be sent now to probe the caller, if it speaks HTTP/1.1: an interim response before its response
-    /// has begun, later a digit between two chunks that does not change the size of the next one.
+    /// Returns bytes that may be sent now to probe the caller: an interim response, or the next byte of the status line to
+    /// callers that don't know such, before the response has begun; later a digit between two chunks that does not change
+    /// the size of the next one.
     pub(crate) fn probe_bytes(&self) -> Option<&'static [u8]> {
         let state = self.state.lock();
         let request = state.request.as_ref().filter(|_| !state.write_blocked)?;
         match request.stage {
             Stage::Waiting if request.version == Version::HTTP_11 => Some(INTERIM_RESPONSE),
+            Stage::Waiting => STATUS_LINE.get(state.sent_ahead..=state.sent_ahead),
             Stage::Responding
                 if request.version == Version::HTTP_11
                     && state.is_chunked
@@ -282,7 +290,7 @@
             {
                 Some(LEADING_ZERO)
             }
-            Stage::Receiving | Stage::Waiting | Stage::Responding => None,
+            Stage::Receiving | Stage::Responding => None,
         }
     }
 
@@ -303,7 +311,12 @@
     pub(crate) fn record_probe(&self, bytes: &[u8]) {
         let mut state = self.state.lock();
         state.probed_at = Some(Instant::now());
-        state.zeros += u8::from(bytes == LEADING_ZERO);
+        let request = state.request.as_ref();
+        match request.map(|request| request.stage) {
+            Some(Stage::Responding) => state.zeros += 1,
+            Some(Stage::Waiting) if bytes.len() == 1 => state.sent_ahead += 1,
+            Some(Stage::Receiving | Stage::Waiting) | None => {}
+        }
     }
 
     /// Whether the connection is known to be lost.
@@ -329,6 +342,22 @@
         }
     }
 
+    /// Returns how many of the bytes that the HTTP library is about to write have been sent ahead, from now on none.
+    ///
+    /// # Errors
+    ///
+    /// [`io::ErrorKind::InvalidData`] if they are others, which the caller could not make sense of.
+    pub(crate) fn take_sent_ahead(&self, bytes: &[u8]) -> io::Result<usize> {
+        let mut state = self.state.lock();
+        let sent = std::mem::take(&mut state.sent_ahead);
+        let is_same = bytes.starts_with(&STATUS_LINE[..sent]);
+        if is_same {
+            Ok(sent)
+        } else {
+            Err(io::ErrorKind::InvalidData.into())
+        }
+    }
+
     /// Records a write of the HTTP library, and whether the send buffer is full. Returns whether it was before.
     pub(crate) fn record_write(&self, is_blocked: bool) -> bool {
         let mut state = self.state.lock();
--- a/components/caller/src/socket.rs
+++ b/components/caller/src/socket.rs
@@ -198,7 +198,10 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.poll_write_with(cx, |stream| stream.try_write(buf))
+        match this.exchange.take_sent_ahead(buf)? {
+            0 => this.poll_write_with(cx, |stream| stream.try_write(buf)),
+            sent => Poll::Ready(Ok(sent)),
+        }
     }
 
     fn poll_write_vectored(
@@ -207,7 +210,14 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.poll_write_with(cx, |stream| stream.try_write_vectored(bufs))
+        let first = bufs.iter().find(|buf| !buf.is_empty());
+        match this
+            .exchange
+            .take_sent_ahead(first.map_or(&[], |first| &first[..]))?
+        {
+            0 => this.poll_write_with(cx, |stream| stream.try_write_vectored(bufs)),
+            sent => Poll::Ready(Ok(sent)),
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
