Notice callers that disconnect behind a pipelined request

Cause: the HTTP library does not read on while it holds the next request of a connection, so the end of its caller's side was not seen: an endpoint worked on for 19.9 s, to the deadline, and the pipelined request would have run after it. Change: as long as a response is pending on a connection that is not read, its socket is looked at each 160 ms, and a caller whose side has ended is probed as others are. Connections that are read, as good as all, have no such timer. Lines of the caller crate are logged, too.

--- a/components/caller/src/exchange.rs
+++ b/components/caller/src/exchange.rs
@@ -5,7 +5,7 @@
     mem::MaybeUninit,
     sync::{
         Arc, OnceLock, Weak,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -85,6 +85,8 @@
     executions: AtomicU32,
     /// The connection's socket, as long as it is open.
     stream: OnceLock<Weak<TcpStream>>,
+    /// Whether the HTTP library waits for more bytes, and so sees the end of the caller's side.
+    is_read: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -149,6 +151,7 @@
             }),
             executions: AtomicU32::new(0),
             stream: OnceLock::new(),
+            is_read: AtomicBool::new(false),
         }
     }
 
@@ -369,6 +372,16 @@
         std::mem::replace(&mut state.write_blocked, is_blocked)
     }
 
+    /// Records whether the HTTP library waits for more bytes.
+    pub(crate) fn set_read(&self, is_read: bool) {
+        self.is_read.store(is_read, Ordering::Relaxed);
+    }
+
+    /// Whether a response is pending while the HTTP library does not read on, as it holds the next request.
+    pub(crate) fn is_unread(&self) -> bool {
+        !self.is_read.load(Ordering::Relaxed) && self.is_response_pending()
+    }
+
     /// Whether a complete request has not been answered completely.
     pub(crate) fn is_response_pending(&self) -> bool {
         let state = self.state.lock();
--- a/components/caller/src/presence.rs
+++ b/components/caller/src/presence.rs
@@ -1,9 +1,10 @@
 //! Whether the caller of a request still waits for the response. See `docs/DESIGN.md#callers-that-half-close`.
 
-use std::{io, time::Duration};
+use std::{future::poll_fn, io, pin::Pin, task::Poll, time::Duration};
 
 use clock::Instant;
 use derive_more::Display;
+use tokio::time::Sleep;
 
 use crate::{Exchange, Side};
 
@@ -65,6 +66,40 @@
         self.wait_for_reset(sent + RESET_TIME).await
     }
 
+    /// Waits until the caller has disconnected while the HTTP library does not read from its connection, as it holds the next
+    /// request. It has to be polled after the connection by the same task.
+    pub async fn disconnected_unread(&self) {
+        let mut next_look: Option<Pin<Box<Sleep>>> = None;
+        poll_fn(|cx| {
+            if !self.is_unread() {
+                next_look = None;
+                return Poll::Pending;
+            }
+            let sleep =
+                next_look.get_or_insert_with(|| Box::pin(tokio::time::sleep(MAX_PROBE_INTERVAL)));
+            while sleep.as_mut().poll(cx).is_ready() {
+                let delay = match self.side() {
+                    Side::Open => MAX_PROBE_INTERVAL,
+                    Side::Ended if !self.is_probed_lost() => RESET_TIME,
+                    Side::Ended | Side::Reset => return Poll::Ready(()),
+                };
+                sleep.as_mut().reset(tokio::time::Instant::now() + delay);
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Whether the connection is lost. Probes the caller if the last probe was a while ago.
+    fn is_probed_lost(&self) -> bool {
+        let last = self.last_probe();
+        if last.is_some_and(|sent| sent.elapsed() < MAX_PROBE_INTERVAL) {
+            self.is_lost()
+        } else {
+            self.probe() == Probe::Lost
+        }
+    }
+
     async fn wait_for_reset(&self, until: Instant) -> Presence {
         let mut delay = FIRST_LOOK_DELAY;
         loop {
--- a/components/caller/src/socket.rs
+++ b/components/caller/src/socket.rs
@@ -105,6 +105,26 @@
         }
     }
 
+    /// Reads bytes of requests, and withholds their end as long as the caller may wait for a response.
+    fn poll_bytes(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if self.ended {
+            return self.poll_disconnected(cx).map(Ok);
+        }
+        let room = buf.remaining();
+        let read = ready!(self.poll_receive(cx, buf))?;
+        if read > 0 {
+            self.exchange.received_bytes();
+        }
+        self.ended = read == 0 && room > 0;
+        if self.ended {
+            self.exchange.record_end();
+            // the library reads on before it runs the request that it has just read, whose stage is thus not known yet
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        Poll::Ready(Ok(()))
+    }
+
     /// Reads from the socket, which the exchange shares.
     fn poll_receive(
         &self,
@@ -172,22 +192,9 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        if this.ended {
-            return this.poll_disconnected(cx).map(Ok);
-        }
-        let room = buf.remaining();
-        let read = ready!(this.poll_receive(cx, buf))?;
-        if read > 0 {
-            this.exchange.received_bytes();
-        }
-        this.ended = read == 0 && room > 0;
-        if this.ended {
-            this.exchange.record_end();
-            // the library reads on before it runs the request that it has just read, whose stage is thus not known yet
-            cx.waker().wake_by_ref();
-            return Poll::Pending;
-        }
-        Poll::Ready(Ok(()))
+        let read = this.poll_bytes(cx, buf);
+        this.exchange.set_read(read.is_pending());
+        read
     }
 }
 
--- a/components/daemon/src/connection/mod.rs
+++ b/components/daemon/src/connection/mod.rs
@@ -70,8 +70,11 @@
     tokio::pin!(connection);
     let mut phase = process.phase.subscribe();
     tokio::select! {
+        // the connection shows whether it is read, so it is polled first
+        biased;
         // errors of the connection are ignored: only the caller is affected
         _ = &mut connection => {}
+        () = exchange.disconnected_unread() => {}
         () = wait_for_drain(&mut phase) => {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
--- a/components/gateway/src/connection/mod.rs
+++ b/components/gateway/src/connection/mod.rs
@@ -21,7 +21,7 @@
     process::{Gateway, Phase},
     request::{self, Origin},
 };
-use close::CloseLogger;
+use close::{CloseLogger, CloseReason};
 
 pub use overload::{Overload, watch as watch_overload};
 
@@ -134,6 +134,10 @@
         // connection
         biased;
         result = &mut connection => result,
+        () = exchange.disconnected_unread() => {
+            close_logger.reason = CloseReason::Caller;
+            return;
+        }
         () = wait_for_drain(&gateway, &used) => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
--- a/components/telemetry/src/logs/mod.rs
+++ b/components/telemetry/src/logs/mod.rs
@@ -20,7 +20,14 @@
 pub struct AlreadyRunning(log::SetLoggerError);
 
 /// Crates that log at the configured level; all others log warnings and errors only.
-const OWN_CRATES: &[&str] = &["daemon", "gateway", "platform", "telemetry", "wrenrampd"];
+const OWN_CRATES: &[&str] = &[
+    "caller",
+    "daemon",
+    "gateway",
+    "platform",
+    "telemetry",
+    "wrenrampd",
+];
 /// Limit on the time for which a process that exits waits until its last lines are written. A graceful shutdown leaves
 /// more time than this before the process would be killed.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
