Bind a resumed stream to the only build listed only once that is known to be current

Callers whose streams had begun at a build that joined during an upgrade, and who took them up at a gateway that was out of step meanwhile, got the rest from the build before: two parts of different builds in one stream. Cause: a gateway with one build in its list took every stream for one of that build. It compared its list with the latest that peers had told of, but a gateway that hears nothing, as it is cut off or stood still until just now, has nothing to compare with. What it believed had no age. With two builds listed and the store away it took the only one that it knew to be in use in the same way. Change: a resumption waits for what is newer than its arrival: the answers of all peers that are asked, while none has fallen silent, or a read of the rows of builds. A gateway that has never had a peer goes on as before. Red before, green now: two tests of stale_lists::, 200 from the build before at each moment. The tests that bound refusals pass: with silent peers and the store there streams go on, and once a cut ends.

--- a/components/gateway/src/peer/lost.rs
+++ b/components/gateway/src/peer/lost.rs
@@ -41,6 +41,14 @@
         })
     }
 
+    /// Whether a gateway may run that this process does not hear: one has fallen silent, or was forgotten and the store has not
+    /// been read since `read`, which would name the builds that it uses.
+    pub fn may_miss_any(&self, read: Option<Instant>) -> bool {
+        let forgotten = *self.last_dropped.lock();
+        let is_forgotten = forgotten.is_some_and(|at| read.is_none_or(|read| read < at));
+        is_forgotten || !self.lost().is_empty()
+    }
+
     /// Whether every known gateway is alive and has not restarted or been forgotten since then. Known are those whose digests
     /// were received and those with a registration row. A first digest that was received later shows no restart.
     pub fn are_all_left_since(&self, since: Instant) -> bool {
--- a/components/gateway/src/process/builds/mod.rs
+++ b/components/gateway/src/process/builds/mod.rs
@@ -207,6 +207,11 @@
         (is_confirmed || !has_failed).then_some(is_confirmed)
     }
 
+    /// Returns when the last read of the rows that succeeded began.
+    pub fn builds_read(&self) -> Option<Instant> {
+        self.stored_builds.reads.lock().succeeded
+    }
+
     /// Whether rows of builds that can't be parsed may name builds at which streams have begun.
     pub fn has_unparsed_builds(&self) -> bool {
         let unparsed = self.stored_builds.unparsed.lock();
--- a/components/gateway/src/streams/exchange.rs
+++ b/components/gateway/src/streams/exchange.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Begun, Key, MAX_LIFETIME,
-    question::Subject,
+    question::{Answer, Subject},
     table::{Owner, Record},
 };
 use crate::{
@@ -171,12 +171,13 @@
     }
     // gateways of an earlier version state of no build that it is in use
     let states_use = recent.builds.iter().any(|reported| reported.used);
+    let answer = match recent.complete {
+        true if states_use => Answer::Certain,
+        true => Answer::WithoutUse,
+        false => Answer::Incomplete,
+    };
     let questions = &gateway.streams.questions;
-    if recent.complete && states_use {
-        questions.record_unknown(Subject::Builds, peer);
-    } else {
-        questions.record_uncertain(Subject::Builds, peer);
-    }
+    questions.record(Subject::Builds, peer, answer);
 }
 
 fn encode_record(record: &Record, now: Instant) -> StreamRecord {
@@ -217,7 +218,8 @@
     }
     for key in streams.unknown.iter().take(MAX_ITEMS) {
         let subject = Subject::Stream(Key(*key));
-        gateway.streams.questions.record_unknown(subject, peer);
+        let questions = &gateway.streams.questions;
+        questions.record(subject, peer, Answer::Certain);
     }
     if let Some(recent) = &streams.builds {
         apply_builds(gateway, peer, recent);
--- a/components/gateway/src/streams/question.rs
+++ b/components/gateway/src/streams/question.rs
@@ -42,9 +42,18 @@
     peer: SocketAddr,
     /// When it was first asked; time for which this machine was suspended does not count.
     since: Instant,
-    is_answered: bool,
-    /// Whether its answer says nothing, as it does not know all builds in use.
-    is_uncertain: bool,
+    answer: Option<Answer>,
+}
+
+/// What the answer of a peer that does not know what it was asked for is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// There is nothing that it would not know.
+    Certain,
+    /// It knows all builds that serve, but not which of them are in use.
+    WithoutUse,
+    /// It does not know all builds.
+    Incomplete,
 }
 
 /// An open question, closed when this is dropped.
@@ -73,24 +82,14 @@
         }
     }
 
-    /// Records that a peer does not know the answer.
-    pub fn record_unknown(&self, subject: Subject, from: SocketAddr) {
-        self.record(subject, from, false);
-    }
-
-    /// Records that a peer has answered and does not know all builds in use.
-    pub fn record_uncertain(&self, subject: Subject, from: SocketAddr) {
-        self.record(subject, from, true);
-    }
-
-    fn record(&self, subject: Subject, from: SocketAddr, is_uncertain: bool) {
+    /// Records that a peer does not know what it was asked for.
+    pub fn record(&self, subject: Subject, from: SocketAddr, answer: Answer) {
         let mut open = self.open.lock();
         let about_it = |question: &&mut Open| question.subject == subject;
         for question in open.iter_mut().filter(about_it) {
             let answered = question.asked.iter_mut().find(|asked| asked.peer == from);
             if let Some(asked) = answered {
-                asked.is_answered = true;
-                asked.is_uncertain = is_uncertain;
+                asked.answer = Some(answer);
             }
         }
     }
@@ -116,8 +115,7 @@
             own.asked.extend(new.iter().map(|peer| Asked {
                 peer: *peer,
                 since,
-                is_answered: false,
-                is_uncertain: false,
+                answer: None,
             }));
             new
         };
@@ -128,7 +126,7 @@
     pub fn reopen(&self) {
         self.with(|own| {
             for asked in &mut own.asked {
-                asked.is_answered = false;
+                asked.answer = None;
             }
         });
     }
@@ -136,7 +134,7 @@
     /// Returns the peers that have not answered, with the time since they were first asked.
     pub fn unanswered(&self) -> Vec<(SocketAddr, Duration)> {
         let unanswered = |own: &mut Open| {
-            let waiting = own.asked.iter().filter(|asked| !asked.is_answered);
+            let waiting = own.asked.iter().filter(|asked| asked.answer.is_none());
             waiting
                 .map(|asked| (asked.peer, asked.since.elapsed()))
                 .collect()
@@ -146,8 +144,22 @@
 
     /// Whether a peer has answered that does not know all builds in use.
     pub fn is_uncertain(&self) -> bool {
-        let is_uncertain = |own: &mut Open| own.asked.iter().any(|asked| asked.is_uncertain);
-        self.with(is_uncertain).unwrap_or_default()
+        self.has(|answer| answer != Answer::Certain)
+    }
+
+    /// Whether a peer has answered that does not know all builds.
+    pub fn is_incomplete(&self) -> bool {
+        self.has(|answer| answer == Answer::Incomplete)
+    }
+
+    fn has(&self, is_wanted: impl Fn(Answer) -> bool) -> bool {
+        let has = |own: &mut Open| {
+            own.asked
+                .iter()
+                .filter_map(|asked| asked.answer)
+                .any(is_wanted)
+        };
+        self.with(has).unwrap_or_default()
     }
 
     /// Returns the number of peers that have been asked.
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -97,12 +97,17 @@
 
     /// Waits until the build is known, or nobody is left who may know it.
     async fn learn(&self, questions: &Questions<'_>) -> Option<(Build, Source)> {
+        let started = Instant::now();
         let mut rows = self.gateway.earlier_rows();
         let mut interval = REPEAT_INTERVAL;
         let mut repeat_at = Instant::now() + interval;
         loop {
             let now = Instant::now();
-            if (self.may_confirm() || self.may_be_before_others()) && !self.is_confirmed() {
+            let is_slow = now.duration_since(started) >= REPEAT_INTERVAL;
+            let needs_rows = self.may_confirm()
+                || self.may_be_before_others()
+                || self.is_only_listed() && (is_slow || !self.may_agree(questions));
+            if needs_rows && !self.is_confirmed() {
                 self.gateway.want_rows_of_builds();
             }
             if self.ask(questions) {
@@ -123,6 +128,9 @@
                 if let Some(known) = self.known() {
                     return known.ok();
                 }
+                if let Some(only) = self.only_listed(questions) {
+                    return Some((only, Source::OnlyBuild));
+                }
                 if let Some(found) = self.before_others(questions) {
                     return Some(found);
                 }
@@ -151,7 +159,9 @@
         match (record, self.builds().as_slice()) {
             (Some(Begun::At(build)), _) => Some(Ok((build, Source::Record))),
             (Some(Begun::Ambiguous), _) => Some(Err(())),
-            (None, [only]) if knows_all => Some(Ok((only.clone(), Source::OnlyBuild))),
+            (None, [only]) if knows_all && self.is_alone() => {
+                Some(Ok((only.clone(), Source::OnlyBuild)))
+            }
             (None, [_, _, ..]) if self.is_confirmed() => {
                 let used = self.only_used().map(|only| (only, Source::OnlyUsedBuild));
                 used.map(Ok)
@@ -160,6 +170,45 @@
         }
     }
 
+    /// Whether no other gateway can have begun the stream.
+    fn is_alone(&self) -> bool {
+        !self.has_peer() && !self.may_miss_peer()
+    }
+
+    /// Whether gateways may begin streams that neither this process nor those that it hears would know.
+    fn may_miss_peer(&self) -> bool {
+        let read = self.gateway.builds_read();
+        self.gateway.peers.may_miss_any(read)
+    }
+
+    /// Whether one build is listed and used, as far as this process knows.
+    fn is_only_listed(&self) -> bool {
+        let builds = self.builds();
+        self.knows_all_builds()
+            && builds.len() == 1
+            && self.used().iter().all(|used| builds.contains(used))
+    }
+
+    /// Returns the only build that is listed if no other can have been used when the caller's request arrived: what this
+    /// process believes may be old, as it was cut off or has stood still until just now.
+    fn only_listed(&self, questions: &Questions<'_>) -> Option<Build> {
+        let is_current = self.is_confirmed() || self.do_peers_agree(questions);
+        let only = self.builds().first().cloned();
+        only.filter(|_| is_current && self.is_only_listed())
+    }
+
+    /// Whether all peers have answered since the request arrived and none knows more.
+    fn do_peers_agree(&self, questions: &Questions<'_>) -> bool {
+        let builds = &questions.builds;
+        self.may_agree(questions) && builds.asked() > 0 && builds.unanswered().is_empty()
+    }
+
+    /// Whether the answers of the peers may show that this process knows all builds: no gateway has fallen silent that may
+    /// know more.
+    fn may_agree(&self, questions: &Questions<'_>) -> bool {
+        !questions.builds.is_incomplete() && !self.may_miss_peer()
+    }
+
     /// Whether no stream can have begun, when the caller's request arrived, at a build of which this process does not know
     /// that it is used. Read before the builds in use.
     fn is_confirmed(&self) -> bool {
@@ -191,6 +240,7 @@
         let may_learn_builds = (may_list_builds || may_report_builds) && self.builds().len() <= 1;
         let may_learn_stream = |question| may_read_rows || may_answer(question);
         let may_learn_builds = may_learn_builds
+            || self.is_only_listed()
             || self.may_be_confirmed(questions)
             || (self.may_be_before_others() && !self.is_confirmed() && !self.has_failed());
         may_learn_builds || questions.stream.as_ref().is_some_and(may_learn_stream)
@@ -211,7 +261,7 @@
     fn unconfirmed(&self) -> Option<(Build, Source)> {
         let only = self
             .only_used()
-            .filter(|_| self.may_confirm() && self.has_failed());
+            .filter(|_| self.may_confirm() && self.has_failed() && !self.may_miss_peer());
         only.map(|only| (only, Source::OnlyUsedBuild))
     }
 
@@ -298,7 +348,7 @@
     ) -> impl Iterator<Item = (&'a Question<'a>, Subject)> {
         let stream = questions.stream.as_ref().zip(self.key);
         let stream = stream.map(|(question, key)| (question, Subject::Stream(key)));
-        let asks_only = !self.knows_all_builds() && self.builds().len() == 1;
+        let asks_only = self.builds().len() == 1;
         let asks_builds = asks_only || self.may_confirm() && self.has_failed();
         let builds = asks_builds.then_some((&questions.builds, Subject::Builds));
         stream.into_iter().chain(builds)
