Move what may be sent beside a response into a module of its own

The exchange of a connection had grown to hold the framing, the flush and the probe bytes of its response; `caller::outgoing` holds them now.

--- a/components/caller/src/exchange.rs
+++ b/components/caller/src/exchange.rs
@@ -13,11 +13,13 @@
 use clock::Instant;
 use derive_more::Display;
 use futures::FutureExt;
-use hyper::{Method, Response, StatusCode, Version, body::Body, header};
+use hyper::{Method, Response, Version, body::Body};
 use parking_lot::Mutex;
 use socket2::SockRef;
 use tokio::{io::Interest, net::TcpStream};
 
+use crate::outgoing::{Framing, Outgoing, ProbeBytes};
+
 /// Progress of a request.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display(rename_all = "kebab-case")]
@@ -104,30 +106,9 @@
     probed_at: Option<Instant>,
     /// Whether the connection is known to be lost.
     is_lost: bool,
-    /// Whether the last write could not proceed because the send buffer was full.
-    write_blocked: bool,
-    /// Whether the response in progress is sent in chunks.
-    is_chunked: bool,
-    /// Whether all bytes that the HTTP library has produced are written, so that the next ones begin a chunk.
-    is_flushed: bool,
-    /// Leading zeros of the size of the next chunk that have been sent.
-    zeros: u8,
-    /// Whether the connection is reset when the socket is closed, by this process or at its end.
-    resets_on_close: bool,
-    /// Bytes of the status line that were sent before the HTTP library has produced them.
-    sent_ahead: usize,
+    outgoing: Outgoing,
 }
 
-/// Sent to a caller that may have disconnected. HTTP/1.1 clients skip interim responses and go on waiting.
-const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
-/// The beginning of each response to an older version, which has neither interim responses nor chunks. Its bytes are sent one
-/// at a time.
-const STATUS_LINE: &[u8] = b"HTTP/1.0 ";
-/// Sent ahead of the size of the next chunk of a response, which may have leading zeros.
-const LEADING_ZERO: &[u8] = b"0";
-/// Leading zeros of one size. Some clients accept 16 digits at most, and sizes need up to eight.
-const MAX_LEADING_ZEROS: u8 = 8;
-
 impl Exchange {
     /// Creates the state of a newly accepted connection.
     #[must_use]
@@ -142,12 +123,7 @@
                 ended_at: None,
                 probed_at: None,
                 is_lost: false,
-                write_blocked: false,
-                is_chunked: false,
-                is_flushed: false,
-                zeros: 0,
-                resets_on_close: false,
-                sent_ahead: 0,
+                outgoing: Outgoing::default(),
             }),
             executions: AtomicU32::new(0),
             stream: OnceLock::new(),
@@ -241,7 +217,7 @@
         let mut state = self.state.lock();
         state.requests += 1;
         state.head_since = None;
-        state.is_chunked = false;
+        state.outgoing.begin(Framing::default());
         state.request = Some(Request {
             id: id.to_owned(),
             arrived,
@@ -268,41 +244,28 @@
 
     /// Records the response to the request in flight, of which no byte has been sent.
     pub fn record_response(&self, method: &Method, response: &Response<impl Body>) {
-        self.state.lock().is_chunked = is_chunked(method, response);
+        let framing = Framing::of(method, response);
+        self.state.lock().outgoing.begin(framing);
     }
 
     /// Records that all bytes that the HTTP library has produced are written.
     pub(crate) fn record_flush(&self) {
-        self.state.lock().is_flushed = true;
+        self.state.lock().outgoing.is_flushed = true;
     }
 
-    /// Returns bytes that may be sent now to probe the caller: an interim response, or the next byte of the status line to
-    /// callers that don't know such, before the response has begun; later a digit between two chunks that does not change
-    /// the size of the next one.
-    pub(crate) fn probe_bytes(&self) -> Option<&'static [u8]> {
-        let state = self.state.lock();
-        let request = state.request.as_ref().filter(|_| !state.write_blocked)?;
-        match request.stage {
-            Stage::Waiting if request.version == Version::HTTP_11 => Some(INTERIM_RESPONSE),
-            Stage::Waiting => STATUS_LINE.get(state.sent_ahead..=state.sent_ahead),
-            Stage::Responding
-                if request.version == Version::HTTP_11
-                    && state.is_chunked
-                    && state.is_flushed
-                    && state.zeros < MAX_LEADING_ZEROS =>
-            {
-                Some(LEADING_ZERO)
-            }
-            Stage::Receiving | Stage::Responding => None,
-        }
-    }
-
-    /// Prepares the connection for a probe with these bytes.
-    pub(crate) fn prepare_probe(&self, bytes: &[u8]) {
-        if bytes == LEADING_ZERO {
+    /// Returns bytes that may be sent now to probe the caller and are no part of the response. Prepares the connection for
+    /// them.
+    pub(crate) fn probe_bytes(&self) -> Option<ProbeBytes> {
+        let bytes = {
+            let state = self.state.lock();
+            let request = state.request.as_ref()?;
+            state.outgoing.probe_bytes(request.stage, request.version)
+        };
+        if bytes == Some(ProbeBytes::LeadingZero) {
             // some clients take a zero before an orderly end for the last chunk
             self.set_reset_on_close(true);
         }
+        bytes
     }
 
     /// Returns when the caller was last probed.
@@ -311,15 +274,10 @@
     }
 
     /// Records that the caller was probed with these bytes.
-    pub(crate) fn record_probe(&self, bytes: &[u8]) {
+    pub(crate) fn record_probe(&self, bytes: ProbeBytes) {
         let mut state = self.state.lock();
         state.probed_at = Some(Instant::now());
-        let request = state.request.as_ref();
-        match request.map(|request| request.stage) {
-            Some(Stage::Responding) => state.zeros += 1,
-            Some(Stage::Waiting) if bytes.len() == 1 => state.sent_ahead += 1,
-            Some(Stage::Receiving | Stage::Waiting) | None => {}
-        }
+        state.outgoing.record_probe(bytes);
     }
 
     /// Whether the connection is known to be lost.
@@ -335,41 +293,32 @@
     /// Sets whether the connection is reset when the socket is closed.
     pub(crate) fn set_reset_on_close(&self, resets: bool) {
         let mut state = self.state.lock();
-        let Some(stream) = self.stream().filter(|_| state.resets_on_close != resets) else {
+        let Some(stream) = self
+            .stream()
+            .filter(|_| state.outgoing.resets_on_close != resets)
+        else {
             return;
         };
         let linger = resets.then_some(Duration::ZERO);
         // fails only if the connection is closed already
         if SockRef::from(&*stream).set_linger(linger).is_ok() {
-            state.resets_on_close = resets;
+            state.outgoing.resets_on_close = resets;
         }
     }
 
-    /// Returns how many of the bytes that the HTTP library is about to write have been sent ahead, from now on none.
-    ///
-    /// # Errors
-    ///
-    /// [`io::ErrorKind::InvalidData`] if they are others, which the caller could not make sense of.
+    /// Returns how many of the bytes that the HTTP library is about to write have been sent ahead, see
+    /// [`Outgoing::take_sent_ahead`].
     pub(crate) fn take_sent_ahead(&self, bytes: &[u8]) -> io::Result<usize> {
-        let mut state = self.state.lock();
-        let sent = std::mem::take(&mut state.sent_ahead);
-        let is_same = bytes.starts_with(&STATUS_LINE[..sent]);
-        if is_same {
-            Ok(sent)
-        } else {
-            Err(io::ErrorKind::InvalidData.into())
-        }
+        self.state.lock().outgoing.take_sent_ahead(bytes)
     }
 
     /// Records a write of the HTTP library, and whether the send buffer is full. Returns whether it was before.
     pub(crate) fn record_write(&self, is_blocked: bool) -> bool {
         let mut state = self.state.lock();
-        state.is_flushed = false;
         if !is_blocked {
-            state.zeros = 0;
             state.begin_response();
         }
-        std::mem::replace(&mut state.write_blocked, is_blocked)
+        state.outgoing.record_write(is_blocked)
     }
 
     /// Records whether the HTTP library waits for more bytes.
@@ -388,7 +337,7 @@
         match state.request.as_ref().map(|request| request.stage) {
             Some(Stage::Waiting | Stage::Responding) => true,
             Some(Stage::Receiving) => false,
-            None => state.write_blocked,
+            None => state.outgoing.is_blocked,
         }
     }
 
@@ -466,19 +415,6 @@
     }
 }
 
-/// Whether the HTTP library sends a response in chunks if the caller speaks HTTP/1.1.
-fn is_chunked(method: &Method, response: &Response<impl Body>) -> bool {
-    let has_body = !matches!(*method, Method::HEAD | Method::CONNECT)
-        && !response.status().is_informational()
-        && !matches!(
-            response.status(),
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
-    let has_length = response.body().size_hint().exact().is_some()
-        || response.headers().contains_key(header::CONTENT_LENGTH);
-    has_body && !has_length
-}
-
 /// Returns what the system knows of the other side of a socket.
 fn side_of(stream: &TcpStream) -> Side {
     match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
--- a/components/caller/src/lib.rs
+++ b/components/caller/src/lib.rs
@@ -1,6 +1,7 @@
 //! Connections of callers: the request in flight on each, and detection of callers that have disconnected.
 
 mod exchange;
+mod outgoing;
 mod presence;
 mod socket;
 
--- a/components/caller/src/presence.rs
+++ b/components/caller/src/presence.rs
@@ -127,9 +127,8 @@
         let Some(bytes) = self.probe_bytes() else {
             return Probe::Impossible;
         };
-        self.prepare_probe(bytes);
-        match stream.try_write(bytes) {
-            Ok(written) if written == bytes.len() => {
+        match stream.try_write(bytes.as_bytes()) {
+            Ok(written) if written == bytes.as_bytes().len() => {
                 self.record_probe(bytes);
                 Probe::Sent
             }
--- a/components/caller/src/socket.rs
+++ b/components/caller/src/socket.rs
@@ -142,7 +142,7 @@
                     let _ = self.stream.try_io(Interest::READABLE, nothing);
                     return Poll::Ready(Ok(read));
                 }
-                read => return Poll::Ready(read),
+                result => return Poll::Ready(result),
             }
         }
     }
@@ -157,7 +157,7 @@
             ready!(self.stream.poll_write_ready(cx))?;
             match send(&self.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                sent => return Poll::Ready(sent),
+                result => return Poll::Ready(result),
             }
         }
     }
