Ask in the daemon, too, before a send whether the caller is gone

Found by reading: the daemon shares the gateway's exchange of a caller's connection, but sent without a look at it. Change: it asks before each attempt at an endpoint and each send to an engine. The test of a stopped daemon with ten callers that leave passed before the change as well (the probe of the socket came back first), so that the daemon sent for callers that had left is not shown; the test is kept as a guard.

--- a/components/daemon/src/request/generate/mod.rs
+++ b/components/daemon/src/request/generate/mod.rs
@@ -194,6 +194,9 @@
             import,
             export,
         };
+        if self.job.context.is_caller_gone().await {
+            return Err(self.abort(Reason::NotTaken));
+        }
         let engine = self.job.context.process.engine.clone();
         self.assembler.resume(attempt);
         self.job.context.record(
--- a/components/daemon/src/request/mod.rs
+++ b/components/daemon/src/request/mod.rs
@@ -12,7 +12,7 @@
 
 use std::sync::Arc;
 
-use ::caller::{Exchange, ExchangeGuard};
+use ::caller::{Exchange, ExchangeGuard, Presence};
 use bytes::Bytes;
 use clock::Instant;
 use futures::{Stream, TryStreamExt};
@@ -53,6 +53,17 @@
 }
 
 impl Context {
+    /// Whether the caller has disconnected, so that nothing is to be sent for it. Asks a caller whose side of the connection
+    /// has ended, see [`Exchange::presence`].
+    pub async fn is_caller_gone(&self) -> bool {
+        let presence = self.exchange.exchange().presence().await;
+        let is_gone = presence == Presence::Gone;
+        if is_gone {
+            self.record(Kind::Cancelled, "the caller had hung up before it was sent");
+        }
+        is_gone
+    }
+
     /// Records an event of this request in the timeline.
     pub fn record(&self, kind: Kind, detail: impl Into<String>) {
         let subject = format!("request/{}", self.id);
--- a/components/daemon/src/request/plain.rs
+++ b/components/daemon/src/request/plain.rs
@@ -124,6 +124,9 @@
             let Some((entry, guard)) = self.select_endpoint(&avoid) else {
                 break;
             };
+            if self.context.is_caller_gone().await {
+                break;
+            }
             match self.send_attempt(&entry).await {
                 Ok(response) => return Ok(EndpointResponse { response, guard }),
                 Err(failure) => {
--- a/tests/system/failure.rs
+++ b/tests/system/failure.rs
@@ -6,9 +6,11 @@
 use hyper::StatusCode;
 use protocol::order::Role;
 use standin::engine::{Engine, Fault, Setup, expected_text};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use crate::fleet::{
     Caller, FIELD_KEY, Fleet, completion_body, engine_setup, eventually, parse_stream,
+    wait_until_ready,
 };
 
 /// Long enough for a stream to be in flight during an action: a step of the fast stand-in engine takes 1 ms.
@@ -190,6 +192,27 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_reaches_an_engine_whose_caller_left_while_the_daemon_stood_still() {
+    let fleet = Fleet::start(mixed_engines(1), 1).await;
+    wait_until_ready(&fleet.daemons[0]).await;
+    let body = completion_body("gone", 20, true);
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {FIELD_KEY}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    fleet.daemons[0].signal("STOP");
+    for _ in 0..10 {
+        let connecting = TcpStream::connect(fleet.daemons[0].caller_address);
+        let mut stream = connecting.await.expect("connected");
+        stream.write_all(request.as_bytes()).await.expect("sent");
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    fleet.daemons[0].signal("CONT");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(fleet.engines[0].counts().attempts, 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_role_change_interrupts_no_stream() {
     for fences in [false, true] {
