--- a/components/caller/src/exchange.rs
+++ b/components/caller/src/exchange.rs
@@ -60,7 +60,7 @@
 
 /// What a caller's socket shows of its side of the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Side {
+pub(crate) enum Side {
     /// It may send more.
     Open,
     /// It has ended: the caller has shut down its sending side, or has disconnected.
@@ -137,8 +137,7 @@
     }
 
     /// Looks at the socket itself, which may know more than has been read from it. Costs one system call.
-    #[must_use]
-    pub fn side(&self) -> Side {
+    pub(crate) fn side(&self) -> Side {
         let Some(stream) = self.stream().filter(|_| !self.has_recorded_loss()) else {
             return Side::Reset;
         };
@@ -430,7 +429,7 @@
 }
 
 /// Whether an error of a socket says that the connection is lost.
-pub(crate) fn is_disconnect(error: &io::Error) -> bool {
+fn is_disconnect(error: &io::Error) -> bool {
     matches!(
         error.kind(),
         io::ErrorKind::ConnectionReset
--- a/components/caller/src/lib.rs
+++ b/components/caller/src/lib.rs
@@ -5,6 +5,6 @@
 mod presence;
 mod socket;
 
-pub use exchange::{Exchange, ExchangeGuard, HalfClose, Request, Side, Stage, Wait};
+pub use exchange::{Exchange, ExchangeGuard, HalfClose, Request, Stage, Wait};
 pub use presence::Presence;
 pub use socket::Socket;
--- a/components/caller/src/presence.rs
+++ b/components/caller/src/presence.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 use tokio::time::Sleep;
 
-use crate::{Exchange, Side};
+use crate::{Exchange, exchange::Side};
 
 /// Maximum time between two probes of a caller whose side has ended. Operators require that a disconnected caller is noticed
 /// within half a second.
--- a/components/gateway/src/streams/search.rs
+++ b/components/gateway/src/streams/search.rs
@@ -190,7 +190,7 @@
     }
 
     /// Returns the only build that is listed if no other can have been used when the caller's request arrived: what this
-    /// process believes may be old, as it was cut off or has stood still until just now.
+    /// process believes may be old, as it was cut off or paused until just now.
     fn only_listed(&self, questions: &Questions<'_>) -> Option<Build> {
         let is_current = self.is_confirmed() || self.do_peers_agree(questions);
         let only = self.builds().first().cloned();
