Record what endpoints' refusals and unproven responses rest on

An attempt that counts as not run could not be told from one that was taken for another request's: no line had the request that the response names, its signature or the age of its connection. A line for each refusal and each response without proof of its origin has them, and wrenramp_endpoint_refusals_total counts refusals by the request that they name and by whether their connection has carried others.

--- a/components/gateway/src/adapters/mod.rs
+++ b/components/gateway/src/adapters/mod.rs
@@ -270,11 +270,23 @@
     Low,
 }
 
+/// Which request an endpoint's response names.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "kebab-case")]
+pub enum Identity {
+    /// The request that was sent.
+    Own,
+    /// Another one.
+    Other,
+    /// None.
+    Unnamed,
+}
+
 /// What the headers of an endpoint's response say.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
-    /// Whether the response belongs to the request that was sent.
-    pub matches_request: bool,
+    /// Which request the response names.
+    pub identity: Identity,
     /// Whether the endpoint reports that it did not run the request.
     pub not_run: bool,
     /// Whether the response carries the endpoint's signature.
--- a/components/gateway/src/endpoint/connection.rs
+++ b/components/gateway/src/endpoint/connection.rs
@@ -57,15 +57,24 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Number of requests that it has carried.
+    requests: u32,
     task: JoinHandle<()>,
     open_count: Arc<AtomicUsize>,
 }
 
 impl Connection {
-    /// Returns the sender of requests.
-    pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
+    /// Returns the sender for one request, which counts from now on.
+    pub fn start_request(&mut self) -> &mut SendRequest<Full<Bytes>> {
+        self.requests = self.requests.saturating_add(1);
         &mut self.sender
     }
+
+    /// Returns the number of requests that it has carried, the current one included.
+    #[must_use]
+    pub fn requests(&self) -> u32 {
+        self.requests
+    }
 }
 
 impl Drop for Connection {
@@ -121,6 +130,7 @@
     open_count.fetch_add(1, Ordering::Relaxed);
     Ok(Connection {
         sender,
+        requests: 0,
         task,
         open_count: Arc::clone(open_count),
     })
--- a/components/gateway/src/forwarding/probe.rs
+++ b/components/gateway/src/forwarding/probe.rs
@@ -125,7 +125,11 @@
     };
     let mut request = Request::new(Full::new(Bytes::new()));
     envelope::insert_message(request.headers_mut(), &REQUEST, &message);
-    let response = connection.sender().send_request(request).await.ok()?;
+    let response = connection
+        .start_request()
+        .send_request(request)
+        .await
+        .ok()?;
     let reply = Reply::from_headers(response.headers());
     connections.put_back(peer.address, connection);
     Some(reply)
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -9,6 +9,7 @@
 
 use super::{Envelope, Refusal, connections::Paused, relay::Relay};
 use crate::{
+    adapters::Identity,
     endpoint::{Connection, short_id},
     peer::Candidate,
     request::{
@@ -169,7 +170,7 @@
         peer_unreachable = candidate.unreachable, left_ms = policy::micros(job.time_left()) / 1_000;
         "a request is forwarded to a peer"
     );
-    let sending = connection.sender().try_send_request(request);
+    let sending = connection.start_request().try_send_request(request);
     let answered = tokio::select! {
         answered = sending => answered,
         () = clock::sleep_until(job.deadline) => return Err(Failure::TimedOut),
@@ -231,9 +232,8 @@
     parts.status = response.status();
     parts.headers.clone_from(response.headers());
     let dialect = &job.gateway.adapters.dialect;
-    dialect
-        .parse_reply(&job.metadata.id, &parts)
-        .matches_request
+    let reply = dialect.parse_reply(&job.metadata.id, &parts);
+    reply.identity == Identity::Own
 }
 
 /// Returns the time after which the peer expects that a retry may help.
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -14,7 +14,7 @@
 
 use super::{attempts::Purpose, job::Job, presence, timeout::Timeout};
 use crate::{
-    adapters::{Call, Directive},
+    adapters::{Call, Directive, Identity, Reply},
     endpoint::{Build, ConnectError, Connection, RequestGuard, Target, Verdict},
     steward,
 };
@@ -229,7 +229,7 @@
     let guard = RequestGuard::new(target, job.fingerprint, &job.parts, suspect);
     let executes = purpose == Purpose::Run;
     job.exchange_guard.forwarded(&target.id.0, executes);
-    let sending = connection.sender().try_send_request(request);
+    let sending = connection.start_request().try_send_request(request);
     let answered = tokio::select! {
         answered = sending => answered,
         () = timeout.wait(job, target) => return Err(Cause::TimedOut),
@@ -262,8 +262,14 @@
         .dialect
         .parse_reply(&job.metadata.id, &head);
     target.set_idle_timeout(reply.keep_alive);
+    record_reply(job, target, &reply, head.status, connection.requests());
+    let matches_request = match reply.identity {
+        Identity::Own => true,
+        Identity::Other => false,
+        Identity::Unnamed => reply.not_run,
+    };
     match () {
-        () if !reply.matches_request => Err(Cause::ForeignResponse),
+        () if !matches_request => Err(Cause::ForeignResponse),
         () if reply.not_run => {
             guard.finish();
             record_not_run(job, executes);
@@ -282,6 +288,24 @@
     }
 }
 
+/// Records what a response says of its request, unless that is a signed answer to it.
+fn record_reply(job: &Job, target: &Target, reply: &Reply, status: StatusCode, requests: u32) {
+    let connection = if requests > 1 { "used" } else { "new" };
+    let identity = reply.identity.to_string();
+    if reply.not_run {
+        let labels = [&*job.service.name, &*identity, connection];
+        let refusals = &job.gateway.metrics.evidence.refusals;
+        refusals.with_label_values(&labels).inc();
+    }
+    if reply.not_run || reply.identity != Identity::Own || !reply.signed {
+        log::info!(
+            request = job.metadata.id, endpoint = &*target.id.0, status = status.as_u16(), identity,
+            not_run = reply.not_run, signed = reply.signed, requests;
+            "an endpoint sent a refusal, or a response without proof of its origin"
+        );
+    }
+}
+
 /// Records that an attempt did not run the request, unless it was only meant to prefill the prompt.
 fn record_not_run(job: &Job, executes: bool) {
     if executes {
@@ -353,7 +377,11 @@
     *request.uri_mut() = call.path.parse().ok()?;
     *request.headers_mut() = call.headers;
     let exchange = async {
-        let response = connection.sender().send_request(request).await.ok()?;
+        let response = connection
+            .start_request()
+            .send_request(request)
+            .await
+            .ok()?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_CALL_RESPONSE_BYTES).collect();
         Some((status, body.await.ok()?.to_bytes()))
--- a/components/gateway/tests/gateway/fake.rs
+++ b/components/gateway/tests/gateway/fake.rs
@@ -15,7 +15,7 @@
 use gateway::{
     Adapters,
     adapters::{
-        Call, Change, Cursor, Dialect, Directive, Directory, Failure, KvHandle, Metadata,
+        Call, Change, Cursor, Dialect, Directive, Directory, Failure, Identity, KvHandle, Metadata,
         MigrationReply, Order, OrderOutcome, Reply, Report, Update,
     },
     version::{Configuration, Workspace},
@@ -140,7 +140,7 @@
 
     fn parse_reply(&self, _: &str, _: &response::Parts) -> Reply {
         Reply {
-            matches_request: false,
+            identity: Identity::Unnamed,
             not_run: false,
             signed: false,
             keep_alive: None,
--- a/components/telemetry/src/metrics/gateway.rs
+++ b/components/telemetry/src/metrics/gateway.rs
@@ -7,7 +7,8 @@
 };
 
 use super::{
-    LATENCY_BUCKETS_S, counters, disconnects::Disconnects, histogram, streams::Streams, text,
+    LATENCY_BUCKETS_S, counters, disconnects::Disconnects, evidence::Evidence, histogram,
+    streams::Streams, text,
 };
 
 /// All metrics of a gateway.
@@ -20,6 +21,8 @@
     pub answers: IntCounterVec,
     /// Responses of endpoints whose bodies ended, by framing and by what shows that they are incomplete.
     pub response_ends: IntCounterVec,
+    /// What the responses of endpoints prove.
+    pub evidence: Evidence,
     /// Refused requests, by reason.
     pub refusals: IntCounterVec,
     /// Callers' connections that ended with a request in flight, by reason.
@@ -103,6 +106,7 @@
                 "Responses that ended.",
                 &["framing", "end"],
             )?,
+            evidence: Evidence::new()?,
             refusals: counters("refusals_total", "Refusals.", &["reason"])?,
             interrupted_connections: counters(
                 "connections_cut_total",
@@ -192,8 +196,7 @@
             shed_connections: shed_connections()?,
             reloads: IntCounter::new("wrenramp_reloads_total", "Reads of changed settings.")?,
         };
-        metrics.register()?;
-        Ok(metrics)
+        metrics.register().map(|()| metrics)
     }
 
     /// Encodes the metrics in the Prometheus text format.
@@ -245,6 +248,7 @@
         self.registry
             .register(Box::new(self.unreachable_endpoints.clone()))?;
         self.streams.register(&self.registry)?;
+        self.evidence.register(&self.registry)?;
         self.disconnects.register(&self.registry)?;
         self.registry
             .register(Box::new(self.shed_connections.clone()))?;
--- a/components/telemetry/src/metrics/mod.rs
+++ b/components/telemetry/src/metrics/mod.rs
@@ -1,6 +1,7 @@
 //! Metrics of one daemon. Label sets are bounded: services and groups come from the settings.
 
 pub mod disconnects;
+pub mod evidence;
 pub mod gateway;
 pub mod streams;
 
