Make the gateway's own calls on connections that carry nothing else

Cause: calls such as the move of an answer shared pooled connections with callers' requests, and their responses name no request. A late second response to an earlier request was taken for the one to the call; a 4xx among them said that the engine had not stopped the answer.

Change: each call opens a connection of its own and closes it. The first response on a connection can't be that of another request. Orders, reports, lists of cached parts and releases go the same way.

--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -32,7 +32,8 @@
 pub use registry::{Fleet, Registry};
 pub use requests::RequestGuard;
 pub use target::{
-    CONTINUATION_WINDOW, CrashCheck, Latencies, Listening, Reach, ServiceDefaults, Snapshot, Target,
+    CONTINUATION_WINDOW, CrashCheck, Latencies, Listening, Reach, Reuse, ServiceDefaults, Snapshot,
+    Target,
 };
 
 /// Name of an endpoint. A restarted endpoint may keep its name, see [`Profile::started`].
--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -19,7 +19,7 @@
 use crate::crashes::RequestTracker;
 use reach::ListenCheck;
 
-pub use reach::{CrashCheck, Listening};
+pub use reach::{CrashCheck, Listening, Reuse};
 
 /// How long after this process has learnt that an endpoint drains it may still be sent streams that began at its build.
 /// It must be below the operators' `drain_ms`, after which a draining endpoint accepts nothing new: two seconds after its
--- a/components/gateway/src/endpoint/target/reach.rs
+++ b/components/gateway/src/endpoint/target/reach.rs
@@ -10,7 +10,7 @@
 use super::Target;
 use crate::{
     crashes::InFlight,
-    endpoint::{ConnectError, Connection, State, connection, path},
+    endpoint::{ConnectError, Connection, IdleConnection, State, connection, path},
 };
 
 /// Minimum time between the beginnings of two checks of an endpoint's path, as each opens a
@@ -26,6 +26,15 @@
     crashed: bool,
 }
 
+/// Which connections a request may be sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// An open one that has been idle for at most this long, or a new one.
+    Idle(Duration),
+    /// Only a new one, on which no response to an earlier request can arrive.
+    Never,
+}
+
 /// Whether an endpoint accepts connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listening {
@@ -52,23 +61,24 @@
 }
 
 impl Target {
-    /// Returns an idle connection if one has been idle for at most `max_idle`, else opens one. At
-    /// most `max_open` connections are open at a time.
+    /// Returns an idle connection if `reuse` allows one, else opens one. At most `max_open`
+    /// connections are open at a time.
     ///
     /// # Errors
     ///
     /// [`ConnectError`]: no connection is available, and nothing was sent.
     pub async fn connect(
         self: &Arc<Self>,
-        max_idle: Duration,
+        reuse: Reuse,
         max_open: usize,
     ) -> Result<Connection, ConnectError> {
         let now = Instant::now();
+        let is_usable = |idle: &IdleConnection| match reuse {
+            Reuse::Idle(max_idle) => idle.is_usable(now, max_idle),
+            Reuse::Never => false,
+        };
         let found = self.with(|state| {
-            let index = state
-                .idle
-                .iter()
-                .position(|idle| idle.is_usable(now, max_idle));
+            let index = state.idle.iter().position(is_usable);
             index.map(|index| state.idle.remove(index))
         });
         if let Some(idle) = found {
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -15,7 +15,7 @@
 use super::{attempts::Purpose, job::Job, presence, timeout::Timeout};
 use crate::{
     adapters::{Call, Directive, Identity, Reply},
-    endpoint::{Build, ConnectError, Connection, RequestGuard, Target, Verdict},
+    endpoint::{Build, ConnectError, Connection, RequestGuard, Reuse, Target, Verdict},
     steward,
 };
 
@@ -203,7 +203,7 @@
     };
     job.sends.wait_for_budget(job).await;
     let mut connection = target
-        .connect(max_idle, job.max_connections())
+        .connect(Reuse::Idle(max_idle), job.max_connections())
         .await
         .map_err(Cause::NotOpened)?;
     let request = build_request(job, directive);
@@ -362,14 +362,15 @@
     call_with_timeout(CALL_TIMEOUT, target, call).await
 }
 
-/// Makes a call of the gateway's own with the given timeout.
+/// Makes a call of the gateway's own with the given timeout, on a connection that carries nothing else: responses to such
+/// calls name no request, so that a late one to an earlier request could be taken for theirs.
 pub async fn call_with_timeout(
     timeout: Duration,
     target: &Arc<Target>,
     call: Call,
 ) -> Option<(StatusCode, Bytes)> {
     let mut connection = target
-        .connect(MAX_IDLE_RETRYABLE, MAX_CALL_CONNECTIONS)
+        .connect(Reuse::Never, MAX_CALL_CONNECTIONS)
         .await
         .ok()?;
     let mut request = Request::new(Full::new(call.body));
@@ -386,7 +387,5 @@
         let body = Limited::new(response.into_body(), MAX_CALL_RESPONSE_BYTES).collect();
         Some((status, body.await.ok()?.to_bytes()))
     };
-    let answer = clock::timeout(timeout, exchange).await.ok()??;
-    target.put_back_connection(connection);
-    Some(answer)
+    clock::timeout(timeout, exchange).await.ok()?
 }
