Believe a refusal only where it is shown to be that of the request

Callers got 503 for requests that may not be repeated and had run (REFUSED), or such a request ran twice (TWICE).

Cause: a response without a request id counted as the request's own if it said "not executed", and its connection carried the next request. Endpoints may send a second response late, where the next one is expected: the copy of the refusal of one request was taken for the answer to the next one, which had run. A name is no proof either on a connection that has carried the same request before.

Change: request::evidence decides what a response shows, and only it creates the proof that Cause::NotRun and Cause::KvFetchFailed hold. A refusal without a name counts only as the first response on its connection, which is closed then. A request that is sent to the same endpoint again takes a new connection.

--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -12,7 +12,13 @@
     http::response,
 };
 
-use super::{attempts::Purpose, job::Job, presence, timeout::Timeout};
+use super::{
+    attempts::Purpose,
+    evidence::{self, Doubt, Finding, NotRun},
+    job::Job,
+    presence,
+    timeout::Timeout,
+};
 use crate::{
     adapters::{Call, Directive, Identity, Reply},
     endpoint::{Build, ConnectError, Connection, RequestGuard, Reuse, Target, Verdict},
@@ -71,24 +77,28 @@
     /// Too many endpoints have crashed while running this request.
     #[display("endpoints have ended under the request")]
     Withheld,
-    /// An engine could not fetch the KV cache of the prompt from the engine that prefilled it.
-    #[display("the prompt's KV cache could not be fetched")]
-    KvFetchFailed,
+    /// An engine did not run the request, as it could not fetch the KV cache of the prompt from the engine that prefilled
+    /// it.
+    #[display("the prompt's KV cache could not be fetched: {_0}")]
+    KvFetchFailed(NotRun),
     /// A deferred prompt was still waiting behind others when its time was up.
     #[display("other prompts went first until the time was over")]
     Starved,
     /// Another build than the endpoint's began the stream.
     #[display("another build began the stream")]
     OtherBuild,
-    /// The endpoint reported that it did not run the request.
-    #[display("the endpoint did not run it, status {_0}")]
-    NotRun(u16),
+    /// The endpoint did not run the request.
+    #[display("the endpoint did not run it: {_0}")]
+    NotRun(NotRun),
+    /// The response does not show that it answers the request.
+    #[display("the response is not believed: {_0}")]
+    Unproven(Doubt),
     /// The connection broke before the headers of the response arrived.
     #[display("the connection broke")]
     ConnectionBroken,
-    /// The response belongs to another request or is not valid, be it as HTTP or as a KV handle.
-    #[display("the answer belongs to another request")]
-    ForeignResponse,
+    /// The response is not valid, be it as HTTP or as a KV handle.
+    #[display("the answer is not valid")]
+    InvalidResponse,
     /// The time of the request was over before anything was sent.
     #[display("the time was over before it was sent")]
     Expired,
@@ -113,7 +123,7 @@
                 | Self::NoDecodeCapacity
                 | Self::RetryBudgetExhausted
                 | Self::Withheld
-                | Self::KvFetchFailed
+                | Self::KvFetchFailed(_)
                 | Self::OtherBuild
                 | Self::NotRun(_)
                 | Self::Expired
@@ -129,12 +139,13 @@
             Self::NoDecodeCapacity => "no-writer",
             Self::RetryBudgetExhausted => "no-budget",
             Self::Withheld => "withheld",
-            Self::KvFetchFailed => "no-handle",
+            Self::KvFetchFailed(_) => "no-handle",
             Self::OtherBuild => "other-build",
             Self::Starved => "gave-way",
             Self::NotRun(_) => "not-run",
+            Self::Unproven(_) => "unproven",
             Self::ConnectionBroken => "broken",
-            Self::ForeignResponse => "foreign",
+            Self::InvalidResponse => "invalid",
             Self::Expired => "too-late",
             Self::CallerGone => "caller-gone",
             Self::TimedOut => "time-over",
@@ -147,15 +158,16 @@
         match self {
             Self::TimedOut => Some(Verdict::Silent),
             Self::NotRun(_) => Some(Verdict::Refused),
-            Self::ConnectionBroken | Self::ForeignResponse | Self::ErrorStatus(_) => {
-                Some(Verdict::Failed)
-            }
+            Self::ConnectionBroken
+            | Self::Unproven(_)
+            | Self::InvalidResponse
+            | Self::ErrorStatus(_) => Some(Verdict::Failed),
             Self::NotOpened(_)
             | Self::NotSent
             | Self::NoDecodeCapacity
             | Self::RetryBudgetExhausted
             | Self::Withheld
-            | Self::KvFetchFailed
+            | Self::KvFetchFailed(_)
             | Self::OtherBuild
             | Self::Expired
             | Self::CallerGone
@@ -196,14 +208,15 @@
     if !job.accepts(&build) {
         return Err(Cause::OtherBuild);
     }
-    let max_idle = if job.route.kind.is_retryable() {
-        MAX_IDLE_RETRYABLE
-    } else {
-        MAX_IDLE_ONCE
+    let reuse = match job.route.kind.is_retryable() {
+        // a late response to the first of both attempts would name this request
+        _ if job.was_sent_to(target) => Reuse::Never,
+        true => Reuse::Idle(MAX_IDLE_RETRYABLE),
+        false => Reuse::Idle(MAX_IDLE_ONCE),
     };
     job.sends.wait_for_budget(job).await;
     let mut connection = target
-        .connect(Reuse::Idle(max_idle), job.max_connections())
+        .connect(reuse, job.max_connections())
         .await
         .map_err(Cause::NotOpened)?;
     let request = build_request(job, directive);
@@ -228,6 +241,7 @@
     let suspect = job.gateway.crashes.is_suspect(job.fingerprint);
     let guard = RequestGuard::new(target, job.fingerprint, &job.parts, suspect);
     let executes = purpose == Purpose::Run;
+    job.record_sent_to(target);
     job.exchange_guard.forwarded(&target.id.0, executes);
     let sending = connection.start_request().try_send_request(request);
     let answered = tokio::select! {
@@ -245,7 +259,7 @@
                     record_not_run(job, executes);
                     Cause::NotSent
                 }
-                None if error.error().is_parse() => Cause::ForeignResponse,
+                None if error.error().is_parse() => Cause::InvalidResponse,
                 None => {
                     guard.connection_broke();
                     job.gateway.check_for_crash(target, &job.metadata.id).await;
@@ -262,22 +276,22 @@
         .dialect
         .parse_reply(&job.metadata.id, &head);
     target.set_idle_timeout(reply.keep_alive);
-    record_reply(job, target, &reply, head.status, connection.requests());
-    let matches_request = match reply.identity {
-        Identity::Own => true,
-        Identity::Other => false,
-        Identity::Unnamed => reply.not_run,
-    };
-    match () {
-        () if !matches_request => Err(Cause::ForeignResponse),
-        () if reply.not_run => {
+    let is_first = connection.requests() == 1;
+    let finding = evidence::examine(&reply, head.status, is_first);
+    record_finding(job, target, finding, &reply, connection.requests());
+    match finding {
+        Finding::Nothing(doubt) => Err(Cause::Unproven(doubt)),
+        Finding::NotRun(not_run) => {
             guard.finish();
             record_not_run(job, executes);
-            drain_and_return(target, connection, body);
+            // a late copy of a refusal without a name could be taken for that of the next request
+            if reply.identity == Identity::Own {
+                drain_and_return(target, connection, body);
+            }
             steward::check_refusal(&job.gateway, target);
-            Err(Cause::NotRun(head.status.as_u16()))
+            Err(Cause::NotRun(not_run))
         }
-        () => Ok(Answer {
+        Finding::Answer => Ok(Answer {
             head,
             body,
             connection,
@@ -288,22 +302,29 @@
     }
 }
 
-/// Records what a response says of its request, unless that is a signed answer to it.
-fn record_reply(job: &Job, target: &Target, reply: &Reply, status: StatusCode, requests: u32) {
-    let connection = if requests > 1 { "used" } else { "new" };
+/// Counts and logs a response that does not answer its request.
+fn record_finding(job: &Job, target: &Target, finding: Finding, reply: &Reply, requests: u32) {
+    let service = &*job.service.name;
     let identity = reply.identity.to_string();
-    if reply.not_run {
-        let labels = [&*job.service.name, &*identity, connection];
-        let refusals = &job.gateway.metrics.evidence.refusals;
-        refusals.with_label_values(&labels).inc();
-    }
-    if reply.not_run || reply.identity != Identity::Own || !reply.signed {
-        log::info!(
-            request = job.metadata.id, endpoint = &*target.id.0, status = status.as_u16(), identity,
-            not_run = reply.not_run, signed = reply.signed, requests;
-            "an endpoint sent a refusal, or a response without proof of its origin"
-        );
-    }
+    let metrics = &job.gateway.metrics.evidence;
+    let shows = match finding {
+        Finding::Answer => return,
+        Finding::NotRun(not_run) => {
+            let connection = if requests > 1 { "used" } else { "new" };
+            let labels = [service, &*identity, connection];
+            metrics.refusals.with_label_values(&labels).inc();
+            format!("not run: {not_run}")
+        }
+        Finding::Nothing(doubt) => {
+            let labels = [service, doubt.label()];
+            metrics.unproven.with_label_values(&labels).inc();
+            format!("nothing: {doubt}")
+        }
+    };
+    log::info!(
+        request = job.metadata.id, endpoint = &*target.id.0, shows, identity, signed = reply.signed, requests;
+        "examined the response of an endpoint"
+    );
 }
 
 /// Records that an attempt did not run the request, unless it was only meant to prefill the prompt.
--- a/components/gateway/src/request/attempts.rs
+++ b/components/gateway/src/request/attempts.rs
@@ -170,7 +170,7 @@
             self.refused.push(Arc::clone(&failed.target));
         }
         // an engine that could not fetch the KV cache can still prefill the prompt itself
-        if failed.cause != Cause::KvFetchFailed {
+        if !matches!(failed.cause, Cause::KvFetchFailed(_)) {
             self.tried.push(failed.target);
         }
         match withheld {
--- /dev/null
+++ b/components/gateway/src/request/evidence.rs
@@ -0,0 +1,75 @@
+//! What an endpoint's response proves about the request that it should answer. See
+//! `docs/DESIGN.md#what-a-response-proves`.
+
+use derive_more::Display;
+use hyper::StatusCode;
+
+use crate::adapters::{Identity, Reply};
+
+/// What a response shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// It answers the request.
+    Answer,
+    /// The endpoint did not run the request.
+    NotRun(NotRun),
+    /// It shows nothing about the request, which may have run.
+    Nothing(Doubt),
+}
+
+/// Proof that an endpoint did not run a request. Only [`examine`] creates it.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("status {}, {basis}", status.as_u16())]
+pub struct NotRun {
+    status: StatusCode,
+    basis: Basis,
+}
+
+/// Why a refusal is known to be that of the request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum Basis {
+    /// It names the request.
+    #[display("which names the request")]
+    Named,
+    /// It is the first response on a connection that has carried no other request.
+    #[display("the first response on its connection")]
+    FirstResponse,
+}
+
+/// Why a response shows nothing about the request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Doubt {
+    /// It names another request.
+    #[display("it names another request")]
+    OtherRequest,
+    /// It names no request.
+    #[display("it names no request")]
+    Unnamed,
+    /// It is a refusal that names no request, on a connection that has carried others: it may be a late one of theirs.
+    #[display("a refusal without a name on a used connection")]
+    UsedConnection,
+}
+
+impl Doubt {
+    /// Returns the value of the metric label.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::OtherRequest => "other-request",
+            Self::Unnamed => "unnamed",
+            Self::UsedConnection => "used-connection",
+        }
+    }
+}
+
+/// Examines the head of a response. `is_first` says whether its connection has carried no other request.
+pub fn examine(reply: &Reply, status: StatusCode, is_first: bool) -> Finding {
+    let not_run = |basis| Finding::NotRun(NotRun { status, basis });
+    match reply.identity {
+        Identity::Other => Finding::Nothing(Doubt::OtherRequest),
+        Identity::Own if reply.not_run => not_run(Basis::Named),
+        Identity::Unnamed if reply.not_run && is_first => not_run(Basis::FirstResponse),
+        Identity::Unnamed if reply.not_run => Finding::Nothing(Doubt::UsedConnection),
+        Identity::Unnamed => Finding::Nothing(Doubt::Unnamed),
+        Identity::Own => Finding::Answer,
+    }
+}
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -88,7 +88,7 @@
             }
             Err(failed) => {
                 // another prefill and another fetch would count as two more sends
-                may_split = failed.cause != Cause::KvFetchFailed;
+                may_split = !matches!(failed.cause, Cause::KvFetchFailed(_));
                 if let Err(reason) = attempts.record_failure(&job, failed) {
                     return Err(Unserved::Final(reason));
                 }
--- a/components/gateway/src/request/generate/prefill.rs
+++ b/components/gateway/src/request/generate/prefill.rs
@@ -182,7 +182,7 @@
     let body = Limited::new(answer.body, MAX_HANDLE_RESPONSE_BYTES).collect();
     let Ok(body) = clock::timeout(MAX_HANDLE_RESPONSE_TIME, body).await else {
         job.sends.record_prefill_failed();
-        return Err(failed(Cause::ForeignResponse));
+        return Err(failed(Cause::InvalidResponse));
     };
     let body = body.map(Collected::to_bytes);
     let body = match body {
@@ -204,7 +204,7 @@
     wait.finish();
     let address = target.with(|state| state.profile.address);
     let handle = job.gateway.adapters.dialect.parse_handle(address, &body);
-    let handle = handle.ok_or_else(|| failed(Cause::ForeignResponse))?;
+    let handle = handle.ok_or_else(|| failed(Cause::InvalidResponse))?;
     if !deferred {
         learn_prefill_latency(job, target, in_flight.ahead + in_flight.guard.work(), begun);
     }
--- a/components/gateway/src/request/generate/run.rs
+++ b/components/gateway/src/request/generate/run.rs
@@ -119,9 +119,9 @@
         }
         // the decode engine can't report why, but in most cases the prefill engine has lost the KV
         // cache
-        Err(Cause::NotRun(_)) => {
+        Err(Cause::NotRun(not_run)) => {
             record_failed_fetch(prefill, decode, &job.metadata.id);
-            Err(failed(decode, Cause::KvFetchFailed, Purpose::Run))
+            Err(failed(decode, Cause::KvFetchFailed(not_run), Purpose::Run))
         }
         Err(cause) => Err(failed(decode, cause, Purpose::Run)),
     }
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -12,6 +12,7 @@
 use caller::ExchangeGuard;
 use clock::Instant;
 use hyper::{HeaderMap, Method, Uri, http::request::Parts};
+use parking_lot::Mutex;
 use policy::{prompt::Prompt, remainder::Remainder};
 
 use super::{attempts::SendCounter, fingerprint::Fingerprint};
@@ -19,7 +20,7 @@
     adapters::Metadata,
     connection::CountGuard,
     crashes::Withheld,
-    endpoint::Build,
+    endpoint::{Build, Id, Target},
     forwarding::{Admitted, Envelope},
     process::Gateway,
     streams::Key,
@@ -104,6 +105,8 @@
     pub sends: SendCounter,
     /// The request's entry on the caller's connection.
     pub exchange_guard: ExchangeGuard,
+    /// Endpoints that it has been sent to.
+    sent_to: Mutex<Vec<Id>>,
     /// The build that began the stream; unset before its first event.
     build: OnceLock<Build>,
     /// The number of events of the stream that its caller has received, also in earlier responses.
@@ -187,6 +190,7 @@
             max_stall,
             sends: SendCounter::continuing(envelope.as_ref().map_or(0, |envelope| envelope.sends)),
             exchange_guard,
+            sent_to: Mutex::default(),
             build: envelope
                 .as_ref()
                 .and_then(|envelope| envelope.build.clone())
@@ -205,6 +209,16 @@
         }
     }
 
+    /// Records that it is about to be sent to an endpoint.
+    pub fn record_sent_to(&self, target: &Target) {
+        self.sent_to.lock().push(target.id.clone());
+    }
+
+    /// Whether it has been sent to an endpoint.
+    pub fn was_sent_to(&self, target: &Target) -> bool {
+        self.sent_to.lock().contains(&target.id)
+    }
+
     /// Returns the build that began the stream, as only its endpoints can continue it; `None` before the first event.
     pub fn build(&self) -> Option<&Build> {
         self.build.get()
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod body;
 mod events;
+mod evidence;
 mod fingerprint;
 mod framing;
 mod generate;
--- a/components/telemetry/src/metrics/evidence.rs
+++ b/components/telemetry/src/metrics/evidence.rs
@@ -10,6 +10,8 @@
     /// Responses that refuse a request, by service, by which request they name, and by whether their connection has
     /// carried other requests.
     pub refusals: IntCounterVec,
+    /// Responses that show nothing about the request, by service and reason.
+    pub unproven: IntCounterVec,
 }
 
 impl Evidence {
@@ -25,6 +27,11 @@
                 "Responses of endpoints that refuse a request, by the request that they name.",
                 &["service", "identity", "connection"],
             )?,
+            unproven: counters(
+                "unproven_responses_total",
+                "Responses of endpoints that show nothing about the request.",
+                &["service", "doubt"],
+            )?,
         })
     }
 
@@ -34,6 +41,7 @@
     ///
     /// An error of the library when two metrics have the same name.
     pub fn register(&self, registry: &Registry) -> prometheus::Result<()> {
-        registry.register(Box::new(self.refusals.clone()))
+        registry.register(Box::new(self.refusals.clone()))?;
+        registry.register(Box::new(self.unproven.clone()))
     }
 }
