Answer 502 where an endpoint's status promises more than it confirms

Cause: any response that named the request and did not say "not executed" was passed on with its status, which callers take for the gateway's promise that the request did not run.

--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -277,7 +277,7 @@
         .parse_reply(&job.metadata.id, &head);
     target.set_idle_timeout(reply.keep_alive);
     let is_first = connection.requests() == 1;
-    let finding = evidence::examine(&reply, head.status, is_first);
+    let finding = evidence::examine(&reply, head.status, purpose, is_first);
     record_finding(job, target, finding, &reply, connection.requests());
     match finding {
         Finding::Nothing(doubt) => Err(Cause::Unproven(doubt)),
--- a/components/gateway/src/request/evidence.rs
+++ b/components/gateway/src/request/evidence.rs
@@ -4,6 +4,7 @@
 use derive_more::Display;
 use hyper::StatusCode;
 
+use super::attempts::Purpose;
 use crate::adapters::{Identity, Reply};
 
 /// What a response shows.
@@ -48,6 +49,9 @@
     /// It is a refusal that names no request, on a connection that has carried others: it may be a late one of theirs.
     #[display("a refusal without a name on a used connection")]
     UsedConnection,
+    /// Its status promises that the request did not run, which the endpoint does not confirm.
+    #[display("a status that promises too much")]
+    UnconfirmedStatus,
 }
 
 impl Doubt {
@@ -57,12 +61,13 @@
             Self::OtherRequest => "other-request",
             Self::Unnamed => "unnamed",
             Self::UsedConnection => "used-connection",
+            Self::UnconfirmedStatus => "unconfirmed-status",
         }
     }
 }
 
 /// Examines the head of a response. `is_first` says whether its connection has carried no other request.
-pub fn examine(reply: &Reply, status: StatusCode, is_first: bool) -> Finding {
+pub fn examine(reply: &Reply, status: StatusCode, purpose: Purpose, is_first: bool) -> Finding {
     let not_run = |basis| Finding::NotRun(NotRun { status, basis });
     match reply.identity {
         Identity::Other => Finding::Nothing(Doubt::OtherRequest),
@@ -70,6 +75,20 @@
         Identity::Unnamed if reply.not_run && is_first => not_run(Basis::FirstResponse),
         Identity::Unnamed if reply.not_run => Finding::Nothing(Doubt::UsedConnection),
         Identity::Unnamed => Finding::Nothing(Doubt::Unnamed),
+        // a prefill is no run, whatever its status
+        Identity::Own if purpose == Purpose::Read => Finding::Answer,
+        Identity::Own if promises_not_run(status) => Finding::Nothing(Doubt::UnconfirmedStatus),
         Identity::Own => Finding::Answer,
     }
 }
+
+/// Whether callers take a status as a promise that their request did not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
