Pass on no response without the endpoint's signature, 5xx aside

Cause: Reply::signed was parsed and read nowhere.

Change: a response to a run that lacks the signature shows nothing about the request: it is repeated where that is allowed and answered 502 otherwise. Errors of the 5xx kind say by themselves that the request may have run and are passed on. Handles of prefills are never signed.

--- a/components/gateway/src/request/evidence.rs
+++ b/components/gateway/src/request/evidence.rs
@@ -52,6 +52,9 @@
     /// Its status promises that the request did not run, which the endpoint does not confirm.
     #[display("a status that promises too much")]
     UnconfirmedStatus,
+    /// It lacks the endpoint's signature.
+    #[display("it is not signed")]
+    Unsigned,
 }
 
 impl Doubt {
@@ -62,6 +65,7 @@
             Self::Unnamed => "unnamed",
             Self::UsedConnection => "used-connection",
             Self::UnconfirmedStatus => "unconfirmed-status",
+            Self::Unsigned => "unsigned",
         }
     }
 }
@@ -75,10 +79,12 @@
         Identity::Unnamed if reply.not_run && is_first => not_run(Basis::FirstResponse),
         Identity::Unnamed if reply.not_run => Finding::Nothing(Doubt::UsedConnection),
         Identity::Unnamed => Finding::Nothing(Doubt::Unnamed),
-        // a prefill is no run, whatever its status
+        // handles are not signed, and a prefill is no run whatever its status
         Identity::Own if purpose == Purpose::Read => Finding::Answer,
         Identity::Own if promises_not_run(status) => Finding::Nothing(Doubt::UnconfirmedStatus),
-        Identity::Own => Finding::Answer,
+        // an error status says by itself that the request may have run
+        Identity::Own if reply.signed || status.is_server_error() => Finding::Answer,
+        Identity::Own => Finding::Nothing(Doubt::Unsigned),
     }
 }
 
