Bound the memory that the bodies of callers' requests take together

Cause: each body was limited, their sum was not. A body in chunks was kept as one buffer a chunk, and a chunk may be a byte.

Change: process::memory::Budget, five eighths of the VM's memory. An announced length is reserved before the body is read, a body without one in doubling steps as it arrives; what finds no room is refused at once as not run, to peers as unavailable. Parts are copied into one buffer.

--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod endpoints;
 mod follow;
 mod freshness;
+pub mod memory;
 mod missing;
 mod paths;
 mod reload;
@@ -39,6 +40,7 @@
 use builds::StoredBuilds;
 use follow::LastChanges;
 use freshness::Confirmation;
+use memory::Budget;
 use service::Services;
 use streams::StoredStreams;
 use usage::Usage;
@@ -108,6 +110,8 @@
     pub forwarding: Connections,
     /// The requests in flight that peers have forwarded to this process.
     pub admission: Admission,
+    /// The memory for the bodies of requests in flight.
+    pub bodies: Budget,
     /// The state of this process as the steward.
     pub steward: Steward,
     /// The phase of a graceful shutdown.
@@ -389,6 +393,7 @@
         peers: Peers::default(),
         forwarding: Connections::new(settings.gateway.peers.ip()),
         admission: Admission::default(),
+        bodies: Budget::for_bodies(settings.resources.memory_mb),
         steward: Steward::default(),
         phase: watch::Sender::new(Phase::Serving),
         connections: watch::Sender::new(0),
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -15,14 +15,14 @@
 use parking_lot::Mutex;
 use policy::{prompt::Prompt, remainder::Remainder};
 
-use super::{attempts::SendCounter, fingerprint::Fingerprint};
+use super::{attempts::SendCounter, body::Complete, fingerprint::Fingerprint};
 use crate::{
     adapters::Metadata,
     connection::CountGuard,
     crashes::Withheld,
     endpoint::{Build, Id, Target},
     forwarding::{Admitted, Envelope},
-    process::Gateway,
+    process::{Gateway, memory::Reservation},
     streams::Key,
     version::{Configuration, Kind, Route, Service, Workspace},
 };
@@ -40,7 +40,7 @@
     /// The request line and headers.
     pub head: Parts,
     /// The body.
-    pub body: Bytes,
+    pub body: Complete,
     /// The configuration under which it was admitted.
     pub configuration: Arc<Configuration>,
     /// The caller's workspace; `None` if it presented no API key and needs none.
@@ -115,6 +115,7 @@
     counted: AtomicBool,
     /// Whether it has been counted in the demand of its service.
     demand_counted: AtomicBool,
+    _body_memory: Reservation,
     _in_flight: CountGuard,
     _admitted: Option<Admitted>,
 }
@@ -163,6 +164,10 @@
         let workspace_priority = workspace.as_ref().and_then(|workspace| workspace.priority);
         let priority = workspace_priority.unwrap_or(route.priority);
         let in_flight = CountGuard::new(&gateway.in_flight);
+        let Complete {
+            bytes: body,
+            reservation,
+        } = body;
         let fingerprint = Fingerprint::of(&head.method, super::host(&head), &head.uri, &body);
         let prompt = metadata.prompt.as_ref();
         let parts = prompt.map_or_else(Arc::default, |prompt| prompt.shared_parts().collect());
@@ -204,6 +209,7 @@
             demand_counted: AtomicBool::new(
                 envelope.is_some_and(|envelope| envelope.demand_counted),
             ),
+            _body_memory: reservation,
             _in_flight: in_flight,
             _admitted: admitted,
         }
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -247,7 +247,8 @@
         workspace: Option<Arc<Workspace>>,
         forwarded: Option<Forwarded>,
     ) -> Result<Job, Reason> {
-        let body = body::read(self.body, configuration.limits, self.arrived).await?;
+        let budget = &self.gateway.bodies;
+        let body = body::read(self.body, configuration.limits, budget, self.arrived).await?;
         self.exchange_guard.body_received();
         let received = Received {
             metadata: self.metadata,
--- a/components/gateway/src/request/refusal.rs
+++ b/components/gateway/src/request/refusal.rs
@@ -44,6 +44,9 @@
     /// The body arrived too slowly or incompletely.
     #[display("the body did not come in time")]
     SlowBody,
+    /// The bodies of other requests take all memory that there is for them.
+    #[display("other requests take the memory for bodies")]
+    NoMemory,
     /// This process has not read the configuration yet.
     #[display("this process knows no configuration yet")]
     NotReady,
@@ -107,7 +110,7 @@
         match self {
             Self::Declined(decline) => decline.for_peer(),
             Self::NoEndpoint(_) => Refusal::NoPath,
-            Self::NotReady | Self::ShuttingDown => Refusal::Unavailable,
+            Self::NotReady | Self::ShuttingDown | Self::NoMemory => Refusal::Unavailable,
             _ => match self.execution() {
                 Execution::NotRun => Refusal::NotRun,
                 Execution::Unknown => Refusal::Unknown,
@@ -123,6 +126,7 @@
             Self::KeyUnconfirmed => "key-unconfirmed",
             Self::TooLarge => "too-large",
             Self::SlowBody => "slow-body",
+            Self::NoMemory => "no-memory",
             Self::NotReady => "not-ready",
             Self::ShuttingDown => "stopping",
             Self::Overloaded(_) => "late",
@@ -147,6 +151,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NotReady
+            | Self::NoMemory
             | Self::KeyUnconfirmed
             | Self::ShuttingDown
             | Self::Overloaded(_)
@@ -172,7 +177,9 @@
             | Self::AllRefused(after)
             | Self::RefusedByPeer(after)
             | Self::Withheld(after) => Some(after),
-            Self::NotReady | Self::KeyUnconfirmed | Self::Panicked => Some(DEFAULT_RETRY_AFTER),
+            Self::NotReady | Self::NoMemory | Self::KeyUnconfirmed | Self::Panicked => {
+                Some(DEFAULT_RETRY_AFTER)
+            }
             // another process accepts it immediately
             Self::ShuttingDown => Some(Duration::ZERO),
             _ => None,
