Reset connections to endpoints and peers whose response is awaited

Cause: an attempt that is abandoned closed its connection in order, so what the system's buffers held was still delivered when the network was back or the endpoint read on.

Change: the socket of such a connection is reset if it is dropped while a response is awaited, towards peers too. Idle connections are closed in order as before. What has been acknowledged on the way can't be taken back, and such an attempt still counts as one that may have run.

Evidence: a_request_whose_time_is_over_does_not_arrive_whole_when_its_endpoint_reads_on was red (all 49,301 bytes arrived, orderly end) and is green.

--- a/components/gateway/src/endpoint/connection.rs
+++ b/components/gateway/src/endpoint/connection.rs
@@ -1,4 +1,5 @@
-//! Connection to an endpoint. It serves one request at a time and is closed when dropped.
+//! Connection to an endpoint. It serves one request at a time and is closed when dropped, or reset if a response is awaited
+//! then.
 
 use std::{
     io,
@@ -22,6 +23,8 @@
     task::JoinHandle,
 };
 
+use super::socket::{Awaited, Socket};
+
 /// Timeout of connecting. Data centres are a few milliseconds apart. A lost SYN is only
 /// retransmitted after a second, by when another endpoint has served the request.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -59,6 +62,7 @@
     sender: SendRequest<Full<Bytes>>,
     /// Number of requests that it has carried.
     requests: u32,
+    awaited: Awaited,
     task: JoinHandle<()>,
     open_count: Arc<AtomicUsize>,
 }
@@ -67,9 +71,15 @@
     /// Returns the sender for one request, which counts from now on.
     pub fn start_request(&mut self) -> &mut SendRequest<Full<Bytes>> {
         self.requests = self.requests.saturating_add(1);
+        self.awaited.set(true);
         &mut self.sender
     }
 
+    /// Records that the response to the last request is complete.
+    pub(crate) fn end_request(&self) {
+        self.awaited.set(false);
+    }
+
     /// Returns the number of requests that it has carried, the current one included.
     #[must_use]
     pub fn requests(&self) -> u32 {
@@ -121,7 +131,9 @@
         Err(_) => return Err(ConnectError::Silent),
     };
     set_keepalive(&stream);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let awaited = Awaited::default();
+    let socket = Socket::new(stream, awaited.clone());
+    let handshake = http1::handshake(TokioIo::new(socket)).await;
     let (sender, connection) = handshake.map_err(|_| ConnectError::Refused)?;
     let task = tokio::spawn(async move {
         // the request in flight gets the error from its sender
@@ -131,6 +143,7 @@
     Ok(Connection {
         sender,
         requests: 0,
+        awaited,
         task,
         open_count: Arc::clone(open_count),
     })
@@ -175,6 +188,7 @@
 
     /// Keeps a connection that is idle from now on until `expires`.
     pub(crate) fn new(connection: Connection, now: Instant, expires: Instant) -> Self {
+        connection.end_request();
         Self {
             connection,
             since: now,
--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -13,6 +13,7 @@
 mod path;
 mod registry;
 mod requests;
+mod socket;
 mod subset;
 mod target;
 
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -408,5 +408,7 @@
         let body = Limited::new(response.into_body(), MAX_CALL_RESPONSE_BYTES).collect();
         Some((status, body.await.ok()?.to_bytes()))
     };
-    clock::timeout(timeout, exchange).await.ok()?
+    let answer = clock::timeout(timeout, exchange).await.ok()??;
+    connection.end_request();
+    Some(answer)
 }
