Keep at most 32 KiB of a response that is not passed on yet

An endpoint that sends bytes without end in a head made the gateway keep some 400 KB of them a connection, the default of the HTTP library; with thousands of connections that is more than a VM has.

Change: the library's buffer is limited to 32 KiB for connections to endpoints and peers, which bounds a head and what a slow caller leaves unread in this process. The system's own buffers are not bounded by this.

Evidence: a_head_of_an_endpoint_that_is_longer_than_any_limit_is_not_kept was red (a head of 100 KB was passed on) and is green; endless.rs, early_ends.rs, cut_heads.rs and streams hold.

--- a/components/gateway/src/endpoint/connection.rs
+++ b/components/gateway/src/endpoint/connection.rs
@@ -42,6 +42,10 @@
 /// [`CLOSE_MARGIN`] is not subtracted from it.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// How many bytes of a response are kept that are not passed on yet, which limits its head. A gateway may have thousands of
+/// connections, and each may get bytes that are no response.
+const MAX_BUFFERED_BYTES: usize = 32 << 10;
+
 /// Reason why no connection was opened. Nothing was sent.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum ConnectError {
@@ -133,7 +137,10 @@
     set_keepalive(&stream);
     let awaited = Awaited::default();
     let socket = Socket::new(stream, awaited.clone());
-    let handshake = http1::handshake(TokioIo::new(socket)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_BUFFERED_BYTES)
+        .handshake(TokioIo::new(socket))
+        .await;
     let (sender, connection) = handshake.map_err(|_| ConnectError::Refused)?;
     let task = tokio::spawn(async move {
         // the request in flight gets the error from its sender
