Send nothing late in a planned stop that has not run and could be cut off

Other operators saw requests that were taken late in the grace and cut at its end without an answer.

Cause: a request that arrived before the stop or while the load balancer still sent some was judged by when it was expected to end, and only when it was placed. One that its first endpoint refused later was sent to a second one, whose answer was cut at the end of the grace.

Change: each send checks it, to peers too. Once the load balancer sends nothing any more, a request of which nothing has run is sent only if its whole time fits; otherwise it is refused as not run, so that its caller goes elsewhere. One that may have run goes on as before.

--- a/components/caller/src/exchange.rs
+++ b/components/caller/src/exchange.rs
@@ -394,6 +394,12 @@
         self.with(|request| request.endpoint = Some(Arc::clone(endpoint)));
     }
 
+    /// Whether an attempt may have executed the request.
+    #[must_use]
+    pub fn may_have_executed(&self) -> bool {
+        self.0.may_have_executed()
+    }
+
     /// Records that one attempt certainly did not execute the request.
     pub fn not_executed(&self) {
         self.0.executions.fetch_sub(1, Ordering::Relaxed);
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -94,6 +94,9 @@
         if job.time_left() <= TRANSIT {
             break;
         }
+        if !job.may_be_sent_before_shutdown() {
+            return Err(attempts.shutdown_refusal());
+        }
         let outcome = send(&job, &attempts, &candidate).await;
         let failure = match outcome {
             Ok((response, connection)) => {
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -105,6 +105,9 @@
     /// The caller had disconnected before anything was sent.
     #[display("the caller had left before it was sent")]
     CallerGone,
+    /// This process would shut down before the answer certainly ends. Nothing was sent.
+    #[display("this process stops before the answer would certainly end")]
+    ShuttingDown,
     /// The attempt timed out, or no engine was available to resume a stream.
     #[display("the time was over")]
     TimedOut,
@@ -128,6 +131,7 @@
                 | Self::NotRun(_)
                 | Self::Expired
                 | Self::CallerGone
+                | Self::ShuttingDown
         )
     }
 
@@ -148,6 +152,7 @@
             Self::InvalidResponse => "invalid",
             Self::Expired => "too-late",
             Self::CallerGone => "caller-gone",
+            Self::ShuttingDown => "stopping",
             Self::TimedOut => "time-over",
             Self::ErrorStatus(_) => "failed",
         }
@@ -171,6 +176,7 @@
             | Self::OtherBuild
             | Self::Expired
             | Self::CallerGone
+            | Self::ShuttingDown
             | Self::Starved => None,
         }
     }
@@ -193,6 +199,16 @@
     clock::sleep(LATE_DATA_GRACE).await;
 }
 
+/// Returns which connections to an endpoint the request may be sent on.
+fn reuse(job: &Job, target: &Target) -> Reuse {
+    match job.route.kind.is_retryable() {
+        // a late response to the first of both attempts would name this request
+        _ if job.was_sent_to(target) => Reuse::Never,
+        true => Reuse::Idle(MAX_IDLE_RETRYABLE),
+        false => Reuse::Idle(MAX_IDLE_ONCE),
+    }
+}
+
 /// Sends a request to an endpoint and waits for the headers of the response.
 pub async fn send(
     job: &Job,
@@ -208,15 +224,9 @@
     if !job.accepts(&build) {
         return Err(Cause::OtherBuild);
     }
-    let reuse = match job.route.kind.is_retryable() {
-        // a late response to the first of both attempts would name this request
-        _ if job.was_sent_to(target) => Reuse::Never,
-        true => Reuse::Idle(MAX_IDLE_RETRYABLE),
-        false => Reuse::Idle(MAX_IDLE_ONCE),
-    };
     job.sends.wait_for_budget(job).await;
     let mut connection = target
-        .connect(reuse, job.max_connections())
+        .connect(reuse(job, target), job.max_connections())
         .await
         .map_err(Cause::NotOpened)?;
     let request = build_request(job, directive);
@@ -229,6 +239,10 @@
         target.put_back_connection(connection);
         return Err(Cause::Expired);
     }
+    if !job.may_be_sent_before_shutdown() {
+        target.put_back_connection(connection);
+        return Err(Cause::ShuttingDown);
+    }
     let purpose = if directive.prefill_only {
         Purpose::Read
     } else {
--- a/components/gateway/src/request/attempts.rs
+++ b/components/gateway/src/request/attempts.rs
@@ -158,7 +158,7 @@
         let has_attempts_left = self.runs < job.route.max_attempts;
         let may_follow = !matches!(
             failed.cause,
-            Cause::RetryBudgetExhausted | Cause::CallerGone
+            Cause::RetryBudgetExhausted | Cause::CallerGone | Cause::ShuttingDown
         );
         let withheld = job.withheld();
         log::info!(
@@ -169,6 +169,9 @@
         if was_refused {
             self.refused.push(Arc::clone(&failed.target));
         }
+        if failed.cause == Cause::ShuttingDown {
+            return Err(self.shutdown_refusal());
+        }
         // an engine that could not fetch the KV cache can still prefill the prompt itself
         if !matches!(failed.cause, Cause::KvFetchFailed(_)) {
             self.tried.push(failed.target);
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -22,7 +22,7 @@
     crashes::Withheld,
     endpoint::{Build, Id, Target},
     forwarding::{Admitted, Envelope},
-    process::{Gateway, memory::Reservation},
+    process::{Gateway, Shutdown, memory::Reservation},
     streams::Key,
     version::{Configuration, Kind, Route, Service, Workspace},
 };
@@ -367,6 +367,16 @@
         })
     }
 
+    /// Whether the request may still be sent in a planned stop. Once the load balancer sends nothing any more, a request
+    /// of which nothing has run is begun only if its whole time fits: it can be served elsewhere, and an answer that takes
+    /// longer than expected would be cut off.
+    pub fn may_be_sent_before_shutdown(&self) -> bool {
+        let is_too_late = |shutdown: Shutdown| {
+            Instant::now() >= shutdown.balancer_removed && self.deadline > shutdown.deadline
+        };
+        self.exchange_guard.may_have_executed() || !self.gateway.shutdown().is_some_and(is_too_late)
+    }
+
     /// Returns how many connections this process may hold to one endpoint of the service.
     pub fn max_connections(&self) -> usize {
         let sharing_processes = usize::try_from(self.gateway.peers.count_alive()).unwrap_or(0) + 1;
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -552,7 +552,11 @@
             }
             if matches!(
                 cause,
-                Cause::RetryBudgetExhausted | Cause::Withheld | Cause::Expired | Cause::CallerGone
+                Cause::RetryBudgetExhausted
+                    | Cause::Withheld
+                    | Cause::Expired
+                    | Cause::CallerGone
+                    | Cause::ShuttingDown
             ) {
                 return false;
             }
