--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -91,7 +91,7 @@
     #[display("the endpoint did not run it: {_0}")]
     NotRun(NotRun),
     /// The response does not show that it answers the request.
-    #[display("the response is not believed: {_0}")]
+    #[display("the response was rejected: {_0}")]
     Unproven(Doubt),
     /// The connection broke before the headers of the response arrived.
     #[display("the connection broke")]
@@ -201,11 +201,11 @@
 
 /// Returns which connections to an endpoint the request may be sent on.
 fn reuse(job: &Job, target: &Target) -> Reuse {
-    match job.route.kind.is_retryable() {
+    match () {
         // a late response to the first of both attempts would name this request
-        _ if job.was_sent_to(target) => Reuse::Never,
-        true => Reuse::Idle(MAX_IDLE_RETRYABLE),
-        false => Reuse::Idle(MAX_IDLE_ONCE),
+        () if job.was_sent_to(target) => Reuse::Never,
+        () if job.route.kind.is_retryable() => Reuse::Idle(MAX_IDLE_RETRYABLE),
+        () => Reuse::Idle(MAX_IDLE_ONCE),
     }
 }
 
--- a/components/gateway/src/request/evidence.rs
+++ b/components/gateway/src/request/evidence.rs
@@ -47,10 +47,10 @@
     #[display("it names no request")]
     Unnamed,
     /// It is a refusal that names no request, on a connection that has carried others: it may be a late one of theirs.
-    #[display("a refusal without a name on a used connection")]
+    #[display("a refusal without a request id on a reused connection")]
     UsedConnection,
-    /// Its status promises that the request did not run, which the endpoint does not confirm.
-    #[display("a status that promises too much")]
+    /// Its status states that the request did not run, which the endpoint does not confirm.
+    #[display("a refusal status that the endpoint does not confirm")]
     UnconfirmedStatus,
     /// It lacks the endpoint's signature.
     #[display("it is not signed")]
