Pass on no success whose body may not be the endpoint's whole one

Callers got a part of a body as the whole: a response with both a length of three bytes and chunks of five ended after three, in an orderly way (MIXED). One with a Content-Encoding, which by the platform's pages is not the endpoint's body, was passed on as a success.

Cause: where a body ends was concluded from which of two headers is there, and the HTTP library's reading of it was passed on beside the other header, which the caller's library reads differently. Transfer codings other than chunks counted as chunks, though the library reads them to the end of the connection, so that an orderly end was taken for their last chunk.

Change: Framing::of gives nothing where the headers contradict each other or name another coding; such a response, and an encoded success, show nothing about the request. A success of a peer is passed on only if it is signed and its end is clear; the peer has examined it, so this finds only what went wrong in between.

--- a/components/gateway/src/adapters/mod.rs
+++ b/components/gateway/src/adapters/mod.rs
@@ -291,6 +291,8 @@
     pub not_run: bool,
     /// Whether the response carries the endpoint's signature.
     pub signed: bool,
+    /// Whether the body is encoded, so that it is not the one that the endpoint's service wrote.
+    pub encoded: bool,
     /// How long the endpoint keeps an idle connection open, if it says so.
     pub keep_alive: Option<Duration>,
 }
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -13,7 +13,8 @@
     endpoint::{Connection, short_id},
     peer::Candidate,
     request::{
-        Attempts, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, job::Job, presence, relay::Body,
+        Attempts, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, framing::Framing, job::Job, presence,
+        relay::Body,
     },
 };
 
@@ -229,14 +230,16 @@
     }
 }
 
-/// Whether a response belongs to the request.
+/// Whether a response belongs to the request and can be passed on. The peer has examined that of the endpoint, so this
+/// finds only what went wrong between the two.
 fn is_own_answer(job: &Job, response: &Response<Incoming>) -> bool {
     let mut parts = Response::new(()).into_parts().0;
     parts.status = response.status();
     parts.headers.clone_from(response.headers());
     let dialect = &job.gateway.adapters.dialect;
     let reply = dialect.parse_reply(&job.metadata.id, &parts);
-    reply.identity == Identity::Own
+    let is_proven = reply.signed || parts.status.is_server_error();
+    reply.identity == Identity::Own && is_proven && Framing::of(&parts).is_some()
 }
 
 /// Returns the time after which the peer expects that a retry may help.
--- a/components/gateway/src/request/evidence.rs
+++ b/components/gateway/src/request/evidence.rs
@@ -2,9 +2,9 @@
 //! `docs/DESIGN.md#what-a-response-proves`.
 
 use derive_more::Display;
-use hyper::StatusCode;
+use hyper::{StatusCode, http::response};
 
-use super::attempts::Purpose;
+use super::{attempts::Purpose, framing::Framing};
 use crate::adapters::{Identity, Reply};
 
 /// What a response shows.
@@ -55,6 +55,12 @@
     /// It lacks the endpoint's signature.
     #[display("it is not signed")]
     Unsigned,
+    /// Where its body ends can't be told, so that it could be cut and look whole.
+    #[display("the end of its body is ambiguous")]
+    AmbiguousEnd,
+    /// Its body is encoded, which nobody asked for.
+    #[display("its body is encoded")]
+    Encoded,
 }
 
 impl Doubt {
@@ -66,12 +72,15 @@
             Self::UsedConnection => "used-connection",
             Self::UnconfirmedStatus => "unconfirmed-status",
             Self::Unsigned => "unsigned",
+            Self::AmbiguousEnd => "ambiguous-end",
+            Self::Encoded => "encoded",
         }
     }
 }
 
-/// Examines the head of a response. `is_first` says whether its connection has carried no other request.
-pub fn examine(reply: &Reply, status: StatusCode, purpose: Purpose, is_first: bool) -> Finding {
+/// Examines a response. `is_first` says whether its connection has carried no other request.
+pub fn examine(reply: &Reply, head: &response::Parts, purpose: Purpose, is_first: bool) -> Finding {
+    let status = head.status;
     let not_run = |basis| Finding::NotRun(NotRun { status, basis });
     match reply.identity {
         Identity::Other => Finding::Nothing(Doubt::OtherRequest),
@@ -79,9 +88,11 @@
         Identity::Unnamed if reply.not_run && is_first => not_run(Basis::FirstResponse),
         Identity::Unnamed if reply.not_run => Finding::Nothing(Doubt::UsedConnection),
         Identity::Unnamed => Finding::Nothing(Doubt::Unnamed),
+        Identity::Own if Framing::of(head).is_none() => Finding::Nothing(Doubt::AmbiguousEnd),
         // handles are not signed, and a prefill is no run whatever its status
         Identity::Own if purpose == Purpose::Read => Finding::Answer,
         Identity::Own if promises_not_run(status) => Finding::Nothing(Doubt::UnconfirmedStatus),
+        Identity::Own if reply.encoded && status.is_success() => Finding::Nothing(Doubt::Encoded),
         // an error status says by itself that the request may have run
         Identity::Own if reply.signed || status.is_server_error() => Finding::Answer,
         Identity::Own => Finding::Nothing(Doubt::Unsigned),
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -9,7 +9,7 @@
 mod events;
 mod evidence;
 mod fingerprint;
-mod framing;
+pub mod framing;
 mod generate;
 pub mod job;
 mod plain;
--- a/components/gateway/tests/gateway/fake.rs
+++ b/components/gateway/tests/gateway/fake.rs
@@ -143,6 +143,7 @@
             identity: Identity::Unnamed,
             not_run: false,
             signed: false,
+            encoded: false,
             keep_alive: None,
         }
     }
