--- a/components/gateway/src/adapters/mod.rs
+++ b/components/gateway/src/adapters/mod.rs
@@ -322,9 +322,9 @@
     /// Builds the call that releases a KV cache which no engine will fetch.
     fn release_call(&self, handle: &KvHandle) -> Call;
 
-    /// Builds the call that makes the engine which decodes an answer stop it and copy its KV cache
-    /// to another engine.
-    fn migration_call(&self, id: &str, to: SocketAddr) -> Call;
+    /// Builds the call that makes `engine`, which decodes the answer to the request `id`, stop it and copy its KV cache to
+    /// another engine.
+    fn migration_call(&self, engine: &Id, id: &str, to: SocketAddr) -> Call;
 
     /// Parses the response to a migration call.
     fn parse_migration(&self, from: SocketAddr, status: StatusCode, body: &[u8]) -> MigrationReply;
--- a/components/gateway/src/request/generate/migrate.rs
+++ b/components/gateway/src/request/generate/migrate.rs
@@ -80,7 +80,7 @@
     let to = &snapshot.targets[index];
     let address = |target: &Target| target.with(|state| state.profile.address);
     let dialect = &job.gateway.adapters.dialect;
-    let call = dialect.migration_call(&job.metadata.id, address(to));
+    let call = dialect.migration_call(&from.id, &job.metadata.id, address(to));
     // The engine stops the answer when it receives the call, and the time to copy the KV cache
     // depends on its size and the links. A shorter timeout would lose the answer.
     let answer = attempt::call_with_timeout(job.time_left(), from, call).await;
--- a/components/gateway/tests/gateway/fake.rs
+++ b/components/gateway/tests/gateway/fake.rs
@@ -18,6 +18,7 @@
         Call, Change, Cursor, Dialect, Directive, Directory, Failure, Identity, KvHandle, Metadata,
         MigrationReply, Order, OrderOutcome, Reply, Report, Update,
     },
+    endpoint::Id,
     version::{Configuration, Workspace},
 };
 use hyper::{HeaderMap, Method, StatusCode, http::request, http::response};
@@ -156,7 +157,7 @@
         call()
     }
 
-    fn migration_call(&self, _: &str, _: SocketAddr) -> Call {
+    fn migration_call(&self, _: &Id, _: &str, _: SocketAddr) -> Call {
         call()
     }
 
