Send what may run once on connections of its own to endpoints that do not name refusals

Change: once an endpoint has refused a request without naming it, on whatever connection, requests that may run once are sent to it on new connections only, where its refusals are proved. It holds as long as the endpoint lives. Endpoints that name their refusals, and prefills, which are no run, keep their connections.

--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -79,6 +79,8 @@
     pub changing_until: Option<Instant>,
     /// The last check why it refused a request.
     refusal_check: Option<RefusalCheck>,
+    /// Whether it has refused a request without naming it.
+    refuses_unnamed: bool,
     /// Idle timeout of its connections, as last reported by the endpoint.
     idle_timeout: Option<Duration>,
     /// When a request of this process or of a peer last progressed there.
@@ -315,6 +317,7 @@
                 idle: Vec::new(),
                 changing_until: None,
                 refusal_check: None,
+                refuses_unnamed: false,
                 idle_timeout: None,
                 last_progress: Instant::now(),
                 last_response: None,
@@ -526,6 +529,24 @@
         self.refusal_check.notify_waiters();
     }
 
+    /// Records that it refused a request without naming it. On a connection that has carried others such a refusal proves
+    /// nothing, so this holds for as long as the endpoint lives.
+    pub fn record_unnamed_refusal(&self, request: &str) {
+        let before = self.with(|state| std::mem::replace(&mut state.refuses_unnamed, true));
+        if !before {
+            log::info!(
+                request, endpoint = &*self.id.0;
+                "an endpoint does not name the requests that it refuses: those that may run once get connections of their own"
+            );
+        }
+    }
+
+    /// Whether it has refused a request without naming it.
+    #[must_use]
+    pub fn refuses_unnamed(&self) -> bool {
+        self.with(|state| state.refuses_unnamed)
+    }
+
     /// Waits until no check is running why it refused a request.
     pub async fn refusal_check_ended(&self) {
         loop {
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -200,11 +200,13 @@
 }
 
 /// Returns which connections to an endpoint the request may be sent on.
-fn reuse(job: &Job, target: &Target) -> Reuse {
+fn reuse(job: &Job, target: &Target, purpose: Purpose) -> Reuse {
     match () {
         // a late response to the first of both attempts would name this request
         () if job.was_sent_to(target) => Reuse::Never,
         () if job.route.kind.is_retryable() => Reuse::Idle(MAX_IDLE_RETRYABLE),
+        // only there does its refusal show that the request did not run, see `evidence::examine`
+        () if purpose == Purpose::Run && target.refuses_unnamed() => Reuse::Never,
         () => Reuse::Idle(MAX_IDLE_ONCE),
     }
 }
@@ -224,9 +226,14 @@
     if !job.accepts(&build) {
         return Err(Cause::OtherBuild);
     }
+    let purpose = if directive.prefill_only {
+        Purpose::Read
+    } else {
+        Purpose::Run
+    };
     job.sends.wait_for_budget(job).await;
     let mut connection = target
-        .connect(reuse(job, target), job.max_connections())
+        .connect(reuse(job, target, purpose), job.max_connections())
         .await
         .map_err(Cause::NotOpened)?;
     let request = build_request(job, directive);
@@ -243,11 +250,6 @@
         target.put_back_connection(connection);
         return Err(Cause::ShuttingDown);
     }
-    let purpose = if directive.prefill_only {
-        Purpose::Read
-    } else {
-        Purpose::Run
-    };
     if !job.sends.record(job, purpose) {
         target.put_back_connection(connection);
         return Err(Cause::RetryBudgetExhausted);
@@ -290,8 +292,11 @@
         .dialect
         .parse_reply(&job.metadata.id, &head);
     target.set_idle_timeout(reply.keep_alive);
+    if reply.not_run && reply.identity == Identity::Unnamed {
+        target.record_unnamed_refusal(&job.metadata.id);
+    }
     let is_first = connection.requests() == 1;
-    let finding = evidence::examine(&reply, head.status, purpose, is_first);
+    let finding = evidence::examine(&reply, &head, purpose, is_first);
     record_finding(job, target, finding, &reply, connection.requests());
     match finding {
         Finding::Nothing(doubt) => Err(Cause::Unproven(doubt)),
