Reserve memory for bodies as they arrive, and let silent ones give way

Twelve callers that announced a body of 64 KB each and sent nothing had all small requests of others refused for as long as they stayed, on a gateway of 1 MB; in proportion some 40 callers shut one of 260 MB.

Cause: an announced length was reserved whole before a byte had come, so memory that nobody used was refused to others.

Change: memory is reserved in doubling steps as bytes arrive, up to the announced length. A body that finds no room at the moment is refused at once as before. A fifth of the budget is for bodies of up to 16 KiB. While more than half of the budget is used, a body that stands still for a second is refused as not run (408).

Evidence: callers_that_stop_sending_do_not_shut_out_small_requests_of_others and callers_that_stop_sending_give_way_to_large_bodies_of_others fail on (503 for all; room after 14.8 s) and pass with 0, 1, half and all but one byte sent. bodies_beyond_the_memory_for_them_are_refused_at_once_as_not_run holds.

--- a/components/gateway/src/process/memory.rs
+++ b/components/gateway/src/process/memory.rs
@@ -10,6 +10,13 @@
 /// that have arrived and are not read yet.
 const BODY_EIGHTHS: usize = 5;
 
+/// The longest body that counts as small, in bytes.
+pub const SMALL_BODY_BYTES: usize = 16 << 10;
+/// Small bodies have a fraction (1/n) of a budget to themselves, so that large ones can't shut them out.
+const SMALL_BODIES_DIVISOR: usize = 5;
+/// A budget is scarce once this fraction (1/n) of it is used.
+const SCARCE_DIVISOR: usize = 2;
+
 /// A number of bytes that reservations share.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -20,8 +27,7 @@
 /// Bytes of a budget, returned when this is dropped.
 #[derive(Debug)]
 pub struct Reservation {
-    used: Arc<AtomicUsize>,
-    limit: usize,
+    budget: Budget,
     bytes: usize,
 }
 
@@ -35,15 +41,34 @@
         }
     }
 
-    /// Reserves bytes; `None` if not as many are left.
+    /// Creates a reservation of no bytes.
     #[must_use]
-    pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
-        let mut reservation = Reservation {
-            used: Arc::clone(&self.used),
-            limit: self.limit,
+    pub fn reservation(&self) -> Reservation {
+        Reservation {
+            budget: self.clone(),
             bytes: 0,
-        };
-        reservation.grow_to(bytes).then_some(reservation)
+        }
+    }
+
+    /// Whether a body of this length would find room now.
+    #[must_use]
+    pub fn has_room(&self, bytes: usize) -> bool {
+        let used = self.used.load(Ordering::Relaxed);
+        used.saturating_add(bytes) <= self.limit_for(bytes)
+    }
+
+    /// Whether bodies that stand still should give way to others.
+    #[must_use]
+    pub fn is_scarce(&self) -> bool {
+        self.used.load(Ordering::Relaxed) > self.limit / SCARCE_DIVISOR
+    }
+
+    /// Returns how much may be used once a body of this length has its room.
+    fn limit_for(&self, bytes: usize) -> usize {
+        match bytes {
+            0..=SMALL_BODY_BYTES => self.limit,
+            _ => self.limit - self.limit / SMALL_BODIES_DIVISOR,
+        }
     }
 }
 
@@ -57,12 +82,13 @@
     /// Reserves more bytes, up to `bytes` in all. Returns whether as many are left; otherwise it reserves no more.
     pub fn grow_to(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
+        let limit = self.budget.limit_for(bytes);
         let add = |used: usize| {
             let total = used.checked_add(more)?;
-            (total <= self.limit).then_some(total)
+            (total <= limit).then_some(total)
         };
         let relaxed = Ordering::Relaxed;
-        let grown = self.used.fetch_update(relaxed, relaxed, add).is_ok();
+        let grown = self.budget.used.fetch_update(relaxed, relaxed, add).is_ok();
         if grown {
             self.bytes += more;
         }
@@ -72,6 +98,6 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
--- a/components/gateway/src/request/body.rs
+++ b/components/gateway/src/request/body.rs
@@ -1,19 +1,22 @@
 //! Reads a caller's body completely, within its limits, before any endpoint is involved. The
 //! request can thus be retried, and no endpoint waits for a slow caller.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use clock::Instant;
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 
 use super::refusal::Reason;
 use crate::{
-    process::memory::{Budget, Reservation},
+    process::memory::{Budget, Reservation, SMALL_BODY_BYTES},
     version::Limits,
 };
 
-/// Bytes that are reserved at once for a body of unknown length.
-const FIRST_RESERVATION: usize = 16 << 10;
+/// How long a body may stand still while memory is scarce. Several times the round trip to a caller far away, with a lost
+/// packet.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A complete body, and its part of the memory for bodies.
 #[derive(Debug)]
@@ -24,7 +27,8 @@
     pub reservation: Reservation,
 }
 
-/// Reads the complete body. The memory for it is reserved before it is read.
+/// Reads the complete body. Memory is reserved as it arrives, so that a caller which only announces a body takes none from
+/// others.
 pub async fn read(
     body: Incoming,
     limits: Limits,
@@ -36,8 +40,10 @@
     if announced > limits.max_body_bytes {
         return Err(Reason::TooLarge);
     }
-    let reservation = budget.reserve(announced).ok_or(Reason::NoMemory)?;
-    let reading = collect(body, limits.max_body_bytes, reservation);
+    if !budget.has_room(announced) {
+        return Err(Reason::NoMemory);
+    }
+    let reading = collect(body, limits.max_body_bytes, budget);
     let read = clock::timeout_at(arrived + limits.idle_timeout, reading).await;
     read.unwrap_or(Err(Reason::SlowBody))
 }
@@ -46,20 +52,26 @@
 async fn collect(
     mut body: Incoming,
     max_bytes: usize,
-    mut reservation: Reservation,
+    budget: &Budget,
 ) -> Result<Complete, Reason> {
-    let mut bytes = BytesMut::with_capacity(reservation.bytes());
-    while let Some(frame) = body.frame().await {
+    let mut reservation = budget.reservation();
+    let mut bytes = BytesMut::new();
+    loop {
+        let remaining = body.size_hint().upper();
+        let Some(frame) = next_frame(&mut body, budget).await? else {
+            break;
+        };
         // trailers are ignored
-        let data = frame.map_err(|_| Reason::SlowBody)?.into_data();
-        let data = data.unwrap_or_default();
+        let data = frame.into_data().unwrap_or_default();
         let length = bytes.len() + data.len();
         if length > max_bytes {
             return Err(Reason::TooLarge);
         }
         if length > reservation.bytes() {
-            let doubled = (reservation.bytes() * 2).max(FIRST_RESERVATION);
-            let wanted = doubled.min(max_bytes).max(length);
+            let remaining = remaining.and_then(|bytes| usize::try_from(bytes).ok());
+            let most = remaining.map_or(max_bytes, |remaining| bytes.len() + remaining);
+            let doubled = (reservation.bytes() * 2).max(SMALL_BODY_BYTES);
+            let wanted = doubled.min(most).max(length);
             if !reservation.grow_to(wanted) {
                 return Err(Reason::NoMemory);
             }
@@ -72,3 +84,14 @@
         reservation,
     })
 }
+
+/// Returns the next part of a body; `None` at its end. While memory is scarce, a body that stands still gives way.
+async fn next_frame(body: &mut Incoming, budget: &Budget) -> Result<Option<Frame<Bytes>>, Reason> {
+    loop {
+        match clock::timeout(STALL_TIMEOUT, body.frame()).await {
+            Ok(frame) => return frame.transpose().map_err(|_| Reason::SlowBody),
+            Err(_) if budget.is_scarce() => return Err(Reason::SlowBody),
+            Err(_) => {}
+        }
+    }
+}
