Soak: responses that do not show what became of the request

The scenario is `--unproven`; plans of other scenarios do not change. Judged at the endpoints: what may run once did not run twice, and not at all if its status says so; a success is signed.

A test server can now send bytes ahead of its next response.

--- a/components/standin/src/server/mod.rs
+++ b/components/standin/src/server/mod.rs
@@ -1,5 +1,7 @@
 //! A small HTTP server that can be stopped abruptly, as by a kill of its process.
 
+mod late;
+
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -20,6 +22,8 @@
     task::{JoinHandle, JoinSet},
 };
 
+pub use late::Late;
+
 /// The body of a response, complete or streamed. An error resets the connection.
 pub type Body = BoxBody<Bytes, std::io::Error>;
 
@@ -78,7 +82,13 @@
     let Ok(stream) = TcpStream::from_std(stream) else {
         return;
     };
-    let service = service_fn(|request| handler(request));
+    let late = Late::default();
+    let stream = late::Socket::new(stream, late.clone());
+    let service = service_fn(|mut request: Request<Incoming>| {
+        late.begin_request();
+        request.extensions_mut().insert(late.clone());
+        handler(request)
+    });
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     let result = connection.await;
     if let (Err(_), Ok(socket)) = (result, socket) {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -133,6 +133,19 @@
     assert_no_violation(&options, &EARLY_ENDS_SEEDS).await;
 }
 
+/// Seeds of the short run in which responses do not show what became of their requests.
+const UNPROVEN_SEEDS: [u64; 3] = [73_001, 73_002, 73_003];
+
+/// Guards against responses that are believed without proof that they answer the request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_caller_is_told_more_than_responses_prove_in_a_short_soak() {
+    let options = Options {
+        scenario: Scenario::Unproven,
+        ..options()
+    };
+    assert_no_violation(&options, &UNPROVEN_SEEDS).await;
+}
+
 /// Seeds of the short run in which prompt parts crash engines.
 const CRASHING_PARTS_SEEDS: [u64; 2] = [55_004, 55_005];
 
