--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -13,7 +13,7 @@
     endpoint::{Connection, short_id},
     peer::Candidate,
     request::{
-        Attempts, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, framing::Framing, job::Job, presence,
+        Attempts, Framing, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, job::Job, presence,
         relay::Body,
     },
 };
--- a/components/gateway/src/request/body.rs
+++ b/components/gateway/src/request/body.rs
@@ -14,8 +14,7 @@
     version::Limits,
 };
 
-/// How long a body may stand still while memory is scarce. Several times the round trip to a caller far away, with a lost
-/// packet.
+/// How long a body may stand still while memory is scarce.
 const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A complete body, and its part of the memory for bodies.
