--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -15,6 +15,7 @@
 use super::{
     attempts::Purpose,
     evidence::{self, Doubt, Finding, NotRun},
+    framing::Framing,
     job::Job,
     presence,
     timeout::Timeout,
@@ -42,6 +43,12 @@
 }
 
 impl Answer {
+    /// Returns what marks the end of its body.
+    pub fn framing(&self) -> Framing {
+        // `evidence::examine` takes no response without one for an answer
+        Framing::of(&self.head).unwrap_or(Framing::Close)
+    }
+
     /// Checks that this response can continue a stream that another response has begun.
     ///
     /// # Errors
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -160,7 +160,7 @@
         status: answer.head.status,
         endpoint: answer.target.id.clone(),
         build: answer.build.clone(),
-        framing: Framing::of(&answer.head).unwrap_or(Framing::Close),
+        framing: answer.framing(),
         upstream: Some(Upstream::new(answer, decode_guard)),
         job,
         event_buffer,
@@ -418,7 +418,7 @@
         );
         self.build = answer.build.clone();
         self.endpoint = answer.target.id.clone();
-        self.framing = Framing::of(&answer.head).unwrap_or(Framing::Close);
+        self.framing = answer.framing();
         self.may_be_stopped = false;
         self.upstream = Some(Upstream::new(answer, decode_guard));
     }
