--- a/components/gateway/src/process/memory.rs
+++ b/components/gateway/src/process/memory.rs
@@ -57,7 +57,7 @@
         used.saturating_add(bytes) <= self.limit_for(bytes)
     }
 
-    /// Whether bodies that stand still should give way to others.
+    /// Whether stalled bodies should be refused, so that others find room.
     #[must_use]
     pub fn is_scarce(&self) -> bool {
         self.used.load(Ordering::Relaxed) > self.limit / SCARCE_DIVISOR
--- a/components/gateway/src/request/body.rs
+++ b/components/gateway/src/request/body.rs
@@ -14,7 +14,7 @@
     version::Limits,
 };
 
-/// How long a body may stand still while memory is scarce.
+/// How long a body may stall while memory is scarce.
 const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A complete body, and its part of the memory for bodies.
@@ -84,7 +84,7 @@
     })
 }
 
-/// Returns the next part of a body; `None` at its end. While memory is scarce, a body that stands still gives way.
+/// Returns the next frame of a body; `None` at its end. While memory is scarce, a stalled body is refused.
 async fn next_frame(body: &mut Incoming, budget: &Budget) -> Result<Option<Frame<Bytes>>, Reason> {
     loop {
         match clock::timeout(STALL_TIMEOUT, body.frame()).await {
--- a/components/gateway/src/request/evidence.rs
+++ b/components/gateway/src/request/evidence.rs
@@ -55,7 +55,7 @@
     /// It lacks the endpoint's signature.
     #[display("it is not signed")]
     Unsigned,
-    /// Where its body ends can't be told, so that it could be cut and look whole.
+    /// Its headers contradict each other on the end of its body, so that a truncated body could look complete.
     #[display("the end of its body is ambiguous")]
     AmbiguousEnd,
     /// Its body is encoded, which nobody asked for.
