--- a/components/gateway/src/forwarding/envelope/mod.rs
+++ b/components/gateway/src/forwarding/envelope/mod.rs
@@ -22,6 +22,8 @@
 static BOUND_ENVELOPE: HeaderName = HeaderName::from_static("forwarded-stream-envelope");
 /// Header of a response with which the peer itself refuses a forwarded request: whether it ran.
 static REFUSAL: HeaderName = HeaderName::from_static("forwarded-refusal");
+/// Header of such a response: the id of the request that it refuses. Older gateways do not send it.
+static REFUSED: HeaderName = HeaderName::from_static("forwarded-refused");
 
 /// Maximum size of an envelope in a header, in bytes: the names of a route, a service and a workspace,
 /// and a few numbers.
@@ -145,8 +147,8 @@
     const NOT_RUN: HeaderValue = HeaderValue::from_static("not-run");
     const UNKNOWN: HeaderValue = HeaderValue::from_static("unknown");
 
-    /// Marks a response as a refusal.
-    pub fn insert_into(self, headers: &mut HeaderMap) {
+    /// Marks a response as a refusal of the request with this id.
+    pub fn insert_into(self, id: &str, headers: &mut HeaderMap) {
         let value = match self {
             Self::Declined => Self::DECLINED,
             Self::NoPath => Self::NO_PATH,
@@ -155,17 +157,24 @@
             Self::Unknown => Self::UNKNOWN,
         };
         headers.insert(REFUSAL.clone(), value);
+        if let Ok(id) = HeaderValue::from_str(id) {
+            headers.insert(REFUSED.clone(), id);
+        }
     }
 
     /// Removes the mark, which only gateways may set, from an endpoint's response.
     pub fn remove_from(headers: &mut HeaderMap) {
         headers.remove(&REFUSAL);
+        headers.remove(&REFUSED);
     }
 
-    /// Returns the refusal that a response is marked as; `None` for an endpoint's response.
-    pub fn of<B>(response: &Response<B>) -> Option<Self> {
+    /// Returns how a response refuses the request with this id; `None` for an endpoint's response. One that names another
+    /// request shows nothing about this one.
+    pub fn of<B>(response: &Response<B>, id: &str) -> Option<Self> {
         let value = response.headers().get(&REFUSAL)?;
+        let names_other = |refused: &HeaderValue| refused != id;
         Some(match value {
+            _ if response.headers().get(&REFUSED).is_some_and(names_other) => Self::Unknown,
             value if *value == Self::DECLINED => Self::Declined,
             value if *value == Self::NO_PATH => Self::NoPath,
             value if *value == Self::UNAVAILABLE => Self::Unavailable,
--- a/components/gateway/src/forwarding/envelope/tests.rs
+++ b/components/gateway/src/forwarding/envelope/tests.rs
@@ -56,7 +56,7 @@
 #[test]
 fn a_refusal_is_told_from_an_endpoint_s_response() {
     let mut response = Response::new(());
-    assert_eq!(Refusal::of(&response), None);
+    assert_eq!(Refusal::of(&response, "r1"), None);
     for refusal in [
         Refusal::Declined,
         Refusal::NoPath,
@@ -64,11 +64,18 @@
         Refusal::NotRun,
         Refusal::Unknown,
     ] {
-        refusal.insert_into(response.headers_mut());
-        assert_eq!(Refusal::of(&response), Some(refusal));
+        refusal.insert_into("r1", response.headers_mut());
+        assert_eq!(Refusal::of(&response, "r1"), Some(refusal));
+        assert_eq!(Refusal::of(&response, "r2"), Some(Refusal::Unknown));
     }
+    // older gateways do not name the request
+    response.headers_mut().remove("forwarded-refused");
+    assert_eq!(Refusal::of(&response, "r1"), Some(Refusal::Unknown));
+    Refusal::NotRun.insert_into("\n", response.headers_mut());
+    assert_eq!(Refusal::of(&response, "r1"), Some(Refusal::NotRun));
     Refusal::remove_from(response.headers_mut());
-    assert_eq!(Refusal::of(&response), None);
+    assert_eq!(Refusal::of(&response, "r1"), None);
+    assert!(response.headers().is_empty());
 }
 
 #[test]
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -205,7 +205,7 @@
 
 /// Returns why a response of a peer can't be passed on; `None` if it answers the request.
 fn failure_of(job: &Job, response: &Response<Incoming>) -> Option<Failure> {
-    let failure = match Refusal::of(response) {
+    let failure = match Refusal::of(response, &job.metadata.id) {
         None if is_own_answer(job, response) => return None,
         Some(Refusal::Declined) => Failure::Declined,
         Some(Refusal::NoPath) => Failure::NoPath,
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -142,7 +142,7 @@
             );
             let mut response = reason.response();
             if origin != Origin::Caller {
-                reason.for_peer().insert_into(response.headers_mut());
+                reason.for_peer().insert_into(&id, response.headers_mut());
             }
             response
         }
