Examine peers' responses by the same rule as those of endpoints

A 408, 421, 429 or 503 in a peer's place that names the request and is marked as no refusal was passed on, signed or not, with its promise that nothing had run. No peer of ours sends one; what answers in its place may.

Change: one rule. What it does not find to be an answer may have run.

Evidence: a_status_of_a_peer_that_is_no_refusal_is_no_promise, eight cases, fails before (408 passed on though run) and passes; the 27 tests of forwarding pass.

--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -9,11 +9,13 @@
 
 use super::{Envelope, Refusal, connections::Paused, relay::Relay};
 use crate::{
-    adapters::Identity,
     endpoint::{Connection, short_id},
     peer::Candidate,
     request::{
-        Attempts, Framing, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Reason, job::Job, presence,
+        Attempts, MAX_IDLE_ONCE, MAX_IDLE_RETRYABLE, Purpose, Reason,
+        evidence::{self, Finding},
+        job::Job,
+        presence,
         relay::Body,
     },
 };
@@ -206,7 +208,7 @@
 /// Returns why a response of a peer can't be passed on; `None` if it answers the request.
 fn failure_of(job: &Job, response: &Response<Incoming>) -> Option<Failure> {
     let failure = match Refusal::of(response, &job.metadata.id) {
-        None if is_own_answer(job, response) => return None,
+        None if is_answer(job, response) => return None,
         Some(Refusal::Declined) => Failure::Declined,
         Some(Refusal::NoPath) => Failure::NoPath,
         Some(Refusal::Unavailable) => Failure::Unavailable,
@@ -230,16 +232,15 @@
     }
 }
 
-/// Whether a response belongs to the request and can be passed on. The peer has examined that of the endpoint, so this
-/// finds only what went wrong between the two.
-fn is_own_answer(job: &Job, response: &Response<Incoming>) -> bool {
+/// Whether a peer's response answers the request. The peer has examined that of the endpoint, so this finds only what went
+/// wrong between the two.
+fn is_answer(job: &Job, response: &Response<Incoming>) -> bool {
     let mut parts = Response::new(()).into_parts().0;
     parts.status = response.status();
     parts.headers.clone_from(response.headers());
     let dialect = &job.gateway.adapters.dialect;
     let reply = dialect.parse_reply(&job.metadata.id, &parts);
-    let is_proven = reply.signed || parts.status.is_server_error();
-    reply.identity == Identity::Own && is_proven && Framing::of(&parts).is_some()
+    evidence::examine(&reply, &parts, Purpose::Run, false) == Finding::Answer
 }
 
 /// Returns the time after which the peer expects that a retry may help.
