Compute once how much memory a body may need

The announced length was derived anew from what remained before each frame. No change of what is reserved. The tests of crowded_bodies and unproven_responses pass (18).

--- a/components/gateway/src/request/body.rs
+++ b/components/gateway/src/request/body.rs
@@ -55,11 +55,10 @@
 ) -> Result<Complete, Reason> {
     let mut reservation = budget.reservation();
     let mut bytes = BytesMut::new();
-    loop {
-        let remaining = body.size_hint().upper();
-        let Some(frame) = next_frame(&mut body, budget).await? else {
-            break;
-        };
+    let announced = body.size_hint().upper();
+    let announced = announced.and_then(|bytes| usize::try_from(bytes).ok());
+    let most = announced.unwrap_or(max_bytes);
+    while let Some(frame) = next_frame(&mut body, budget).await? {
         // trailers are ignored
         let data = frame.into_data().unwrap_or_default();
         let length = bytes.len() + data.len();
@@ -67,8 +66,6 @@
             return Err(Reason::TooLarge);
         }
         if length > reservation.bytes() {
-            let remaining = remaining.and_then(|bytes| usize::try_from(bytes).ok());
-            let most = remaining.map_or(max_bytes, |remaining| bytes.len() + remaining);
             let doubled = (reservation.bytes() * 2).max(SMALL_BODY_BYTES);
             let wanted = doubled.min(most).max(length);
             if !reservation.grow_to(wanted) {
