Log how long a stream was silent, and its path lost, when it ends

Cause: the line of a stream that its caller left did not tell whether the gateway knew that the path to the endpoint was lost, so the hypotheses could be told apart only by joining lines.

Change: silent_us and path_lost_us on the last line of a response; silent_us and peer_alive on that of a forwarded one. No change of logic.

--- a/components/gateway/src/endpoint/path.rs
+++ b/components/gateway/src/endpoint/path.rs
@@ -79,6 +79,13 @@
         self.loss.map(|loss| loss.error)
     }
 
+    /// Returns for how long new connections have failed; `None` as long as they succeed.
+    #[must_use]
+    pub fn lost_for(&self, now: Instant) -> Option<Duration> {
+        self.loss
+            .map(|loss| now.saturating_duration_since(loss.since))
+    }
+
     /// Records that an attempt to reconnect begins.
     pub fn postpone_reconnect(&mut self, now: Instant) {
         if let Some(loss) = &mut self.loss {
--- a/components/gateway/src/endpoint/target/reach.rs
+++ b/components/gateway/src/endpoint/target/reach.rs
@@ -132,6 +132,12 @@
         self.with(|state| state.path.error().is_some())
     }
 
+    /// Returns for how long no new connection could be opened from here; `None` as long as one can.
+    #[must_use]
+    pub fn path_lost_for(&self) -> Option<Duration> {
+        self.with(|state| state.path.lost_for(Instant::now()))
+    }
+
     /// Whether an attempt to reconnect over a lost path is due.
     #[must_use]
     pub fn is_reconnect_due(&self, now: Instant) -> bool {
--- a/components/gateway/src/forwarding/relay.rs
+++ b/components/gateway/src/forwarding/relay.rs
@@ -28,6 +28,8 @@
     /// The response and its connection, until the response has ended.
     upstream: Option<(Incoming, Connection)>,
     first_byte: Option<Instant>,
+    /// Since when nothing has come: the last bytes, or the headers.
+    silent_since: Instant,
     logged: bool,
 }
 
@@ -50,6 +52,7 @@
             status: head.status,
             upstream: Some((body, connection)),
             first_byte: None,
+            silent_since: Instant::now(),
             logged: false,
         };
         if is_empty {
@@ -76,7 +79,8 @@
                         continue;
                     };
                     let is_last = body.is_end_stream();
-                    self.first_byte.get_or_insert_with(Instant::now);
+                    self.silent_since = Instant::now();
+                    self.first_byte.get_or_insert(self.silent_since);
                     if is_last {
                         // the body isn't polled again once its announced length has been passed on
                         self.finish();
@@ -118,7 +122,8 @@
             .map(|first| policy::micros(first - job.arrived));
         log::info!(
             request = job.metadata.id, peer:% = self.peer, route = &*job.route.name, status = self.status.as_u16(),
-            outcome, first_us, took_us = policy::micros(job.arrived.elapsed());
+            outcome, first_us, silent_us = policy::micros(self.silent_since.elapsed()),
+            peer_alive = job.gateway.peers.is_alive(self.peer), took_us = policy::micros(job.arrived.elapsed());
             "a forwarded request ended"
         );
     }
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -114,6 +114,8 @@
     target: Arc<Target>,
     last_event: Option<Instant>,
     first_event: Option<Instant>,
+    /// Since when nothing has come: the last event, or the headers.
+    silent_since: Instant,
     /// Whether the answer has been written for longer than it takes to crash an engine.
     outlasted_crash: bool,
     /// Time that the prompts in flight on the engine still needed when the last event arrived, in
@@ -132,6 +134,7 @@
             target: answer.target,
             last_event: None,
             first_event: None,
+            silent_since: Instant::now(),
             outlasted_crash: false,
             remaining_prefill: None,
             _decode_guard: decode_guard,
@@ -299,6 +302,7 @@
         let Some(upstream) = &mut self.upstream else {
             return;
         };
+        upstream.silent_since = now;
         let gap = upstream.last_event.replace(now).map(|last| now - last);
         if let (None, Some(guard)) = (gap, &upstream.guard) {
             guard.record_first_event();
@@ -588,6 +592,11 @@
         let first_us = self
             .first_event
             .map(|first| policy::micros(first - self.job.arrived));
+        let upstream = self.upstream.as_ref();
+        let silent_us = upstream.map(|upstream| policy::micros(upstream.silent_since.elapsed()));
+        let path_lost_us = upstream
+            .and_then(|upstream| upstream.target.path_lost_for())
+            .map(policy::micros);
         let partial_bytes = self
             .event_buffer
             .as_ref()
@@ -596,7 +605,7 @@
             request = self.job.metadata.id, route = &*self.job.route.name, status = self.status.as_u16(),
             framing:% = self.framing, partial_bytes, attempts = self.attempts, moves = self.migrations, events = self.events, first_us,
             endpoint = &*self.endpoint.0, build:% = self.build, content:% = self.job.fingerprint,
-            longest_gap_us = policy::micros(self.longest_gap),
+            longest_gap_us = policy::micros(self.longest_gap), silent_us, path_lost_us,
             took_us = policy::micros(self.job.arrived.elapsed());
             "{outcome}"
         );
