Test requests whose paths to their endpoints are lost

A link that is unreachable loses resets, as a network does, and endpoints count requests that they never answer.

--- a/components/standin/src/link/mod.rs
+++ b/components/standin/src/link/mod.rs
@@ -30,8 +30,8 @@
     Open,
     /// Resets open connections, and closes new ones at once.
     Cut,
-    /// Holds back all bytes on open connections until the link is restored, and leaves new connections
-    /// unanswered.
+    /// Holds back all bytes and orderly ends on open connections until the link is restored, and leaves new
+    /// connections unanswered. A reset is sent only once, so it is lost.
     Unreachable,
     /// Resets open connections, and refuses new ones.
     Refuses,
@@ -377,7 +377,7 @@
     /// Forwards bytes until the sending side closes.
     async fn run(mut self) -> std::io::Result<()> {
         let mut buffer = vec![0; 16 << 10];
-        while let length @ 1.. = self.from.read(&mut buffer).await? {
+        while let length @ 1.. = self.read(&mut buffer).await? {
             self.wait_until_forwarding().await;
             let condition = *self.condition.borrow();
             if condition.state == State::ResetsOnUse {
@@ -401,6 +401,17 @@
         Ok(())
     }
 
+    /// Reads what the sending side has sent. A reset that is lost leaves the receiving side without any news, until what it
+    /// sends itself is refused.
+    async fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        match self.from.read(buffer).await {
+            Err(_) if self.condition.borrow().state == State::Unreachable => {
+                std::future::pending().await
+            }
+            result => result,
+        }
+    }
+
     /// Waits until the link forwards bytes in this direction.
     async fn wait_until_forwarding(&mut self) {
         let (initial_stalls, is_response) = (self.initial_stalls, self.is_response);
