Tell callers of streams over lost paths before they give up

What callers saw: a stream whose endpoint is behind a cut stays open and silent until its caller gives up after two seconds; the endpoint, which the end of the request can't reach, works on for nobody.

Cause: a response under way was watched for its next frame, the end of its endpoint and its deadline only.

Change: request::silence watches each stream in flight. A silent endpoint has its path checked; if two attempts to connect fail, the stream goes on elsewhere where it may, and otherwise is broken off after three quarters of the time for which its callers wait in silence, as the configuration has it. Requests that wait for their response are answered as unknown at the same time.

--- a/components/gateway/src/endpoint/path.rs
+++ b/components/gateway/src/endpoint/path.rs
@@ -37,6 +37,8 @@
 struct Loss {
     since: Instant,
     error: ConnectError,
+    /// The number of attempts to connect that have failed in a row.
+    failures: u32,
     next_reconnect: Instant,
     reconnect_delay: Duration,
 }
@@ -55,6 +57,7 @@
                 self.loss = Some(Loss {
                     since: now,
                     error,
+                    failures: 1,
                     next_reconnect: now + MIN_RECONNECT_DELAY,
                     reconnect_delay: MIN_RECONNECT_DELAY,
                 });
@@ -64,6 +67,7 @@
                 let reconnect_delay = (loss.reconnect_delay * 2).min(MAX_RECONNECT_DELAY);
                 self.loss = Some(Loss {
                     error,
+                    failures: loss.failures.saturating_add(1),
                     next_reconnect: now + reconnect_delay,
                     reconnect_delay,
                     ..loss
@@ -79,6 +83,12 @@
         self.loss.map(|loss| loss.error)
     }
 
+    /// Whether more than one attempt to connect has failed: a single one may be due to this process.
+    #[must_use]
+    pub fn is_loss_confirmed(&self) -> bool {
+        self.loss.is_some_and(|loss| loss.failures > 1)
+    }
+
     /// Returns for how long new connections have failed; `None` as long as they succeed.
     #[must_use]
     pub fn lost_for(&self, now: Instant) -> Option<Duration> {
--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -345,6 +345,14 @@
         self.with(|state| state.last_response)
     }
 
+    /// Whether it has sent nothing to this process for this long.
+    #[must_use]
+    pub fn is_silent_for(&self, duration: Duration) -> bool {
+        let now = Instant::now();
+        self.last_response()
+            .is_none_or(|at| now.saturating_duration_since(at) >= duration)
+    }
+
     /// Records that a request progressed there.
     pub fn record_progress(&self) {
         self.with(|state| state.last_progress = Instant::now());
--- a/components/gateway/src/endpoint/target/reach.rs
+++ b/components/gateway/src/endpoint/target/reach.rs
@@ -132,6 +132,12 @@
         self.with(|state| state.path.error().is_some())
     }
 
+    /// Whether several attempts in a row to open a connection have failed.
+    #[must_use]
+    pub fn is_path_loss_confirmed(&self) -> bool {
+        self.with(|state| state.path.is_loss_confirmed())
+    }
+
     /// Returns for how long no new connection could be opened from here; `None` as long as one can.
     #[must_use]
     pub fn path_lost_for(&self) -> Option<Duration> {
--- a/components/gateway/src/request/generate/mod.rs
+++ b/components/gateway/src/request/generate/mod.rs
@@ -229,6 +229,11 @@
     }
 }
 
+/// Whether another engine than those that were tried has room for a stream.
+pub fn has_room(job: &Job, tried: &[Arc<Target>]) -> bool {
+    Snapshot::new(job, tried).choose(job).is_some()
+}
+
 /// Resumes a broken stream on another engine than those that were tried. `Ok(None)` if none has room.
 pub async fn resume(
     job: &Job,
--- a/components/gateway/src/request/generate/timing.rs
+++ b/components/gateway/src/request/generate/timing.rs
@@ -146,7 +146,7 @@
             }),
         }
     });
-    Timeout::with_early(job.deadline, early)
+    Timeout::with_early(job.deadline, early).after_event(broken.last_event)
 }
 
 /// Returns the longest time for which a healthy engine makes no progress, if a request has this much time left.
--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -349,6 +349,13 @@
         latest.saturating_duration_since(Instant::now())
     }
 
+    /// Returns when a request over a lost path is given up if nothing has reached its caller after `last_event`; `None` if
+    /// its caller waits until the deadline. Its caller is told before it leaves.
+    pub fn gives_up_at(&self, last_event: Instant) -> Option<Instant> {
+        let max_silence = self.route.max_silence?;
+        Some(last_event + max_silence * 3 / 4)
+    }
+
     /// Whether the request ends before this process shuts down, if it takes as long as `expected`.
     /// A request that arrives when the load balancer should no longer send any must not be
     /// interrupted even if its endpoint goes silent, so it is only accepted if its whole time until
--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -17,6 +17,7 @@
 mod refusal;
 pub mod relay;
 mod resumption;
+pub mod silence;
 mod timeout;
 mod unserved;
 mod waiting;
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -28,6 +28,7 @@
         migrate::{self, Outcome, StoppedAnswer},
     },
     job::Job,
+    silence::{Remedy, Silence},
 };
 use crate::{
     crashes::TIME_TO_CRASH,
@@ -48,6 +49,9 @@
     /// The deadline of the request passed.
     #[display("the time of the request is over")]
     TimedOut,
+    /// The path to the endpoint, or to the peer, is lost, and the caller would have given up soon.
+    #[display("the path to the endpoint is lost")]
+    PathLost,
 }
 
 /// An endpoint stops by itself at the deadline; its last bytes may arrive this much later.
@@ -220,9 +224,24 @@
                 return Err(self.fail(RelayError::Endpoint));
             }
             let may_migrate = self.may_migrate();
+            let is_stream = self.event_buffer.is_some();
+            let may_resume = self.may_resume();
+            let last_event = self.last_event.unwrap_or(self.job.arrived);
+            let longest_pause = (self.events > 1).then_some(self.longest_gap);
             let Some(upstream) = &mut self.upstream else {
                 return Ok(None);
             };
+            let silence = Silence {
+                since: upstream.silent_since,
+                last_event,
+                longest_pause,
+            };
+            let (job, target) = (&self.job, &upstream.target);
+            let goes_elsewhere = || {
+                may_resume
+                    && generate::has_room(job, &[Arc::clone(target)])
+                    && job.sends.reserve_one(job)
+            };
             let cutoff = self.job.deadline + DEADLINE_GRACE;
             let frame = tokio::select! {
                 biased;
@@ -237,6 +256,12 @@
                     self.migrate().await;
                     continue;
                 }
+                remedy = silence.until_path_lost(job, target, goes_elsewhere), if is_stream => {
+                    if self.leave_lost_path(remedy).await {
+                        continue;
+                    }
+                    return Err(self.fail(RelayError::PathLost));
+                }
             };
             match frame {
                 Ok(Some(Ok(frame))) => {
@@ -302,7 +327,6 @@
         let Some(upstream) = &mut self.upstream else {
             return;
         };
-        upstream.silent_since = now;
         let gap = upstream.last_event.replace(now).map(|last| now - last);
         if let (None, Some(guard)) = (gap, &upstream.guard) {
             guard.record_first_event();
@@ -320,6 +344,7 @@
             .with(|state| state.remaining_prefill_time(now, &defaults));
         let previous_remaining = std::mem::replace(&mut upstream.remaining_prefill, remaining);
         upstream.target.record_response();
+        upstream.silent_since = now;
         self.longest_gap = self.longest_gap.max(gap.unwrap_or_default());
         let engines = self.job.service.engines.as_ref();
         if let (Some(gap), Some(engines)) = (gap, engines) {
@@ -377,11 +402,13 @@
 
     fn fail(&mut self, error: RelayError) -> RelayError {
         let (outcome, verdict) = match error {
-            RelayError::Endpoint => ("broken off by the endpoint", Verdict::Failed),
-            RelayError::TimedOut => ("cut when its time was over", self.verdict_at_cutoff()),
+            RelayError::Endpoint => ("broken off by the endpoint", Some(Verdict::Failed)),
+            RelayError::TimedOut => ("cut when its time was over", Some(self.verdict_at_cutoff())),
+            // says nothing about the endpoint
+            RelayError::PathLost => ("broken off as its path was lost", None),
         };
         self.log_outcome(outcome);
-        if let Some(upstream) = self.upstream.take() {
+        if let (Some(upstream), Some(verdict)) = (self.upstream.take(), verdict) {
             upstream
                 .target
                 .record_verdict(verdict, &self.job.metadata.id);
@@ -493,18 +520,50 @@
         false
     }
 
+    /// Whether another endpoint may continue the stream.
+    fn may_resume(&self) -> bool {
+        let can_resume = self
+            .event_buffer
+            .as_ref()
+            .is_some_and(EventBuffer::can_resume);
+        self.job.route.kind == Kind::ResumableStream && can_resume
+    }
+
     /// Resumes the stream on another endpoint after the last complete event. Returns whether that
     /// worked.
     async fn resume(&mut self) -> bool {
         self.record_broken_connection().await;
-        if self.job.route.kind != Kind::ResumableStream {
+        if !self.may_resume() {
             return false;
         }
-        let Some(event_buffer) = self
-            .event_buffer
-            .as_mut()
-            .filter(|events| events.can_resume())
-        else {
+        if let Some(broken) = &self.upstream {
+            broken
+                .target
+                .record_verdict(Verdict::Failed, &self.job.metadata.id);
+        }
+        self.resume_elsewhere().await
+    }
+
+    /// Leaves an endpoint whose path is lost. Returns whether another one continues the stream.
+    async fn leave_lost_path(&mut self, remedy: Remedy) -> bool {
+        let Some(upstream) = &self.upstream else {
+            return false;
+        };
+        log::info!(
+            request = self.job.metadata.id, endpoint = &*self.endpoint.0, remedy:?, events = self.events,
+            silent_us = policy::micros(upstream.silent_since.elapsed()),
+            path_lost_us = upstream.target.path_lost_for().map(policy::micros);
+            "a stream leaves an endpoint whose path is lost"
+        );
+        match remedy {
+            Remedy::Elsewhere => self.resume_elsewhere().await,
+            Remedy::GiveUp => false,
+        }
+    }
+
+    /// Resumes the stream on another endpoint than the current one, which is left. Returns whether that worked.
+    async fn resume_elsewhere(&mut self) -> bool {
+        let Some(event_buffer) = &mut self.event_buffer else {
             return false;
         };
         event_buffer.discard_partial();
@@ -512,9 +571,6 @@
         let Some(broken) = self.upstream.take() else {
             return false;
         };
-        broken
-            .target
-            .record_verdict(Verdict::Failed, &self.job.metadata.id);
         let from = Arc::clone(&broken.target);
         drop(broken);
         self.try_resume(after, vec![from]).await
--- a/components/gateway/src/request/timeout.rs
+++ b/components/gateway/src/request/timeout.rs
@@ -4,7 +4,10 @@
 
 use clock::Instant;
 
-use super::job::Job;
+use super::{
+    job::Job,
+    silence::{MIN_PATH_CHECK_DELAY, max_path_check_delay},
+};
 use crate::endpoint::Target;
 
 /// Time between the first and the second check whether an attempt on a silent endpoint can be
@@ -14,9 +17,6 @@
 /// Returns whether another endpoint than the given one would accept the request.
 pub type HasAlternative<'a> = Box<dyn Fn(&Arc<Target>) -> bool + Send + Sync + 'a>;
 
-/// Minimum time without a response after which the path to an endpoint is checked; longer if the
-/// objective of the route is. Several times the round trip to the farthest endpoint.
-const MIN_PATH_CHECK_DELAY: Duration = Duration::from_millis(100);
 /// Number of further checks, each after twice the previous time, that are left out if other endpoints
 /// of the service have responded meanwhile.
 const CHECKS_WHILE_OTHERS_RESPOND: u32 = 2;
@@ -45,17 +45,31 @@
 pub struct Timeout<'a> {
     at: Instant,
     early: Option<EarlyTimeout<'a>>,
+    /// When the caller got something the last time; `None` if it has got nothing.
+    last_event: Option<Instant>,
 }
 
 impl<'a> Timeout<'a> {
     /// Waits until the given time, whatever the endpoint does.
     pub fn at(at: Instant) -> Self {
-        Self { at, early: None }
+        Self::with_early(at, None)
     }
 
     /// Waits until the given time, or for a shorter time if `early` applies.
     pub fn with_early(at: Instant, early: Option<EarlyTimeout<'a>>) -> Self {
-        Self { at, early }
+        Self {
+            at,
+            early,
+            last_event: None,
+        }
+    }
+
+    /// Sets when the caller got something the last time.
+    pub fn after_event(self, last_event: Instant) -> Self {
+        Self {
+            last_event: Some(last_event),
+            ..self
+        }
     }
 
     /// Waits until the attempt is to be abandoned, see [`Self::wait_for_progress`] and
@@ -68,19 +82,27 @@
     }
 
     /// Checks the path to the endpoint while it is silent. Waits until the path is lost and the request
-    /// can be sent elsewhere.
+    /// can be sent elsewhere, or its caller would give up soon.
     async fn watch_path(&self, job: &Job, target: &Arc<Target>) {
         let sent_at = Instant::now();
-        let mut delay = job.route.objective.max(MIN_PATH_CHECK_DELAY);
+        let gives_up_at = job.gives_up_at(self.last_event.unwrap_or(job.arrived));
+        let first_delay = job.route.objective.max(MIN_PATH_CHECK_DELAY);
+        let mut delay = first_delay;
         for checks in 0.. {
-            clock::sleep(delay).await;
-            let is_silent = target.last_response().is_none_or(|at| at < sent_at);
+            let wakes_at = Instant::now() + delay;
+            let gives_up_next = gives_up_at.filter(|at| *at > Instant::now());
+            clock::sleep_until(gives_up_next.map_or(wakes_at, |at| at.min(wakes_at))).await;
+            let is_silent = target.is_silent_for(first_delay);
             let may_be_lost = checks >= CHECKS_WHILE_OTHERS_RESPOND
+                || sent_at.elapsed() >= max_path_check_delay(job)
                 || !job.gateway.have_others_responded(target, sent_at);
             if is_silent && may_be_lost && target.may_check_path(Instant::now()) {
                 job.gateway.check_silent_path(target, sent_at).await;
             }
             let is_lost = is_silent && target.is_path_lost();
+            if is_lost && gives_up_at.is_some_and(|at| at <= Instant::now()) {
+                return;
+            }
             match &self.early {
                 Some(early)
                     if is_lost && (early.has_alternative)(target) && job.sends.reserve_one(job) =>
