Tell callers of forwarded streams before they give up if the peer is lost

What callers saw: a stream that was forwarded to a peer in a data centre that is then cut off stays silent until its caller gives up; the peer and its engine, which the end of the request does not reach, work on for nobody.

Cause: the same as for a direct stream, one hop on. The sender watches a peer only before the response and only for requests that may be repeated; a response that has begun had no watch at all.

Change: once three quarters of the callers' patience are over, the response of a peer that sends no heartbeats any more is broken off, or answered as unknown if it has not begun.

Conclusion: the watch has to stand at each hop.

--- a/components/gateway/src/forwarding/relay.rs
+++ b/components/gateway/src/forwarding/relay.rs
@@ -12,6 +12,7 @@
     body::{Body as _, Frame, Incoming},
 };
 
+use super::send::wait_for_give_up;
 use crate::{
     endpoint::Connection,
     request::{
@@ -73,7 +74,18 @@
                 return Ok(None);
             };
             let cutoff = self.job.deadline + DEADLINE_GRACE;
-            match clock::timeout_at(cutoff, body.frame()).await {
+            let last_event = self
+                .first_byte
+                .map_or(self.job.arrived, |_| self.silent_since);
+            let frame = tokio::select! {
+                biased;
+                frame = clock::timeout_at(cutoff, body.frame()) => frame,
+                () = wait_for_give_up(&self.job, self.peer, last_event) => {
+                    self.log_outcome("broken off as its path was lost");
+                    return Err(RelayError::PathLost);
+                }
+            };
+            match frame {
                 Ok(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else {
                         continue;
--- a/components/gateway/src/forwarding/send.rs
+++ b/components/gateway/src/forwarding/send.rs
@@ -181,6 +181,7 @@
         answered = sending => answered,
         () = clock::sleep_until(job.deadline) => return Err(Failure::TimedOut),
         () = wait_for_silence(job, candidate.address) => return Err(Failure::Silent),
+        () = wait_for_give_up(job, candidate.address, job.arrived) => return Err(Failure::Silent),
     };
     let response = match answered {
         Ok(response) => response,
@@ -232,6 +233,17 @@
     }
 }
 
+/// Waits until a peer counts as gone and the caller, which got something at `last_event` the last time, would give up soon.
+pub(super) async fn wait_for_give_up(job: &Job, peer: SocketAddr, last_event: Instant) {
+    let Some(gives_up_at) = job.gives_up_at(last_event) else {
+        return std::future::pending().await;
+    };
+    clock::sleep_until(gives_up_at).await;
+    while job.gateway.peers.is_alive(peer) {
+        clock::sleep(LIVENESS_INTERVAL).await;
+    }
+}
+
 /// Whether a peer's response answers the request. The peer has examined that of the endpoint, so this finds only what went
 /// wrong between the two.
 fn is_answer(job: &Job, response: &Response<Incoming>) -> bool {
