Hold streams whose endpoints refuse new connections

Cause: a refused connection counted as a lost path for streams in flight. An endpoint that refuses is reached, by its events and by the end of the connection.

Change: only connections that get no answer, two in a row, make an endpoint unreachable for requests under way. Attempts that another endpoint can take are given up as before.

Conclusion: the watch acts only where the end of a request can't arrive.

--- a/components/gateway/src/endpoint/path.rs
+++ b/components/gateway/src/endpoint/path.rs
@@ -37,8 +37,8 @@
 struct Loss {
     since: Instant,
     error: ConnectError,
-    /// The number of attempts to connect that have failed in a row.
-    failures: u32,
+    /// The number of attempts to connect in a row that got no answer.
+    unanswered: u32,
     next_reconnect: Instant,
     reconnect_delay: Duration,
 }
@@ -57,7 +57,7 @@
                 self.loss = Some(Loss {
                     since: now,
                     error,
-                    failures: 1,
+                    unanswered: u32::from(error == ConnectError::Silent),
                     next_reconnect: now + MIN_RECONNECT_DELAY,
                     reconnect_delay: MIN_RECONNECT_DELAY,
                 });
@@ -65,9 +65,13 @@
             }
             (Err(error), Some(loss)) => {
                 let reconnect_delay = (loss.reconnect_delay * 2).min(MAX_RECONNECT_DELAY);
+                let unanswered = match error {
+                    ConnectError::Silent => loss.unanswered.saturating_add(1),
+                    ConnectError::Refused | ConnectError::Full => 0,
+                };
                 self.loss = Some(Loss {
                     error,
-                    failures: loss.failures.saturating_add(1),
+                    unanswered,
                     next_reconnect: now + reconnect_delay,
                     reconnect_delay,
                     ..loss
@@ -83,10 +87,11 @@
         self.loss.map(|loss| loss.error)
     }
 
-    /// Whether more than one attempt to connect has failed: a single one may be due to this process.
+    /// Whether more than one attempt to connect in a row got no answer: a single one may be due to this process. An endpoint
+    /// that refuses connections may still be reached on open ones.
     #[must_use]
-    pub fn is_loss_confirmed(&self) -> bool {
-        self.loss.is_some_and(|loss| loss.failures > 1)
+    pub fn is_unanswered(&self) -> bool {
+        self.loss.is_some_and(|loss| loss.unanswered > 1)
     }
 
     /// Returns for how long new connections have failed; `None` as long as they succeed.
--- a/components/gateway/src/endpoint/target/reach.rs
+++ b/components/gateway/src/endpoint/target/reach.rs
@@ -132,10 +132,10 @@
         self.with(|state| state.path.error().is_some())
     }
 
-    /// Whether several attempts in a row to open a connection have failed.
+    /// Whether several attempts in a row to open a connection got no answer, so that nothing that is sent from here arrives.
     #[must_use]
-    pub fn is_path_loss_confirmed(&self) -> bool {
-        self.with(|state| state.path.is_loss_confirmed())
+    pub fn is_unreachable(&self) -> bool {
+        self.with(|state| state.path.is_unanswered())
     }
 
     /// Returns for how long no new connection could be opened from here; `None` as long as one can.
--- a/components/gateway/src/request/silence.rs
+++ b/components/gateway/src/request/silence.rs
@@ -66,7 +66,7 @@
             if is_silent && target.may_check_path(Instant::now()) {
                 job.gateway.check_silent_path(target, self.since).await;
             }
-            let is_lost = is_silent && target.is_path_loss_confirmed();
+            let is_lost = is_silent && target.is_unreachable();
             match gives_up_at {
                 _ if is_lost && goes_elsewhere() => return Remedy::Elsewhere,
                 Some(at) if is_lost && at <= Instant::now() => return Remedy::GiveUp,
--- a/components/gateway/src/request/timeout.rs
+++ b/components/gateway/src/request/timeout.rs
@@ -100,7 +100,8 @@
                 job.gateway.check_silent_path(target, sent_at).await;
             }
             let is_lost = is_silent && target.is_path_lost();
-            if is_lost && gives_up_at.is_some_and(|at| at <= Instant::now()) {
+            let gives_up = gives_up_at.is_some_and(|at| at <= Instant::now());
+            if gives_up && is_silent && target.is_unreachable() {
                 return;
             }
             match &self.early {
