--- a/components/gateway/src/request/mod.rs
+++ b/components/gateway/src/request/mod.rs
@@ -17,7 +17,7 @@
 mod refusal;
 pub mod relay;
 mod resumption;
-pub mod silence;
+mod silence;
 mod timeout;
 mod unserved;
 mod waiting;
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -256,6 +256,7 @@
                     self.migrate().await;
                     continue;
                 }
+                // nobody leaves a plain response before its deadline
                 remedy = silence.until_path_lost(job, target, goes_elsewhere), if is_stream => {
                     if self.leave_lost_path(remedy).await {
                         continue;
