Use the usual words for errors that callers get

Cause: comments spoke of news and of callers that are told.

No change of behaviour.

Conclusion: read as a newcomer would.

--- a/components/gateway/src/request/job.rs
+++ b/components/gateway/src/request/job.rs
@@ -30,7 +30,7 @@
 /// How long a caller waits if neither the caller nor the route sets a timeout.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 /// A request over a lost path is given up after this many quarters of the time for which its caller waits in silence. The rest
-/// is for the news to reach the caller before it leaves.
+/// is for the error to reach the caller before it disconnects.
 const GIVE_UP_QUARTERS: u32 = 3;
 /// The part of a latency objective that is reserved for the network between caller and gateway: a
 /// new connection and both directions.
@@ -353,7 +353,7 @@
     }
 
     /// Returns when a request over a lost path is given up if nothing has reached its caller after `last_event`; `None` if
-    /// its caller waits until the deadline. Its caller is told before it leaves.
+    /// its caller waits until the deadline. The error reaches the caller before it disconnects.
     pub fn gives_up_at(&self, last_event: Instant) -> Option<Instant> {
         let max_silence = self.route.max_silence?;
         Some(last_event + max_silence / 4 * GIVE_UP_QUARTERS)
--- a/components/gateway/src/request/silence.rs
+++ b/components/gateway/src/request/silence.rs
@@ -34,7 +34,7 @@
 pub enum Remedy {
     /// Another endpoint continues it.
     Elsewhere,
-    /// The caller is told.
+    /// The response is aborted.
     GiveUp,
 }
 
--- a/components/standin/src/link/mod.rs
+++ b/components/standin/src/link/mod.rs
@@ -401,8 +401,8 @@
         Ok(())
     }
 
-    /// Reads what the sending side has sent. A reset that is lost leaves the receiving side without any news, until what it
-    /// sends itself is refused.
+    /// Reads what the sending side has sent. A lost reset is not detected by the receiving side until its own
+    /// bytes are refused.
     async fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
         match self.from.read(buffer).await {
             Err(_) if self.condition.borrow().state == State::Unreachable => {
