Log which requests an inconclusive check of an endpoint concerns

A line "crashed":false named no request, and an endpoint that crashed under cancelled requests only had no line at all when its entry lapsed. So the logs could not tell a crash that is taken for a lost path from one that nobody noticed. Both lines now have the fingerprints.

--- a/components/gateway/src/crashes/in_flight.rs
+++ b/components/gateway/src/crashes/in_flight.rs
@@ -140,6 +140,19 @@
         });
     }
 
+    /// Returns the fingerprints of the requests in flight and of those recently left unanswered, sorted.
+    pub fn fingerprints(&self, now: Instant) -> Vec<Fingerprint> {
+        let unanswered = self.unanswered.iter();
+        let unanswered = unanswered.filter(|request| !request.is_expired(now));
+        let unanswered = unanswered.map(|request| &request.request);
+        let in_flight = self.in_flight.iter().map(|(_, request)| request);
+        let all = unanswered.chain(in_flight);
+        let mut fingerprints: Vec<Fingerprint> = all.map(|request| request.fingerprint).collect();
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        fingerprints
+    }
+
     /// Takes all requests that may have caused a crash at `now`, sorted by fingerprint: those in
     /// flight and those recently left unanswered.
     pub fn take_all(&mut self, now: Instant) -> Vec<InFlight> {
--- a/components/gateway/src/forwarding/probe.rs
+++ b/components/gateway/src/forwarding/probe.rs
@@ -6,6 +6,7 @@
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use clock::Instant;
 use futures::{StreamExt, stream::FuturesUnordered};
 use http_body_util::Full;
 use hyper::{
@@ -18,7 +19,7 @@
 use crate::{
     endpoint::{Listening, Target, short_id},
     peer::Candidate,
-    process::Gateway,
+    process::{Gateway, join},
     request::{
         MAX_IDLE_RETRYABLE,
         relay::{Body, full_body},
@@ -78,15 +79,16 @@
 /// Whether an endpoint that has just refused a connection of this process has crashed. That holds if a
 /// peer confirms it and none reaches the endpoint. Without any reply that counts, it holds if the paths of
 /// this process to the rest of the service work.
-pub async fn confirms_crash(gateway: &Gateway, target: &Arc<Target>) -> bool {
+pub async fn confirms_crash(gateway: &Gateway, target: &Arc<Target>, request: &str) -> bool {
     let replies = ask_peers(gateway, target).await;
     let crashed = match () {
         () if replies.contains(&Reply::Accepts) => false,
         () if replies.contains(&Reply::Refuses) => true,
         () => has_working_paths(gateway, target).await,
     };
+    let contents = target.with(|state| state.requests.fingerprints(Instant::now()));
     log::info!(
-        endpoint = &*target.id.0, crashed, replies:?;
+        request, endpoint = &*target.id.0, crashed, replies:?, contents = join(&contents);
         "an endpoint refuses connections; peers were asked whether they reach it"
     );
     crashed
--- a/components/gateway/src/process/crashes.rs
+++ b/components/gateway/src/process/crashes.rs
@@ -51,7 +51,7 @@
         request: &str,
         since: Instant,
     ) -> Liveness {
-        let confirm = async || probe::confirms_crash(self, target).await;
+        let confirm = async || probe::confirms_crash(self, target, request).await;
         match target.check_for_crash(since, confirm).await {
             CrashCheck::PathLost => {
                 self.drop_connections_without_path(&target.service());
@@ -76,7 +76,17 @@
     /// Records the requests that were in flight at an endpoint whose entry disappeared from the list although
     /// it was not draining.
     pub fn record_unlisted(&self, target: &Arc<Target>) {
-        let in_flight = target.with(|state| state.requests.take_broken(Instant::now()));
+        let now = Instant::now();
+        let (in_flight, known) = target.with(|state| {
+            let known = state.requests.fingerprints(now);
+            (state.requests.take_broken(now), known)
+        });
+        if !known.is_empty() {
+            log::info!(
+                endpoint = &*target.id.0, counted = in_flight.len(), contents = join(&known);
+                "an endpoint with requests without an answer is no longer listed"
+            );
+        }
         if self.lacks_paths(&target.service()) {
             // the paths of this process may have broken the connections
             return;
@@ -104,7 +114,8 @@
     }
 }
 
-fn join<T: ToString>(items: &[T]) -> String {
+/// Joins the first items for a log line.
+pub fn join<T: ToString>(items: &[T]) -> String {
     let logged = items.iter().take(MAX_LOGGED_REQUESTS);
     let logged: Vec<String> = logged.map(ToString::to_string).collect();
     logged.join(" ")
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -21,7 +21,7 @@
 mod withheld;
 
 pub use builds::{Reported, Rows};
-pub use crashes::Liveness;
+pub use crashes::{Liveness, join};
 pub use follow::List;
 pub use restart::run_again;
 pub use service::{DemandTotals, RetryPermit};
