--- a/components/gateway/src/crashes/evidence.rs
+++ b/components/gateway/src/crashes/evidence.rs
@@ -14,16 +14,16 @@
 const MICROS_PER_MILLI: SignedMicros = 1_000;
 
 impl Crashes {
-    /// Records what was in flight at an endpoint that crashed, as this process observed it.
+    /// Records what was in flight at an endpoint that crashed, as this process observed it, in addition to what has been held
+    /// until that was known.
     pub fn record_crash(&self, endpoint: u32, in_flight: &[InFlight]) {
-        let (at, now) = (self.moment(), Instant::now());
-        let crash = Crash { endpoint, at };
+        let now = Instant::now();
         let mut state = self.state.lock();
-        for request in in_flight {
-            let record = Record {
-                crashes: vec![crash],
-                last_served: None,
-            };
+        let (at, held) = self.take_pending(&mut state, endpoint);
+        let in_flight: Vec<&InFlight> = in_flight.iter().chain(&held).collect();
+        let crash = Crash { endpoint, at };
+        for request in &in_flight {
+            let record = Record::of_crash(crash);
             self.merge_own(&mut state, Suspect::Request(request.fingerprint), &record);
         }
         let just_begun = in_flight.iter().filter(|request| {
@@ -31,7 +31,8 @@
             let written = written.map(|micros| SignedMicros::try_from(micros).unwrap_or(ONSET));
             !request.parts.is_empty() && written.is_none_or(|written| written < ONSET)
         });
-        let requests: Vec<culprit::Request> = just_begun.map(InFlight::to_evidence).collect();
+        let requests = just_begun.map(|request| request.to_evidence());
+        let requests: Vec<culprit::Request> = requests.collect();
         if requests.is_empty() {
             return;
         }
@@ -61,7 +62,7 @@
             self.log_new(state, &culprit, source);
             let record = Record {
                 crashes: culprit.crashes,
-                last_served: None,
+                ..Record::default()
             };
             self.merge_from(state, Suspect::Part(culprit.part), &record, source);
         }
@@ -95,10 +96,7 @@
         requests: &[culprit::Request],
         source: Source,
     ) {
-        let record = Record {
-            crashes: vec![crash],
-            last_served: None,
-        };
+        let record = Record::of_crash(crash);
         let mut parts: Vec<u64> = requests
             .iter()
             .flat_map(|request| request.parts.iter().copied())
@@ -127,10 +125,7 @@
         };
         let records = state.parts.records().iter();
         let unfounded: Vec<u64> = records.filter(unfounded).map(|(part, _)| *part).collect();
-        let record = Record {
-            crashes: Vec::new(),
-            last_served: Some(self.moment()),
-        };
+        let record = Record::of_answer(self.moment());
         for part in unfounded {
             log::info!(part = format!("{part:x}"); "other parts explain the crashes of a withheld prompt part");
             self.merge_from(state, Suspect::Part(part), &record, source);
@@ -140,10 +135,7 @@
     /// Records that a request was answered to its end, which clears it and the parts of its prompt of earlier crashes.
     pub fn record_served(&self, fingerprint: Fingerprint, parts: &[u64]) {
         if self.is_suspect(fingerprint) {
-            let record = Record {
-                crashes: Vec::new(),
-                last_served: Some(self.moment()),
-            };
+            let record = Record::of_answer(self.moment());
             let suspect = Suspect::Request(fingerprint);
             self.merge_own(&mut self.state.lock(), suspect, &record);
         }
@@ -160,10 +152,7 @@
         let mut state = self.state.lock();
         for part in parts {
             state.evidence.record_served(*part, now);
-            let record = Record {
-                crashes: Vec::new(),
-                last_served: Some(now),
-            };
+            let record = Record::of_answer(now);
             let crashes = state.parts.get(*part).map(|record| &record.crashes);
             if crashes.is_some_and(|crashes| !crashes.is_empty()) {
                 self.merge_own(&mut state, Suspect::Part(*part), &record);
--- a/components/gateway/src/crashes/in_flight.rs
+++ b/components/gateway/src/crashes/in_flight.rs
@@ -164,6 +164,13 @@
         sorted(unanswered.map(|request| request.request).chain(in_flight))
     }
 
+    /// Takes the requests that were recently left unanswered.
+    pub fn take_unanswered(&mut self, now: Instant) -> Vec<InFlight> {
+        let unanswered = self.unanswered.drain(..);
+        let unanswered = unanswered.filter(|request| !request.is_expired(now));
+        sorted(unanswered.map(|request| request.request))
+    }
+
     /// Discards the requests whose connections broke.
     pub fn forget_broken(&mut self) {
         self.unanswered
--- a/components/gateway/src/crashes/mod.rs
+++ b/components/gateway/src/crashes/mod.rs
@@ -10,6 +10,7 @@
 
 mod evidence;
 mod in_flight;
+mod pending;
 mod store;
 #[cfg(test)]
 mod tests;
@@ -27,13 +28,14 @@
 use parking_lot::Mutex;
 use policy::{
     culprit::{Evidence, ONSET},
-    suspect::{self, Record, SignedMicros},
+    suspect::{self, Crash, Record, SignedMicros},
 };
 use tokio::sync::Notify;
 
 use crate::request::Fingerprint;
 
 pub use in_flight::{InFlight, Interruption, RequestTracker};
+pub use pending::{Doubt, Pending};
 pub use store::{ROW_PREFIX, Row, Rows};
 use updates::{MAX_REPORTED_REQUESTS, Updates};
 pub use wire::Backlog;
@@ -72,6 +74,8 @@
 pub struct Crashes {
     started: Instant,
     state: Mutex<State>,
+    /// Whether it is not known of any endpoint whether it has crashed.
+    any_pending: AtomicBool,
     /// Whether anything is suspected. Most of the time nothing is, and every request checks.
     any: AtomicBool,
     /// Notified when something becomes withheld.
@@ -85,6 +89,10 @@
     /// Convicted prompt parts only.
     parts: suspect::Suspects,
     evidence: Evidence,
+    /// Endpoints that may have crashed, sorted.
+    pending: Vec<Pending>,
+    /// When endpoints were reached that may have crashed before, sorted by endpoint.
+    reached: Vec<Crash>,
     /// Endpoints whose crashes are explained by prompt parts, sorted.
     explained: Vec<u32>,
     probes: Vec<withheld::Probe>,
@@ -99,17 +107,21 @@
         }
     }
 
-    /// Returns a record with the last answer to the suspect that this process knows of, which clears it of earlier crashes
-    /// whichever of both arrives first.
-    fn with_last_served(&self, suspect: Suspect, record: &Record) -> Record {
+    /// Returns a record without the crashes that this process knows to be none, and with the last answer to the suspect that
+    /// it knows of, which clears it of earlier crashes whichever of both arrives first.
+    fn without_refuted(&self, suspect: Suspect, record: &Record) -> Record {
         let known = match suspect {
             Suspect::Part(part) => self.evidence.last_served(part),
             Suspect::Request(_) => None,
         };
-        Record {
-            crashes: record.crashes.clone(),
+        let mut record = Record {
             last_served: record.last_served.max(known),
-        }
+            ..record.clone()
+        };
+        record
+            .pending
+            .retain(|crash| !self.was_reached_after(crash));
+        record
     }
 
     /// Sends what is known of a suspect to the peers if the record of one of them withholds it for crashes that it has been
@@ -139,6 +151,7 @@
             started: Instant::now(),
             state: Mutex::default(),
             any: AtomicBool::default(),
+            any_pending: AtomicBool::default(),
             newly_withheld: Notify::default(),
             rows: Rows::default(),
         }
@@ -152,15 +165,26 @@
         SignedMicros::try_from(micros).unwrap_or(SignedMicros::MAX)
     }
 
+    /// Returns a point in time on the clock of crashes.
+    fn moment_of(&self, at: Instant) -> SignedMicros {
+        let ago = policy::micros(Instant::now().saturating_duration_since(at));
+        self.moment() - SignedMicros::try_from(ago).unwrap_or(SignedMicros::MAX)
+    }
+
     /// Returns the rows in the store.
     pub fn rows(&self) -> &Rows {
         &self.rows
     }
 
-    /// Whether an endpoint has crashed while running a request since the request was last served.
+    /// Whether an endpoint has crashed, or may have, while running a request since the request was last served.
     pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
         self.record(Suspect::Request(fingerprint))
-            .is_some_and(|record| !record.crashes.is_empty())
+            .is_some_and(|record| record.is_suspect())
+    }
+
+    /// Whether an endpoint is known to have crashed while running a request.
+    pub fn has_crashed(&self, endpoint: u32) -> bool {
+        self.any.load(Ordering::Relaxed) && self.state.lock().requests.has_crashed(endpoint)
     }
 
     /// Returns the record of a suspect.
@@ -208,7 +232,7 @@
         source: Source,
     ) -> bool {
         let now = self.moment();
-        let record = state.with_last_served(suspect, record);
+        let record = state.without_refuted(suspect, record);
         let (table, key) = state.table(suspect);
         let before = table.get(key).cloned().unwrap_or_default();
         let is_new = table.add(key, &record, now);
@@ -223,7 +247,7 @@
         ) {
             (None, Some(left)) => {
                 log::warn!(
-                    suspect:%, source:%, ends = crash_list(&after), lapses_ms = left / 1_000;
+                    suspect:%, source:%, ends = crash_list(&after.crashes), lapses_ms = left / 1_000;
                     "a suspect is withheld from endpoints"
                 );
                 self.rows.add(suspect, source);
@@ -234,6 +258,14 @@
             }
             (None, None) | (Some(_), Some(_)) => {}
         }
+        if let (None, Some(left)) = (before.remaining_hold(now), after.remaining_hold(now)) {
+            log::warn!(
+                suspect:%, source:%, ends = crash_list(&after.crashes), pending = crash_list(&after.pending),
+                lapses_ms = left / 1_000;
+                "a suspect is held back until it is known which endpoints have crashed"
+            );
+            self.newly_withheld.notify_waiters();
+        }
         is_new
     }
 
@@ -271,10 +303,9 @@
     pub withheld: usize,
 }
 
-/// Returns the crashed endpoints of a record, by short id, for a log line.
-fn crash_list(record: &Record) -> String {
-    let crashes: Vec<String> = record
-        .crashes
+/// Returns the endpoints of crashes, by short id, for a log line.
+fn crash_list(crashes: &[Crash]) -> String {
+    let crashes: Vec<String> = crashes
         .iter()
         .map(|crash| format!("{:08x}", crash.endpoint))
         .collect();
--- a/components/gateway/src/crashes/store.rs
+++ b/components/gateway/src/crashes/store.rs
@@ -118,7 +118,7 @@
         crashes.sort_unstable_by_key(|crash| crash.at);
         let record = Record {
             crashes,
-            last_served: None,
+            ..Record::default()
         };
         self.merge(suspect, &record, Source::Store);
     }
--- a/components/gateway/src/crashes/tests.rs
+++ b/components/gateway/src/crashes/tests.rs
@@ -6,9 +6,13 @@
 use policy::suspect::{SignedMicros, WITHHOLD_DURATION};
 
 use super::{
-    Crashes, InFlight, RequestTracker, Source, Suspect, updates::RESEND_INTERVAL, wire::Backlog,
+    Crashes, Doubt, InFlight, RequestTracker, Source, Suspect, updates::RESEND_INTERVAL,
+    wire::Backlog,
+};
+use crate::{
+    endpoint::{Build, Id, Profile, State},
+    request::Fingerprint,
 };
-use crate::request::Fingerprint;
 
 const PART: u64 = 7;
 const OTHER_PART: u64 = 8;
@@ -134,12 +138,14 @@
             suspects,
             reports,
             served,
+            reached,
         } = backlog.take_some();
         to.apply(&wire::Digest {
             name: "peer".to_owned(),
             suspects,
             crashes: reports,
             served_parts: served,
+            reached,
             ..wire::Digest::default()
         });
     }
@@ -196,6 +202,93 @@
     assert!(record.remaining_withhold(later.moment()) > Some(WITHHOLD_DURATION));
 }
 
+/// The profile of an endpoint; its number is its port.
+fn profile(id: &str, port: u16) -> Profile {
+    Profile {
+        id: Id(Arc::from(id)),
+        service: Arc::from("service"),
+        build: Build(Arc::from("v1")),
+        address: ([127, 0, 0, 1], port).into(),
+        data_centre: Arc::from("here"),
+        state: State::Ready,
+        slots: 1,
+        stage: None,
+        revocable: false,
+        started: None,
+    }
+}
+
+const REQUEST: u64 = 500;
+
+/// Whether the request is refused.
+fn is_refused(crashes: &Crashes) -> bool {
+    let request = Fingerprint::from(REQUEST);
+    crashes.withheld(request, &[], || 0).is_some()
+}
+
+/// Three endpoints that may have crashed under the request.
+fn hold_three(crashes: &Crashes) -> [Profile; 3] {
+    let endpoints = [("a", 1), ("b", 2), ("c", 3)].map(|(id, port)| profile(id, port));
+    for endpoint in &endpoints {
+        crashes.hold(endpoint, in_flight(&[(REQUEST, &[])]), Doubt::Unreachable);
+    }
+    endpoints
+}
+
+#[test]
+fn a_crash_that_a_successor_proves_counts_for_what_was_in_flight() {
+    let crashes = Crashes::default();
+    for endpoint in hold_three(&crashes) {
+        let successor = profile("successor", endpoint.address.port());
+        let ended = crashes.pending_before(&successor, Instant::now());
+        assert_eq!(ended.len(), 1);
+        assert!(crashes.pending_before(&endpoint, Instant::now()).is_empty());
+        crashes.record_crash(ended[0].profile.short_id(), &[]);
+    }
+    let record = crashes.record(Suspect::Request(Fingerprint::from(REQUEST)));
+    assert!(record.is_some_and(|record| record.is_convicted()));
+}
+
+#[test]
+fn a_request_whose_endpoint_has_answered_since_is_not_held_back_again_by_a_peer() {
+    let (crashes, peer) = (Crashes::default(), Crashes::default());
+    let endpoints = hold_three(&crashes);
+    send(&crashes, &peer);
+    assert!(is_refused(&crashes) && is_refused(&peer));
+    std::thread::sleep(std::time::Duration::from_millis(5));
+    crashes.record_alive(endpoints[0].short_id(), Instant::now());
+    assert!(!is_refused(&crashes));
+    peer.take_encoded_updates();
+    std::thread::sleep(RESEND_INTERVAL);
+    send(&peer, &crashes);
+    assert!(!is_refused(&crashes));
+    send(&crashes, &peer);
+    assert!(!is_refused(&peer));
+}
+
+#[test]
+fn a_request_that_was_served_is_not_suspected_for_a_crash_that_is_proved_later() {
+    let crashes = Crashes::default();
+    let endpoints = hold_three(&crashes);
+    std::thread::sleep(std::time::Duration::from_millis(5));
+    crashes.record_served(Fingerprint::from(REQUEST), &[]);
+    for endpoint in endpoints {
+        crashes.record_crash(endpoint.short_id(), &[]);
+    }
+    assert!(!is_refused(&crashes));
+    assert!(!crashes.is_suspect(Fingerprint::from(REQUEST)));
+}
+
+#[test]
+fn endpoints_that_others_reach_hold_no_request_back() {
+    let crashes = Crashes::default();
+    for port in 1..=3 {
+        let endpoint = profile(&port.to_string(), port);
+        crashes.hold(&endpoint, in_flight(&[(REQUEST, &[])]), Doubt::Reached);
+    }
+    assert!(!is_refused(&crashes));
+}
+
 #[test]
 fn a_row_key_names_its_suspect() {
     for suspect in [Suspect::Part(7), Suspect::Request(Fingerprint::from(7))] {
--- a/components/gateway/src/crashes/updates.rs
+++ b/components/gateway/src/crashes/updates.rs
@@ -47,6 +47,8 @@
     pub reports: Vec<Report>,
     /// Parts that were served, and when.
     pub served: Vec<(u64, SignedMicros)>,
+    /// Endpoints that were reached after they may have crashed, and when.
+    pub reached: Vec<Crash>,
 }
 
 /// What has to be sent to peers.
@@ -66,6 +68,10 @@
         self.updates.records.push((suspect, record));
     }
 
+    pub(super) fn add_reached(&mut self, reached: Crash) {
+        self.updates.reached.push(reached);
+    }
+
     /// Records that the peers know when a part was served.
     pub(super) fn mark_served(&mut self, part: u64, at: SignedMicros) {
         match self.served.binary_search_by_key(&part, |(part, _)| *part) {
@@ -138,6 +144,8 @@
             queue.recent_reports.retain(is_recent);
             updates.reports.extend_from_slice(&queue.recent_reports);
             updates.records.extend(state.records_to_resend(now));
+            state.drop_old_reached(now);
+            updates.reached.extend_from_slice(&state.reached);
         }
         state.add_served(&mut updates.reports);
         updates
--- a/components/gateway/src/crashes/wire.rs
+++ b/components/gateway/src/crashes/wire.rs
@@ -16,6 +16,9 @@
 /// Maximum number of served parts in one digest, for the same reason.
 const MAX_SERVED_PER_DIGEST: usize = 24;
 
+/// Maximum number of endpoints in one digest that were reached, for the same reason.
+const MAX_REACHED_PER_DIGEST: usize = 24;
+
 /// Encoded updates that wait for a digest.
 #[derive(Clone, Debug, Default)]
 pub struct Backlog {
@@ -25,12 +28,17 @@
     pub reports: Vec<CrashReport>,
     /// Parts that were served.
     pub served: Vec<ServedPart>,
+    /// Endpoints that were reached after they may have crashed.
+    pub reached: Vec<EndpointEnd>,
 }
 
 impl Backlog {
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty() && self.reports.is_empty() && self.served.is_empty()
+        self.suspects.is_empty()
+            && self.reports.is_empty()
+            && self.served.is_empty()
+            && self.reached.is_empty()
     }
 
     /// Adds updates. Prompt parts overtake requests.
@@ -39,12 +47,14 @@
         self.suspects.sort_by_key(|suspect| !suspect.part);
         self.reports.extend_from_slice(&updates.reports);
         self.served.extend_from_slice(&updates.served);
+        self.reached.extend_from_slice(&updates.reached);
     }
 
     /// Takes what fits into one digest.
     pub fn take_some(&mut self) -> Self {
         let suspects = self.suspects.len().min(MAX_SUSPECTS_PER_DIGEST);
         let served = self.served.len().min(MAX_SERVED_PER_DIGEST);
+        let reached = self.reached.len().min(MAX_REACHED_PER_DIGEST);
         let mut requests = 0;
         let fits = |report: &&CrashReport| {
             requests += report.requests.len();
@@ -55,6 +65,7 @@
             suspects: self.suspects.drain(..suspects).collect(),
             reports: self.reports.drain(..reports).collect(),
             served: self.served.drain(..served).collect(),
+            reached: self.reached.drain(..reached).collect(),
         }
     }
 }
@@ -68,6 +79,7 @@
             records,
             reports,
             served,
+            reached,
         } = updates;
         let suspects = records.iter();
         Backlog {
@@ -79,6 +91,7 @@
                 .map(|report| encode_report(report, now))
                 .collect(),
             served: encode_served(&served, now),
+            reached: encode_crashes(&reached, now),
         }
     }
 
@@ -102,6 +115,9 @@
             let requests: Vec<culprit::Request> = requests.collect();
             self.apply_crash(crash, &requests, &digest.name);
         }
+        for reached in &digest.reached {
+            self.apply_reached(reached.endpoint, at(reached.ago_ms));
+        }
         for received in &digest.suspects {
             let suspect = if received.part {
                 Suspect::Part(received.content)
@@ -128,18 +144,23 @@
         Suspect::Request(fingerprint) => (fingerprint.into(), false),
         Suspect::Part(part) => (part, true),
     };
-    let crashes = record.crashes.iter().map(|crash| EndpointEnd {
-        endpoint: crash.endpoint,
-        ago_ms: age_ms(crash.at, now),
-    });
     wire::Suspect {
         content,
-        ends: crashes.collect(),
+        ends: encode_crashes(&record.crashes, now),
+        pending: encode_crashes(&record.pending, now),
         served_ms: record.last_served.map_or(0, |served| age_ms(served, now)),
         part,
     }
 }
 
+fn encode_crashes(crashes: &[Crash], now: SignedMicros) -> Vec<EndpointEnd> {
+    let crashes = crashes.iter().map(|crash| EndpointEnd {
+        endpoint: crash.endpoint,
+        ago_ms: age_ms(crash.at, now),
+    });
+    crashes.collect()
+}
+
 fn encode_report(report: &Report, now: SignedMicros) -> CrashReport {
     let requests = report.requests.iter().map(|request| InFlightRequest {
         content: request.fingerprint,
@@ -162,17 +183,18 @@
 }
 
 fn decode_record(received: &wire::Suspect, at: impl Fn(u32) -> SignedMicros) -> Record {
-    let mut crashes: Vec<Crash> = received
-        .ends
-        .iter()
-        .map(|crash| Crash {
+    let decode = |ends: &[EndpointEnd]| {
+        let crashes = ends.iter().map(|crash| Crash {
             endpoint: crash.endpoint,
             at: at(crash.ago_ms),
-        })
-        .collect();
-    crashes.sort_unstable_by_key(|crash| crash.at);
+        });
+        let mut crashes: Vec<Crash> = crashes.collect();
+        crashes.sort_unstable_by_key(|crash| crash.at);
+        crashes
+    };
     Record {
-        crashes,
+        crashes: decode(&received.ends),
+        pending: decode(&received.pending),
         last_served: (received.served_ms > 0).then(|| at(received.served_ms)),
     }
 }
--- a/components/gateway/src/crashes/withheld.rs
+++ b/components/gateway/src/crashes/withheld.rs
@@ -76,11 +76,13 @@
 impl State {
     fn request_withheld(&self, fingerprint: Fingerprint, now: SignedMicros) -> Option<Duration> {
         let record = self.requests.get(fingerprint.into())?;
-        let mut endpoints = record.crashes.iter().map(|crash| crash.endpoint);
+        let crashes = record.crashes.iter().chain(&record.pending);
+        let mut endpoints = crashes.map(|crash| crash.endpoint);
         if endpoints.any(|endpoint| self.explained.binary_search(&endpoint).is_ok()) {
             return None;
         }
-        duration(record.remaining_withhold(now)?)
+        let remaining = record.remaining_withhold(now);
+        duration(remaining.or_else(|| record.remaining_hold(now))?)
     }
 
     pub(super) fn part_withheld(
--- a/components/gateway/src/endpoint/mod.rs
+++ b/components/gateway/src/endpoint/mod.rs
@@ -33,8 +33,8 @@
 pub use registry::{Fleet, Registry};
 pub use requests::RequestGuard;
 pub use target::{
-    CONTINUATION_WINDOW, CrashCheck, Latencies, Listening, Reach, Reuse, ServiceDefaults, Snapshot,
-    Target,
+    CONTINUATION_WINDOW, CrashCheck, Latencies, Listening, Reach, Refusal, Reuse, ServiceDefaults,
+    Snapshot, Target,
 };
 
 /// Name of an endpoint. A restarted endpoint may keep its name, see [`Profile::started`].
--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -81,6 +81,12 @@
         index.ok().map(|index| Arc::clone(&by_short_id[index].1))
     }
 
+    /// Whether another endpoint has been listed at the address of an endpoint since, so that this one has terminated.
+    #[must_use]
+    pub fn has_successor(&self, target: &Target) -> bool {
+        target.is_terminated() || self.all().iter().any(|other| other.succeeds(target))
+    }
+
     /// Returns the endpoints of a service.
     #[must_use]
     pub fn fleet(&self, service: &str) -> Fleet {
--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -19,7 +19,7 @@
 use crate::crashes::RequestTracker;
 use reach::ListenCheck;
 
-pub use reach::{CrashCheck, Listening, Reuse};
+pub use reach::{CrashCheck, Listening, Refusal, Reuse};
 
 /// How long after this process has learnt that an endpoint drains it may still be sent streams that began at its build.
 /// It must be below the operators' `drain_ms`, after which a draining endpoint accepts nothing new: two seconds after its
@@ -479,6 +479,26 @@
         self.termination.notify_waiters();
     }
 
+    /// Returns when this process learnt of it.
+    #[must_use]
+    pub fn known_since(&self) -> Instant {
+        self.with(|state| state.known_since)
+    }
+
+    /// Whether this incarnation has certainly terminated.
+    #[must_use]
+    pub fn is_terminated(&self) -> bool {
+        self.with(|state| state.terminated)
+    }
+
+    /// Whether it has been listed at the address of another endpoint after that one.
+    #[must_use]
+    pub fn succeeds(&self, other: &Self) -> bool {
+        let seen = |target: &Self| target.with(|state| (state.profile.address, state.known_since));
+        let ((address, since), (previous_address, previous_since)) = (seen(self), seen(other));
+        self.short_id != other.short_id && address == previous_address && since > previous_since
+    }
+
     /// Waits until this incarnation has terminated.
     pub async fn terminated(&self) {
         loop {
--- a/components/gateway/src/endpoint/target/reach.rs
+++ b/components/gateway/src/endpoint/target/reach.rs
@@ -6,6 +6,7 @@
 };
 
 use clock::Instant;
+use derive_more::Display;
 
 use super::Target;
 use crate::{
@@ -22,8 +23,22 @@
 pub(super) struct ListenCheck {
     began: Instant,
     listening: Listening,
-    /// Whether it showed that the endpoint has crashed.
-    crashed: bool,
+    /// What a refusal means; `None` if it was not refused.
+    refusal: Option<Refusal>,
+}
+
+/// Why an endpoint refuses connections of this process.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Refusal {
+    /// It has crashed.
+    #[display("it has crashed")]
+    Crashed,
+    /// Only the path to it is lost: others reach it, or its successor at the same address.
+    #[display("others reach it")]
+    PathLost,
+    /// It may have crashed, or all paths to it are lost.
+    #[display("it has crashed, or all paths to it are lost")]
+    Unclear,
 }
 
 /// Which connections a request may be sent on.
@@ -53,8 +68,10 @@
     Listens,
     /// It has not crashed, as far as can be known.
     NotCrashed,
-    /// It refuses connections of this process and has not crashed.
-    PathLost,
+    /// It refuses connections of this process, and others reach it. The requests that were left unanswered are returned.
+    PathLost(Vec<InFlight>),
+    /// It may have crashed. The requests that were left unanswered are returned.
+    Unclear(Vec<InFlight>),
     /// It has crashed. One of the requests may be the cause; only the first check that finds the crash
     /// returns them.
     Crashed(Vec<InFlight>),
@@ -192,44 +209,47 @@
     }
 
     /// Checks whether the endpoint has crashed, unless a check that began at `since` or later has shown
-    /// it. If it refuses connections, `confirm` decides whether that is due to a crash.
+    /// it. If it refuses connections, `explain` decides why.
     pub async fn check_for_crash(
         self: &Arc<Self>,
         since: Instant,
-        confirm: impl AsyncFnOnce() -> bool,
+        explain: impl AsyncFnOnce() -> Refusal,
     ) -> CrashCheck {
         let _listen_check = self.listen_check.lock().await;
-        match self.with(|state| state.last_check) {
-            Some(last) if last.began >= since && last.crashed => {
-                return CrashCheck::Crashed(Vec::new());
-            }
-            Some(last) if last.began >= since => {
-                return match last.listening {
-                    Listening::Accepts => CrashCheck::Listens,
-                    Listening::Refuses | Listening::Unknown => CrashCheck::NotCrashed,
-                };
-            }
-            Some(_) | None => {}
+        let last = self.with(|state| state.last_check);
+        let last = last.filter(|last| last.began >= since);
+        match last.map(|last| (last.refusal, last.listening)) {
+            Some((Some(Refusal::Crashed), _)) => return CrashCheck::Crashed(Vec::new()),
+            Some((Some(refusal), _)) => return self.refused(refusal, Instant::now()),
+            Some((None, Listening::Accepts)) => return CrashCheck::Listens,
+            Some((None, Listening::Refuses | Listening::Unknown)) => return CrashCheck::NotCrashed,
+            None => {}
         }
         let began = Instant::now();
         let listening = self.check_listening().await;
-        let crashed = listening == Listening::Refuses && confirm().await;
+        let refusal = match listening {
+            Listening::Refuses => Some(explain().await),
+            Listening::Accepts | Listening::Unknown => None,
+        };
         self.with(|state| {
             state.last_check = Some(ListenCheck {
                 began,
                 listening,
-                crashed,
+                refusal,
             });
-            match (crashed, listening) {
-                (true, _) => CrashCheck::Crashed(state.requests.take_all(began)),
-                (false, Listening::Refuses) => {
-                    // the path to it broke their connections
-                    state.requests.forget_broken();
-                    CrashCheck::PathLost
-                }
-                (false, Listening::Accepts) => CrashCheck::Listens,
-                (false, Listening::Unknown) => CrashCheck::NotCrashed,
-            }
+        });
+        match (refusal, listening) {
+            (Some(refusal), _) => self.refused(refusal, began),
+            (None, Listening::Accepts) => CrashCheck::Listens,
+            (None, Listening::Refuses | Listening::Unknown) => CrashCheck::NotCrashed,
+        }
+    }
+
+    fn refused(&self, refusal: Refusal, now: Instant) -> CrashCheck {
+        self.with(|state| match refusal {
+            Refusal::Crashed => CrashCheck::Crashed(state.requests.take_all(now)),
+            Refusal::PathLost => CrashCheck::PathLost(state.requests.take_unanswered(now)),
+            Refusal::Unclear => CrashCheck::Unclear(state.requests.take_unanswered(now)),
         })
     }
 }
--- a/components/gateway/src/forwarding/probe.rs
+++ b/components/gateway/src/forwarding/probe.rs
@@ -17,7 +17,7 @@
 
 use super::envelope;
 use crate::{
-    endpoint::{Listening, Target, short_id},
+    endpoint::{Listening, Refusal, Target, short_id},
     peer::Candidate,
     process::{Gateway, join},
     request::{
@@ -41,6 +41,17 @@
 /// Number of other endpoints that a gateway connects to in order to check its own paths.
 const MAX_COMPARED: usize = 2;
 
+/// What other paths of this process say about the one to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Paths {
+    /// They work.
+    Work,
+    /// They are lost too.
+    Lost,
+    /// There are none, or they disagree.
+    Unclear,
+}
+
 /// What a peer's probe of an endpoint showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reply {
@@ -76,22 +87,26 @@
     }
 }
 
-/// Whether an endpoint that has just refused a connection of this process has crashed. That holds if a
-/// peer confirms it and none reaches the endpoint. Without any reply that counts, it holds if the paths of
-/// this process to the rest of the service work.
-pub async fn confirms_crash(gateway: &Gateway, target: &Arc<Target>, request: &str) -> bool {
+/// Returns why an endpoint has just refused a connection of this process. It has crashed if a peer confirms it and none
+/// reaches the endpoint. Without any reply that counts, it has if the paths of this process work otherwise.
+pub async fn explain_refusal(gateway: &Gateway, target: &Arc<Target>, request: &str) -> Refusal {
     let replies = ask_peers(gateway, target).await;
-    let crashed = match () {
-        () if replies.contains(&Reply::Accepts) => false,
-        () if replies.contains(&Reply::Refuses) => true,
-        () => has_working_paths(gateway, target).await,
+    let refusal = match () {
+        () if replies.contains(&Reply::Accepts) => Refusal::PathLost,
+        () if replies.contains(&Reply::Refuses) => Refusal::Crashed,
+        () => match compare_paths(gateway, target).await {
+            Paths::Work => Refusal::Crashed,
+            Paths::Lost => Refusal::PathLost,
+            Paths::Unclear => Refusal::Unclear,
+        },
     };
     let contents = target.with(|state| state.requests.fingerprints(Instant::now()));
     log::info!(
-        request, endpoint = &*target.id.0, crashed, replies:?, contents = join(&contents);
+        request, endpoint = &*target.id.0, crashed = refusal == Refusal::Crashed, refusal:%, replies:?,
+        contents = join(&contents);
         "an endpoint refuses connections; peers were asked whether they reach it"
     );
-    crashed
+    refusal
 }
 
 /// Asks several peers at once. Stops at the first one that reaches the endpoint.
@@ -162,30 +177,62 @@
 async fn probe(gateway: &Gateway, target: &Arc<Target>) -> Reply {
     match target.check_listening().await {
         Listening::Accepts => Reply::Accepts,
-        Listening::Refuses if has_working_paths(gateway, target).await => Reply::Refuses,
-        Listening::Refuses | Listening::Unknown => Reply::Unknown,
+        Listening::Refuses => match compare_paths(gateway, target).await {
+            Paths::Work => Reply::Refuses,
+            Paths::Lost | Paths::Unclear => Reply::Unknown,
+        },
+        Listening::Unknown => Reply::Unknown,
     }
 }
 
-/// Whether the paths of this process to the rest of a service work: at most half of them are lost, and a
-/// connection to another endpoint can be opened now. If the service has no other endpoint, nothing
-/// speaks against them.
-async fn has_working_paths(gateway: &Gateway, target: &Arc<Target>) -> bool {
+/// Compares the path to an endpoint that refuses connections with other paths of this process: those to the other endpoints of
+/// its service, without endpoints that have crashed, as these say nothing about paths. Endpoints of other services in the same
+/// data centre are compared if none is left, and tell whether paths are lost if most others refuse connections too.
+async fn compare_paths(gateway: &Gateway, target: &Arc<Target>) -> Paths {
     clock::sleep(SETTLE_TIME).await;
     let fleet = gateway.registry.fleet(&target.service());
-    let others: Vec<&Arc<Target>> = fleet
-        .subset()
-        .iter()
-        .filter(|other| !Arc::ptr_eq(other, target))
-        .collect();
-    let compared: Vec<&Arc<Target>> = others
-        .iter()
-        .filter(|other| !other.is_path_lost())
-        .take(MAX_COMPARED)
-        .copied()
-        .collect();
-    futures::future::join_all(compared.iter().map(|other| other.check_path())).await;
-    let lost = others.iter().filter(|other| other.is_path_lost()).count();
-    let reaches_one = compared.iter().any(|other| !other.is_path_lost());
-    others.is_empty() || (reaches_one && lost * 2 <= others.len())
+    let is_other = |other: &&Arc<Target>| !Arc::ptr_eq(other, target);
+    let others: Vec<Arc<Target>> = fleet.subset().iter().filter(is_other).cloned().collect();
+    let compared = without_crashed(gateway, &others);
+    if !compared.is_empty() && do_paths_work(&compared).await {
+        return Paths::Work;
+    }
+    let neighbours = without_crashed(gateway, &neighbours(gateway, target));
+    let work = do_paths_work(&neighbours).await;
+    match () {
+        // nothing speaks against the path to the only endpoint
+        () if neighbours.is_empty() && others.is_empty() => Paths::Work,
+        () if neighbours.is_empty() => Paths::Unclear,
+        () if work && compared.is_empty() => Paths::Work,
+        () if work => Paths::Unclear,
+        () => Paths::Lost,
+    }
+}
+
+/// Whether at most half of the paths to endpoints are lost, and a connection to one can be opened now.
+async fn do_paths_work(targets: &[Arc<Target>]) -> bool {
+    let reachable = targets.iter().filter(|other| !other.is_path_lost());
+    let checked: Vec<&Arc<Target>> = reachable.take(MAX_COMPARED).collect();
+    futures::future::join_all(checked.iter().map(|other| other.check_path())).await;
+    let lost = targets.iter().filter(|other| other.is_path_lost()).count();
+    let reaches_one = checked.iter().any(|other| !other.is_path_lost());
+    reaches_one && lost * 2 <= targets.len()
+}
+
+fn without_crashed(gateway: &Gateway, targets: &[Arc<Target>]) -> Vec<Arc<Target>> {
+    let has_crashed = |target: &&Arc<Target>| gateway.crashes.has_crashed(target.short_id);
+    let others = targets.iter().filter(|target| !has_crashed(target));
+    others.cloned().collect()
+}
+
+/// Returns the endpoints of other services in the data centre of an endpoint.
+fn neighbours(gateway: &Gateway, target: &Target) -> Vec<Arc<Target>> {
+    let data_centre = target.with(|state| Arc::clone(&state.profile.data_centre));
+    let service = target.service();
+    let is_neighbour =
+        |other: &&Arc<Target>| other.with(|state| state.profile.data_centre == data_centre);
+    let fleets = gateway.registry.fleets();
+    let others = fleets.iter().filter(|(name, _)| *name != service);
+    let others = others.flat_map(|(_, fleet)| fleet.subset());
+    others.filter(is_neighbour).cloned().collect()
 }
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -618,6 +618,7 @@
         suspects: Vec::new(),
         crashes: Vec::new(),
         served_parts: Vec::new(),
+        reached: Vec::new(),
         beat_ms: 0,
         answered_ms: gateway.store_available_since().map_or(0, age_ms),
         ceded: gateway.steward.ceded(),
--- a/components/gateway/src/peer/send.rs
+++ b/components/gateway/src/peer/send.rs
@@ -255,6 +255,7 @@
             suspects: crashes.suspects,
             crashes: crashes.reports,
             served_parts: crashes.served,
+            reached: crashes.reached,
             ..own_digest(gateway, number)
         }
     }
--- a/components/gateway/src/process/crashes.rs
+++ b/components/gateway/src/process/crashes.rs
@@ -6,8 +6,8 @@
 
 use super::Gateway;
 use crate::{
-    crashes::InFlight,
-    endpoint::{CrashCheck, Target},
+    crashes::{Doubt, InFlight},
+    endpoint::{CrashCheck, Profile, Target},
     forwarding::probe,
     request::Fingerprint,
 };
@@ -19,6 +19,12 @@
 /// concurrently.
 const MAX_LOGGED_REQUESTS: usize = 48;
 
+/// How often endpoints that may have crashed are checked.
+const PENDING_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Evidence that an endpoint has crashed.
+const REPLACED: &str = "another endpoint is listed at its address";
+
 /// What is known of an endpoint that ended a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Liveness {
@@ -30,6 +36,19 @@
     Unknown,
 }
 
+/// Follows endpoints that may have crashed, for the lifetime of the process.
+pub async fn run(gateway: &Gateway) {
+    let is_connected = |endpoint| {
+        let target = gateway.registry.find(endpoint);
+        target.is_some_and(|target| !target.is_path_lost())
+    };
+    loop {
+        clock::sleep(PENDING_CHECK_INTERVAL).await;
+        gateway.crashes.record_connected(is_connected);
+        gateway.drop_expired_pending();
+    }
+}
+
 impl Gateway {
     /// Checks whether an endpoint that broke a request's connection has crashed, and if so records the
     /// requests that were in flight there.
@@ -51,10 +70,16 @@
         request: &str,
         since: Instant,
     ) -> Liveness {
-        let confirm = async || probe::confirms_crash(self, target, request).await;
-        match target.check_for_crash(since, confirm).await {
-            CrashCheck::PathLost => {
+        let explain = async || probe::explain_refusal(self, target, request).await;
+        match target.check_for_crash(since, explain).await {
+            CrashCheck::PathLost(unanswered) => {
+                self.drop_connections_without_path(&target.service());
+                self.hold(target, unanswered, Doubt::Reached);
+                Liveness::Unknown
+            }
+            CrashCheck::Unclear(unanswered) => {
                 self.drop_connections_without_path(&target.service());
+                self.hold(target, unanswered, Doubt::Unreachable);
                 Liveness::Unknown
             }
             check @ (CrashCheck::Listens | CrashCheck::NotCrashed) => {
@@ -77,40 +102,98 @@
     /// it was not draining.
     pub fn record_unlisted(&self, target: &Arc<Target>) {
         let now = Instant::now();
-        let (in_flight, known) = target.with(|state| {
-            let known = state.requests.fingerprints(now);
-            (state.requests.take_broken(now), known)
-        });
+        let known = target.with(|state| state.requests.fingerprints(now));
+        let has_successor = self.registry.has_successor(target);
         if !known.is_empty() {
             log::info!(
-                endpoint = &*target.id.0, counted = in_flight.len(), contents = join(&known);
+                endpoint = &*target.id.0, has_successor, contents = join(&known);
                 "an endpoint with requests without an answer is no longer listed"
             );
         }
+        if has_successor {
+            let in_flight = target.with(|state| state.requests.take_all(now));
+            self.record_crash(target, &in_flight, REPLACED, "");
+            return;
+        }
+        let broken = target.with(|state| state.requests.take_broken(now));
         if self.lacks_paths(&target.service()) {
             // the paths of this process may have broken the connections
+            self.hold(target, broken, Doubt::Reached);
+        } else if !broken.is_empty() {
+            self.record_crash(target, &broken, "it is no longer listed", "");
+        }
+    }
+
+    /// Records the crashes of endpoints at whose address another one has been listed since.
+    pub fn record_successor(&self, profile: &Profile) {
+        let Some(successor) = self.registry.find(profile.short_id()) else {
             return;
+        };
+        for ended in self
+            .crashes
+            .pending_before(profile, successor.known_since())
+        {
+            self.log_crash(&ended.profile, &ended.requests, REPLACED, "");
+            self.crashes.record_crash(ended.profile.short_id(), &[]);
         }
-        self.record_crash(target, &in_flight, "it is no longer listed", "");
     }
 
+    /// Keeps requests until it is known whether their endpoint has crashed.
+    fn hold(&self, target: &Target, requests: Vec<InFlight>, doubt: Doubt) {
+        if requests.is_empty() {
+            return;
+        }
+        if self.registry.has_successor(target) {
+            self.record_crash(target, &requests, REPLACED, "");
+            return;
+        }
+        let contents = requests.iter().map(|request| request.fingerprint);
+        let contents: Vec<Fingerprint> = contents.collect();
+        log::info!(
+            endpoint = &*target.id.0, short_id = format!("{:08x}", target.short_id), doubt:?, contents = join(&contents);
+            "it is not known whether an endpoint has crashed"
+        );
+        let profile = target.with(|state| state.profile.clone());
+        self.crashes.hold(&profile, requests, doubt);
+    }
+
+    /// Drops endpoints of which it has not become known in time whether they crashed.
+    fn drop_expired_pending(&self) {
+        for expired in self.crashes.drop_expired_pending() {
+            let contents = expired.requests.iter().map(|request| request.fingerprint);
+            let contents: Vec<Fingerprint> = contents.collect();
+            log::info!(
+                endpoint = &*expired.profile.id.0, contents = join(&contents);
+                "it has not become known whether an endpoint crashed"
+            );
+        }
+    }
+
+    /// Records the crash of an endpoint with requests in flight, and with those that have been held until it was certain.
     fn record_crash(&self, target: &Target, in_flight: &[InFlight], evidence: &str, request: &str) {
-        if in_flight.is_empty() {
+        let held = self.crashes.pending_requests(target.short_id);
+        if in_flight.is_empty() && held.is_empty() {
             return;
         }
-        let service = target.with(|state| Arc::clone(&state.profile.service));
-        self.metrics.crashes.with_label_values(&[&*service]).inc();
+        let all: Vec<InFlight> = in_flight.iter().chain(&held).cloned().collect();
+        let profile = target.with(|state| state.profile.clone());
+        self.log_crash(&profile, &all, evidence, request);
+        self.crashes.record_crash(target.short_id, in_flight);
+    }
+
+    fn log_crash(&self, profile: &Profile, in_flight: &[InFlight], evidence: &str, request: &str) {
+        let service = &*profile.service;
+        self.metrics.crashes.with_label_values(&[service]).inc();
         let fingerprints: Vec<Fingerprint> = in_flight
             .iter()
             .map(|request| request.fingerprint)
             .collect();
         log::warn!(
-            request, endpoint = &*target.id.0, service = &*service, evidence,
+            request, endpoint = &*profile.id.0, service, evidence,
             under_way = fingerprints.len(), contents = join(&fingerprints),
             written_ms = format_written(in_flight), parts = format_parts(in_flight);
             "an endpoint crashed with requests in flight"
         );
-        self.crashes.record_crash(target.short_id, in_flight);
     }
 }
 
--- a/components/gateway/src/process/endpoints.rs
+++ b/components/gateway/src/process/endpoints.rs
@@ -207,6 +207,12 @@
         // the removal of endpoints absent from the full list after an outage has been postponed
         let unlisted = self.gateway.registry.apply(&changes, full && !recovered);
         self.record_unlisted(&unlisted);
+        for change in &changes {
+            match change {
+                Change::Present(profile) => self.gateway.record_successor(profile),
+                Change::Gone(_) | Change::Unusable(_) => {}
+            }
+        }
         self.gateway.endpoints_read.send_replace(true);
         self.remove_missing();
     }
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -375,6 +375,8 @@
     let shared = Arc::clone(&gateway);
     tasks.spawn(async move { connection::watch_overload(&shared).await });
     let shared = Arc::clone(&gateway);
+    tasks.spawn(async move { run_again("crashes", || crashes::run(&shared)).await });
+    let shared = Arc::clone(&gateway);
     tasks.spawn(async move { run_again("withheld", || withheld::run(&shared)).await });
     let shared = Arc::clone(&gateway);
     tasks.spawn(async move { run_again("builds", || builds::run(&shared)).await });
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -4,6 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use clock::Instant;
 use derive_more::Display;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -244,26 +245,14 @@
         .await
         .map_err(Cause::NotOpened)?;
     let request = build_request(job, directive);
-    if !presence::may_send(job, &target.id.0).await {
-        target.put_back_connection(connection);
-        return Err(Cause::CallerGone);
-    }
-    // whatever the delay since the endpoint was chosen, nobody waits for the answer any more
-    if job.time_left().is_zero() {
-        target.put_back_connection(connection);
-        return Err(Cause::Expired);
-    }
-    if !job.may_be_sent_before_shutdown() {
-        target.put_back_connection(connection);
-        return Err(Cause::ShuttingDown);
-    }
-    if !job.sends.record(job, purpose) {
+    if let Err(cause) = check_before_send(job, target, purpose).await {
         target.put_back_connection(connection);
-        return Err(Cause::RetryBudgetExhausted);
+        return Err(cause);
     }
     let suspect = job.gateway.crashes.is_suspect(job.fingerprint);
     let guard = RequestGuard::new(target, job.fingerprint, &job.parts, suspect);
     let executes = purpose == Purpose::Run;
+    let sent = Instant::now();
     job.record_sent_to(target);
     job.exchange_guard.forwarded(&target.id.0, executes);
     let sending = connection.start_request().try_send_request(request);
@@ -317,14 +306,31 @@
             steward::check_refusal(&job.gateway, target);
             Err(Cause::NotRun(not_run))
         }
-        Finding::Answer => Ok(Answer {
-            head,
-            body,
-            connection,
-            target: Arc::clone(target),
-            build,
-            guard,
-        }),
+        Finding::Answer => {
+            job.gateway.crashes.record_alive(target.short_id, sent);
+            Ok(Answer {
+                head,
+                body,
+                connection,
+                target: Arc::clone(target),
+                build,
+                guard,
+            })
+        }
+    }
+}
+
+/// Checks right before a request is sent, whatever the delay since the endpoint was chosen, that it still may be, and counts
+/// it as sent.
+async fn check_before_send(job: &Job, target: &Target, purpose: Purpose) -> Result<(), Cause> {
+    if !presence::may_send(job, &target.id.0).await {
+        return Err(Cause::CallerGone);
+    }
+    match () {
+        () if job.time_left().is_zero() => Err(Cause::Expired),
+        () if !job.may_be_sent_before_shutdown() => Err(Cause::ShuttingDown),
+        () if !job.sends.record(job, purpose) => Err(Cause::RetryBudgetExhausted),
+        () => Ok(()),
     }
 }
 
--- a/components/policy/src/suspect.rs
+++ b/components/policy/src/suspect.rs
@@ -17,6 +17,9 @@
 pub const WITHHOLD_DURATION: SignedMicros = 300 * SECOND;
 /// How many times longer a request is withheld after another crash than it was before.
 pub const WITHHOLD_GROWTH: SignedMicros = 4;
+/// How long a crash that is not certain counts. It is certain once a successor of the endpoint is listed, which takes its
+/// restart and a few heartbeats.
+pub const PENDING_TTL: SignedMicros = 10 * SECOND;
 /// The longest time for which a request is withheld after a crash.
 pub const MAX_WITHHOLD_DURATION: SignedMicros = 24 * 3_600 * SECOND;
 /// How long a suspect is remembered after the last update, if it is not withheld for longer.
@@ -40,18 +43,65 @@
 pub struct Record {
     /// Crashes since the request was last served, the oldest first; at most [`CRASHES_TO_WITHHOLD`].
     pub crashes: Vec<Crash>,
+    /// Crashes since then that are not certain, as the path to the endpoint may be lost instead; the oldest first, at
+    /// most [`CRASHES_TO_WITHHOLD`].
+    pub pending: Vec<Crash>,
     /// When the request was last served.
     pub last_served: Option<SignedMicros>,
 }
 
 impl Record {
+    /// Returns the record of a request that was in flight during one crash.
+    #[must_use]
+    pub fn of_crash(crash: Crash) -> Self {
+        Self {
+            crashes: vec![crash],
+            ..Self::default()
+        }
+    }
+
+    /// Returns the record of a request that was in flight at an endpoint that may have crashed.
+    #[must_use]
+    pub fn of_pending(crash: Crash) -> Self {
+        Self {
+            pending: vec![crash],
+            ..Self::default()
+        }
+    }
+
+    /// Returns the record of a request that was served.
+    #[must_use]
+    pub fn of_answer(at: SignedMicros) -> Self {
+        Self {
+            last_served: Some(at),
+            ..Self::default()
+        }
+    }
+
+    /// Whether an endpoint has crashed, or may have, while running the request since it was last served.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        !self.crashes.is_empty() || !self.pending.is_empty()
+    }
+
     /// Returns the time of the latest crash or answer.
     #[must_use]
     pub fn last_update(&self) -> Option<SignedMicros> {
-        self.crashes
-            .last()
-            .map(|crash| crash.at)
-            .max(self.last_served)
+        let crashes = [self.crashes.last(), self.pending.last()];
+        let crashes = crashes.into_iter().flatten().map(|crash| crash.at);
+        crashes.max().max(self.last_served)
+    }
+
+    /// Returns for how much longer the request is held back because of crashes that are not certain; `None` if it isn't.
+    /// It is held back if it would be withheld once they are.
+    #[must_use]
+    pub fn remaining_hold(&self, now: SignedMicros) -> Option<SignedMicros> {
+        let missing = CRASHES_TO_WITHHOLD
+            .saturating_sub(self.crashes.len())
+            .max(1);
+        let decisive = self.pending.iter().rev().nth(missing - 1)?;
+        let remaining = decisive.at + PENDING_TTL - now;
+        (remaining > 0).then_some(remaining)
     }
 
     /// Returns for how much longer the request is withheld; `None` if it isn't.
@@ -106,26 +156,41 @@
     fn merge(&mut self, other: &Self) -> bool {
         let previous = self.clone();
         self.last_served = self.last_served.max(other.last_served);
-        for crash in &other.crashes {
-            match self
-                .crashes
-                .iter_mut()
-                .find(|known| known.endpoint == crash.endpoint)
-            {
-                // The earliest report comes from the process that observed the crash.
-                Some(known) => known.at = known.at.min(crash.at),
-                None => self.crashes.push(*crash),
-            }
-        }
-        let last_served = self.last_served;
-        self.crashes
-            .retain(|crash| last_served.is_none_or(|last_served| last_served < crash.at));
-        self.crashes
-            .sort_unstable_by_key(|crash| (crash.at, crash.endpoint));
-        let surplus = self.crashes.len().saturating_sub(CRASHES_TO_WITHHOLD);
-        self.crashes.drain(..surplus);
+        merge_crashes(&mut self.crashes, &other.crashes, self.last_served);
+        let is_certain = |pending: &Crash| {
+            self.crashes
+                .iter()
+                .any(|crash| crash.endpoint == pending.endpoint)
+        };
+        let mut pending = other.pending.clone();
+        pending.retain(|crash| !is_certain(crash));
+        self.pending.retain(|crash| !is_certain(crash));
+        merge_crashes(&mut self.pending, &pending, self.last_served);
         *self != previous
     }
+
+    /// Drops crashes that have not become certain in time.
+    fn drop_expired_pending(&mut self, now: SignedMicros) {
+        self.pending.retain(|crash| now - crash.at < PENDING_TTL);
+    }
+}
+
+/// Merges crashes, and keeps the latest ones since the request was last served.
+fn merge_crashes(known: &mut Vec<Crash>, received: &[Crash], last_served: Option<SignedMicros>) {
+    for crash in received {
+        match known
+            .iter_mut()
+            .find(|known| known.endpoint == crash.endpoint)
+        {
+            // The earliest report comes from the process that observed the crash.
+            Some(known) => known.at = known.at.min(crash.at),
+            None => known.push(*crash),
+        }
+    }
+    known.retain(|crash| last_served.is_none_or(|last_served| last_served < crash.at));
+    known.sort_unstable_by_key(|crash| (crash.at, crash.endpoint));
+    let surplus = known.len().saturating_sub(CRASHES_TO_WITHHOLD);
+    known.drain(..surplus);
 }
 
 /// All suspects, sorted by the fingerprint of the request.
@@ -153,7 +218,7 @@
             _ if received.is_expired(now) => false,
             Ok(index) => self.0[index].1.merge(received),
             // Success of a request that is not suspected needs no record.
-            Err(_) if received.crashes.is_empty() => false,
+            Err(_) if !received.is_suspect() => false,
             Err(_) => {
                 self.evict_if_full();
                 let index = self.find(fingerprint).unwrap_or_else(|index| index);
@@ -167,17 +232,40 @@
 
     /// Drops records without an update for a long time.
     pub fn evict_expired(&mut self, now: SignedMicros) {
+        for (_, record) in &mut self.0 {
+            record.drop_expired_pending(now);
+        }
         self.0.retain(|(_, record)| !record.is_expired(now));
     }
 
+    /// Drops crashes of an endpoint that are not certain, up to `at`, as it has not crashed then. Returns whether there were
+    /// any.
+    pub fn retract_pending(&mut self, endpoint: u32, at: SignedMicros) -> bool {
+        let is_refuted = |crash: &mut Crash| crash.endpoint == endpoint && crash.at <= at;
+        let mut any = false;
+        for (_, record) in &mut self.0 {
+            any |= record.pending.extract_if(.., is_refuted).count() > 0;
+        }
+        any
+    }
+
+    /// Whether an endpoint has crashed while running a request that has not been served since.
+    #[must_use]
+    pub fn has_crashed(&self, endpoint: u32) -> bool {
+        let mut crashes = self.0.iter().flat_map(|(_, record)| &record.crashes);
+        crashes.any(|crash| crash.endpoint == endpoint)
+    }
+
     /// If the table is full, drops the record with the fewest crashes, and of these the oldest.
     fn evict_if_full(&mut self) {
         if self.0.len() < MAX_RECORDS {
             return;
         }
         let records = self.0.iter().enumerate();
-        let least =
-            records.min_by_key(|(_, (_, record))| (record.crashes.len(), record.last_update()));
+        let least = records.min_by_key(|(_, (_, record))| {
+            let crashes = record.crashes.len();
+            (crashes, record.pending.len(), record.last_update())
+        });
         if let Some((index, _)) = least {
             self.0.remove(index);
         }
--- a/components/policy/tests/suspect.rs
+++ b/components/policy/tests/suspect.rs
@@ -1,25 +1,28 @@
 //! Which requests are withheld from endpoints as suspects.
 
 use policy::suspect::{
-    CRASHES_TO_WITHHOLD, Crash, MAX_RECORDS, RECORD_TTL, Record, SignedMicros, Suspects,
-    WITHHOLD_DURATION,
+    CRASHES_TO_WITHHOLD, Crash, MAX_RECORDS, PENDING_TTL, RECORD_TTL, Record, SignedMicros,
+    Suspects, WITHHOLD_DURATION,
 };
 use proptest::prelude::*;
 
 const SECOND: SignedMicros = 1_000_000;
 
 fn crashed(endpoint: u32, at: SignedMicros) -> Record {
-    Record {
-        crashes: vec![Crash { endpoint, at }],
-        last_served: None,
-    }
+    Record::of_crash(Crash { endpoint, at })
+}
+
+fn pending(endpoint: u32, at: SignedMicros) -> Record {
+    Record::of_pending(Crash { endpoint, at })
+}
+
+fn is_held(suspects: &Suspects, fingerprint: u64, now: SignedMicros) -> bool {
+    let record = suspects.get(fingerprint);
+    record.is_some_and(|record| record.remaining_hold(now).is_some())
 }
 
 fn served(at: SignedMicros) -> Record {
-    Record {
-        crashes: Vec::new(),
-        last_served: Some(at),
-    }
+    Record::of_answer(at)
 }
 
 fn is_withheld(suspects: &Suspects, fingerprint: u64, now: SignedMicros) -> bool {
@@ -88,6 +91,44 @@
     assert_eq!(suspects.get(7).map(|record| record.crashes.len()), Some(1));
 }
 
+#[test]
+fn pending_crashes_hold_a_request_back_that_they_would_withhold() {
+    let mut suspects = Suspects::default();
+    suspects.add(7, &crashed(1, SECOND), SECOND);
+    suspects.add(7, &pending(2, 2 * SECOND), 2 * SECOND);
+    assert!(!is_held(&suspects, 7, 2 * SECOND), "two are not enough");
+    suspects.add(7, &pending(3, 3 * SECOND), 3 * SECOND);
+    assert!(is_held(&suspects, 7, 3 * SECOND));
+    assert!(!is_withheld(&suspects, 7, 3 * SECOND));
+    let expired = 2 * SECOND + PENDING_TTL;
+    assert!(!is_held(&suspects, 7, expired), "the second one expired");
+}
+
+#[test]
+fn a_pending_crash_that_becomes_certain_counts_once() {
+    let mut suspects = Suspects::default();
+    suspects.add(7, &pending(1, SECOND), SECOND);
+    suspects.add(7, &crashed(1, SECOND), SECOND);
+    // a peer that does not know yet
+    suspects.add(7, &pending(1, SECOND), SECOND);
+    assert_eq!(suspects.get(7), Some(&crashed(1, SECOND)));
+}
+
+#[test]
+fn an_answer_or_a_sign_of_life_clears_pending_crashes() {
+    let mut suspects = Suspects::default();
+    for endpoint in 1..=3 {
+        suspects.add(7, &pending(endpoint, SECOND), SECOND);
+        suspects.add(8, &pending(endpoint, SECOND), SECOND);
+    }
+    assert!(is_held(&suspects, 7, SECOND) && is_held(&suspects, 8, SECOND));
+    suspects.add(7, &served(2 * SECOND), 2 * SECOND);
+    assert!(!is_held(&suspects, 7, 2 * SECOND));
+    assert!(!suspects.retract_pending(2, 0), "reached before");
+    assert!(suspects.retract_pending(2, 2 * SECOND));
+    assert!(!is_held(&suspects, 8, 2 * SECOND));
+}
+
 #[test]
 fn suspects_expire_and_their_number_is_bounded() {
     let mut suspects = Suspects::default();
@@ -116,6 +157,7 @@
     let record = record.prop_map(|(crashes, last_served)| Record {
         crashes,
         last_served,
+        ..Record::default()
     });
     prop::collection::vec(record, 1..6)
 }
