Notice crashes under requests that nobody waits for

Cause: an attempt that is given up is recorded as cancelled. If its endpoint crashes a moment later, no connection of a request breaks, so nobody asked whether it had crashed, and the lapse of its entry counted only what broke.

Change: a gateway watches endpoints that left requests without an answer. Once none of its connections to one is open, it checks whether it has crashed. A cancelled request stays suspect until its endpoint has answered others a second after that; when an entry lapses, or another endpoint is listed at the address, it is held or counted like one whose connection broke.

--- a/components/gateway/src/crashes/in_flight.rs
+++ b/components/gateway/src/crashes/in_flight.rs
@@ -9,9 +9,11 @@
 
 use crate::request::Fingerprint;
 
-/// How long a cancelled request may still be the cause of a crash: an engine notices a cancellation
-/// with a delay.
+/// How long an endpoint may go on with a cancelled request: an engine notices a cancellation with a delay.
 const CANCELLED_TTL: Duration = Duration::from_secs(1);
+/// How long a cancelled request is kept if its endpoint has answered nothing since it may have run it: a crash may be
+/// noticed only when the endpoint is no longer listed.
+const RETENTION: Duration = Duration::from_secs(10);
 /// How long a request whose connection broke is kept: a crashed endpoint stays listed until several
 /// of its heartbeats are missing.
 const BROKEN_TTL: Duration = Duration::from_secs(6);
@@ -69,12 +71,17 @@
 }
 
 impl Unanswered {
-    fn is_expired(&self, now: Instant) -> bool {
-        let ttl = match self.interruption {
-            Interruption::Cancelled => CANCELLED_TTL,
-            Interruption::ConnectionBroken => BROKEN_TTL,
-        };
-        now.duration_since(self.at) > ttl
+    /// Whether it can't be the cause of a crash at `now`. An endpoint that answered others when it had certainly stopped to
+    /// work on a cancelled request has outlasted it.
+    fn is_expired(&self, now: Instant, last_answer: Option<Instant>) -> bool {
+        let age = now.saturating_duration_since(self.at);
+        match self.interruption {
+            Interruption::Cancelled => {
+                let outlasted = |answer| answer > self.at + CANCELLED_TTL;
+                age > RETENTION || last_answer.is_some_and(outlasted)
+            }
+            Interruption::ConnectionBroken => age > BROKEN_TTL,
+        }
     }
 }
 
@@ -86,6 +93,8 @@
     unanswered: VecDeque<Unanswered>,
     /// Number of requests so far.
     total: u64,
+    /// When the endpoint last sent a part of an answer.
+    last_answer: Option<Instant>,
 }
 
 impl RequestTracker {
@@ -122,14 +131,19 @@
             .position(|(request, _)| *request == number)
     }
 
-    /// Records that a request got no answer.
-    pub fn interrupt(&mut self, number: u64, interruption: Interruption) {
+    /// Records that the endpoint sent a part of an answer.
+    pub fn record_answer(&mut self) {
+        self.last_answer = Some(Instant::now());
+    }
+
+    /// Records that a request got no answer. Returns `false` if it was no longer in flight.
+    pub fn interrupt(&mut self, number: u64, interruption: Interruption) -> bool {
         let Some(mut request) = self.remove(number) else {
-            return;
+            return false;
         };
         let at = Instant::now();
         request.interrupted = Some(at);
-        self.unanswered.retain(|other| !other.is_expired(at));
+        self.drop_expired(at);
         if self.unanswered.len() == MAX_UNANSWERED {
             self.unanswered.pop_front();
         }
@@ -138,13 +152,30 @@
             interruption,
             at,
         });
+        true
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        let last_answer = self.last_answer;
+        self.unanswered
+            .retain(|other| !other.is_expired(now, last_answer));
+    }
+
+    /// Whether a request that was left unanswered may be the cause of a crash.
+    pub fn has_unanswered(&mut self, now: Instant) -> bool {
+        self.drop_expired(now);
+        !self.unanswered.is_empty()
+    }
+
+    /// Returns when the last request was left unanswered that may be the cause of a crash.
+    pub fn last_interruption(&self) -> Option<Instant> {
+        self.unanswered.back().map(|request| request.at)
     }
 
     /// Returns the fingerprints of the requests in flight and of those recently left unanswered, sorted.
-    pub fn fingerprints(&self, now: Instant) -> Vec<Fingerprint> {
-        let unanswered = self.unanswered.iter();
-        let unanswered = unanswered.filter(|request| !request.is_expired(now));
-        let unanswered = unanswered.map(|request| &request.request);
+    pub fn fingerprints(&mut self, now: Instant) -> Vec<Fingerprint> {
+        self.drop_expired(now);
+        let unanswered = self.unanswered.iter().map(|request| &request.request);
         let in_flight = self.in_flight.iter().map(|(_, request)| request);
         let all = unanswered.chain(in_flight);
         let mut fingerprints: Vec<Fingerprint> = all.map(|request| request.fingerprint).collect();
@@ -156,19 +187,16 @@
     /// Takes all requests that may have caused a crash at `now`, sorted by fingerprint: those in
     /// flight and those recently left unanswered.
     pub fn take_all(&mut self, now: Instant) -> Vec<InFlight> {
-        let unanswered = self
-            .unanswered
-            .drain(..)
-            .filter(|request| !request.is_expired(now));
+        self.drop_expired(now);
+        let unanswered = self.unanswered.drain(..).map(|request| request.request);
         let in_flight = self.in_flight.drain(..).map(|(_, request)| request);
-        sorted(unanswered.map(|request| request.request).chain(in_flight))
+        sorted(unanswered.chain(in_flight))
     }
 
     /// Takes the requests that were recently left unanswered.
     pub fn take_unanswered(&mut self, now: Instant) -> Vec<InFlight> {
-        let unanswered = self.unanswered.drain(..);
-        let unanswered = unanswered.filter(|request| !request.is_expired(now));
-        sorted(unanswered.map(|request| request.request))
+        self.drop_expired(now);
+        sorted(self.unanswered.drain(..).map(|request| request.request))
     }
 
     /// Discards the requests whose connections broke.
@@ -177,14 +205,25 @@
             .retain(|request| request.interruption != Interruption::ConnectionBroken);
     }
 
-    /// Takes the requests whose connections recently broke, sorted by fingerprint, and discards the
-    /// other unanswered ones.
+    /// Takes the requests whose connections recently broke, sorted by fingerprint.
     pub fn take_broken(&mut self, now: Instant) -> Vec<InFlight> {
-        let broken = |request: &Unanswered| {
-            request.interruption == Interruption::ConnectionBroken && !request.is_expired(now)
-        };
-        let unanswered = self.unanswered.drain(..).filter(broken);
-        sorted(unanswered.map(|request| request.request))
+        self.drop_expired(now);
+        let (broken, others): (VecDeque<_>, VecDeque<_>) = self
+            .unanswered
+            .drain(..)
+            .partition(|request| request.interruption == Interruption::ConnectionBroken);
+        self.unanswered = others;
+        sorted(broken.into_iter().map(|request| request.request))
+    }
+
+    /// Takes the requests that were recently left unanswered, and adds those in flight if the endpoint has answered nothing
+    /// for longer than it goes on with cancelled ones.
+    pub fn take_silent(&mut self, now: Instant) -> Vec<InFlight> {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= CANCELLED_TTL;
+        let is_silent = !self.last_answer.is_some_and(is_recent);
+        let in_flight = self.in_flight.iter().filter(|_| is_silent);
+        let in_flight: Vec<InFlight> = in_flight.map(|(_, request)| request.clone()).collect();
+        sorted(self.take_unanswered(now).into_iter().chain(in_flight))
     }
 }
 
--- a/components/gateway/src/crashes/tests.rs
+++ b/components/gateway/src/crashes/tests.rs
@@ -6,8 +6,8 @@
 use policy::suspect::{SignedMicros, WITHHOLD_DURATION};
 
 use super::{
-    Crashes, Doubt, InFlight, RequestTracker, Source, Suspect, updates::RESEND_INTERVAL,
-    wire::Backlog,
+    Crashes, Doubt, InFlight, Interruption, RequestTracker, Source, Suspect,
+    updates::RESEND_INTERVAL, wire::Backlog,
 };
 use crate::{
     endpoint::{Build, Id, Profile, State},
@@ -289,6 +289,20 @@
     assert!(!is_refused(&crashes));
 }
 
+#[test]
+fn a_cancelled_request_is_suspected_until_its_endpoint_has_outlasted_it() {
+    let mut tracker = RequestTracker::default();
+    let number = tracker.insert(Fingerprint::from(REQUEST), &Arc::from([]));
+    assert!(tracker.interrupt(number, Interruption::Cancelled));
+    tracker.record_answer();
+    let later = Instant::now() + std::time::Duration::from_secs(3);
+    assert!(tracker.has_unanswered(later), "it may have gone on with it");
+    std::thread::sleep(std::time::Duration::from_millis(1_100));
+    tracker.record_answer();
+    assert!(!tracker.has_unanswered(later));
+    assert!(tracker.take_all(later).is_empty());
+}
+
 #[test]
 fn a_row_key_names_its_suspect() {
     for suspect in [Suspect::Part(7), Suspect::Request(Fingerprint::from(7))] {
--- a/components/gateway/src/endpoint/registry.rs
+++ b/components/gateway/src/endpoint/registry.rs
@@ -4,7 +4,10 @@
 
 use parking_lot::{Mutex, RwLock};
 
-use super::{Builds, BusySet, Id, IncarnationOrder, LostPaths, Profile, State, Target, subset};
+use super::{
+    Builds, BusySet, Id, IncarnationOrder, InterruptedSet, LostPaths, Profile, State, Target,
+    subset,
+};
 use crate::adapters::Change;
 
 /// Maximum number of changes in an update whose new endpoints are logged individually. Above the 60
@@ -57,6 +60,8 @@
     busy: Arc<BusySet>,
     /// Endpoints that this process can't reach.
     lost_paths: Arc<LostPaths>,
+    /// Endpoints that left requests of this process without an answer.
+    interrupted: Arc<InterruptedSet>,
     /// Builds of the services, also of endpoints that are no longer listed.
     builds: Builds,
     /// Serializes updates.
@@ -122,6 +127,12 @@
         Arc::clone(&self.lost_paths)
     }
 
+    /// Returns the endpoints that left requests of this process without an answer a short time ago.
+    #[must_use]
+    pub fn interrupted(&self) -> &InterruptedSet {
+        &self.interrupted
+    }
+
     /// Returns the builds that serve or have served lately.
     #[must_use]
     pub fn builds(&self) -> &Builds {
@@ -206,7 +217,8 @@
     /// Creates a target without any history.
     fn new_target(&self, profile: &Profile) -> Arc<Target> {
         let (busy, lost_paths) = (Arc::clone(&self.busy), Arc::clone(&self.lost_paths));
-        Arc::new(Target::new(profile.clone(), busy, lost_paths))
+        let interrupted = Arc::clone(&self.interrupted);
+        Arc::new(Target::new(profile.clone(), busy, lost_paths, interrupted))
     }
 
     fn publish(&self, targets: Vec<Arc<Target>>) {
--- a/components/gateway/src/endpoint/requests.rs
+++ b/components/gateway/src/endpoint/requests.rs
@@ -48,8 +48,7 @@
     }
 
     fn interrupt(&self, interruption: Interruption) {
-        self.target
-            .with(|state| state.requests.interrupt(self.number, interruption));
+        self.target.record_interruption(self.number, interruption);
     }
 }
 
--- a/components/gateway/src/endpoint/target/mod.rs
+++ b/components/gateway/src/endpoint/target/mod.rs
@@ -13,10 +13,10 @@
 use tokio::sync::{Mutex as AsyncMutex, Notify};
 
 use super::{
-    Build, BusySet, Connection, Health, Id, Load, LostPaths, Path, Profile, Stage, State, Verdict,
-    connection::IdleConnection,
+    Build, BusySet, Connection, Health, Id, InterruptedSet, Load, LostPaths, Path, Profile, Stage,
+    State, Verdict, connection::IdleConnection,
 };
-use crate::crashes::RequestTracker;
+use crate::crashes::{Interruption, RequestTracker};
 use reach::ListenCheck;
 
 pub use reach::{CrashCheck, Listening, Refusal, Reuse};
@@ -46,6 +46,8 @@
     busy: Arc<BusySet>,
     /// List that it is added to when its path is lost.
     lost_paths: Arc<LostPaths>,
+    /// Set that it is added to when it leaves a request without an answer.
+    interrupted: Arc<InterruptedSet>,
     /// Held during a check whether it still listens.
     listen_check: AsyncMutex<()>,
 }
@@ -291,7 +293,12 @@
 impl Target {
     /// Creates the target of a newly listed endpoint.
     #[must_use]
-    pub fn new(profile: Profile, busy: Arc<BusySet>, lost_paths: Arc<LostPaths>) -> Self {
+    pub fn new(
+        profile: Profile,
+        busy: Arc<BusySet>,
+        lost_paths: Arc<LostPaths>,
+        interrupted: Arc<InterruptedSet>,
+    ) -> Self {
         let is_draining = profile.state == State::Draining;
         Self {
             id: profile.id.clone(),
@@ -299,6 +306,7 @@
             open_connections: Arc::default(),
             busy,
             lost_paths,
+            interrupted,
             migration: Notify::new(),
             termination: Notify::new(),
             refusal_check: Notify::new(),
@@ -339,6 +347,19 @@
         });
     }
 
+    /// Records that it sent a part of the answer to a request, which only this incarnation can send.
+    pub fn record_answer(&self) {
+        self.record_response();
+        self.with(|state| state.requests.record_answer());
+    }
+
+    /// Records that a request got no answer.
+    pub(super) fn record_interruption(self: &Arc<Self>, number: u64, interruption: Interruption) {
+        if self.with(|state| state.requests.interrupt(number, interruption)) {
+            self.interrupted.add(self);
+        }
+    }
+
     /// Returns when it last sent something to this process; `None` if it has not yet.
     #[must_use]
     pub fn last_response(&self) -> Option<Instant> {
--- a/components/gateway/src/endpoint/target/reach.rs
+++ b/components/gateway/src/endpoint/target/reach.rs
@@ -208,6 +208,24 @@
         }
     }
 
+    /// Whether it may have crashed under a request that was left unanswered, without a connection of this process that
+    /// would have shown it since.
+    #[must_use]
+    pub fn needs_crash_check(&self) -> bool {
+        let now = Instant::now();
+        self.with(|state| {
+            let idle = state.idle.iter();
+            let is_connected = self.open_connections.load(Ordering::Relaxed) > state.idle.len()
+                || idle.filter(|idle| idle.is_open(now)).count() > 0;
+            let is_checked = state.last_check.is_some_and(|last| {
+                let interrupted = state.requests.last_interruption();
+                last.listening != Listening::Accepts
+                    && interrupted.is_none_or(|interrupted| interrupted <= last.began)
+            });
+            !is_connected && !is_checked && state.requests.has_unanswered(now)
+        }) && self.listen_check.try_lock().is_ok()
+    }
+
     /// Checks whether the endpoint has crashed, unless a check that began at `since` or later has shown
     /// it. If it refuses connections, `explain` decides why.
     pub async fn check_for_crash(
--- a/components/gateway/src/process/crashes.rs
+++ b/components/gateway/src/process/crashes.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use clock::Instant;
+use tokio::task::JoinSet;
 
 use super::Gateway;
 use crate::{
@@ -19,6 +20,11 @@
 /// concurrently.
 const MAX_LOGGED_REQUESTS: usize = 48;
 
+/// How often it is checked whether an endpoint has closed its connections that left requests without an answer. It may restart
+/// soon after a crash.
+const INTERRUPTED_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Maximum number of concurrent checks of such endpoints.
+const MAX_CONCURRENT_CHECKS: usize = 32;
 /// How often endpoints that may have crashed are checked.
 const PENDING_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -49,6 +55,27 @@
     }
 }
 
+/// Checks endpoints that may have crashed under requests that nobody waits for, for the lifetime of the process. No broken
+/// connection shows such a crash if the requests were the only ones there.
+pub async fn watch_interrupted(gateway: Arc<Gateway>) {
+    let interrupted = gateway.registry.interrupted();
+    let mut checks = JoinSet::new();
+    loop {
+        let targets = interrupted.current();
+        if targets.is_empty() {
+            interrupted.wait_for_addition().await;
+            continue;
+        }
+        while checks.try_join_next().is_some() {}
+        let due = targets.into_iter().filter(|at| at.needs_crash_check());
+        for target in due.take(MAX_CONCURRENT_CHECKS.saturating_sub(checks.len())) {
+            let gateway = Arc::clone(&gateway);
+            checks.spawn(async move { gateway.check_for_crash(&target, "").await });
+        }
+        clock::sleep(INTERRUPTED_CHECK_INTERVAL).await;
+    }
+}
+
 impl Gateway {
     /// Checks whether an endpoint that broke a request's connection has crashed, and if so records the
     /// requests that were in flight there.
@@ -115,13 +142,19 @@
             self.record_crash(target, &in_flight, REPLACED, "");
             return;
         }
-        let broken = target.with(|state| state.requests.take_broken(now));
         if self.lacks_paths(&target.service()) {
             // the paths of this process may have broken the connections
-            self.hold(target, broken, Doubt::Reached);
-        } else if !broken.is_empty() {
+            let unanswered = target.with(|state| state.requests.take_unanswered(now));
+            self.hold(target, unanswered, Doubt::Reached);
+            return;
+        }
+        let broken = target.with(|state| state.requests.take_broken(now));
+        if !broken.is_empty() {
             self.record_crash(target, &broken, "it is no longer listed", "");
         }
+        // it may still run them if it is only cut off from the store
+        let silent = target.with(|state| state.requests.take_silent(now));
+        self.hold(target, silent, Doubt::Unreachable);
     }
 
     /// Records the crashes of endpoints at whose address another one has been listed since.
@@ -129,10 +162,16 @@
         let Some(successor) = self.registry.find(profile.short_id()) else {
             return;
         };
-        for ended in self
-            .crashes
-            .pending_before(profile, successor.known_since())
+        let interrupted = self.registry.interrupted().current();
+        for target in interrupted
+            .iter()
+            .filter(|target| successor.succeeds(target))
         {
+            let in_flight = target.with(|state| state.requests.take_all(Instant::now()));
+            self.record_crash(target, &in_flight, REPLACED, "");
+        }
+        let listed = successor.known_since();
+        for ended in self.crashes.pending_before(profile, listed) {
             self.log_crash(&ended.profile, &ended.requests, REPLACED, "");
             self.crashes.record_crash(ended.profile.short_id(), &[]);
         }
--- a/components/gateway/src/process/mod.rs
+++ b/components/gateway/src/process/mod.rs
@@ -377,6 +377,13 @@
     let shared = Arc::clone(&gateway);
     tasks.spawn(async move { run_again("crashes", || crashes::run(&shared)).await });
     let shared = Arc::clone(&gateway);
+    tasks.spawn(async move {
+        run_again("interrupted", || {
+            crashes::watch_interrupted(Arc::clone(&shared))
+        })
+        .await;
+    });
+    let shared = Arc::clone(&gateway);
     tasks.spawn(async move { run_again("withheld", || withheld::run(&shared)).await });
     let shared = Arc::clone(&gateway);
     tasks.spawn(async move { run_again("builds", || builds::run(&shared)).await });
--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -307,6 +307,7 @@
             Err(Cause::NotRun(not_run))
         }
         Finding::Answer => {
+            target.record_answer();
             job.gateway.crashes.record_alive(target.short_id, sent);
             Ok(Answer {
                 head,
--- a/components/gateway/src/request/relay/mod.rs
+++ b/components/gateway/src/request/relay/mod.rs
@@ -344,7 +344,7 @@
             .target
             .with(|state| state.remaining_prefill_time(now, &defaults));
         let previous_remaining = std::mem::replace(&mut upstream.remaining_prefill, remaining);
-        upstream.target.record_response();
+        upstream.target.record_answer();
         upstream.silent_since = now;
         self.longest_gap = self.longest_gap.max(gap.unwrap_or_default());
         let engines = self.job.service.engines.as_ref();
