Check again right before a request is sent whether it is withheld

Between the choice of an endpoint and the send, a gateway waits for the retry budget, for a connection and for its caller's presence, 0.3 s and more. It looked only before.

--- a/components/gateway/src/request/attempt.rs
+++ b/components/gateway/src/request/attempt.rs
@@ -329,6 +329,7 @@
     }
     match () {
         () if job.time_left().is_zero() => Err(Cause::Expired),
+        () if job.withheld().is_some() => Err(Cause::Withheld),
         () if !job.may_be_sent_before_shutdown() => Err(Cause::ShuttingDown),
         () if !job.sends.record(job, purpose) => Err(Cause::RetryBudgetExhausted),
         () => Ok(()),
