Do not pass on responses whose status HTTP does not define

Callers saw: an endpoint in trouble answered 600 or 999, and the caller got that status as its answer.

Cause: the parser takes three digits from 100 to 999 for a status. Those below are rejected as no HTTP; those from 600 on were examined like any other.

Change: such a response shows nothing about its request, which may have run. Test: red on the commit before for 600, on a plain route first (600, expected 502).

--- a/components/gateway/src/request/evidence.rs
+++ b/components/gateway/src/request/evidence.rs
@@ -52,6 +52,9 @@
     /// Its status states that the request did not run, which the endpoint does not confirm.
     #[display("a refusal status that the endpoint does not confirm")]
     UnconfirmedStatus,
+    /// HTTP does not define its status.
+    #[display("HTTP does not define its status")]
+    UndefinedStatus,
     /// It lacks the endpoint's signature.
     #[display("it is not signed")]
     Unsigned,
@@ -71,6 +74,7 @@
             Self::Unnamed => "unnamed",
             Self::UsedConnection => "used-connection",
             Self::UnconfirmedStatus => "unconfirmed-status",
+            Self::UndefinedStatus => "undefined-status",
             Self::Unsigned => "unsigned",
             Self::AmbiguousEnd => "ambiguous-end",
             Self::Encoded => "encoded",
@@ -83,6 +87,7 @@
     let status = head.status;
     let not_run = |basis| Finding::NotRun(NotRun { status, basis });
     match reply.identity {
+        _ if !is_defined(status) => Finding::Nothing(Doubt::UndefinedStatus),
         Identity::Other => Finding::Nothing(Doubt::OtherRequest),
         Identity::Own if reply.not_run => not_run(Basis::Named),
         Identity::Unnamed if reply.not_run && is_first => not_run(Basis::FirstResponse),
@@ -99,6 +104,13 @@
     }
 }
 
+/// Whether HTTP defines what a status means, by its first digit if not by itself ([RFC 9110], section 15).
+///
+/// [RFC 9110]: https://www.rfc-editor.org/rfc/rfc9110#section-15
+fn is_defined(status: StatusCode) -> bool {
+    (100..600).contains(&status.as_u16())
+}
+
 /// Whether callers take a status as a promise that their request did not run and never will.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
