--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -159,6 +159,18 @@
     assert_no_violation(&options, &CRASHING_PARTS_SEEDS).await;
 }
 
+/// Seeds of the short run in which requests crash the endpoints of services with two or three of them.
+const SMALL_SERVICES_SEEDS: [u64; 2] = [80_001, 80_002];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_that_crash_small_services_are_refused_in_a_short_soak() {
+    let options = Options {
+        scenario: Scenario::SmallServices,
+        ..options()
+    };
+    assert_no_violation(&options, &SMALL_SERVICES_SEEDS).await;
+}
+
 /// A seed in which a gateway's process is stopped and restarted within two seconds.
 const RESTART_SEED: u64 = 3;
 /// How long a restart is blocked in that run: well above the delay that is logged as blocked stand-ins.
