Count crashes that a gateway noticed which stopped before they were certain

The endpoint returned, but only the gateway that held it looked for a successor; at the peers the crash lapsed after ten seconds, and the request crashed a fourth endpoint.

Change: all gateways have the list, so each takes a successor at the address as the proof for the crashes that its peers told it of. Tests: the unit test is new; whether the one with a gateway that stops fails without the change was not tried at this commit.

--- a/components/gateway/src/crashes/mod.rs
+++ b/components/gateway/src/crashes/mod.rs
@@ -19,6 +19,7 @@
 mod withheld;
 
 use std::{
+    collections::VecDeque,
     sync::atomic::{AtomicBool, Ordering},
     time::Duration,
 };
@@ -67,6 +68,9 @@
     /// The store holds it.
     #[display("the store")]
     Store,
+    /// It follows from the list of endpoints, which all gateways have.
+    #[display("the list of endpoints")]
+    List,
 }
 
 /// The crashes of endpoints, what may have caused them, and what is withheld for it, as far as this process knows.
@@ -91,6 +95,8 @@
     evidence: Evidence,
     /// Endpoints that may have crashed, sorted.
     pending: Vec<Pending>,
+    /// Endpoints that were unlisted a short time ago without having drained, the oldest first.
+    unlisted: VecDeque<pending::Unlisted>,
     /// When endpoints were reached that may have crashed before, sorted by endpoint.
     reached: Vec<Crash>,
     /// Endpoints whose crashes are explained by prompt parts, sorted.
@@ -208,7 +214,7 @@
     fn merge_from(&self, state: &mut State, suspect: Suspect, record: &Record, source: Source) {
         match source {
             Source::Own => self.merge_own(state, suspect, record),
-            Source::Peer(_) | Source::Store => {
+            Source::Peer(_) | Source::Store | Source::List => {
                 self.merge_into(state, suspect, record, source);
             }
         }
--- a/components/gateway/src/crashes/pending.rs
+++ b/components/gateway/src/crashes/pending.rs
@@ -1,13 +1,13 @@
 //! Endpoints that may have crashed, or may only be out of reach. What was in flight there is kept until that is known. See
 //! `docs/DESIGN.md#requests-that-end-endpoints`.
 
-use std::sync::atomic::Ordering;
+use std::{net::SocketAddr, sync::atomic::Ordering};
 
 use clock::Instant;
 use policy::suspect::{Crash, PENDING_TTL, Record, SignedMicros};
 
-use super::{Crashes, InFlight, State, Suspect};
-use crate::endpoint::Profile;
+use super::{Crashes, InFlight, Source, State, Suspect};
+use crate::{endpoint::Profile, request::Fingerprint};
 
 /// Time within which an endpoint that has restarted is listed after it accepts connections, in microseconds: several times the
 /// time that a change of the list takes to all gateways.
@@ -15,6 +15,9 @@
 /// Maximum number of endpoints that are remembered to have been reached after they may have crashed.
 const MAX_REACHED: usize = 256;
 
+/// Maximum number of endpoints that are remembered to have been unlisted.
+const MAX_UNLISTED: usize = 256;
+
 /// What is known of an endpoint that may have crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Doubt {
@@ -37,7 +40,55 @@
     connected_since: Option<SignedMicros>,
 }
 
+/// An endpoint that is no longer listed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Unlisted {
+    endpoint: u32,
+    address: SocketAddr,
+    at: SignedMicros,
+}
+
 impl Crashes {
+    /// Records that an endpoint is no longer listed. A successor at its address proves that it had crashed.
+    pub fn record_unlisted(&self, profile: &Profile) {
+        let now = self.moment();
+        let mut state = self.state.lock();
+        let is_old = |unlisted: &Unlisted| now - unlisted.at >= PENDING_TTL;
+        while state.unlisted.front().is_some_and(is_old) || state.unlisted.len() >= MAX_UNLISTED {
+            state.unlisted.pop_front();
+        }
+        state.unlisted.push_back(Unlisted {
+            endpoint: profile.short_id(),
+            address: profile.address,
+            at: now,
+        });
+    }
+
+    /// Returns the endpoints that may have crashed, as this process or its peers noticed.
+    pub fn pending_endpoints(&self) -> Vec<u32> {
+        if !self.any.load(Ordering::Relaxed) {
+            return Vec::new();
+        }
+        self.state.lock().requests.pending_endpoints()
+    }
+
+    /// Whether an endpoint was listed at an address until a short time ago.
+    pub fn was_listed_at(&self, endpoint: u32, address: SocketAddr) -> bool {
+        let state = self.state.lock();
+        let mut unlisted = state.unlisted.iter();
+        unlisted.any(|other| other.endpoint == endpoint && other.address == address)
+    }
+
+    /// Records that an endpoint has certainly crashed, for the requests that this process or its peers suspect of it. The
+    /// process that noticed may have stopped meanwhile.
+    pub fn confirm(&self, endpoint: u32) {
+        let mut state = self.state.lock();
+        for (fingerprint, crash) in state.requests.pending_crashes(endpoint) {
+            let suspect = Suspect::Request(Fingerprint::from(fingerprint));
+            self.merge_into(&mut state, suspect, &Record::of_crash(crash), Source::List);
+        }
+    }
+
     /// Keeps the requests that were in flight at an endpoint until it is known whether it has crashed. If nobody reaches it,
     /// the crash counts for them for the time being.
     pub fn hold(&self, profile: &Profile, requests: Vec<InFlight>, doubt: Doubt) {
--- a/components/gateway/src/crashes/store.rs
+++ b/components/gateway/src/crashes/store.rs
@@ -47,7 +47,7 @@
     pub(super) fn add(&self, suspect: Suspect, source: Source) {
         let observed = match source {
             Source::Own => true,
-            Source::Peer(_) => false,
+            Source::Peer(_) | Source::List => false,
             Source::Store => return,
         };
         self.unwritten.lock().push((suspect, observed));
--- a/components/gateway/src/crashes/tests.rs
+++ b/components/gateway/src/crashes/tests.rs
@@ -249,6 +249,21 @@
     assert!(record.is_some_and(|record| record.is_convicted()));
 }
 
+#[test]
+fn a_crash_that_a_peer_noticed_is_proved_without_that_peer() {
+    let (crashes, peer) = (Crashes::default(), Crashes::default());
+    let endpoints = hold_three(&peer);
+    send(&peer, &crashes);
+    drop(peer);
+    for endpoint in endpoints {
+        crashes.record_unlisted(&endpoint);
+        assert!(crashes.was_listed_at(endpoint.short_id(), endpoint.address));
+        crashes.confirm(endpoint.short_id());
+    }
+    let record = crashes.record(Suspect::Request(Fingerprint::from(REQUEST)));
+    assert!(record.is_some_and(|record| record.is_convicted()));
+}
+
 #[test]
 fn a_request_whose_endpoint_has_answered_since_is_not_held_back_again_by_a_peer() {
     let (crashes, peer) = (Crashes::default(), Crashes::default());
--- a/components/gateway/src/process/crashes.rs
+++ b/components/gateway/src/process/crashes.rs
@@ -129,7 +129,9 @@
     /// it was not draining.
     pub fn record_unlisted(&self, target: &Arc<Target>) {
         let now = Instant::now();
-        let known = target.with(|state| state.requests.fingerprints(now));
+        let (known, profile) =
+            target.with(|state| (state.requests.fingerprints(now), state.profile.clone()));
+        self.crashes.record_unlisted(&profile);
         let has_successor = self.registry.has_successor(target);
         if !known.is_empty() {
             log::info!(
@@ -138,6 +140,7 @@
             );
         }
         if has_successor {
+            self.crashes.confirm(target.short_id);
             let in_flight = target.with(|state| state.requests.take_all(now));
             self.record_crash(target, &in_flight, REPLACED, "");
             return;
@@ -170,6 +173,15 @@
             let in_flight = target.with(|state| state.requests.take_all(Instant::now()));
             self.record_crash(target, &in_flight, REPLACED, "");
         }
+        for endpoint in self.crashes.pending_endpoints() {
+            let is_succeeded = self.registry.find(endpoint).map_or_else(
+                || self.crashes.was_listed_at(endpoint, profile.address),
+                |target| successor.succeeds(&target),
+            );
+            if is_succeeded && endpoint != successor.short_id {
+                self.crashes.confirm(endpoint);
+            }
+        }
         let listed = successor.known_since();
         for ended in self.crashes.pending_before(profile, listed) {
             self.log_crash(&ended.profile, &ended.requests, REPLACED, "");
--- a/components/policy/src/suspect.rs
+++ b/components/policy/src/suspect.rs
@@ -249,6 +249,28 @@
         any
     }
 
+    /// Returns the endpoints that may have crashed, sorted.
+    #[must_use]
+    pub fn pending_endpoints(&self) -> Vec<u32> {
+        let pending = self.0.iter().flat_map(|(_, record)| &record.pending);
+        let mut endpoints: Vec<u32> = pending.map(|crash| crash.endpoint).collect();
+        endpoints.sort_unstable();
+        endpoints.dedup();
+        endpoints
+    }
+
+    /// Returns the requests for which a crash of an endpoint is not certain, with that crash.
+    #[must_use]
+    pub fn pending_crashes(&self, endpoint: u32) -> Vec<(u64, Crash)> {
+        let pending = self.0.iter().flat_map(|(fingerprint, record)| {
+            let crashes = record.pending.iter();
+            crashes.map(move |crash| (*fingerprint, *crash))
+        });
+        pending
+            .filter(|(_, crash)| crash.endpoint == endpoint)
+            .collect()
+    }
+
     /// Whether an endpoint has crashed while running a request that has not been served since.
     #[must_use]
     pub fn has_crashed(&self, endpoint: u32) -> bool {
