Do not take a drained endpoint for crashed when its address is used again

Found by reading the diff: a successor at the address of an endpoint that left a request without an answer counted as the proof of a crash, also if the endpoint had drained and exited as planned. Only those listed as ready count now.

--- a/components/gateway/src/crashes/pending.rs
+++ b/components/gateway/src/crashes/pending.rs
@@ -14,7 +14,6 @@
 const SUCCESSOR_TIMEOUT_US: SignedMicros = 500_000;
 /// Maximum number of endpoints that are remembered to have been reached after they may have crashed.
 const MAX_REACHED: usize = 256;
-
 /// Maximum number of endpoints that are remembered to have been unlisted.
 const MAX_UNLISTED: usize = 256;
 
--- a/components/gateway/src/process/crashes.rs
+++ b/components/gateway/src/process/crashes.rs
@@ -8,7 +8,7 @@
 use super::Gateway;
 use crate::{
     crashes::{Doubt, InFlight},
-    endpoint::{CrashCheck, Profile, Target},
+    endpoint::{CrashCheck, Profile, State, Target},
     forwarding::probe,
     request::Fingerprint,
 };
@@ -166,10 +166,12 @@
             return;
         };
         let interrupted = self.registry.interrupted().current();
-        for target in interrupted
-            .iter()
-            .filter(|target| successor.succeeds(target))
-        {
+        // one that drains may exit at any time
+        let has_crashed = |target: &&Arc<Target>| {
+            let was_ready = target.with(|state| state.profile.state == State::Ready);
+            was_ready && successor.succeeds(target)
+        };
+        for target in interrupted.iter().filter(has_crashed) {
             let in_flight = target.with(|state| state.requests.take_all(Instant::now()));
             self.record_crash(target, &in_flight, REPLACED, "");
         }
