--- a/components/gateway/src/crashes/pending.rs
+++ b/components/gateway/src/crashes/pending.rs
@@ -193,7 +193,7 @@
         state.record_reached(Crash { endpoint, at });
     }
 
-    /// Records that a crash of an endpoint that was not certain counts no longer, and tells the peers.
+    /// Records that a crash of an endpoint that was not certain counts no longer, and reports it to the peers.
     fn retract(&self, state: &mut State, endpoint: u32) {
         let reached = Crash {
             endpoint,
@@ -214,9 +214,6 @@
         let mut state = self.state.lock();
         let is_expired = |pending: &mut Pending| now - pending.at >= PENDING_TTL;
         let expired = state.pending.extract_if(.., is_expired).collect();
-        state
-            .reached
-            .retain(|reached| now - reached.at < PENDING_TTL);
         self.note_pending(&state);
         expired
     }
--- a/components/gateway/src/forwarding/probe.rs
+++ b/components/gateway/src/forwarding/probe.rs
@@ -187,7 +187,7 @@
 
 /// Compares the path to an endpoint that refuses connections with other paths of this process: those to the other endpoints of
 /// its service, without endpoints that have crashed, as these say nothing about paths. Endpoints of other services in the same
-/// data centre are compared if none is left, and tell whether paths are lost if most others refuse connections too.
+/// data centre are compared if none is left; if most others refuse connections too, they show whether paths are lost.
 async fn compare_paths(gateway: &Gateway, target: &Arc<Target>) -> Paths {
     clock::sleep(SETTLE_TIME).await;
     let fleet = gateway.registry.fleet(&target.service());
